--- /dev/null
+++ b/pkg/limiter/limiter.go
@@ -0,0 +1,121 @@
+// Package limiter bounds the concurrent requests to one upstream by a limit
+// that it learns from latency: the limit grows by one for each full window of
+// answers that came in good time, and shrinks when answers slow down or fail.
+package limiter
+
+import "time"
+
+const (
+	// slowFactor is the latency, as a multiple of the baseline, that shrinks the limit.
+	slowFactor = 2.5
+	// shrink is the factor by which the limit shrinks.
+	shrink = 0.85
+	// smoothing is the weight of a new latency in the moving average.
+	smoothing = 0.2
+	// baselineDrift is the weight with which the baseline follows higher latencies.
+	baselineDrift = 0.01
+	// usedShare is the share of the limit that must have been in use for an answer to grow it.
+	usedShare = 0.75
+)
+
+type (
+	// Config bounds the limit.
+	Config struct {
+		Initial int
+		Maximum int
+		// SlowStart is the time over which the limit of a new or recovered upstream rises to its learnt value.
+		SlowStart time.Duration
+	}
+
+	// Limiter counts the requests in flight to one upstream. It is not safe for concurrent use.
+	Limiter struct {
+		config   Config
+		limit    float64
+		ceiling  int
+		inFlight int
+		// average and baseline are latencies in seconds.
+		average  float64
+		baseline float64
+		// shrunkAt is when the limit shrank last; it shrinks once a latency at the most.
+		shrunkAt time.Duration
+		eased    time.Duration
+	}
+)
+
+// New returns a limiter whose upstream became available at a time on a monotonic clock.
+func New(config Config, now time.Duration) *Limiter {
+	return &Limiter{config: config, limit: float64(config.Initial), ceiling: config.Maximum, eased: now}
+}
+
+// SetCeiling bounds the limit by this process's share of the upstream's slots.
+func (l *Limiter) SetCeiling(ceiling int) {
+	l.ceiling = max(1, min(ceiling, l.config.Maximum))
+}
+
+// Restart eases the upstream in again from now on.
+func (l *Limiter) Restart(now time.Duration) {
+	l.eased = now
+}
+
+// Limit returns the number of requests allowed in flight at a time.
+func (l *Limiter) Limit(now time.Duration) int {
+	limit := min(l.limit, float64(l.ceiling))
+	if age := now - l.eased; age < l.config.SlowStart {
+		limit *= float64(age) / float64(l.config.SlowStart)
+	}
+	return max(1, int(limit))
+}
+
+// InFlight returns the number of requests in flight.
+func (l *Limiter) InFlight() int { return l.inFlight }
+
+// Free reports whether one more request may start.
+func (l *Limiter) Free(now time.Duration) bool {
+	return l.inFlight < l.Limit(now)
+}
+
+// Latency returns the average time to the first byte, or zero before the first answer.
+func (l *Limiter) Latency() time.Duration {
+	return time.Duration(l.average * float64(time.Second))
+}
+
+// Start counts a request that was sent.
+func (l *Limiter) Start() { l.inFlight++ }
+
+// Finish counts a request whose outcome says nothing about the upstream's load.
+func (l *Limiter) Finish() { l.inFlight-- }
+
+// Answered learns from the time to the first byte of one request in flight.
+func (l *Limiter) Answered(now, latency time.Duration) {
+	seconds := latency.Seconds()
+	if l.average == 0 {
+		l.average = seconds
+		l.baseline = seconds
+	}
+	l.average += smoothing * (seconds - l.average)
+	if seconds < l.baseline {
+		l.baseline = seconds
+	} else {
+		l.baseline += baselineDrift * (seconds - l.baseline)
+	}
+	if l.average > slowFactor*l.baseline {
+		l.shrinkOnce(now, latency)
+		return
+	}
+	if float64(l.inFlight) >= usedShare*l.limit {
+		l.limit = min(l.limit+1/l.limit, float64(l.config.Maximum))
+	}
+}
+
+// Overloaded learns from an answer that says the upstream has too much work, or from a failure.
+func (l *Limiter) Overloaded(now time.Duration) {
+	l.shrinkOnce(now, l.Latency())
+}
+
+func (l *Limiter) shrinkOnce(now, latency time.Duration) {
+	if l.shrunkAt != 0 && now-l.shrunkAt < latency {
+		return
+	}
+	l.shrunkAt = now
+	l.limit = max(1, l.limit*shrink)
+}
