--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+# Front door of the project. Needs Go and nothing else.
+GO            ?= go
+BIN           := $(CURDIR)/bin
+GOLANGCI      := $(BIN)/golangci-lint
+GOLANGCI_VER  := v2.15.0
+BUF_VER       := v1.75.0
+PROTOGEN_VER  := v1.36.11
+TRY_LISTEN    ?= 127.0.0.1:8080
+TEST_TIMEOUT  ?= 20m
+
+.PHONY: build try test check format generate bench clean
+
+build:
+	$(GO) build -o $(BIN)/comfreybend ./cmd/comfreybend
+
+# Runs a whole system on loopback and prints a request to paste.
+try: build
+	$(BIN)/comfreybend try --listen $(TRY_LISTEN)
+
+# Everything that CI asks for: formatter, linter, build, all tests with the race detector.
+test: check build
+	$(GO) build -o $(BIN)/testjudge ./internal/testjudge
+	$(GO) test -race -count=1 -timeout $(TEST_TIMEOUT) -json ./... | $(BIN)/testjudge
+
+check: $(GOLANGCI)
+	$(GO) mod verify
+	$(GOLANGCI) fmt --diff
+	$(GOLANGCI) run ./...
+
+format: $(GOLANGCI)
+	$(GOLANGCI) fmt
+
+$(GOLANGCI):
+	GOBIN=$(BIN) $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VER)
+
+# Regenerates the code under schema/ from the .proto files.
+generate:
+	GOBIN=$(BIN) $(GO) install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOGEN_VER)
+	PATH=$(BIN):$$PATH $(GO) run github.com/bufbuild/buf/cmd/buf@$(BUF_VER) generate
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./...
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/test/integration/answer_test.go
@@ -0,0 +1,144 @@
+package integration
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/comfreybend/comfreybend/internal/emulator"
+	"github.com/comfreybend/comfreybend/internal/router"
+	"github.com/comfreybend/comfreybend/schema/settings"
+)
+
+// quickSilence makes silent connections be found soon.
+func quickSilence(s *settings.Settings) {
+	s.Entry.UpstreamLimits = &settings.UpstreamLimits{
+		SilenceTimeout: durationpb.New(time.Second),
+		ProbeTimeout:   durationpb.New(500 * time.Millisecond),
+	}
+}
+
+// TestBrokenStreams breaks every stream of one engine in several ways; each is
+// resumed at the other engine with no token twice and none missing.
+func TestBrokenStreams(t *testing.T) {
+	s := startSystem(t, layout{controls: 1, entries: []string{"a"}, adjustEntry: quickSilence})
+	s.configure()
+	e := s.entries[0]
+	s.startUpstream("orders-a", "a", "service", "orders", s.entries)
+	broken := s.startUpstream("engine-1", "a", "model", "m", s.entries, "--token-interval", "10ms")
+	key := s.grant("one")
+	s.inForce(key.Key, e)
+	s.served(e, key.Key)
+	sound := s.startUpstream("engine-2", "a", "model", "m", s.entries, "--token-interval", "10ms")
+
+	for name, f := range map[string]emulator.Faults{
+		"cut":     {CutAfterEvents: 5},
+		"silent":  {StallAfterEvents: 5},
+		"crossed": {CrossAnswers: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			broken.fault(t, f)
+			before := broken.stats(t).Calls
+			const tokens = 30
+			for broken.stats(t).Calls == before {
+				checkTokens(t, e.complete(key.Key, tokens), tokens)
+			}
+		})
+	}
+	if sound.stats(t).Resumed < 2 {
+		t.Errorf("only %d streams were resumed", sound.stats(t).Resumed)
+	}
+}
+
+// TestStreamWithoutSuccessor cuts a stream that no other engine can resume: the
+// caller must see an error, never a clean end.
+func TestStreamWithoutSuccessor(t *testing.T) {
+	s := startSystem(t, layout{controls: 1, entries: []string{"a"}})
+	s.configure()
+	e := s.entries[0]
+	s.startUpstream("orders-a", "a", "service", "orders", s.entries)
+	engine := s.startUpstream("engine-1", "a", "model", "m", s.entries)
+	key := s.grant("one")
+	s.inForce(key.Key, e)
+	s.served(e, key.Key)
+	engine.fault(t, emulator.Faults{CutAfterEvents: 5})
+	if a := e.complete(key.Key, 20); a.err == nil {
+		t.Errorf("a cut stream ended cleanly: %s", a.body)
+	}
+}
+
+// TestOrdersRunAtMostOnce sends orders through faults at the service and resends them.
+func TestOrdersRunAtMostOnce(t *testing.T) {
+	s := startSystem(t, layout{controls: 3, entries: []string{"a", "b"}})
+	s.configure()
+	service := s.startUpstream("orders-1", "a", "service", "orders", s.entries)
+	key := s.grant("one")
+	s.inForce(key.Key, s.entries...)
+	first, second := s.entries[0], s.entries[1]
+
+	if a := first.order(key.Key, "plain", "Idempotency-Key", "k1"); a.status != http.StatusOK {
+		t.Fatalf("order: status %d, body %s", a.status, a.body)
+	}
+	replay := second.order(key.Key, "plain", "Idempotency-Key", "k1")
+	if replay.status != http.StatusOK || replay.header.Get(router.HeaderReplayed) != "true" {
+		t.Errorf("resend through another host: status %d, body %s", replay.status, replay.body)
+	}
+	if a := second.order(key.Key, "other", "Idempotency-Key", "k1"); a.status != http.StatusUnprocessableEntity {
+		t.Errorf("another order under the same idempotency key: status %d, body %s", a.status, a.body)
+	}
+
+	service.fault(t, emulator.Faults{CutBody: true})
+	if a := first.order(key.Key, "cut", "Idempotency-Key", "k2"); a.status != http.StatusBadGateway || a.run() != router.MayHaveRun {
+		t.Errorf("cut answer: status %d, run %q, body %s", a.status, a.run(), a.body)
+	}
+	if a := first.order(key.Key, "unclaimed"); a.run() != router.MayHaveRun {
+		t.Errorf("cut answer without idempotency key: status %d, run %q, body %s", a.status, a.run(), a.body)
+	}
+	service.fault(t, emulator.Faults{})
+	if a := second.order(key.Key, "cut", "Idempotency-Key", "k2"); a.status != http.StatusConflict || a.run() != router.MayHaveRun {
+		t.Errorf("resend of an order in doubt: status %d, run %q, body %s", a.status, a.run(), a.body)
+	}
+	for reference, runs := range service.stats(t).Orders {
+		if runs != 1 {
+			t.Errorf("order %s ran %d times", reference, runs)
+		}
+	}
+
+	service.kill()
+	a := first.order(key.Key, "down", "Idempotency-Key", "k3")
+	if a.status/100 != 5 || a.run() != router.NotRun || a.header.Get("Retry-After") == "" {
+		t.Errorf("order to a dead service: status %d, run %q, body %s", a.status, a.run(), a.body)
+	}
+}
+
+// TestOrderWithoutQuorum cuts an entry process off: an order with an
+// idempotency key cannot be claimed and is truthfully refused.
+func TestOrderWithoutQuorum(t *testing.T) {
+	s := startSystem(t, layout{controls: 3, entries: []string{"a"}})
+	s.configure()
+	e := s.entries[0]
+	service := s.startUpstream("orders-1", "a", "service", "orders", s.entries)
+	key := s.grant("one")
+	s.inForce(key.Key, e)
+	for _, c := range s.controls[1:] {
+		c.freeze()
+	}
+	a := e.order(key.Key, "lost", "Idempotency-Key", "k1")
+	if a.status != http.StatusServiceUnavailable || a.run() != router.NotRun || a.header.Get("Retry-After") == "" {
+		t.Errorf("order without quorum: status %d, run %q, body %s", a.status, a.run(), a.body)
+	}
+	if runs := service.stats(t).Orders["lost"]; runs != 0 {
+		t.Errorf("the refused order ran %d times", runs)
+	}
+	for _, c := range s.controls[1:] {
+		c.thaw()
+	}
+	eventually(t, startWithin, func() error {
+		return statusIs(e.order(key.Key, "lost", "Idempotency-Key", "k2"), http.StatusOK)
+	})
+	if runs := service.stats(t).Orders["lost"]; runs != 1 {
+		t.Errorf("the order ran %d times", runs)
+	}
+}
--- /dev/null
+++ b/test/integration/stop_test.go
@@ -0,0 +1,89 @@
+package integration
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// leavingWithin is the time in which an upstream that leaves gets nothing new.
+const leavingWithin = 2 * time.Second
+
+// TestPlannedStopOfEntry stops an entry process in the middle of a stream.
+func TestPlannedStopOfEntry(t *testing.T) {
+	s := startSystem(t, layout{controls: 1, entries: []string{"a"}})
+	s.configure()
+	e := s.entries[0]
+	s.startUpstream("engine-a", "a", "model", "m", s.entries, "--token-interval", "20ms")
+	s.startUpstream("orders-a", "a", "service", "orders", s.entries)
+	key := s.grant("one")
+	s.inForce(key.Key, e)
+	s.served(e, key.Key)
+
+	const tokens = 150
+	open := e.open(t, key.Key, tokens)
+	open.events(t, 1)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		e.terminate()
+	}()
+	eventually(t, startWithin, func() error {
+		if e.ready() == nil {
+			return fmt.Errorf("still ready")
+		}
+		return nil
+	})
+	checkTokens(t, open.rest(), tokens)
+	<-done
+}
+
+// TestLeavingUpstream lets an upstream leave in the middle of a stream; it gets
+// nothing new from any entry process, and finishes what it has.
+func TestLeavingUpstream(t *testing.T) {
+	s := startSystem(t, layout{controls: 1, entries: []string{"a", "a", "a"}})
+	s.configure()
+	first := s.entries[0]
+	leaving := s.startUpstream("engine-1", "a", "model", "m", s.entries[:1], "--token-interval", "20ms", "--slots", "64")
+	s.startUpstream("orders-a", "a", "service", "orders", s.entries)
+	key := s.grant("one")
+	s.inForce(key.Key, s.entries...)
+	for _, e := range s.entries {
+		s.served(e, key.Key)
+	}
+	const tokens = 200
+	open := first.open(t, key.Key, tokens)
+	open.events(t, 1)
+	staying := s.startUpstream("engine-2", "a", "model", "m", s.entries, "--slots", "64")
+	eventually(t, startWithin, func() error {
+		first.complete(key.Key, 1)
+		if staying.stats(t).Calls == 0 {
+			return fmt.Errorf("the second engine gets nothing yet")
+		}
+		return nil
+	})
+
+	response, err := http.Post(leaving.url+"/emulator/v1/leave", "application/json", http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	announced := time.Now()
+	var settled int
+	for time.Since(announced) < 2*leavingWithin {
+		if time.Since(announced) < leavingWithin {
+			settled = leaving.stats(t).Calls
+		}
+		for _, e := range s.entries {
+			if a := e.complete(key.Key, 1); a.status != http.StatusOK {
+				t.Fatalf("%s: status %d, body %s", e.id, a.status, a.body)
+			}
+		}
+	}
+	if after := leaving.stats(t).Calls; after != settled {
+		t.Errorf("the leaving upstream got %d new requests after %v", after-settled, leavingWithin)
+	}
+	checkTokens(t, open.rest(), tokens)
+	leaving.terminate()
+}
