--- /dev/null
+++ b/cmd/comfreybend/load.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/comfreybend/comfreybend/internal/generator"
+	"github.com/comfreybend/comfreybend/internal/validator"
+	"github.com/comfreybend/comfreybend/schema/experiment"
+)
+
+// loadFlags describe one stream of requests, or name a plan of several.
+type loadFlags struct {
+	plan     string
+	urls     []string
+	keyFile  string
+	class    string
+	model    string
+	rate     float64
+	duration time.Duration
+	tokens   int32
+	output   string
+}
+
+func init() {
+	register(func(app *kingpin.Application, actions map[string]action) {
+		c := app.Command("load", "Offer load with arrivals that do not wait for answers, and report what came back.")
+		f := &loadFlags{}
+		c.Flag("plan", "JSON file with a plan of several streams; the other flags are then unused.").StringVar(&f.plan)
+		c.Flag("url", "Base URL of an entry process or engine; may be repeated.").StringsVar(&f.urls)
+		c.Flag("key-file", "File that holds an organisation key.").StringVar(&f.keyFile)
+		c.Flag("class", "Class of work.").StringVar(&f.class)
+		c.Flag("model", "Model to ask for.").Default("m").StringVar(&f.model)
+		c.Flag("rate", "Requests a second.").Default("10").Float64Var(&f.rate)
+		c.Flag("duration", "Length of the run.").Default("10s").DurationVar(&f.duration)
+		c.Flag("tokens", "Tokens of each answer.").Default("100").Int32Var(&f.tokens)
+		c.Flag("output", "Form of the output: text or json.").Default("json").EnumVar(&f.output, "text", "json")
+		actions[c.FullCommand()] = func(ctx context.Context) error { return runLoad(ctx, f) }
+	})
+}
+
+func runLoad(ctx context.Context, f *loadFlags) error {
+	plan, err := f.read()
+	if err != nil {
+		return err
+	}
+	report := generator.New(plan).Run(ctx)
+	if f.output == "json" {
+		return printMessage(report)
+	}
+	var rows []string
+	for _, s := range report.GetStreams() {
+		rows = append(rows, fmt.Sprintf("%s\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f", s.GetName(), s.GetSent(), s.GetAnswered(),
+			s.GetAttained(), s.GetNotRun(), s.GetFailed(), s.GetFirstToken().GetP50(), s.GetFirstToken().GetP99()))
+	}
+	printTable("STREAM\tSENT\tANSWERED\tATTAINED\tNOT RUN\tFAILED\tFIRST P50 MS\tFIRST P99 MS", rows)
+	return nil
+}
+
+// read returns the plan of the file, or one stream made from the flags.
+func (f *loadFlags) read() (*experiment.Plan, error) {
+	if f.plan != "" {
+		return readPlan(f.plan)
+	}
+	if len(f.urls) == 0 {
+		return nil, errors.New("either --plan or --url is needed")
+	}
+	stream := &experiment.Stream{
+		Name: "load", Urls: f.urls, Class: f.class, Model: f.model, Rate: f.rate,
+		MinimumTokens: f.tokens, MaximumTokens: f.tokens,
+	}
+	if f.keyFile != "" {
+		key, err := os.ReadFile(f.keyFile)
+		if err != nil {
+			return nil, errors.Wrap(err, "reading the key")
+		}
+		stream.Key = strings.TrimSpace(string(key))
+	}
+	return &experiment.Plan{Duration: durationpb.New(f.duration), Streams: []*experiment.Stream{stream}}, nil
+}
+
+func readPlan(file string) (*experiment.Plan, error) {
+	document, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "reading the plan")
+	}
+	plan := &experiment.Plan{}
+	if faults := validator.Decode(document, plan); len(faults) > 0 {
+		return nil, &validator.FaultsError{File: file, Faults: faults}
+	}
+	return plan, nil
+}
--- a/internal/instrumenter/instrumenter.go
+++ b/internal/instrumenter/instrumenter.go
@@ -5,6 +5,7 @@
 import (
 	"io"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	client "github.com/prometheus/client_golang/prometheus"
@@ -46,7 +47,7 @@
 	_ = i.closer.Close()
 }
 
-// Handler serves /livez, /readyz and /metrics. notReady returns why the
+// Handler serves /livez, /readyz, /metrics and /debug/pprof/. notReady returns why the
 // process takes no work, or an empty string.
 func (i *Instruments) Handler(notReady func() string) http.Handler {
 	mux := http.NewServeMux()
@@ -61,5 +62,7 @@
 		_, _ = io.WriteString(w, "ok\n")
 	})
 	mux.Handle("GET /metrics", i.reporter.HTTPHandler())
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	return mux
 }
--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -21,6 +21,8 @@
 	// caller gets a byte of it, so that a cut one can be told apart.
 	wholeBytes = 1 << 20
 	copyBytes  = 32 << 10
+	// rearmDivisor is the part of the write timeout after which it is set anew.
+	rearmDivisor = 8
 )
 
 // callerWriter writes to a caller with a time limit for each write.
@@ -28,6 +30,8 @@
 	w       http.ResponseWriter
 	control *http.ResponseController
 	timeout time.Duration
+	// armed is when the time limit was set last.
+	armed time.Time
 }
 
 // encodeAnswer relays the upstream's answer to the caller.
@@ -190,9 +194,13 @@
 	}
 }
 
-// write writes data within the time limit.
+// write writes data within the time limit. The limit is set anew only once a
+// fraction of it has passed, since a stream has many small writes.
 func (w *callerWriter) write(data []byte) error {
-	_ = w.control.SetWriteDeadline(time.Now().Add(w.timeout))
+	if now := time.Now(); now.Sub(w.armed) > w.timeout/rearmDivisor {
+		w.armed = now
+		_ = w.control.SetWriteDeadline(now.Add(w.timeout))
+	}
 	_, err := w.w.Write(data)
 	return errors.Wrap(err, "writing to the caller")
 }
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -186,7 +186,7 @@
 	}
 	select {
 	case g := <-t.granted:
-		d.finish(g, verdictAbandoned, 0)
+		d.finish(g, verdictAbandoned)
 	default:
 	}
 	return nil, refuseUntil(http.StatusServiceUnavailable, CodeDeadline,
@@ -336,18 +336,25 @@
 	return assumedSlots
 }
 
+// answered learns from the time to the response headers of an attempt.
+func (d *dispatcher) answered(g *grant, firstByte time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	g.track.answered(d.now(), firstByte)
+}
+
 // release ends a grant with what the attempt says about the upstream and the work it took.
-func (d *dispatcher) release(g *grant, v verdict, firstByte time.Duration, cost scheduler.Cost) {
+func (d *dispatcher) release(g *grant, v verdict, cost scheduler.Cost) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.pools[g.pool].scheduler.Finished(g.item, cost)
-	d.finish(g, v, firstByte)
+	d.finish(g, v)
 }
 
-func (d *dispatcher) finish(g *grant, v verdict, firstByte time.Duration) {
+func (d *dispatcher) finish(g *grant, v verdict) {
 	p := d.pools[g.pool]
 	p.running--
-	g.track.finish(d.now(), v, firstByte)
+	g.track.finish(d.now(), v)
 	if v == verdictAnswered {
 		d.budget.Succeeded()
 	}
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -98,7 +98,7 @@
 		if !x.call.repeatable && x.call.idempotency != "" && !x.claimed {
 			stored, claimRefusal := x.reserve(limit)
 			if claimRefusal != nil || stored != nil {
-				x.router.dispatcher.release(g, verdictAbandoned, 0, 0)
+				x.router.dispatcher.release(g, verdictAbandoned, 0)
 				return &answer{exchange: x, stored: stored}, claimRefusal
 			}
 		}
@@ -133,7 +133,7 @@
 		return nil, x.markSent(refusal)
 	}
 	if refusal = x.router.authority.check(&c.who); refusal != nil {
-		x.router.dispatcher.release(g, verdictAbandoned, 0, 0)
+		x.router.dispatcher.release(g, verdictAbandoned, 0)
 		return nil, x.markSent(refusal)
 	}
 	return g, nil
@@ -152,9 +152,10 @@
 		err = &attemptError{Attempt: at.id, Cause: errors.Errorf("upstream answered %d", at.response.StatusCode)}
 		at.close(err)
 		x.avoid = append(x.avoid, g.upstream.ID)
-		x.router.dispatcher.release(g, verdictOverloaded, 0, 0)
+		x.router.dispatcher.release(g, verdictOverloaded, 0)
 		return err
 	}
+	x.router.dispatcher.answered(g, at.firstByte)
 	x.current = at
 	return nil
 }
@@ -180,7 +181,7 @@
 		v = verdictAbandoned
 	}
 	x.avoid = append(x.avoid, g.upstream.ID)
-	x.router.dispatcher.release(g, v, 0, 0)
+	x.router.dispatcher.release(g, v, 0)
 	x.log.Info("attempt failed", zap.String("upstream", string(g.upstream.ID)),
 		zap.Int("attempts", x.attempts), zap.Error(err))
 }
@@ -251,7 +252,7 @@
 	}
 	at.close(cause)
 	cost := scheduler.Cost(x.tokensIn + x.tokensOut)
-	x.router.dispatcher.release(at.grant, v, at.firstByte, max(cost, 1))
+	x.router.dispatcher.release(at.grant, v, max(cost, 1))
 }
 
 // count adds the call and its work to the usage counters.
--- a/internal/router/track.go
+++ b/internal/router/track.go
@@ -52,14 +52,18 @@
 	t.sample(now)
 }
 
-func (t *track) finish(now time.Duration, v verdict, firstByte time.Duration) {
+// answered learns from the response headers of an attempt.
+func (t *track) answered(now, firstByte time.Duration) {
+	t.limiter.Answered(now, firstByte)
+	if t.circuit.Succeeded() {
+		t.limiter.Restart(now)
+	}
+}
+
+func (t *track) finish(now time.Duration, v verdict) {
 	t.limiter.Finish()
 	switch v {
 	case verdictAnswered:
-		t.limiter.Answered(now, firstByte)
-		if t.circuit.Succeeded() {
-			t.limiter.Restart(now)
-		}
 	case verdictOverloaded:
 		t.limiter.Overloaded(now)
 		t.circuit.Abandoned()
--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -1,6 +1,8 @@
 // Package limiter bounds the concurrent requests to one upstream by a limit
-// that it learns from latency: the limit grows by one for each full window of
-// answers that came in good time, and shrinks when answers slow down or fail.
+// that it learns from latency. Until the limit has shrunk for the first time it
+// stands at the slots that the upstream states, or else grows by one for each
+// answer in good time; afterwards it grows by one for each full window of such
+// answers. It shrinks when answers slow down or fail.
 package limiter
 
 import "time"
@@ -36,7 +38,9 @@
 		// average and baseline are latencies in seconds.
 		average  float64
 		baseline float64
-		// shrunkAt is when the limit shrank last; it shrinks once a latency at the most.
+		// shrunk reports that the limit has shrunk, shrunkAt when it did so last; it
+		// shrinks once a latency at the most.
+		shrunk   bool
 		shrunkAt time.Duration
 		eased    time.Duration
 	}
@@ -47,9 +51,12 @@
 	return &Limiter{config: config, limit: float64(config.Initial), ceiling: config.Maximum, eased: now}
 }
 
-// SetCeiling bounds the limit by this process's share of the upstream's slots.
+// SetCeiling bounds the limit by this process's share of the slots that the upstream states.
 func (l *Limiter) SetCeiling(ceiling int) {
 	l.ceiling = max(1, min(ceiling, l.config.Maximum))
+	if !l.shrunk {
+		l.limit = float64(l.ceiling)
+	}
 }
 
 // Restart eases the upstream in again from now on.
@@ -102,9 +109,14 @@
 		l.shrinkOnce(now, latency)
 		return
 	}
-	if float64(l.inFlight) >= usedShare*l.limit {
-		l.limit = min(l.limit+1/l.limit, float64(l.config.Maximum))
+	if float64(l.inFlight) < usedShare*l.limit {
+		return
+	}
+	growth := 1 / l.limit
+	if !l.shrunk {
+		growth = 1
 	}
+	l.limit = min(l.limit+growth, float64(l.config.Maximum))
 }
 
 // Overloaded learns from an answer that says the upstream has too much work, or from a failure.
@@ -113,9 +125,10 @@
 }
 
 func (l *Limiter) shrinkOnce(now, latency time.Duration) {
-	if l.shrunkAt != 0 && now-l.shrunkAt < latency {
+	if l.shrunk && now-l.shrunkAt < latency {
 		return
 	}
+	l.shrunk = true
 	l.shrunkAt = now
 	l.limit = max(1, l.limit*shrink)
 }
--- a/test/integration/link_test.go
+++ b/test/integration/link_test.go
@@ -18,13 +18,13 @@
 
 // network holds a fault-injecting proxy for each directed link between two processes.
 type network struct {
-	t      *testing.T
+	t      testing.TB
 	server *toxiproxy.ApiServer
 	mu     sync.Mutex
 	links  map[string]*toxiproxy.Proxy
 }
 
-func newNetwork(t *testing.T) *network {
+func newNetwork(t testing.TB) *network {
 	metrics := toxiproxy.NewMetricsContainer(prometheus.NewRegistry())
 	n := &network{
 		t:      t,
--- a/test/integration/process_test.go
+++ b/test/integration/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"flag"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -13,7 +14,7 @@
 // stopWithin bounds how long a process that was told to stop may take.
 const stopWithin = 30 * time.Second
 
-// binary is the program under test, built with the race detector by TestMain.
+// binary is the program under test, built by TestMain, with the race detector except for benchmarks.
 var binary string
 
 func TestMain(m *testing.M) {
@@ -22,7 +23,12 @@
 		panic(err)
 	}
 	binary = filepath.Join(folder, "comfreybend")
-	build := exec.Command("go", "build", "-race", "-o", binary, "../../cmd/comfreybend")
+	flag.Parse()
+	arguments := []string{"build", "-o", binary}
+	if flag.Lookup("test.bench").Value.String() == "" {
+		arguments = append(arguments, "-race")
+	}
+	build := exec.Command("go", append(arguments, "../../cmd/comfreybend")...)
 	build.Stderr = os.Stderr
 	if err = build.Run(); err != nil {
 		panic(err)
@@ -34,7 +40,7 @@
 
 // process is one running program.
 type process struct {
-	t       *testing.T
+	t       testing.TB
 	name    string
 	args    []string
 	logPath string
@@ -43,7 +49,7 @@
 }
 
 // startProcess runs the program until the test ends; its log is shown if the test fails.
-func startProcess(t *testing.T, name string, args ...string) *process {
+func startProcess(t testing.TB, name string, args ...string) *process {
 	t.Helper()
 	p := &process{t: t, name: name, args: args, logPath: filepath.Join(t.TempDir(), name+".log")}
 	p.start()
--- a/test/integration/system_test.go
+++ b/test/integration/system_test.go
@@ -70,7 +70,7 @@
 
 	// system is a whole deployment of separate processes whose links can be cut.
 	system struct {
-		t        *testing.T
+		t        testing.TB
 		network  *network
 		folder   string
 		token    string
@@ -80,7 +80,7 @@
 )
 
 // freeAddress returns a loopback address whose port is free.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -91,7 +91,7 @@
 }
 
 // eventually polls until check returns nil, at most for within.
-func eventually(t *testing.T, within time.Duration, check func() error) {
+func eventually(t testing.TB, within time.Duration, check func() error) {
 	t.Helper()
 	end := time.Now().Add(within)
 	for {
@@ -107,7 +107,7 @@
 }
 
 // startSystem starts the processes of a layout and waits until they are ready.
-func startSystem(t *testing.T, l layout) *system {
+func startSystem(t testing.TB, l layout) *system {
 	t.Helper()
 	s := &system{t: t, network: newNetwork(t), folder: t.TempDir()}
 	token, hash := operator.NewToken()
@@ -324,7 +324,7 @@
 }
 
 // stats returns what a stand-in has seen.
-func (u *upstreamProcess) stats(t *testing.T) emulator.Stats {
+func (u *upstreamProcess) stats(t testing.TB) emulator.Stats {
 	t.Helper()
 	response, err := http.Get(u.url + "/emulator/v1/stats")
 	if err != nil {
