--- a/cmd/comfreybend/status.go
+++ b/cmd/comfreybend/status.go
@@ -39,6 +39,9 @@
 		}
 		fmt.Printf("member: %s (%s, incarnation %d)\n", m.GetHost(), role, m.GetId())
 	}
+	if !s.GetMembershipCommitted() {
+		fmt.Println("a membership change is in progress")
+	}
 	fmt.Println("entry hosts:", strings.Join(s.GetEntryHosts(), ", "))
 	fmt.Println("usage windows not accepted yet:", s.GetWindowsUnsent())
 	return nil
--- a/internal/controller/requests.go
+++ b/internal/controller/requests.go
@@ -156,6 +156,8 @@
 		Membership:    s.Membership,
 		EntryHosts:    c.entries.hosts(),
 		WindowsUnsent: uint64(len(c.keeper.UnsentWindows())),
+
+		MembershipCommitted: s.MembershipCommitted,
 	}
 }
 
--- a/pkg/replicator/cluster_test.go
+++ b/pkg/replicator/cluster_test.go
@@ -31,14 +31,13 @@
 
 	// member is one host of the simulated group.
 	member struct {
-		host    string
-		id      MemberID
-		disk    *disk
-		core    *Core
-		applied []string
-		index   Index
-		frozen  time.Duration
-		down    bool
+		host   string
+		id     MemberID
+		disk   *disk
+		core   *Core
+		index  Index
+		frozen time.Duration
+		down   bool
 		// offset is how far this member's clock is ahead.
 		offset time.Duration
 	}
--- a/pkg/replicator/core.go
+++ b/pkg/replicator/core.go
@@ -142,6 +142,9 @@
 // Membership returns the membership in force.
 func (c *Core) Membership() *replication.Membership { return c.membership }
 
+// MembershipCommitted reports that no membership change is in progress.
+func (c *Core) MembershipCommitted() bool { return c.membershipIndex <= c.commit }
+
 // Match returns the index up to which a leader knows that a member's log is identical.
 func (c *Core) Match(id MemberID) Index {
 	if id == c.config.ID {
--- a/pkg/replicator/node.go
+++ b/pkg/replicator/node.go
@@ -77,6 +77,8 @@
 		Applied    Index
 		LastIndex  Index
 		Membership *replication.Membership
+		// MembershipCommitted reports that no membership change is in progress.
+		MembershipCommitted bool
 		// LeaseUntil is the time until which no other member can be leader; zero if this one is none.
 		LeaseUntil time.Duration
 		// Matches holds, at a leader, the index up to which each member's log is known to be identical.
@@ -420,6 +422,8 @@
 		LastIndex:  n.core.LastIndex(),
 		Membership: n.core.Membership(),
 		LeaseUntil: n.core.LeaseUntil(n.config.Now()),
+
+		MembershipCommitted: n.core.MembershipCommitted(),
 	}
 	if s.Role == Leader {
 		s.Matches = map[MemberID]Index{}
--- a/test/integration/system_test.go
+++ b/test/integration/system_test.go
@@ -139,6 +139,7 @@
 		e.settings = s.writeSettings(e.id, s.entrySettings(e), l.adjustEntry)
 		e.process = startProcess(t, e.id, "entry", "--settings", e.settings)
 	}
+	s.leader()
 	for _, e := range s.entries {
 		eventually(t, startWithin, e.ready)
 	}
