--- /dev/null
+++ b/pkg/limiter/limiter_test.go
@@ -0,0 +1,94 @@
+package limiter
+
+import (
+	"testing"
+	"time"
+)
+
+const fast = 100 * time.Millisecond
+
+func newTestLimiter() *Limiter {
+	return New(Config{Initial: 4, Maximum: 100}, 0)
+}
+
+// run answers n requests with a latency, at full use of the limit.
+func run(l *Limiter, n int, latency time.Duration) {
+	now := time.Duration(0)
+	for range n {
+		now += latency
+		for l.Free(now) {
+			l.Start()
+		}
+		l.Answered(now, latency)
+		l.Finish()
+	}
+}
+
+func TestLimitGrowsWhileAnswersAreFast(t *testing.T) {
+	l := newTestLimiter()
+	run(l, 50, fast)
+	if limit := l.Limit(time.Hour); limit < 40 {
+		t.Errorf("limit after 50 fast answers: %d", limit)
+	}
+}
+
+func TestLimitShrinksWhenAnswersSlowDown(t *testing.T) {
+	l := newTestLimiter()
+	run(l, 50, fast)
+	before := l.Limit(time.Hour)
+	run(l, 20, 5*fast)
+	if after := l.Limit(time.Hour); after > before/2 {
+		t.Errorf("limit went from %d to %d after answers became five times slower", before, after)
+	}
+}
+
+func TestCeiling(t *testing.T) {
+	l := newTestLimiter()
+	l.SetCeiling(2)
+	run(l, 50, fast)
+	if limit := l.Limit(time.Hour); limit != 2 {
+		t.Errorf("limit %d above its ceiling", limit)
+	}
+	l.SetCeiling(0)
+	if limit := l.Limit(time.Hour); limit != 1 {
+		t.Errorf("limit %d; one request must always be possible", limit)
+	}
+}
+
+func TestSlowStart(t *testing.T) {
+	l := New(Config{Initial: 40, Maximum: 100, SlowStart: time.Second}, 0)
+	limits := []int{l.Limit(0), l.Limit(250 * time.Millisecond), l.Limit(time.Second)}
+	if limits[0] != 1 || limits[1] != 10 || limits[2] != 40 {
+		t.Errorf("limits while easing in: %v", limits)
+	}
+}
+
+func TestDivideSlots(t *testing.T) {
+	known := func(requests ...int) []Demand {
+		var out []Demand
+		for _, r := range requests {
+			out = append(out, Demand{Requests: r, Known: true})
+		}
+		return out
+	}
+	tests := map[string]struct {
+		slots, own int
+		others     []Demand
+		want       int
+	}{
+		"alone":                     {slots: 20, own: 5, want: 20},
+		"even demand":               {slots: 20, own: 5, others: known(5), want: 10},
+		"all the demand here":       {slots: 20, own: 9, others: known(0), want: 19},
+		"no demand here":            {slots: 20, others: known(9), want: 1},
+		"a silent process":          {slots: 20, own: 9, others: append(known(0), Demand{}), want: 6},
+		"more processes than slots": {slots: 2, own: 1, others: known(1, 1, 1), want: 1},
+		"nobody wants anything":     {slots: 20, others: known(0), want: 10},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := DivideSlots(test.slots, test.own, test.others); got != test.want {
+				t.Errorf("part: %d, want %d", got, test.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/pkg/picker/picker_test.go
@@ -0,0 +1,118 @@
+package picker
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/comfreybend/comfreybend/pkg/registrar"
+)
+
+func TestEligibility(t *testing.T) {
+	local := Candidate{ID: "local", Local: true, Free: true, Slots: 8}
+	remote := Candidate{ID: "remote", Free: true, Slots: 8}
+	cheap := Candidate{ID: "cheap", Local: true, Free: true, Preemptible: true, Slots: 8}
+	full := Candidate{ID: "full", Local: true, Slots: 8}
+	tests := map[string]struct {
+		request    Request
+		candidates []Candidate
+		want       registrar.UpstreamID
+	}{
+		"own failure domain first":                            {candidates: []Candidate{remote, local}, want: "local"},
+		"another domain when the own is full":                 {candidates: []Candidate{remote, full}, want: "remote"},
+		"none when all are full":                              {candidates: []Candidate{full}},
+		"fixed work avoids preemptible ones":                  {candidates: []Candidate{cheap, remote}, want: "remote"},
+		"movable work may take preemptible ones":              {request: Request{Movable: true}, candidates: []Candidate{cheap, remote}, want: "cheap"},
+		"fixed work takes a preemptible one rather than none": {candidates: []Candidate{cheap, full}, want: "cheap"},
+		"not where it failed before": {
+			request: Request{Avoid: []registrar.UpstreamID{"local"}}, candidates: []Candidate{remote, local}, want: "remote",
+		},
+		"where it failed before rather than nowhere": {
+			request: Request{Avoid: []registrar.UpstreamID{"local"}}, candidates: []Candidate{full, local}, want: "local",
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := New(PolicyStandard, rand.New(rand.NewSource(1)).Intn)
+			got := registrar.UpstreamID("")
+			if i := p.Pick(test.request, test.candidates); i >= 0 {
+				got = test.candidates[i].ID
+			}
+			if got != test.want {
+				t.Errorf("picked %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
+// TestLaggingReports gives several choosers the same old reports: correction by
+// own requests and two random choices must keep the upstreams nearly even,
+// where the least reported load sends everything to one.
+func TestLaggingReports(t *testing.T) {
+	const (
+		upstreams = 8
+		choosers  = 6
+		requests  = 240
+	)
+	spread := func(policy Policy) int {
+		var total [upstreams]int
+		for chooser := range choosers {
+			p := New(policy, rand.New(rand.NewSource(int64(chooser))).Intn)
+			candidates := make([]Candidate, upstreams)
+			for i := range candidates {
+				candidates[i] = Candidate{ID: registrar.UpstreamID(fmt.Sprint(i)), Free: true, Local: true, Slots: 64, Reported: i}
+			}
+			for range requests / choosers {
+				i := p.Pick(Request{Movable: true}, candidates)
+				candidates[i].Own++
+				total[i]++
+			}
+		}
+		most := 0
+		for _, n := range total {
+			most = max(most, n)
+		}
+		return most
+	}
+	even := requests / upstreams
+	if most := spread(PolicyStandard); most > 2*even {
+		t.Errorf("one upstream got %d requests, even would be %d", most, even)
+	}
+	if most := spread(PolicyLeastReported); most < 4*even {
+		t.Errorf("the baseline spreads better than thought: %d", most)
+	}
+}
+
+func TestPrefixAffinity(t *testing.T) {
+	p := New(PolicyStandard, rand.New(rand.NewSource(1)).Intn)
+	candidates := make([]Candidate, 10)
+	for i := range candidates {
+		candidates[i] = Candidate{ID: registrar.UpstreamID(fmt.Sprint(i)), Free: true, Local: true, Slots: 8, Own: 3}
+	}
+	home := p.Pick(Request{Prefix: "catalogue"}, candidates)
+	for range 20 {
+		if again := p.Pick(Request{Prefix: "catalogue"}, candidates); again != home {
+			t.Fatalf("prefix went to %d and to %d", home, again)
+		}
+	}
+	candidates[home].Own = 30
+	for range 20 {
+		if p.Pick(Request{Prefix: "catalogue"}, candidates) == home {
+			t.Fatal("prefix affinity overloads its upstream")
+		}
+	}
+}
+
+func TestSlowUpstreamGetsLess(t *testing.T) {
+	p := New(PolicyStandard, rand.New(rand.NewSource(1)).Intn)
+	candidates := []Candidate{
+		{ID: "slow", Free: true, Local: true, Slots: 8, Latency: 500 * time.Millisecond},
+		{ID: "fast", Free: true, Local: true, Slots: 8, Latency: 100 * time.Millisecond},
+	}
+	for range 20 {
+		if i := p.Pick(Request{Movable: true}, candidates); candidates[i].ID != "fast" {
+			t.Fatal("the slow upstream was picked while both are idle")
+		}
+	}
+}
--- /dev/null
+++ b/pkg/registrar/registrar_test.go
@@ -0,0 +1,53 @@
+package registrar
+
+import (
+	"testing"
+	"time"
+)
+
+const lease = 5 * time.Second
+
+func announcement(incarnation Incarnation, sequence Sequence, state State, heard time.Duration) Upstream {
+	return Upstream{
+		ID: "u", Incarnation: incarnation, Sequence: sequence, Kind: KindModel, Serves: []string{"m"},
+		State: state, HeardAt: heard,
+	}
+}
+
+func TestAnnouncements(t *testing.T) {
+	tests := map[string]struct {
+		announcements []Upstream
+		serving       bool
+	}{
+		"serving":                     {announcements: []Upstream{announcement(1, 1, Serving, 0)}, serving: true},
+		"leaving":                     {announcements: []Upstream{announcement(1, 1, Serving, 0), announcement(1, 2, Leaving, 0)}},
+		"an older one after leaving":  {announcements: []Upstream{announcement(1, 2, Leaving, 0), announcement(1, 1, Serving, 0)}},
+		"a later one after leaving":   {announcements: []Upstream{announcement(1, 2, Leaving, 0), announcement(1, 3, Serving, 0)}},
+		"a new incarnation":           {announcements: []Upstream{announcement(1, 2, Leaving, 0), announcement(2, 1, Serving, 0)}, serving: true},
+		"an earlier incarnation late": {announcements: []Upstream{announcement(2, 1, Leaving, 0), announcement(1, 9, Serving, 0)}},
+		"heard too long ago":          {announcements: []Upstream{announcement(1, 1, Serving, -lease)}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := New(lease)
+			for _, a := range test.announcements {
+				r.Announce(0, a)
+			}
+			u := r.Get("u")
+			if serving := u != nil && u.CanServe(KindModel, "m"); serving != test.serving {
+				t.Errorf("serving: %t", serving)
+			}
+		})
+	}
+}
+
+func TestLeaseEnds(t *testing.T) {
+	r := New(lease)
+	r.Announce(0, announcement(1, 1, Serving, 0))
+	if gone := r.Expire(lease - 1); len(gone) != 0 {
+		t.Error("the lease ended early")
+	}
+	if gone := r.Expire(lease); len(gone) != 1 || r.Get("u") != nil {
+		t.Error("the lease did not end")
+	}
+}
--- /dev/null
+++ b/pkg/scheduler/scheduler_test.go
@@ -0,0 +1,235 @@
+package scheduler
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+)
+
+const (
+	longDeadline = time.Hour
+	testWaiting  = 100
+	testShare    = 5
+)
+
+func newTestScheduler() *Scheduler {
+	return New(Config{Waiting: testWaiting, GuaranteedPercent: testShare})
+}
+
+func item(id int, class Class, tier Tier, organisation Organisation) Item {
+	return Item{
+		ID: ItemID(id), Class: class, Tier: tier, Organisation: organisation,
+		StartBy: longDeadline, Deadline: longDeadline,
+	}
+}
+
+// TestSheddingGoesFromTheLowestTier offers random requests to a full queue: a
+// request is refused or removed only if nothing of a lower tier waits.
+func TestSheddingGoesFromTheLowestTier(t *testing.T) {
+	for seed := range int64(20) {
+		random := rand.New(rand.NewSource(seed))
+		s := newTestScheduler()
+		tiers := map[ItemID]Tier{}
+		for id := range 2000 {
+			tier := Tier(1 + random.Intn(4))
+			it := item(id, Class(fmt.Sprintf("class-%d", tier)), tier, Organisation(fmt.Sprint(random.Intn(3))))
+			lowest := Tier(0)
+			for _, waiting := range tiers {
+				lowest = max(lowest, waiting)
+			}
+			admission := s.Add(0, it)
+			if !admission.Accepted && lowest > tier {
+				t.Fatalf("seed %d: tier %d was refused while tier %d waited", seed, tier, lowest)
+			}
+			for _, shed := range admission.Shed {
+				if tiers[shed] < lowest || tiers[shed] < tier {
+					t.Fatalf("seed %d: tier %d was shed for tier %d while tier %d waited", seed, tiers[shed], tier, lowest)
+				}
+				delete(tiers, shed)
+			}
+			if admission.Accepted {
+				tiers[it.ID] = tier
+			}
+			if random.Intn(4) == 0 {
+				if next, found := s.Next(0); found {
+					delete(tiers, next.ID)
+				}
+			}
+		}
+	}
+}
+
+// TestNoClassStarves keeps a higher tier saturated: the lower classes still get
+// their guaranteed share of the dispatched cost, and the higher tier the rest.
+func TestNoClassStarves(t *testing.T) {
+	s := newTestScheduler()
+	costs := map[Class]Cost{"high": 100, "middle": 400, "low": 50}
+	tiers := map[Class]Tier{"high": 1, "middle": 2, "low": 3}
+	spent := map[Class]Cost{}
+	var total Cost
+	id := 0
+	for range 20_000 {
+		for class, tier := range tiers {
+			for s.classes[class] == nil || s.classes[class].waiting < 5 {
+				id++
+				s.Add(0, item(id, class, tier, "one"))
+			}
+		}
+		next, _ := s.Next(0)
+		s.Finished(next, costs[next.Class])
+		spent[next.Class] += costs[next.Class]
+		total += costs[next.Class]
+	}
+	for _, class := range []Class{"middle", "low"} {
+		if share := float64(spent[class] / total); share < 0.9*testShare/percent {
+			t.Errorf("class %s got %.1f %% of the cost, guaranteed are %d %%", class, 100*share, testShare)
+		}
+	}
+	if share := float64(spent["high"] / total); share < 1-3*float64(testShare)/percent {
+		t.Errorf("the highest tier got only %.1f %%", 100*share)
+	}
+}
+
+// TestOrganisationsShareByCost lets one organisation flood a class with long
+// requests: the others get their fair share of the cost.
+func TestOrganisationsShareByCost(t *testing.T) {
+	s := newTestScheduler()
+	costs := map[Organisation]Cost{"flood": 900, "small": 30, "middle": 200}
+	spent := map[Organisation]Cost{}
+	id := 0
+	for range 30_000 {
+		for o := range costs {
+			for s.classes["c"] == nil || s.classes["c"].countOf(o) < 10 {
+				id++
+				s.Add(0, item(id, "c", 1, o))
+			}
+		}
+		next, _ := s.Next(0)
+		s.Finished(next, costs[next.Organisation])
+		spent[next.Organisation] += costs[next.Organisation]
+	}
+	var total Cost
+	for _, c := range spent {
+		total += c
+	}
+	for o, c := range spent {
+		if share := float64(c/total) * float64(len(spent)); share < 0.8 {
+			t.Errorf("organisation %s got %.2f of its fair share", o, share)
+		}
+	}
+}
+
+// TestIdleOrganisationSavesNothing lets an organisation stay away for long: it
+// must not shut the others out when it comes back.
+func TestIdleOrganisationSavesNothing(t *testing.T) {
+	s := newTestScheduler()
+	id := 0
+	add := func(o Organisation) {
+		id++
+		s.Add(0, item(id, "c", 1, o))
+	}
+	add("returning")
+	first, _ := s.Next(0)
+	s.Finished(first, 1)
+	for range 1000 {
+		add("steady")
+		next, _ := s.Next(0)
+		s.Finished(next, 100)
+	}
+	run := 0
+	for range 20 {
+		add("returning")
+		add("steady")
+	}
+	for {
+		next, found := s.Next(0)
+		if !found || next.Organisation == "steady" {
+			break
+		}
+		run++
+		s.Finished(next, 100)
+	}
+	if run > 2 {
+		t.Errorf("the returning organisation got %d requests in a row", run)
+	}
+}
+
+// TestRefusedWhenLate refuses at once what cannot be served in time, and says when to come back.
+func TestRefusedWhenLate(t *testing.T) {
+	const interval = 100 * time.Millisecond
+	build := func() (*Scheduler, time.Duration) {
+		s := newTestScheduler()
+		now := time.Second
+		for id := range 60 {
+			s.Add(now, item(id, "high", 1, "one"))
+		}
+		for range 40 {
+			s.Blocked()
+			now += interval
+			s.Next(now)
+		}
+		return s, now
+	}
+	tests := map[string]struct {
+		class    Class
+		tier     Tier
+		startIn  time.Duration
+		accepted bool
+	}{
+		"in time":                         {class: "high", tier: 1, startIn: 4 * time.Second, accepted: true},
+		"too late":                        {class: "high", tier: 1, startIn: time.Second},
+		"lower tier waits for the higher": {class: "low", tier: 2, startIn: time.Second},
+		"higher tier does not count the lower ones": {class: "top", tier: 0, startIn: 200 * time.Millisecond, accepted: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, now := build()
+			it := item(1000, test.class, test.tier, "one")
+			it.StartBy = now + test.startIn
+			admission := s.Add(now, it)
+			if admission.Accepted != test.accepted {
+				t.Fatalf("accepted: %t", admission.Accepted)
+			}
+			if !admission.Accepted && (admission.RetryAfter <= 0 || admission.RetryAfter > 10*time.Second) {
+				t.Errorf("retry after %v", admission.RetryAfter)
+			}
+		})
+	}
+}
+
+func TestExpire(t *testing.T) {
+	s := newTestScheduler()
+	late := item(1, "c", 1, "one")
+	late.Deadline = time.Second
+	s.Add(0, late)
+	s.Add(0, item(2, "c", 1, "one"))
+	if expired := s.Expire(time.Second); len(expired) != 1 || expired[0] != 1 {
+		t.Errorf("expired: %v", expired)
+	}
+	if s.Waiting() != 1 {
+		t.Errorf("%d requests wait", s.Waiting())
+	}
+}
+
+func BenchmarkAddNext(b *testing.B) {
+	s := New(Config{Waiting: 10_000, GuaranteedPercent: testShare})
+	id := 0
+	for b.Loop() {
+		id++
+		s.Add(0, item(id, Class(fmt.Sprint(id%6)), Tier(id%6), Organisation(fmt.Sprint(id%100))))
+		if s.Waiting() > 500 {
+			next, _ := s.Next(0)
+			s.Finished(next, 100)
+		}
+	}
+}
+
+func ExampleScheduler() {
+	s := New(Config{Waiting: 10, GuaranteedPercent: 3})
+	s.Add(0, Item{ID: 1, Class: "batch", Tier: 3, Organisation: "a", StartBy: time.Minute, Deadline: time.Minute})
+	s.Add(0, Item{ID: 2, Class: "chat", Tier: 1, Organisation: "a", StartBy: time.Minute, Deadline: time.Minute})
+	next, _ := s.Next(0)
+	fmt.Println(next.Class)
+	// Output: chat
+}
