--- a/test/integration/caller_test.go
+++ b/test/integration/caller_test.go
@@ -138,7 +138,7 @@
 }
 
 // fault makes a stand-in fail.
-func (u *upstreamProcess) fault(t *testing.T, f emulator.Faults) {
+func (u *upstreamProcess) fault(t testing.TB, f emulator.Faults) {
 	t.Helper()
 	data, err := json.Marshal(f)
 	if err != nil {
