planner, controller: orders for upstreams; proofs of usage reports

Cause: orders to the platform were missing, and reports were unproved. Ruled out: growing in proportion to the queue (a stampede on the weight store after a lost zone: 100 waiting requests would have started 14 at once); trusting timers after a freeze, since a goroutine may write before the timer of its context has fired: the connection to the platform refuses writes after its deadline on the monotonic clock. Change: planner as a pure part (hysteresis, few starts at once, pending starts count as capacity, lasting share, spread over domains); intents committed, lease checked, sent under a deadline inside the lease, outcome committed; open orders are sent again under the same id by a successor; upstreams are drained on every entry process before they are stopped. Tests with failing, slow and silent platform, frozen, woken and killed leaders. Conclusion: loading of models and adapters, change of role and the weight store's interface are not part of the orders yet.

--- a/internal/controller/charge.go
+++ b/internal/controller/charge.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -24,14 +25,21 @@
 	headerReport        = "Comfreybend-Report-Window"
 )
 
+// expiringConn is a connection on which nothing is written after a deadline
+// on the monotonic clock.
+type expiringConn struct {
+	net.Conn
+	deadline time.Duration
+}
+
 // charge acts towards the platform while this process alone is in charge.
 type charge struct {
 	controller *Controller
 	holder     *leaser.Holder
-	client     *http.Client
 	// fence is the fencing number of this process's leadership, zero before it is committed.
 	fence     uint64
 	fenceTerm leaser.Term
+	orders    *orderer
 }
 
 // runCharge follows the leadership and acts while it is held.
@@ -45,8 +53,9 @@
 			LongestLease: s.GetElectionTimeout().AsDuration(),
 			LongestAct:   longestAct,
 		}),
-		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 	}
+	ch.orders = newOrderer(ch)
+	c.orders.Store(ch.orders)
 	for ctx.Err() == nil {
 		wait(ctx, chargeInterval)
 		if err := ch.act(ctx); err != nil {
@@ -67,7 +76,10 @@
 	if err := ch.freezeWindow(ctx); err != nil {
 		return err
 	}
-	return ch.sendWindows(ctx)
+	if err := ch.sendWindows(ctx); err != nil {
+		return err
+	}
+	return ch.orders.act(ctx)
 }
 
 // observe takes the latest lease into account and reports whether this process is in charge.
@@ -81,6 +93,7 @@
 	if ch.holder.Term() != ch.fenceTerm {
 		ch.fenceTerm = ch.holder.Term()
 		ch.fence = 0
+		ch.orders.reset()
 	}
 	return ch.holder.InCharge(timer.Now())
 }
@@ -132,25 +145,54 @@
 	return nil
 }
 
-// sendWindow sends the frozen bytes under a deadline that ends before the lease does.
+// sendWindow sends the frozen bytes of a window.
 func (ch *charge) sendWindow(ctx context.Context, url string, w *state.Window) error {
-	ctx, cancel := context.WithTimeout(ctx, ch.holder.Remaining(timer.Now()))
+	header := http.Header{headerReport: {strconv.FormatUint(w.GetNumber(), 10)}}
+	status, err := ch.send(ctx, http.MethodPut, url, w.GetReport(), header)
+	if err != nil {
+		return errors.Wrap(err, "sending a usage report")
+	}
+	if status/100 != 2 {
+		return errors.Errorf("the platform refused window %d with status %d", w.GetNumber(), status)
+	}
+	return nil
+}
+
+// send makes one request to the platform under a deadline that ends before the
+// lease does, and returns the status of the answer.
+func (ch *charge) send(ctx context.Context, method, url string, body []byte, header http.Header) (int, error) {
+	remaining := ch.holder.Remaining(timer.Now())
+	deadline := timer.Now() + remaining
+	ctx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(w.GetReport()))
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
-		return errors.Wrap(err, "making a usage report")
+		return 0, errors.Wrap(err, "making a request to the platform")
 	}
 	request.GetBody = nil
+	request.Header = header
 	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set(headerReport, strconv.FormatUint(w.GetNumber(), 10))
 	request.Header.Set(headerFencingNumber, strconv.FormatUint(ch.fence, 10))
-	response, err := ch.client.Do(request)
+	client := &http.Client{Transport: &http.Transport{
+		DisableKeepAlives: true,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, dialErr := (&net.Dialer{}).DialContext(ctx, network, address)
+			return &expiringConn{Conn: conn, deadline: deadline}, dialErr
+		},
+	}}
+	response, err := client.Do(request)
 	if err != nil {
-		return errors.Wrap(err, "sending a usage report")
+		return 0, errors.Wrap(err, "calling the platform")
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode/100 != 2 {
-		return errors.Errorf("the platform refused window %d with status %d", w.GetNumber(), response.StatusCode)
+	return response.StatusCode, nil
+}
+
+// Write refuses once the deadline has passed, also when the process was
+// stopped in the meantime and timers have not fired yet.
+func (c *expiringConn) Write(data []byte) (int, error) {
+	if timer.Now() >= c.deadline {
+		return 0, errors.New("the time in charge has passed")
 	}
-	return nil
+	return c.Conn.Write(data)
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -61,6 +62,7 @@
 		membership *memberKeeper
 		collector  *usageCollector
 		entries    *entryTable
+		orders     atomic.Pointer[orderer]
 
 		committed tally.Counter
 		refused   tally.Counter
--- a/internal/controller/requests.go
+++ b/internal/controller/requests.go
@@ -121,6 +121,9 @@
 	c.collector.push(s.GetUsage())
 	c.entries.note(s)
 	reply := c.keeper.SyncSince(configurer.Revision(s.GetHaveRevision()))
+	if o := c.orders.Load(); o != nil {
+		reply.Draining = o.drainingUpstreams()
+	}
 	return &wire.Reply{Kind: &wire.Reply_Sync{Sync: reply}}
 }
 
--- a/internal/controller/usage.go
+++ b/internal/controller/usage.go
@@ -36,6 +36,13 @@
 	entryTable struct {
 		mu      sync.Mutex
 		entries map[string]entryReport
+		// refused holds the refusal counters that were seen last.
+		refused map[refusedKey]uint64
+	}
+
+	refusedKey struct {
+		incarnation string
+		pool        string
 	}
 
 	entryReport struct {
@@ -98,7 +105,7 @@
 }
 
 func newEntryTable() *entryTable {
-	return &entryTable{entries: map[string]entryReport{}}
+	return &entryTable{entries: map[string]entryReport{}, refused: map[refusedKey]uint64{}}
 }
 
 func (t *entryTable) note(s *wire.Sync) {
--- a/internal/router/authority.go
+++ b/internal/router/authority.go
@@ -134,6 +134,7 @@
 		HaveRevision:  uint64(a.revision()),
 		Usage:         a.router.usage.push(host.GetId(), a.router.incarnation, final),
 		Upstreams:     a.router.dispatcher.announced(),
+		Demands:       a.router.dispatcher.demands(),
 	}
 	request.Usage.UnreportedMillis = (sentAt - a.pushedAt).Milliseconds()
 	reply, err := client.Exchange(ctx, &wire.Request{Kind: &wire.Request_Sync{Sync: request}})
@@ -143,6 +144,7 @@
 	if err = a.accept(reply.GetSync()); err != nil {
 		return err
 	}
+	a.router.dispatcher.drain(reply.GetSync().GetDraining())
 	a.pushedAt = sentAt
 	a.freshUntil.Store(int64(sentAt + a.lifetime))
 	return nil
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -41,6 +41,8 @@
 		scheduler *scheduler.Scheduler
 		// running counts the requests that were dispatched from this pool.
 		running int
+		// refused counts the requests that could not be served in time.
+		refused uint64
 	}
 
 	// order is a request that wants an upstream.
@@ -86,6 +88,8 @@
 		picker    *picker.Picker
 		budget    *retrier.Budget
 		peers     *demandTable
+		// draining are the upstreams that the process in charge is about to stop.
+		draining map[registrar.UpstreamID]bool
 	}
 )
 
@@ -216,6 +220,7 @@
 			p.scheduler.WaitEstimate(t.item.Class, t.item.Tier, t.item.Organisation)))
 	}
 	if !admission.Accepted {
+		p.refused++
 		delete(d.tickets, t.item.ID)
 		return nil, refuseUntil(http.StatusTooManyRequests, CodeOverloaded,
 			"the request cannot be served in time", max(admission.RetryAfter, time.Second))
@@ -257,13 +262,28 @@
 // served reports whether any upstream takes new work of a pool.
 func (d *dispatcher) served(key poolKey) bool {
 	for _, u := range d.registrar.All() {
-		if u.CanServe(key.kind, key.name) {
+		if d.takesNew(u, key) {
 			return true
 		}
 	}
 	return false
 }
 
+// takesNew reports whether an upstream takes new work of a pool.
+func (d *dispatcher) takesNew(u *registrar.Upstream, key poolKey) bool {
+	return u.CanServe(key.kind, key.name) && !d.draining[u.ID]
+}
+
+// drain replaces the set of upstreams that get nothing new.
+func (d *dispatcher) drain(ids []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.draining = map[registrar.UpstreamID]bool{}
+	for _, id := range ids {
+		d.draining[registrar.UpstreamID(id)] = true
+	}
+}
+
 // pump dispatches while requests wait and an upstream is free.
 func (d *dispatcher) pump(key poolKey, p *pool) {
 	for p.scheduler.Waiting() > 0 {
@@ -306,7 +326,7 @@
 		candidates []picker.Candidate
 	)
 	for _, u := range d.registrar.All() {
-		if !u.CanServe(key.kind, key.name) {
+		if !d.takesNew(u, key) {
 			continue
 		}
 		tr := d.tracks[u.ID]
@@ -391,7 +411,11 @@
 	defer d.mu.Unlock()
 	var out []*wire.PoolDemand
 	for key, p := range d.pools {
-		out = append(out, &wire.PoolDemand{Pool: key.String(), Requests: int32(p.running + p.scheduler.Waiting())})
+		out = append(out, &wire.PoolDemand{
+			Pool:     key.String(),
+			Requests: int32(p.running + p.scheduler.Waiting()),
+			Refused:  p.refused,
+		})
 	}
 	return out
 }
--- a/internal/validator/control.go
+++ b/internal/validator/control.go
@@ -19,6 +19,9 @@
 	defaultReportTimeout   = 2 * time.Second
 	defaultOrderInterval   = 5 * time.Second
 	defaultOrderTimeout    = 300 * time.Millisecond
+	defaultStartUp         = 2 * time.Minute
+	defaultStarting        = 2
+	defaultDrain           = 10 * time.Minute
 
 	// heartbeatsPerElection is the least number of heartbeats in an election timeout.
 	heartbeatsPerElection = 3
@@ -45,6 +48,9 @@
 	}
 	setDuration(&s.Ordering.Interval, defaultOrderInterval)
 	setDuration(&s.Ordering.Timeout, defaultOrderTimeout)
+	setDuration(&s.Ordering.StartUp, defaultStartUp)
+	setNumber(&s.Ordering.Starting, defaultStarting)
+	setDuration(&s.Ordering.Drain, defaultDrain)
 }
 
 func checkControl(c *collector, whole *settings.Settings) {
@@ -71,6 +77,9 @@
 	c.duration("$.control.reporting.timeout", s.GetReporting().GetTimeout(), 10*time.Millisecond, time.Minute)
 	c.optionalURL("$.control.ordering.url", s.GetOrdering().GetUrl())
 	c.duration("$.control.ordering.interval", s.GetOrdering().GetInterval(), 10*time.Millisecond, time.Hour)
+	c.duration("$.control.ordering.startUp", s.GetOrdering().GetStartUp(), 100*time.Millisecond, time.Hour)
+	c.number("$.control.ordering.starting", int64(s.GetOrdering().GetStarting()), 1, 1000)
+	c.duration("$.control.ordering.drain", s.GetOrdering().GetDrain(), 100*time.Millisecond, 24*time.Hour)
 	half := s.GetElectionTimeout().AsDuration() / 2
 	c.duration("$.control.ordering.timeout", s.GetOrdering().GetTimeout(), 5*time.Millisecond, half)
 }
--- /dev/null
+++ b/test/integration/platform_test.go
@@ -0,0 +1,347 @@
+package integration
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/comfreybend/comfreybend/internal/keeper"
+	"github.com/comfreybend/comfreybend/schema/settings"
+)
+
+type (
+	// platform is a stand-in for the order and usage report interfaces.
+	platform struct {
+		t      *testing.T
+		server *httptest.Server
+
+		mu      sync.Mutex
+		reports map[string][][]byte
+		// orders are in the order of their arrival.
+		orders []platformOrder
+		// failing answers with an error, after noting what arrived.
+		failing bool
+		// hold delays answers until it is closed.
+		hold chan struct{}
+		// started is called with each new start order.
+		started func(platformOrder)
+	}
+
+	platformOrder struct {
+		OrderID       string `json:"orderId"`
+		FencingNumber uint64 `json:"fencingNumber"`
+		FailureDomain string `json:"failureDomain"`
+		Action        string `json:"action"`
+		Upstream      string `json:"upstream"`
+		Serves        string `json:"serves"`
+		Preemptible   bool   `json:"preemptible"`
+	}
+)
+
+func newPlatform(t *testing.T) *platform {
+	p := &platform{t: t, reports: map[string][][]byte{}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /usage", p.takeReport)
+	mux.HandleFunc("POST /orders", p.takeOrder)
+	p.server = httptest.NewServer(mux)
+	t.Cleanup(p.server.Close)
+	return p
+}
+
+func (p *platform) adjust(window time.Duration) func(*settings.Settings) {
+	return func(s *settings.Settings) {
+		s.Control.Reporting = &settings.Reporting{
+			Url: p.server.URL + "/usage", Window: durationpb.New(window), Settle: durationpb.New(3 * time.Second),
+		}
+		s.Control.Ordering = &settings.Ordering{
+			Url: p.server.URL + "/orders", Interval: durationpb.New(200 * time.Millisecond),
+			Timeout: durationpb.New(election / 4), StartUp: durationpb.New(20 * time.Second),
+		}
+	}
+}
+
+func (p *platform) takeReport(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	p.mu.Lock()
+	number := r.Header.Get("Comfreybend-Report-Window")
+	p.reports[number] = append(p.reports[number], body)
+	p.mu.Unlock()
+	p.answer(w, r)
+}
+
+func (p *platform) takeOrder(w http.ResponseWriter, r *http.Request) {
+	var order platformOrder
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		p.t.Errorf("order: %v", err)
+	}
+	p.mu.Lock()
+	known := false
+	for _, earlier := range p.orders {
+		known = known || earlier.OrderID == order.OrderID
+	}
+	p.orders = append(p.orders, order)
+	started := p.started
+	p.mu.Unlock()
+	if !known && order.Action == "start" && started != nil {
+		started(order)
+	}
+	p.answer(w, r)
+}
+
+func (p *platform) answer(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	failing, hold := p.failing, p.hold
+	p.mu.Unlock()
+	if hold != nil {
+		select {
+		case <-hold:
+		case <-r.Context().Done():
+		}
+	}
+	if failing {
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+}
+
+func (p *platform) set(failing bool, hold chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failing = failing
+	p.hold = hold
+}
+
+func (p *platform) arrived() []platformOrder {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]platformOrder(nil), p.orders...)
+}
+
+// total sums the calls and tokens over all reported windows.
+func (p *platform) total() (calls, tokens uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, sends := range p.reports {
+		var report keeper.Report
+		if err := json.Unmarshal(sends[0], &report); err != nil {
+			p.t.Fatal(err)
+		}
+		for _, row := range report.Rows {
+			calls += row.Calls
+			tokens += row.TokensOut
+		}
+	}
+	return calls, tokens
+}
+
+// checkReports fails if any window was reported with different figures, or windows overlap or leave a gap.
+func (p *platform) checkReports() {
+	p.t.Helper()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var end int64
+	for n := 1; n <= len(p.reports); n++ {
+		sends := p.reports[strconv.Itoa(n)]
+		if len(sends) == 0 {
+			p.t.Fatalf("window %d is missing", n)
+		}
+		for _, again := range sends[1:] {
+			if !bytes.Equal(again, sends[0]) {
+				p.t.Errorf("window %d was reported as %s and as %s", n, sends[0], again)
+			}
+		}
+		var report keeper.Report
+		if err := json.Unmarshal(sends[0], &report); err != nil {
+			p.t.Fatal(err)
+		}
+		if n > 1 && report.StartMillis != end || report.EndMillis <= report.StartMillis {
+			p.t.Errorf("window %d runs from %d to %d after %d", n, report.StartMillis, report.EndMillis, end)
+		}
+		end = report.EndMillis
+	}
+}
+
+// TestUsageReports counts requests while the report interface fails and is
+// slow, the leader is frozen and woken, and killed: every window has one set of
+// figures, and the sum over all windows is what callers got.
+func TestUsageReports(t *testing.T) {
+	p := newPlatform(t)
+	s := startSystem(t, layout{controls: 3, entries: []string{"a", "b"}, adjustControl: p.adjust(time.Second)})
+	s.configure()
+	for _, e := range s.entries {
+		s.startUpstream("engine-"+e.domain, e.domain, "model", "m", []*entryProcess{e}, "--token-interval", "1ms")
+	}
+	s.startUpstream("orders-1", "a", "service", "orders", s.entries)
+	key := s.grant("one")
+	s.inForce(key.Key, s.entries...)
+
+	var calls, tokens uint64
+	ask := func(duration time.Duration) {
+		for begun := time.Now(); time.Since(begun) < duration; {
+			for _, e := range s.entries {
+				if a := e.complete(key.Key, 7); a.status == http.StatusOK && a.err == nil {
+					calls++
+					tokens += 7
+				}
+			}
+		}
+	}
+	// inForce has asked for calls that count too.
+	base, baseTokens := func() (uint64, uint64) {
+		var c, tok uint64
+		eventually(t, startWithin, func() error {
+			before, _ := p.total()
+			time.Sleep(3 * time.Second)
+			c, tok = p.total()
+			if before != c || c == 0 {
+				return fmt.Errorf("not settled")
+			}
+			return nil
+		})
+		return c, tok
+	}()
+
+	ask(2 * time.Second)
+	p.set(true, nil)
+	ask(2 * time.Second)
+	p.set(false, nil)
+	hold := make(chan struct{})
+	p.set(false, hold)
+	ask(time.Second)
+	old := s.leader()
+	old.freeze()
+	ask(3 * time.Second)
+	close(hold)
+	p.set(false, nil)
+	old.thaw()
+	ask(2 * time.Second)
+	s.leader().kill()
+	ask(2 * time.Second)
+	for _, c := range s.controls {
+		select {
+		case <-c.exited:
+			c.start()
+		default:
+		}
+	}
+	eventually(t, startWithin, func() error {
+		gotCalls, gotTokens := p.total()
+		if gotCalls != base+calls || gotTokens != baseTokens+tokens {
+			return fmt.Errorf("reported %d calls and %d tokens, callers got %d and %d",
+				gotCalls-base, gotTokens-baseTokens, calls, tokens)
+		}
+		return nil
+	})
+	p.checkReports()
+}
+
+// TestOrders saturates a pool until the process in charge orders upstreams, and
+// then lets it idle until one is drained and stopped.
+func TestOrders(t *testing.T) {
+	p := newPlatform(t)
+	s := startSystem(t, layout{controls: 1, entries: []string{"a"}, adjustControl: p.adjust(time.Minute)})
+	s.configure()
+	e := s.entries[0]
+	s.startUpstream("orders-1", "a", "service", "orders", s.entries)
+	s.startUpstream("engine-1", "a", "model", "m", s.entries, "--slots", "2", "--token-interval", "50ms")
+	p.mu.Lock()
+	p.started = func(o platformOrder) {
+		flags := []string{"--slots", "2", "--token-interval", "50ms"}
+		if o.Preemptible {
+			flags = append(flags, "--preemptible")
+		}
+		s.startUpstream("ordered-"+o.OrderID[:8], o.FailureDomain, "model", "m", s.entries, flags...)
+	}
+	p.mu.Unlock()
+	key := s.grant("one")
+	s.inForce(key.Key, e)
+	s.served(e, key.Key)
+
+	const tokens = 60
+	var wait sync.WaitGroup
+	for range 8 {
+		wait.Go(func() { checkTokens(t, e.complete(key.Key, tokens), tokens) })
+	}
+	eventually(t, startWithin, func() error {
+		for _, o := range p.arrived() {
+			if o.Action == "start" && o.Serves == "model/m" && o.FailureDomain == "a" && o.FencingNumber > 0 {
+				return nil
+			}
+		}
+		return fmt.Errorf("no start order: %v", p.arrived())
+	})
+	wait.Wait()
+	eventually(t, startWithin, func() error {
+		for _, o := range p.arrived() {
+			if o.Action == "stop" && o.Upstream != "" {
+				return nil
+			}
+		}
+		return fmt.Errorf("no stop order: %v", p.arrived())
+	})
+}
+
+// TestFrozenLeaderSendsNoOrder freezes the leader while an order waits for its
+// answer. Its successor takes the order up under the same id; after waking, the
+// old leader sends nothing more: fencing numbers arrive in ascending order.
+func TestFrozenLeaderSendsNoOrder(t *testing.T) {
+	p := newPlatform(t)
+	s := startSystem(t, layout{controls: 3, entries: []string{"a"}, adjustControl: p.adjust(time.Minute)})
+	s.configure()
+	e := s.entries[0]
+	s.startUpstream("orders-1", "a", "service", "orders", s.entries)
+	s.startUpstream("engine-1", "a", "model", "m", s.entries, "--slots", "2", "--token-interval", "100ms")
+	key := s.grant("one")
+	s.inForce(key.Key, e)
+	s.served(e, key.Key)
+	hold := make(chan struct{})
+	p.set(false, hold)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	for range 8 {
+		go e.do(ctx, http.MethodPost, "/v1/chat/completions", key.Key, completionBody(400))
+	}
+	eventually(t, startWithin, func() error {
+		if len(p.arrived()) == 0 {
+			return fmt.Errorf("no order yet")
+		}
+		return nil
+	})
+	old := s.leader()
+	old.freeze()
+	first := p.arrived()[0]
+	eventually(t, startWithin, func() error {
+		for _, o := range p.arrived() {
+			if o.OrderID == first.OrderID && o.FencingNumber > first.FencingNumber {
+				return nil
+			}
+		}
+		return fmt.Errorf("the successor has not taken up order %s", first.OrderID)
+	})
+	old.thaw()
+	close(hold)
+	p.set(false, nil)
+	settled := len(p.arrived())
+	eventually(t, startWithin, func() error {
+		if len(p.arrived()) < settled+1 {
+			return fmt.Errorf("no order after the thaw yet")
+		}
+		return nil
+	})
+	var last uint64
+	for i, o := range p.arrived() {
+		if o.FencingNumber < last {
+			t.Errorf("order %d carries fencing number %d after %d", i, o.FencingNumber, last)
+		}
+		last = o.FencingNumber
+	}
+}
