router: unreachable upstreams, broken streams and late starts

Cause: TestReclaimedZone lost streams: after the kill of a whole zone each stream spent its three attempts on refused connections of the same zone. Ruled out: more attempts (more load where it hurts); waiting for the announcement lease to end (5 s). Change: a refused connection opens the upstream's circuit at once and counts neither as an attempt nor against the retry budget; a pool that nobody serves any more refuses its waiting requests at once; calls that were broken off are neither refused nor shed and go first, and a resumed stream's deadline is extended; a request must start early enough to end by its deadline, by its class's average duration. Tests of limits, leaving callers, reclaimed zones, cut-off domains, net/http's replays, settings, state machine. Emulator: crossed answers have other content, resumption can be ignored.

--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -57,8 +57,12 @@
 		CutAfterEvents int `json:"cutAfterEvents"`
 		// StallAfterEvents keeps streams silent after that many events, while the attempt counts as running.
 		StallAfterEvents int `json:"stallAfterEvents"`
-		// CrossAnswers echoes a wrong attempt id.
+		// CrossAnswers gives the answer of another attempt, with its id.
 		CrossAnswers bool `json:"crossAnswers"`
+		// IgnoreResume starts every stream from its first event.
+		IgnoreResume bool `json:"ignoreResume"`
+		// SkipEvents leaves out that many events at the beginning of a resumed stream.
+		SkipEvents int `json:"skipEvents"`
 		// SlowFactor multiplies all times if it is more than 1.
 		SlowFactor float64 `json:"slowFactor"`
 		// CutBody closes the connection in the middle of a service's answer, after it ran.
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -90,6 +90,10 @@
 		u.mu.Lock()
 		u.stats.Resumed++
 		u.mu.Unlock()
+		first += c.faults.SkipEvents
+	}
+	if c.faults.IgnoreResume {
+		first = 0
 	}
 	if !c.pause(u.config.FirstToken) {
 		return false
@@ -131,6 +135,8 @@
 func (c *completion) eventData(n int) string {
 	const chunk = `{"id":"chatcmpl-emulated","object":"chat.completion.chunk","model":%q,"choices":[%s]%s}`
 	switch {
+	case c.faults.CrossAnswers && n <= c.tokens:
+		return fmt.Sprintf(chunk, c.request.Model, `{"index":0,"delta":{"content":"of another request "}}`, "")
 	case n <= c.tokens:
 		choice := fmt.Sprintf(`{"index":0,"delta":{"content":"token%d "}}`, n)
 		return fmt.Sprintf(chunk, c.request.Model, choice, "")
--- /dev/null
+++ b/internal/keeper/keeper_test.go
@@ -0,0 +1,245 @@
+package keeper
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/comfreybend/comfreybend/schema/state"
+	"github.com/comfreybend/comfreybend/schema/wire"
+)
+
+const (
+	hour      = 60 * 60 * 1000
+	retention = 24 * hour
+)
+
+// apply applies a command at a time in milliseconds.
+func apply(t *testing.T, k *Keeper, at int64, command *state.Command) *wire.ProposeReply {
+	t.Helper()
+	command.AtMillis = at
+	command.Limits = &state.Limits{
+		ClaimRetentionMillis: retention, ClaimsPerOrganisation: 2, AuditRecords: 3, SettleMillis: 5000,
+	}
+	data, err := proto.Marshal(command)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return k.Apply(data)
+}
+
+func change(id string, base uint64, op *state.Operation) *state.Command {
+	return &state.Command{Kind: &state.Command_Change{Change: &state.Change{
+		ChangeId: id, Operator: "op", BaseRevision: base, Operation: op, Fingerprint: []byte(op.String()),
+	}}}
+}
+
+func putOrganisation(id string) *state.Operation {
+	return &state.Operation{Kind: &state.Operation_PutOrganisation{PutOrganisation: &state.Organisation{Id: id}}}
+}
+
+func grantKey(id, organisation string) *state.Operation {
+	hash := make([]byte, 32)
+	copy(hash, id)
+	return &state.Operation{Kind: &state.Operation_GrantKey{GrantKey: &state.Key{Id: id, Organisation: organisation, Hash: hash}}}
+}
+
+func TestChanges(t *testing.T) {
+	k := New()
+	steps := []struct {
+		name    string
+		command *state.Command
+		reason  string
+		after   uint64
+	}{
+		{"first", change("c1", 0, putOrganisation("one")), "", 1},
+		{"resent", change("c1", 0, putOrganisation("one")), "", 1},
+		{"same id, other change", change("c1", 0, putOrganisation("two")), ReasonReusedChangeID, 1},
+		{"against an old revision", change("c2", 0, putOrganisation("two")), ReasonConflict, 1},
+		{"a refused one resent", change("c2", 0, putOrganisation("two")), ReasonConflict, 1},
+		{"invalid", change("c3", 1, grantKey("k", "nobody")), ReasonInvalid, 1},
+		{"valid", change("c4", 1, grantKey("k", "one")), "", 2},
+	}
+	for _, step := range steps {
+		outcome := apply(t, k, 1, step.command).GetOutcome()
+		if outcome.GetReason() != step.reason || outcome.GetAccepted() != (step.reason == "") {
+			t.Errorf("%s: %v", step.name, outcome)
+		}
+		if k.Revision() != 0 && uint64(k.Revision()) != step.after {
+			t.Errorf("%s: revision %d", step.name, k.Revision())
+		}
+	}
+	if n := len(k.Audit()); n != 3 {
+		t.Errorf("%d audit records are kept, the limit is 3", n)
+	}
+}
+
+func TestAuditNamesNoKey(t *testing.T) {
+	op := grantKey("k1", "one")
+	if text := Summarize(op); strings.Contains(text, string(op.GetGrantKey().GetHash())) || !strings.Contains(text, "k1") {
+		t.Errorf("summary: %q", text)
+	}
+}
+
+func claim(attempt, key, content string) *state.Command {
+	return &state.Command{Kind: &state.Command_Claim{Claim: &state.Claim{
+		Organisation: "one", Route: "r", IdempotencyKey: key, Attempt: attempt, Fingerprint: []byte(content),
+	}}}
+}
+
+func claimOutcome(attempt, key string, notRun bool, status int32) *state.Command {
+	return &state.Command{Kind: &state.Command_ClaimOutcome{ClaimOutcome: &state.ClaimOutcome{
+		Organisation: "one", Route: "r", IdempotencyKey: key, Attempt: attempt, NotRun: notRun,
+		Answer: &state.StoredAnswer{Status: status},
+	}}}
+}
+
+func TestClaims(t *testing.T) {
+	k := New()
+	steps := []struct {
+		name    string
+		at      int64
+		command *state.Command
+		reason  string
+		status  int32
+	}{
+		{"first", 0, claim("a1", "x", "body"), "", 0},
+		{"the same attempt again", 0, claim("a1", "x", "body"), "", 0},
+		{"a resend while it runs", 0, claim("a2", "x", "body"), ReasonClaimed, 0},
+		{"another call under the key", 0, claim("a3", "x", "other"), ReasonReusedKey, 0},
+		{"an outcome of another attempt", 0, claimOutcome("a2", "x", false, 500), ReasonInvalid, 0},
+		{"its outcome", 0, claimOutcome("a1", "x", false, 200), "", 0},
+		{"a resend after it", 0, claim("a4", "x", "body"), ReasonClaimed, 200},
+		{"a second outcome changes nothing", 0, claimOutcome("a1", "x", false, 500), "", 0},
+		{"a resend gets the first outcome", 0, claim("a5", "x", "body"), ReasonClaimed, 200},
+		{"another key", 1, claim("b1", "y", "body"), "", 0},
+		{"more than the organisation may hold", 1, claim("c1", "z", "body"), ReasonFull, 0},
+		{"released", 1, claimOutcome("b1", "y", true, 0), "", 0},
+		{"room again", 1, claim("c2", "z", "body"), "", 0},
+		{"after the retention", retention + 1, claim("d1", "x", "body"), "", 0},
+	}
+	for _, step := range steps {
+		reply := apply(t, k, step.at, step.command)
+		if reply.GetOutcome().GetReason() != step.reason {
+			t.Errorf("%s: %v", step.name, reply)
+		}
+		if status := reply.GetClaim().GetAnswer().GetStatus(); status != step.status {
+			t.Errorf("%s: answer status %d, want %d", step.name, status, step.status)
+		}
+	}
+}
+
+func push(incarnation string, calls uint64, unreported int64) *state.Command {
+	return &state.Command{Kind: &state.Command_UsageBatch{UsageBatch: &state.UsageBatch{Pushes: []*state.Usage{{
+		Incarnation: incarnation, UnreportedMillis: unreported,
+		Counters: []*state.UsageCounter{{Organisation: "one", Class: "c", Calls: calls, TokensOut: 10 * calls}},
+	}}}}}
+}
+
+func freeze(end int64) *state.Command {
+	return &state.Command{Kind: &state.Command_FreezeWindow{FreezeWindow: &state.FreezeWindow{EndMillis: end}}}
+}
+
+func TestUsageWindows(t *testing.T) {
+	k := New()
+	apply(t, k, 1*hour, push("e1", 3, 500))
+	apply(t, k, 1*hour+1000, push("e1", 5, 500))
+	apply(t, k, 1*hour+1001, push("e1", 4, 500)) // Delayed on its way.
+	apply(t, k, 1*hour+1002, push("e2", 1, 500))
+	apply(t, k, 2*hour, freeze(2*hour))
+	apply(t, k, 2*hour+1, freeze(2*hour)) // A second time by another leader.
+	apply(t, k, 2*hour+10_000, push("e1", 6, 500))
+	apply(t, k, 2*hour+10_000, push("e3", 7, hour)) // Was cut off for an hour.
+	apply(t, k, 3*hour, freeze(3*hour))
+
+	windows := k.UnsentWindows()
+	if len(windows) != 2 {
+		t.Fatalf("%d windows", len(windows))
+	}
+	want := [][]string{{"false 6 60"}, {"false 1 10", "true 7 70"}}
+	for i, w := range windows {
+		var report Report
+		if err := json.Unmarshal(w.GetReport(), &report); err != nil {
+			t.Fatal(err)
+		}
+		var got []string
+		for _, row := range report.Rows {
+			got = append(got, fmt.Sprint(row.Late, row.Calls, row.TokensOut))
+		}
+		if strings.Join(got, ",") != strings.Join(want[i], ",") {
+			t.Errorf("window %d: %v, want %v", i+1, got, want[i])
+		}
+	}
+	apply(t, k, 3*hour, &state.Command{Kind: &state.Command_WindowSent{WindowSent: &state.WindowSent{Number: 1}}})
+	if left := k.UnsentWindows(); len(left) != 1 || left[0].GetNumber() != 2 {
+		t.Errorf("unsent windows: %v", left)
+	}
+}
+
+func TestIntentsOfAnEarlierHolderAreFenced(t *testing.T) {
+	k := New()
+	fence := func() uint64 {
+		return apply(t, k, 1, &state.Command{Kind: &state.Command_Fence{Fence: &state.Fence{Holder: "h"}}}).GetOutcome().GetRevision()
+	}
+	intent := func(id string, number uint64) *state.Command {
+		return &state.Command{Kind: &state.Command_Intent{Intent: &state.Intent{OrderId: id, FencingNumber: number}}}
+	}
+	first := fence()
+	if !apply(t, k, 1, intent("o1", first)).GetOutcome().GetAccepted() {
+		t.Fatal("the holder's intent was refused")
+	}
+	second := fence()
+	if reason := apply(t, k, 1, intent("o2", first)).GetOutcome().GetReason(); second <= first || reason != ReasonFenced {
+		t.Errorf("intent of the earlier holder: %q", reason)
+	}
+	if open := k.OpenIntents(); len(open) != 1 {
+		t.Fatalf("open intents: %v", open)
+	}
+	apply(t, k, 1, &state.Command{Kind: &state.Command_IntentOutcome{IntentOutcome: &state.IntentOutcome{OrderId: "o1"}}})
+	if open := k.OpenIntents(); len(open) != 0 {
+		t.Errorf("open intents after the outcome: %v", open)
+	}
+}
+
+// TestSnapshotHoldsEverything restores a snapshot and compares what later commands come to.
+func TestSnapshotHoldsEverything(t *testing.T) {
+	k := New()
+	apply(t, k, 1, change("c1", 0, putOrganisation("one")))
+	apply(t, k, 1, change("c2", 1, grantKey("k1", "one")))
+	apply(t, k, 1, claim("a1", "x", "body"))
+	apply(t, k, 1, claimOutcome("a1", "x", false, 200))
+	apply(t, k, 1, push("e1", 3, 0))
+	apply(t, k, hour, freeze(hour))
+	apply(t, k, hour, push("e1", 4, 0))
+	apply(t, k, hour, &state.Command{Kind: &state.Command_Fence{Fence: &state.Fence{Holder: "h"}}})
+	data, err := k.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := New()
+	if err = restored.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	later := map[string]*state.Command{
+		"resent change":  change("c1", 0, putOrganisation("one")),
+		"resent call":    claim("a9", "x", "body"),
+		"withdrawal":     change("c3", 2, &state.Operation{Kind: &state.Operation_WithdrawKey{WithdrawKey: "k1"}}),
+		"next push":      push("e1", 9, 0),
+		"next window":    freeze(2 * hour),
+		"next fence":     {Kind: &state.Command_Fence{Fence: &state.Fence{Holder: "g"}}},
+		"repeated fence": {Kind: &state.Command_Fence{Fence: &state.Fence{Holder: "g"}}},
+	}
+	for _, name := range []string{"resent change", "resent call", "withdrawal", "next push", "next window", "next fence", "repeated fence"} {
+		a, b := apply(t, k, 2*hour, later[name]), apply(t, restored, 2*hour, later[name])
+		if !proto.Equal(a, b) {
+			t.Errorf("%s: %v before, %v after a restore", name, a, b)
+		}
+	}
+	one, two := k.UnsentWindows(), restored.UnsentWindows()
+	if len(one) != 2 || len(two) != 2 || string(one[1].GetReport()) != string(two[1].GetReport()) {
+		t.Errorf("windows differ: %v and %v", one, two)
+	}
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -51,6 +51,7 @@
 
 	// UnavailableError means that no answer could be had; a change may or may not be accepted.
 	UnavailableError struct {
+		// ChangeID is empty for a read.
 		ChangeID string
 		Cause    error
 	}
@@ -77,6 +78,9 @@
 
 // Error implements error.
 func (e *UnavailableError) Error() string {
+	if e.ChangeID == "" {
+		return fmt.Sprintf("no answer from the control processes: %v", e.Cause)
+	}
 	return fmt.Sprintf("no answer from the control processes; change %s may or may not be accepted, "+
 		"resend it with the same change id: %v", e.ChangeID, e.Cause)
 }
@@ -107,7 +111,16 @@
 func (c *Client) Read(ctx context.Context, what string) (*wire.ReadReply, error) {
 	reply := &wire.ReadReply{}
 	err := c.call(ctx, http.MethodGet, "/operator/v1/"+what, nil, reply)
-	return reply, err
+	if err == nil || refusedRequest(err) {
+		return reply, err
+	}
+	return nil, &UnavailableError{Cause: err}
+}
+
+// refusedRequest reports an answer that another try does not change.
+func refusedRequest(err error) bool {
+	var answered *ResponseError
+	return errors.As(err, &answered) && answered.Status < http.StatusInternalServerError
 }
 
 // Change sends one operation. A base revision below zero stands for the one in
@@ -134,8 +147,7 @@
 		if err == nil {
 			return decided(outcome)
 		}
-		var answered *ResponseError
-		if errors.As(err, &answered) && answered.Status < http.StatusInternalServerError {
+		if refusedRequest(err) {
 			return nil, err
 		}
 		if !sleep(ctx, resendPause) {
@@ -181,8 +193,7 @@
 	var last error
 	for _, base := range c.URLs {
 		err := c.callOne(ctx, method, base+path, body, into)
-		var answered *ResponseError
-		if err == nil || errors.As(err, &answered) && answered.Status < http.StatusInternalServerError {
+		if err == nil || refusedRequest(err) {
 			return err
 		}
 		last = err
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -26,6 +26,10 @@
 	slowStart = 3 * time.Second
 	// noUpstreamRetry is when to come back if no upstream serves what is asked for.
 	noUpstreamRetry = 2 * time.Second
+	// begunWait is how long a call that was broken off may wait for another upstream at least.
+	begunWait = 10 * time.Second
+	// durationSmoothing is the inverse weight of a new duration in the average.
+	durationSmoothing = 16
 	// assumedSlots stands for the slots of an upstream that does not report them.
 	assumedSlots = 16
 )
@@ -43,6 +47,8 @@
 		running int
 		// refused counts the requests that could not be served in time.
 		refused uint64
+		// durations are the average times from dispatch to the end of an answer, by class.
+		durations map[scheduler.Class]time.Duration
 	}
 
 	// order is a request that wants an upstream.
@@ -52,7 +58,9 @@
 		organisation configurer.OrganisationID
 		deadline     time.Duration
 		arrived      time.Duration
-		pick         picker.Request
+		// begun calls have been sent before and were broken off.
+		begun bool
+		pick  picker.Request
 	}
 
 	ticket struct {
@@ -68,6 +76,7 @@
 		track    *track
 		item     scheduler.Item
 		pool     poolKey
+		at       time.Duration
 	}
 
 	// verdict is what an attempt says about its upstream.
@@ -97,6 +106,8 @@
 const (
 	verdictAnswered verdict = iota
 	verdictFailed
+	// verdictUnreachable means that no connection was obtained.
+	verdictUnreachable
 	verdictOverloaded
 	verdictAbandoned
 )
@@ -135,6 +146,9 @@
 		delete(d.tracks, id)
 	}
 	for key, p := range d.pools {
+		if p.scheduler.Waiting() > 0 && !d.served(key) {
+			d.refuseAll(key, p)
+		}
 		for _, id := range p.scheduler.Expire(now) {
 			item := d.tickets[id].item
 			d.refuseTicket(id, refuseUntil(http.StatusServiceUnavailable, CodeDeadline,
@@ -201,14 +215,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.served(o.pool) {
-		return nil, refuseUntil(http.StatusServiceUnavailable, CodeNoUpstream,
-			"no upstream serves "+o.pool.name, noUpstreamRetry)
+		return nil, noUpstream(o.pool)
 	}
 	p := d.pool(o.pool)
 	d.nextItem++
 	t := &ticket{
 		order:   o,
-		item:    d.itemOf(o),
+		item:    d.itemOf(o, p),
 		granted: make(chan *grant, 1),
 		refused: make(chan *RefusalError, 1),
 	}
@@ -229,8 +242,15 @@
 	return t, nil
 }
 
-func (d *dispatcher) itemOf(o order) scheduler.Item {
-	startBy := o.deadline
+// itemOf describes a request to the scheduler. It must start early enough to
+// end by its deadline, as far as its class's past answers tell.
+func (d *dispatcher) itemOf(o order, p *pool) scheduler.Item {
+	expected := min(p.durations[scheduler.Class(o.class.GetName())], (o.deadline-o.arrived)/2)
+	deadline := o.deadline - expected
+	if o.begun {
+		deadline = o.deadline
+	}
+	startBy := deadline
 	if first := o.class.GetTarget().GetFirstToken().AsDuration(); first > 0 {
 		startBy = min(startBy, o.arrived+first)
 	}
@@ -240,7 +260,8 @@
 		Tier:         scheduler.Tier(o.class.GetTier()),
 		Organisation: scheduler.Organisation(o.organisation),
 		StartBy:      startBy,
-		Deadline:     o.deadline,
+		Deadline:     deadline,
+		Begun:        o.begun,
 	}
 }
 
@@ -249,7 +270,7 @@
 	if p == nil {
 		q := d.settings.GetEntry().GetQueue()
 		baseline := picker.Policy(d.settings.GetEntry().GetPolicy()) != picker.PolicyStandard
-		p = &pool{scheduler: scheduler.New(scheduler.Config{
+		p = &pool{durations: map[scheduler.Class]time.Duration{}, scheduler: scheduler.New(scheduler.Config{
 			Waiting:              int(q.GetWaiting()),
 			GuaranteedPercent:    int(q.GetGuaranteedPercent()),
 			FirstComeFirstServed: baseline,
@@ -303,7 +324,7 @@
 		tr := d.tracks[chosen.ID]
 		tr.start(now)
 		p.running++
-		t.granted <- &grant{upstream: chosen, track: tr, item: item, pool: key}
+		t.granted <- &grant{upstream: chosen, track: tr, item: item, pool: key, at: now}
 	}
 }
 
@@ -377,6 +398,8 @@
 	g.track.finish(d.now(), v)
 	if v == verdictAnswered {
 		d.budget.Succeeded()
+		before := p.durations[g.item.Class]
+		p.durations[g.item.Class] = before + (d.now()-g.at-before)/durationSmoothing
 	}
 	d.pump(g.pool, p)
 }
@@ -388,6 +411,19 @@
 	return d.budget.Take()
 }
 
+// refuseAll refuses every waiting request of a pool that no upstream serves any more.
+func (d *dispatcher) refuseAll(key poolKey, p *pool) {
+	for id, t := range d.tickets {
+		if t.order.pool == key && p.scheduler.Remove(id) {
+			d.refuseTicket(id, noUpstream(key))
+		}
+	}
+}
+
+func noUpstream(key poolKey) *RefusalError {
+	return refuseUntil(http.StatusServiceUnavailable, CodeNoUpstream, "no upstream serves "+key.name, noUpstreamRetry)
+}
+
 func (d *dispatcher) refuseTicket(id scheduler.ItemID, refusal *RefusalError) {
 	t := d.tickets[id]
 	delete(d.tickets, id)
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -123,6 +123,7 @@
 		organisation: c.who.organisation,
 		arrived:      c.arrived,
 		deadline:     c.deadline,
+		begun:        x.sent,
 		pick: picker.Request{
 			Prefix:  c.prefix(),
 			Movable: c.repeatable,
@@ -167,8 +168,11 @@
 		crossed *crossedError
 		silent  *silentError
 	)
+	v := verdictFailed
 	if !errors.As(err, &failure) || !failure.NotRun {
 		x.sent = true
+	} else {
+		v = verdictUnreachable
 	}
 	if errors.As(err, &crossed) {
 		x.router.metrics.crossed.Inc(1)
@@ -176,7 +180,6 @@
 	if errors.As(err, &silent) {
 		x.router.metrics.silent.Inc(1)
 	}
-	v := verdictFailed
 	if errors.Is(err, context.Canceled) {
 		v = verdictAbandoned
 	}
@@ -195,20 +198,22 @@
 	}
 }
 
-// mayTryAgain decides whether a failed attempt is followed by another one. A
-// call that may not be repeated is tried again only if no byte of it left.
+// mayTryAgain decides whether a failed attempt is followed by another one. An
+// attempt that got no connection put no load on an upstream, so it counts
+// neither against the attempts nor against the retry budget; its upstream's
+// circuit is open now. A call that may not be repeated is tried again only
+// after such an attempt.
 func (x *exchange) mayTryAgain(ctx context.Context, err error) bool {
-	expired := x.router.dispatcher.now() >= x.call.deadline
-	if ctx.Err() != nil || expired || x.attempts >= int(x.router.settings.GetEntry().GetUpstreamLimits().GetAttempts()) {
+	if ctx.Err() != nil || x.router.dispatcher.now() >= x.call.deadline {
 		return false
 	}
-	if !x.call.repeatable {
-		var failure *attemptError
-		if !errors.As(err, &failure) || !failure.NotRun {
-			return false
-		}
+	var failure *attemptError
+	if errors.As(err, &failure) && failure.NotRun {
+		x.attempts--
+		return true
 	}
-	return x.router.dispatcher.mayRetry()
+	limit := int(x.router.settings.GetEntry().GetUpstreamLimits().GetAttempts())
+	return x.call.repeatable && x.attempts < limit && x.router.dispatcher.mayRetry()
 }
 
 // gaveUp makes the final answer of a call whose attempts have failed.
--- /dev/null
+++ b/internal/router/replay_test.go
@@ -0,0 +1,87 @@
+package router
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/comfreybend/comfreybend/pkg/registrar"
+	"github.com/comfreybend/comfreybend/schema/state"
+)
+
+// TestNoReplayOnReusedConnections answers one call and then closes each kept
+// connection after reading the next one, which net/http would send again on its
+// own. A call that may not be repeated must arrive exactly once.
+func TestNoReplayOnReusedConnections(t *testing.T) {
+	var arrived atomic.Int64
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if arrived.Add(1) == 1 {
+			return
+		}
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			_ = conn.Close()
+		}
+	}))
+	server.Start()
+	defer server.Close()
+	r := newTestRouter(t)
+	send := func(method string) error {
+		c := &call{
+			method: method, path: "/", header: http.Header{}, repeatable: false,
+			class: &state.Class{Name: "c"}, deadline: r.dispatcher.now() + time.Minute,
+		}
+		g := &grant{
+			upstream: &registrar.Upstream{ID: "u", URL: server.URL},
+			track:    newTrack(r.settings.GetEntry().GetUpstreamLimits(), 0),
+		}
+		at, err := r.attempter.send(context.Background(), c, g, noEvent)
+		if err == nil {
+			at.drain()
+			at.close(nil)
+		}
+		return err
+	}
+	for name, method := range map[string]string{"with a body": http.MethodPost, "replayable by its method": http.MethodGet} {
+		t.Run(name, func(t *testing.T) {
+			arrived.Store(0)
+			if err := send(method); err != nil {
+				t.Fatal(err)
+			}
+			if err := send(method); err == nil {
+				t.Fatal("a call on a closed connection succeeded")
+			}
+			if n := arrived.Load(); n != 2 {
+				t.Errorf("the second call arrived %d times", n-1)
+			}
+		})
+	}
+}
+
+// TestRefusedConnectionIsNotRun dials a port on which nobody listens: the refusal may say not run.
+func TestRefusedConnectionIsNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	r := newTestRouter(t)
+	c := &call{
+		method: http.MethodPost, path: "/", header: http.Header{},
+		class: &state.Class{Name: "c"}, deadline: r.dispatcher.now() + time.Minute,
+	}
+	g := &grant{
+		upstream: &registrar.Upstream{ID: "u", URL: "http://" + address},
+		track:    newTrack(r.settings.GetEntry().GetUpstreamLimits(), 0),
+	}
+	_, err = r.attempter.send(context.Background(), c, g, noEvent)
+	failure, ok := err.(*attemptError) //nolint:errorlint // send returns the type itself.
+	if !ok || !failure.NotRun {
+		t.Errorf("error: %v", err)
+	}
+}
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -185,6 +185,8 @@
 	if x.delivered == noEvent && at.received.Load() > 0 {
 		return x.gaveUp(failure)
 	}
+	// The caller has a part of the answer already, so the rest is still wanted.
+	x.call.deadline = max(x.call.deadline, x.router.dispatcher.now()+begunWait)
 	if !x.mayTryAgain(ctx, failure) {
 		return x.gaveUp(failure)
 	}
--- a/internal/router/track.go
+++ b/internal/router/track.go
@@ -70,6 +70,8 @@
 	case verdictFailed:
 		t.limiter.Overloaded(now)
 		t.circuit.Failed(now)
+	case verdictUnreachable:
+		t.circuit.Trip(now)
 	case verdictAbandoned:
 		t.circuit.Abandoned()
 	}
--- /dev/null
+++ b/internal/validator/validator_test.go
@@ -0,0 +1,112 @@
+package validator
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const sound = `{
+  "host": {"id": "entry-1", "failureDomain": "a"},
+  "entry": {
+    "callerListen": "127.0.0.1:1", "upstreamListen": "127.0.0.1:2", "statusListen": "127.0.0.1:3",
+    "peerListen": "127.0.0.1:4", "controlAddresses": ["127.0.0.1:5"]
+  }
+}`
+
+func TestParse(t *testing.T) {
+	tests := map[string]struct {
+		document string
+		// paths of the faults that must be reported together.
+		paths []string
+	}{
+		"sound":         {document: sound},
+		"no JSON":       {document: "{", paths: []string{"$"}},
+		"not an object": {document: "[]", paths: []string{"$"}},
+		"unknown fields, each one": {
+			document: `{"hots": {}, "entry": {"freshnes": "5s", "queue": {"x": 1}}}`,
+			paths:    []string{"$.hots", "$.entry.freshnes", "$.entry.queue.x"},
+		},
+		"wrong types, each one": {
+			document: `{"host": {"id": 5}, "entry": {"freshness": "soon", "peerAddresses": "x", "controlAddresses": [1]}}`,
+			paths:    []string{"$.host.id", "$.entry.freshness", "$.entry.peerAddresses", "$.entry.controlAddresses[0]"},
+		},
+		"a field twice": {document: `{"host": {"id": "a", "id": "b"}}`, paths: []string{"$.host.id"}},
+		"values out of range, each one": {
+			document: strings.Replace(sound, `"peerListen"`,
+				`"freshness": "90s", "queue": {"guaranteedPercent": 50}, "policy": "best", "peerListen"`, 1),
+			paths: []string{"$.entry.freshness", "$.entry.queue.guaranteedPercent", "$.entry.policy"},
+		},
+		"missing addresses": {
+			document: `{"host": {"id": "x", "failureDomain": "a"}, "entry": {}}`,
+			paths:    []string{"$.entry.callerListen", "$.entry.upstreamListen", "$.entry.controlAddresses"},
+		},
+		"neither daemon": {document: `{"host": {"id": "x", "failureDomain": "a"}}`, paths: []string{"$"}},
+		"control without itself": {
+			document: `{"host": {"id": "x", "failureDomain": "a"}, "control": {"peers": [{"id": "y", "address": "127.0.0.1:1"}]}}`,
+			paths:    []string{"$.control.peers", "$.control.dataFolder", "$.control.operatorTokenFile"},
+		},
+		"half of the peer certificates": {
+			document: strings.Replace(sound, `"entry":`, `"tls": {"peerKeyFile": "k"}, "entry":`, 1),
+			paths:    []string{"$.tls.peerCertificateFile", "$.tls.peerAuthorityFile"},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, faults := Parse([]byte(test.document))
+			if (s == nil) != (len(test.paths) > 0) {
+				t.Fatalf("settings %v, faults %v", s, faults)
+			}
+			reported := map[string]bool{}
+			for _, f := range faults {
+				reported[f.Path] = true
+				if f.Problem == "" || f.Allowed == "" {
+					t.Errorf("fault without problem or what is allowed: %v", f)
+				}
+			}
+			for _, path := range test.paths {
+				if !reported[path] {
+					t.Errorf("no fault at %s in %v", path, faults)
+				}
+			}
+		})
+	}
+}
+
+func TestDefaultsAreSound(t *testing.T) {
+	s, faults := Parse([]byte(sound))
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	if s.GetEntry().GetFreshness().AsDuration() != defaultFreshness || s.GetEntry().GetPolicy() != defaultPolicy {
+		t.Errorf("defaults are missing: %v", s)
+	}
+}
+
+// TestExamples checks that the example settings are sound.
+func TestExamples(t *testing.T) {
+	files, err := filepath.Glob("../../examples/*/*.json")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("examples: %v, %v", files, err)
+	}
+	for _, file := range files {
+		if strings.HasPrefix(filepath.Base(file), "configuration") {
+			continue
+		}
+		if _, err = Load(file); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// FuzzParse feeds arbitrary documents to the parser.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(sound))
+	f.Add([]byte(`{"entry": [1, {"a": null}]}`))
+	f.Fuzz(func(t *testing.T, document []byte) {
+		s, faults := Parse(document)
+		if s == nil && len(faults) == 0 {
+			t.Fatal("neither settings nor faults")
+		}
+	})
+}
--- a/pkg/retrier/retrier.go
+++ b/pkg/retrier/retrier.go
@@ -105,12 +105,17 @@
 func (c *Circuit) Failed(now time.Duration) {
 	c.failures++
 	if c.probing || c.failures >= c.config.Failures {
-		c.open = true
-		c.probing = false
-		c.openedAt = now
+		c.Trip(now)
 	}
 }
 
+// Trip opens the circuit at once, for an upstream that refuses connections.
+func (c *Circuit) Trip(now time.Duration) {
+	c.open = true
+	c.probing = false
+	c.openedAt = now
+}
+
 // Abandoned releases a probe whose outcome says nothing about the upstream.
 func (c *Circuit) Abandoned() {
 	c.probing = false
--- a/pkg/scheduler/class.go
+++ b/pkg/scheduler/class.go
@@ -144,6 +144,12 @@
 	return count
 }
 
+// newest returns the request that began to wait last and has not begun before, or nil.
 func (o *organisationQueue) newest() *Item {
-	return o.items[len(o.items)-1]
+	for i := len(o.items) - 1; i >= 0; i-- {
+		if !o.items[i].Begun {
+			return o.items[i]
+		}
+	}
+	return nil
 }
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -42,6 +42,9 @@
 		StartBy time.Duration
 		// Deadline is the time after which the request is refused.
 		Deadline time.Duration
+		// Begun requests have been dispatched before and were broken off. They are
+		// neither refused nor shed, and go first, so that the work done is not lost.
+		Begun bool
 		// charged is the cost that the organisation was charged with at dispatch.
 		charged Cost
 	}
@@ -73,6 +76,8 @@
 		classes map[Class]*classQueue
 		order   []*classQueue
 		items   map[ItemID]*Item
+		// begun are the waiting requests that have been dispatched before, in order.
+		begun   []ItemID
 		arrival []ItemID
 		// interval is the average time between dispatches while requests wait, in seconds.
 		interval     float64
@@ -100,6 +105,11 @@
 	if s.config.FirstComeFirstServed {
 		return s.addInOrder(q, item)
 	}
+	if item.Begun {
+		s.insert(q, item)
+		s.begun = append(s.begun, item.ID)
+		return Admission{Accepted: true}
+	}
 	if late := now + s.expectedWait(q, &item) - item.StartBy; late > 0 {
 		return Admission{RetryAfter: late}
 	}
@@ -178,7 +188,10 @@
 
 func (s *Scheduler) choose(now time.Duration) *Item {
 	if s.config.FirstComeFirstServed {
-		return s.oldest()
+		return s.first(&s.arrival)
+	}
+	if item := s.first(&s.begun); item != nil {
+		return item
 	}
 	if q := s.creditor(); q != nil {
 		q.credit -= q.averageCost()
@@ -235,11 +248,8 @@
 		return nil
 	}
 	largest := lowest.largest()
-	if lowest.tier > item.Tier {
-		return largest.newest()
-	}
 	own := s.classes[item.Class].organisations[item.Organisation]
-	if own == nil || len(own.items)+1 < len(largest.items) {
+	if lowest.tier > item.Tier || own == nil || len(own.items)+1 < len(largest.items) {
 		return largest.newest()
 	}
 	return nil
@@ -311,12 +321,14 @@
 	return Admission{Accepted: true}
 }
 
-func (s *Scheduler) oldest() *Item {
-	for {
-		id := s.arrival[0]
-		s.arrival = s.arrival[1:]
+// first takes the first request that still waits off a list, or returns nil.
+func (s *Scheduler) first(list *[]ItemID) *Item {
+	for len(*list) > 0 {
+		id := (*list)[0]
+		*list = (*list)[1:]
 		if item, found := s.items[id]; found {
 			return item
 		}
 	}
+	return nil
 }
--- a/pkg/scheduler/scheduler_test.go
+++ b/pkg/scheduler/scheduler_test.go
@@ -198,6 +198,27 @@
 	}
 }
 
+// TestBegunRequestsGoFirst breaks a request of the lowest tier off: it is
+// neither refused nor shed, and goes before all others.
+func TestBegunRequestsGoFirst(t *testing.T) {
+	s := newTestScheduler()
+	for id := range testWaiting {
+		s.Add(0, item(id, "high", 1, "one"))
+	}
+	begun := item(1000, "low", 3, "two")
+	begun.StartBy = -time.Second
+	begun.Begun = true
+	if admission := s.Add(0, begun); !admission.Accepted || len(admission.Shed) > 0 {
+		t.Fatalf("admission: %v", admission)
+	}
+	if admission := s.Add(0, item(1001, "top", 0, "one")); len(admission.Shed) > 0 && admission.Shed[0] == begun.ID {
+		t.Error("a request that had begun was shed")
+	}
+	if next, _ := s.Next(0); next.ID != begun.ID {
+		t.Errorf("request %d goes first", next.ID)
+	}
+}
+
 func TestExpire(t *testing.T) {
 	s := newTestScheduler()
 	late := item(1, "c", 1, "one")
--- a/test/integration/answer_test.go
+++ b/test/integration/answer_test.go
@@ -33,13 +33,15 @@
 	s.served(e, key.Key)
 	sound := s.startUpstream("engine-2", "a", "model", "m", s.entries, "--token-interval", "10ms")
 
-	for name, f := range map[string]emulator.Faults{
-		"cut":     {CutAfterEvents: 5},
-		"silent":  {StallAfterEvents: 5},
-		"crossed": {CrossAnswers: true},
+	for name, f := range map[string]struct{ first, second emulator.Faults }{
+		"cut":                    {first: emulator.Faults{CutAfterEvents: 5}},
+		"silent":                 {first: emulator.Faults{StallAfterEvents: 5}},
+		"crossed":                {first: emulator.Faults{CrossAnswers: true}},
+		"resumed from the start": {first: emulator.Faults{CutAfterEvents: 5}, second: emulator.Faults{IgnoreResume: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			broken.fault(t, f)
+			broken.fault(t, f.first)
+			sound.fault(t, f.second)
 			before := broken.stats(t).Calls
 			const tokens = 30
 			for broken.stats(t).Calls == before {
@@ -47,9 +49,17 @@
 			}
 		})
 	}
-	if sound.stats(t).Resumed < 2 {
+	if sound.stats(t).Resumed < 3 {
 		t.Errorf("only %d streams were resumed", sound.stats(t).Resumed)
 	}
+	broken.fault(t, emulator.Faults{CutAfterEvents: 5})
+	sound.fault(t, emulator.Faults{SkipEvents: 2})
+	before := sound.stats(t).Resumed
+	for sound.stats(t).Resumed == before {
+		if a := e.complete(key.Key, 30); a.err == nil && sound.stats(t).Resumed != before {
+			t.Errorf("a stream that left events out ended cleanly: %s", a.body)
+		}
+	}
 }
 
 // TestStreamWithoutSuccessor cuts a stream that no other engine can resume: the
--- a/test/integration/caller_test.go
+++ b/test/integration/caller_test.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/comfreybend/comfreybend/internal/emulator"
@@ -56,8 +57,12 @@
 	return e.do(context.Background(), http.MethodPost, "/orders", key, body, headers...)
 }
 
+// prompts numbers the prompts, so that prefix affinity does not tie requests to one engine.
+var prompts atomic.Int64
+
 func completionBody(tokens int) string {
-	return fmt.Sprintf(`{"model":"m","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"hi"}]}`, tokens)
+	const form = `{"model":"m","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"prompt %d"}]}`
+	return fmt.Sprintf(form, tokens, prompts.Add(1))
 }
 
 // complete asks for a streamed completion and returns the whole answer.
--- /dev/null
+++ b/test/integration/limit_test.go
@@ -0,0 +1,191 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/comfreybend/comfreybend/internal/router"
+	"github.com/comfreybend/comfreybend/schema/settings"
+)
+
+func tightLimits(s *settings.Settings) {
+	s.Entry.CallerLimits = &settings.CallerLimits{
+		BodyBytes: 2048, HeaderBytes: 4096, BodyTimeout: durationpb.New(500 * time.Millisecond),
+		HeaderTimeout: durationpb.New(500 * time.Millisecond),
+	}
+}
+
+// TestCallerLimits sends what a caller may not: each is answered with a clear
+// error that says that nothing was run.
+func TestCallerLimits(t *testing.T) {
+	s := startSystem(t, layout{controls: 1, entries: []string{"a"}, adjustEntry: tightLimits})
+	s.configure()
+	e := s.entries[0]
+	service := s.startUpstream("orders-1", "a", "service", "orders", s.entries)
+	s.startUpstream("engine-1", "a", "model", "m", s.entries)
+	key := s.grant("one").Key
+	s.inForce(key, e)
+	s.served(e, key)
+	post := func(path, body string, headers ...string) answered {
+		return e.do(context.Background(), http.MethodPost, path, key, body, headers...)
+	}
+	tests := map[string]struct {
+		ask    func() answered
+		status int
+	}{
+		"body too large":      {func() answered { return post("/orders", strings.Repeat("x", 3000)) }, http.StatusRequestEntityTooLarge},
+		"no JSON":             {func() answered { return post("/v1/chat/completions", "x") }, http.StatusBadRequest},
+		"no model":            {func() answered { return post("/v1/chat/completions", "{}") }, http.StatusBadRequest},
+		"unknown model":       {func() answered { return post("/v1/chat/completions", `{"model":"x"}`) }, http.StatusServiceUnavailable},
+		"no route":            {func() answered { return post("/nowhere", "") }, http.StatusNotFound},
+		"class not allowed":   {func() answered { return post("/orders", "{}", router.HeaderClass, "chat") }, http.StatusBadRequest},
+		"malformed deadline":  {func() answered { return post("/orders", "{}", router.HeaderDeadline, "soon") }, http.StatusBadRequest},
+		"key in the body":     {func() answered { return post("/orders", fmt.Sprintf(`{"reference":%q}`, key)) }, http.StatusBadRequest},
+		"key in the query":    {func() answered { return post("/orders?key="+key, `{"reference":"q"}`) }, http.StatusBadRequest},
+		"key in both headers": {func() answered { return post("/orders", `{"reference":"h"}`, "X-Api-Key", key, "X-Other", key) }, http.StatusOK},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			a := test.ask()
+			if a.status != test.status || test.status != http.StatusOK && a.run() != router.NotRun {
+				t.Errorf("status %d, run %q, body %s, error %v", a.status, a.run(), a.body, a.err)
+			}
+			if strings.Contains(a.body, key) {
+				t.Error("the key stands in the answer")
+			}
+		})
+	}
+	for _, line := range service.stats(t).Headers {
+		if strings.Contains(line, key) {
+			t.Errorf("the service saw the key in %q", line)
+		}
+	}
+	if strings.Contains(string(e.log()), key) {
+		t.Error("the key stands in the log")
+	}
+	t.Run("slow body", func(t *testing.T) {
+		slowCaller(t, e, "POST /orders HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{")
+	})
+	t.Run("slow header", func(t *testing.T) { slowCaller(t, e, "POST /orders HTTP/1.1\r\nHost: x\r\n") })
+}
+
+// slowCaller sends the beginning of a request and waits until the connection is given up.
+func slowCaller(t *testing.T, e *entryProcess, beginning string) {
+	t.Helper()
+	conn, err := net.Dial("tcp", e.caller)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err = conn.Write([]byte(beginning)); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(startWithin))
+	buffer := make([]byte, 4096)
+	for {
+		if _, err = conn.Read(buffer); err != nil {
+			break
+		}
+	}
+	if timeout, ok := err.(net.Error); ok && timeout.Timeout() { //nolint:errorlint // Read returns the type itself.
+		t.Error("a slow caller's connection is kept")
+	}
+}
+
+// TestCallerLeaves closes a caller's connection in the middle of a stream: the attempt is cancelled.
+func TestCallerLeaves(t *testing.T) {
+	s := startSystem(t, layout{controls: 1, entries: []string{"a"}})
+	s.configure()
+	e := s.entries[0]
+	s.startUpstream("orders-1", "a", "service", "orders", s.entries)
+	engine := s.startUpstream("engine-1", "a", "model", "m", s.entries)
+	key := s.grant("one")
+	s.inForce(key.Key, e)
+	s.served(e, key.Key)
+	open := e.open(t, key.Key, 100_000)
+	open.events(t, 2)
+	open.cancel()
+	eventually(t, startWithin, func() error {
+		if engine.stats(t).Canceled == 0 {
+			return fmt.Errorf("the attempt goes on")
+		}
+		return nil
+	})
+}
+
+// TestReclaimedZone kills every upstream of a failure domain at once: its
+// streams are resumed in the other domain, and new requests go there.
+func TestReclaimedZone(t *testing.T) {
+	s := startSystem(t, layout{controls: 1, entries: []string{"a", "b"}, adjustEntry: quickSilence})
+	s.configure()
+	first := s.entries[0]
+	s.startUpstream("orders-1", "b", "service", "orders", s.entries)
+	var zone []*upstreamProcess
+	for i := range 3 {
+		zone = append(zone, s.startUpstream(fmt.Sprint("cheap-", i), "a", "model", "m", s.entries,
+			"--preemptible", "--token-interval", "20ms"))
+	}
+	key := s.grant("one")
+	s.inForce(key.Key, s.entries...)
+	s.served(first, key.Key)
+	const (
+		tokens  = 150
+		streams = 6
+	)
+	var open []*stream
+	for range streams {
+		one := first.open(t, key.Key, tokens)
+		one.events(t, 3)
+		open = append(open, one)
+	}
+	s.startUpstream("lasting-1", "b", "model", "m", s.entries, "--token-interval", "5ms", "--slots", "32")
+	eventually(t, startWithin, func() error {
+		reply, err := s.operator().Read(t.Context(), "upstreams")
+		if err != nil || len(reply.GetUpstreams()) != 5 {
+			return fmt.Errorf("%d upstreams known, %w", len(reply.GetUpstreams()), err)
+		}
+		return nil
+	})
+	for _, u := range zone {
+		u.kill()
+	}
+	for _, one := range open {
+		checkTokens(t, one.rest(), tokens)
+	}
+	checkTokens(t, first.complete(key.Key, 5), 5)
+}
+
+// TestCutOffDomain cuts two failure domains off from each other and one of them
+// from the control processes: each goes on serving what it can.
+func TestCutOffDomain(t *testing.T) {
+	s := startSystem(t, layout{controls: 3, entries: []string{"a", "b"}})
+	s.configure()
+	for _, e := range s.entries {
+		s.startUpstream("engine-"+e.domain, e.domain, "model", "m", []*entryProcess{e})
+		s.startUpstream("orders-"+e.domain, e.domain, "service", "orders", []*entryProcess{e})
+	}
+	key := s.grant("one")
+	s.inForce(key.Key, s.entries...)
+	reached, cutOff := s.entries[0], s.entries[1]
+	s.network.cut(reached.id, cutOff.id)
+	for _, c := range s.controls {
+		s.network.cut(cutOff.id, c.id)
+	}
+	eventually(t, startWithin, func() error { return refusedWith(cutOff.complete(key.Key, 1), http.StatusServiceUnavailable) })
+	checkTokens(t, reached.complete(key.Key, 5), 5)
+	if a := cutOff.get("/public/x", ""); a.status != http.StatusOK {
+		t.Errorf("open route in the cut-off domain: status %d, body %s", a.status, a.body)
+	}
+	s.network.join(reached.id, cutOff.id)
+	for _, c := range s.controls {
+		s.network.join(cutOff.id, c.id)
+	}
+	s.inForce(key.Key, cutOff)
+}
--- a/test/integration/system_test.go
+++ b/test/integration/system_test.go
@@ -321,7 +321,15 @@
 		args = append(args, "--announce", "http://"+e.upstream)
 	}
 	p := startProcess(s.t, id, append(args, flags...)...)
-	return &upstreamProcess{process: p, id: id, url: "http://" + listen}
+	u := &upstreamProcess{process: p, id: id, url: "http://" + listen}
+	eventually(s.t, startWithin, func() error {
+		response, err := http.Get(u.url + "/emulator/v1/stats")
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		return err
+	})
+	return u
 }
 
 // stats returns what a stand-in has seen.
