--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -178,7 +178,7 @@
 }
 
 func (a *attempter) newRequest(ctx context.Context, c *call, at *attempt, last EventID) (*http.Request, error) {
-	target := at.grant.upstream.URL + c.path
+	target := at.grant.upstream.URL + c.escaped
 	if c.query != "" {
 		target += "?" + c.query
 	}
--- a/internal/router/authority.go
+++ b/internal/router/authority.go
@@ -20,8 +20,10 @@
 const (
 	// exchangesPerFreshness is how many control processes can be tried before the configuration goes stale.
 	exchangesPerFreshness = 8
-	// proposeTimeout bounds one proposal to a control process.
-	proposeTimeout = 2 * time.Second
+	// proposeTimeout bounds one proposal over all control processes, proposeTry
+	// the wait for one of them.
+	proposeTimeout = 4 * time.Second
+	proposeTry     = time.Second
 )
 
 type (
@@ -228,7 +230,8 @@
 	return nil
 }
 
-// propose commits a command through any control process.
+// propose commits a command through any control process. A command whose
+// outcome is unknown goes to the next one as well, so it must be idempotent.
 func (a *authority) propose(ctx context.Context, command *state.Command) (*wire.ProposeReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
@@ -238,9 +241,9 @@
 	var last error
 	for i := range a.clients {
 		client := a.clients[(first+i)%len(a.clients)]
-		reply, err := client.Exchange(ctx, &wire.Request{Kind: &wire.Request_Propose{Propose: command}})
+		reply, err := proposeThrough(ctx, client, command)
 		if err == nil {
-			return reply.GetPropose(), nil
+			return reply, nil
 		}
 		last = err
 		if ctx.Err() != nil {
@@ -250,6 +253,16 @@
 	return nil, last
 }
 
+func proposeThrough(ctx context.Context, c *messenger.Client, command *state.Command) (*wire.ProposeReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTry)
+	defer cancel()
+	reply, err := c.Exchange(ctx, &wire.Request{Kind: &wire.Request_Propose{Propose: command}})
+	if err != nil {
+		return nil, err
+	}
+	return reply.GetPropose(), nil
+}
+
 // pushFinal pushes the counters of a process that stops.
 func (a *authority) pushFinal(ctx context.Context) {
 	a.syncOnce(ctx, true)
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"path"
 	"strconv"
 	"strings"
 	"time"
@@ -29,8 +30,10 @@
 type (
 	// call is one request of a caller, read whole.
 	call struct {
-		method      string
-		path        string
+		method string
+		path   string
+		// escaped is the path as it was sent.
+		escaped     string
 		query       string
 		header      http.Header
 		body        []byte
@@ -68,6 +71,7 @@
 	return &call{
 		method:      request.Method,
 		path:        request.URL.Path,
+		escaped:     request.URL.EscapedPath(),
 		query:       request.URL.RawQuery,
 		header:      request.Header,
 		body:        body,
@@ -90,6 +94,9 @@
 	if catalog == nil {
 		return refuseUntil(http.StatusServiceUnavailable, CodeNotFresh, "no configuration yet", time.Second)
 	}
+	if !plainPath(c.path) {
+		return refuse(http.StatusBadRequest, CodeMalformed, "the path has empty, \".\" or \"..\" segments")
+	}
 	c.route = catalog.Route(c.path)
 	if refusal := r.admitIdentity(c); refusal != nil {
 		return refusal
@@ -110,6 +117,13 @@
 	return r.setDeadline(c)
 }
 
+// plainPath reports a path that no upstream can read as another one, which
+// could belong to a route with other rules.
+func plainPath(p string) bool {
+	cleaned := path.Clean(p)
+	return p == cleaned || p == cleaned+"/"
+}
+
 // admitIdentity checks the key; only routes open to all run without one.
 func (r *Router) admitIdentity(c *call) *RefusalError {
 	open := c.route.GetOpenToAll()
@@ -188,7 +202,7 @@
 	if err != nil {
 		unescaped = c.query
 	}
-	return strings.Contains(c.path, c.key) || strings.Contains(c.query, c.key) ||
+	return strings.Contains(c.path, c.key) || strings.Contains(c.escaped, c.key) || strings.Contains(c.query, c.key) ||
 		strings.Contains(unescaped, c.key) || bytes.Contains(c.body, []byte(c.key))
 }
 
--- /dev/null
+++ b/internal/router/dispatcher_bench_test.go
@@ -0,0 +1,54 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/comfreybend/comfreybend/internal/instrumenter"
+	"github.com/comfreybend/comfreybend/internal/validator"
+	"github.com/comfreybend/comfreybend/pkg/picker"
+	"github.com/comfreybend/comfreybend/pkg/registrar"
+	"github.com/comfreybend/comfreybend/schema/settings"
+	"github.com/comfreybend/comfreybend/schema/state"
+)
+
+// BenchmarkDispatch measures one request from the queue to an upstream and back,
+// with pools of growing size.
+func BenchmarkDispatch(b *testing.B) {
+	for _, upstreams := range []int{10, 100, 700} {
+		b.Run(fmt.Sprintf("upstreams=%d", upstreams), func(b *testing.B) {
+			s := &settings.Settings{Host: &settings.Host{Id: "e", FailureDomain: "a"}, Entry: &settings.Entry{}}
+			validator.FillDefaults(s)
+			r, err := New(s, zap.NewNop(), instrumenter.New("entry"))
+			if err != nil {
+				b.Fatal(err)
+			}
+			now := time.Hour
+			r.dispatcher.now = func() time.Duration { return now }
+			for i := range upstreams {
+				r.dispatcher.announce(registrar.Upstream{
+					ID: registrar.UpstreamID(fmt.Sprint("u", i)), Incarnation: 1, Sequence: 1, URL: "http://127.0.0.1:1",
+					FailureDomain: "a", Kind: registrar.KindModel, Serves: []string{"m"}, State: registrar.Serving,
+					Load: registrar.Load{Slots: 64, MeasuredAt: now}, HeardAt: now,
+				})
+			}
+			o := order{
+				pool:  poolKey{kind: registrar.KindModel, name: "m"},
+				class: &state.Class{Name: "c", Tier: 1}, organisation: "one",
+				deadline: now + time.Hour, arrived: now, pick: picker.Request{Prefix: "p", Movable: true},
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				g, refusal := r.dispatcher.submit(context.Background(), o)
+				if refusal != nil {
+					b.Fatal(refusal)
+				}
+				r.dispatcher.release(g, verdictAnswered, 100)
+			}
+		})
+	}
+}
--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -2,7 +2,8 @@
 // that it learns from latency. Until the limit has shrunk for the first time it
 // stands at the slots that the upstream states, or else grows by one for each
 // answer in good time; afterwards it grows by one for each full window of such
-// answers. It shrinks when answers slow down or fail.
+// answers. It shrinks when answers fail, and, if the upstream states no slots,
+// when they slow down: below its slots an upstream is not slowed down by them.
 package limiter
 
 import "time"
@@ -40,7 +41,9 @@
 		baseline float64
 		// shrunk reports that the limit has shrunk, shrunkAt when it did so last; it
 		// shrinks once a latency at the most.
-		shrunk   bool
+		shrunk bool
+		// stated reports that the ceiling comes from slots that the upstream states.
+		stated   bool
 		shrunkAt time.Duration
 		eased    time.Duration
 	}
@@ -54,6 +57,7 @@
 // SetCeiling bounds the limit by this process's share of the slots that the upstream states.
 func (l *Limiter) SetCeiling(ceiling int) {
 	l.ceiling = max(1, min(ceiling, l.config.Maximum))
+	l.stated = true
 	if !l.shrunk {
 		l.limit = float64(l.ceiling)
 	}
@@ -105,7 +109,7 @@
 	} else {
 		l.baseline += baselineDrift * (seconds - l.baseline)
 	}
-	if l.average > slowFactor*l.baseline {
+	if !l.stated && l.average > slowFactor*l.baseline {
 		l.shrinkOnce(now, latency)
 		return
 	}
@@ -116,7 +120,7 @@
 	if !l.shrunk {
 		growth = 1
 	}
-	l.limit = min(l.limit+growth, float64(l.config.Maximum))
+	l.limit = min(l.limit+growth, float64(l.ceiling))
 }
 
 // Overloaded learns from an answer that says the upstream has too much work, or from a failure.
--- a/test/integration/limit_test.go
+++ b/test/integration/limit_test.go
@@ -40,10 +40,16 @@
 		ask    func() answered
 		status int
 	}{
-		"body too large":      {func() answered { return post("/orders", strings.Repeat("x", 3000)) }, http.StatusRequestEntityTooLarge},
-		"no JSON":             {func() answered { return post("/v1/chat/completions", "x") }, http.StatusBadRequest},
-		"no model":            {func() answered { return post("/v1/chat/completions", "{}") }, http.StatusBadRequest},
-		"unknown model":       {func() answered { return post("/v1/chat/completions", `{"model":"x"}`) }, http.StatusServiceUnavailable},
+		"body too large": {func() answered { return post("/orders", strings.Repeat("x", 3000)) }, http.StatusRequestEntityTooLarge},
+		"no JSON":        {func() answered { return post("/v1/chat/completions", "x") }, http.StatusBadRequest},
+		"no model":       {func() answered { return post("/v1/chat/completions", "{}") }, http.StatusBadRequest},
+		"unknown model":  {func() answered { return post("/v1/chat/completions", `{"model":"x"}`) }, http.StatusServiceUnavailable},
+		"another route by dots": {func() answered {
+			return e.do(context.Background(), http.MethodGet, "/public/../orders/x", "", "")
+		}, http.StatusBadRequest},
+		"another route by escaped dots": {func() answered {
+			return e.do(context.Background(), http.MethodGet, "/public/%2e%2e/orders/x", "", "")
+		}, http.StatusBadRequest},
 		"no route":            {func() answered { return post("/nowhere", "") }, http.StatusNotFound},
 		"class not allowed":   {func() answered { return post("/orders", "{}", router.HeaderClass, "chat") }, http.StatusBadRequest},
 		"malformed deadline":  {func() answered { return post("/orders", "{}", router.HeaderDeadline, "soon") }, http.StatusBadRequest},
