router: an entry process that starts late takes the changes since revision 0

Cause: TestTry was red: the entry process never came into force and logged "change to revision 1 does not follow revision 2". A process that holds nothing asks with revision 0 and, while all changes are still held, gets them instead of the whole; it then began from the answered revision instead of the empty configuration. Every entry process that starts or restarts between the first and the 1024th change was affected; the other tests had started theirs before the first change. Ruled out: ports (they were taken first: two runs had failed on ports that an outgoing connection had taken between the look and the use; test ports now come from below that range, and try takes those after the callers' port). Change: begin from the empty configuration. Conclusion: fixed; TestPlannedStopOfEntry now restarts the process too.

--- a/internal/controller/charge.go
+++ b/internal/controller/charge.go
@@ -57,7 +57,7 @@
 	ch.orders = newOrderer(ch)
 	c.orders.Store(ch.orders)
 	for ctx.Err() == nil {
-		wait(ctx, chargeInterval)
+		timer.Sleep(ctx, chargeInterval)
 		if err := ch.act(ctx); err != nil {
 			c.log.Warn("acting towards the platform failed", zap.Error(err))
 		}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/comfreybend/comfreybend/internal/server"
+
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
@@ -110,8 +112,8 @@
 		return err
 	}
 	group, ctx := errgroup.WithContext(ctx)
-	server := messenger.NewServer(listeners.peer, c.security, c.handle)
-	group.Go(func() error { return server.Run(ctx) })
+	exchanges := messenger.NewServer(listeners.peer, c.security, c.handle)
+	group.Go(func() error { return exchanges.Run(ctx) })
 	group.Go(func() error { return c.serveHTTP(ctx, listeners.status, c.instruments.Handler(c.notReady)) })
 	group.Go(func() error { return c.serveHTTP(ctx, listeners.operator, c.operatorHandler()) })
 	group.Go(func() error { return c.runNode(ctx, recovered) })
@@ -131,19 +133,13 @@
 func (c *Controller) listen(ctx context.Context) (*listeners, error) {
 	s := c.settings.GetControl()
 	l := &listeners{}
-	for _, item := range []struct {
-		address string
-		target  *net.Listener
-	}{
-		{s.GetPeerListen(), &l.peer},
-		{s.GetOperatorListen(), &l.operator},
-		{s.GetStatusListen(), &l.status},
-	} {
-		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", item.address)
-		if err != nil {
-			return nil, errors.Wrap(err, "listening")
-		}
-		*item.target = listener
+	err := server.Listen(ctx,
+		server.Binding{Address: s.GetPeerListen(), Target: &l.peer},
+		server.Binding{Address: s.GetOperatorListen(), Target: &l.operator},
+		server.Binding{Address: s.GetStatusListen(), Target: &l.status},
+	)
+	if err != nil {
+		return nil, err
 	}
 	public, err := certifier.Public(c.settings.GetTls())
 	if err != nil {
@@ -154,18 +150,14 @@
 }
 
 func (c *Controller) serveHTTP(ctx context.Context, l net.Listener, h http.Handler) error {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: httpHeaderTimeout}
+	httpServer := &http.Server{Handler: h, ReadHeaderTimeout: httpHeaderTimeout}
 	stop := context.AfterFunc(ctx, func() {
 		closing, cancel := context.WithTimeout(context.Background(), httpShutdown)
 		defer cancel()
-		_ = server.Shutdown(closing)
+		_ = httpServer.Shutdown(closing)
 	})
 	defer stop()
-	err := server.Serve(l)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return errors.Wrap(err, "serving HTTP")
+	return server.Serve(httpServer, l)
 }
 
 // runNode forms or joins the group and then runs the replicated log.
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/comfreybend/comfreybend/pkg/timer"
+
 	"go.uber.org/zap"
 
 	"github.com/comfreybend/comfreybend/pkg/journaler"
@@ -100,7 +102,7 @@
 			k.mu.Unlock()
 			return founding
 		}
-		wait(ctx, introductionInterval)
+		timer.Sleep(ctx, introductionInterval)
 	}
 	return nil
 }
@@ -167,7 +169,7 @@
 		if s.Role == replicator.Leader {
 			k.changeMembership(n, s)
 		}
-		wait(ctx, introductionInterval)
+		timer.Sleep(ctx, introductionInterval)
 	}
 	return nil
 }
@@ -203,13 +205,3 @@
 	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
 	return out
 }
-
-// wait returns after d or when ctx ends.
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/controller/usage.go
+++ b/internal/controller/usage.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/comfreybend/comfreybend/pkg/timer"
+
 	"go.uber.org/zap"
 
 	"github.com/comfreybend/comfreybend/pkg/replicator"
@@ -87,7 +89,7 @@
 // commit loses is covered by the next one, since counters are cumulative.
 func (c *Controller) runUsage(ctx context.Context) error {
 	for ctx.Err() == nil {
-		wait(ctx, usageInterval)
+		timer.Sleep(ctx, usageInterval)
 		if c.node.Status().Role != replicator.Leader {
 			continue
 		}
--- a/internal/generator/generator.go
+++ b/internal/generator/generator.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"github.com/comfreybend/comfreybend/pkg/timer"
+
 	"github.com/comfreybend/comfreybend/schema/experiment"
 )
 
@@ -81,7 +83,7 @@
 	at := time.Duration(0)
 	for {
 		at += time.Duration(f.random.ExpFloat64() / f.rateAt(at) * float64(time.Second))
-		if at >= duration || !sleepUntil(ctx, begun.Add(at)) {
+		if at >= duration || !timer.Sleep(ctx, time.Until(begun.Add(at))) {
 			return
 		}
 		request, err := f.newRequest(ctx)
@@ -139,15 +141,3 @@
 	}
 	return request, nil
 }
-
-// sleepUntil returns false if ctx ended first.
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	t := time.NewTimer(time.Until(at))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -14,6 +14,8 @@
 	"net/http"
 	"time"
 
+	"github.com/comfreybend/comfreybend/pkg/timer"
+
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protojson"
@@ -150,7 +152,7 @@
 		if refusedRequest(err) {
 			return nil, err
 		}
-		if !sleep(ctx, resendPause) {
+		if !timer.Sleep(ctx, resendPause) {
 			break
 		}
 	}
@@ -229,15 +231,3 @@
 	}
 	return nil
 }
-
-// sleep returns false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/router/authority.go
+++ b/internal/router/authority.go
@@ -89,7 +89,7 @@
 func (a *authority) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		a.syncOnce(ctx, false)
-		pause(ctx, a.interval)
+		timer.Sleep(ctx, a.interval)
 	}
 	for _, c := range a.clients {
 		c.Close()
@@ -160,7 +160,10 @@
 		return &wentBackError{Held: held.Revision(), Answered: answered}
 	}
 	next := held
-	if reply.GetWhole() || held == nil {
+	if next == nil {
+		next = configurer.New()
+	}
+	if reply.GetWhole() {
 		next = configurer.Restore(answered, reply.GetConfiguration(), reply.GetKeys())
 	}
 	for _, change := range reply.GetChanges() {
--- a/internal/router/authority_test.go
+++ b/internal/router/authority_test.go
@@ -52,6 +52,23 @@
 	}
 }
 
+// TestAuthorityStartsFromChanges starts without a configuration and gets the changes since revision 0.
+func TestAuthorityStartsFromChanges(t *testing.T) {
+	a := newTestRouter(t).authority
+	reply := &wire.SyncReply{Revision: 2}
+	for revision, id := range []string{"one", "two"} {
+		reply.Changes = append(reply.Changes, &state.Revised{
+			Revision: uint64(revision + 1),
+			Operation: &state.Operation{Kind: &state.Operation_PutOrganisation{
+				PutOrganisation: &state.Organisation{Id: id},
+			}},
+		})
+	}
+	if err := a.accept(reply); err != nil || a.revision() != 2 {
+		t.Errorf("error %v, revision %d", err, a.revision())
+	}
+}
+
 // TestFreshnessEnds lets time pass: a key is served only while the configuration is fresh.
 func TestFreshnessEnds(t *testing.T) {
 	a := newTestRouter(t).authority
--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/comfreybend/comfreybend/pkg/timer"
+
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 
@@ -124,7 +126,7 @@
 		if x.proposeOutcome(ctx, outcome) {
 			return
 		}
-		pause(ctx, settlePause)
+		timer.Sleep(ctx, settlePause)
 	}
 	x.log.Warn("the outcome of a claim was not committed; it stays in doubt", zap.String("attempt", string(x.claim)))
 }
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/comfreybend/comfreybend/internal/configurer"
-	"github.com/comfreybend/comfreybend/pkg/limiter"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/retrier"
@@ -132,7 +131,7 @@
 func (d *dispatcher) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		d.maintain()
-		pause(ctx, maintenanceInterval)
+		timer.Sleep(ctx, maintenanceInterval)
 	}
 	return nil
 }
@@ -242,141 +241,6 @@
 	return t, nil
 }
 
-// itemOf describes a request to the scheduler. It must start early enough to
-// end by its deadline, as far as its class's past answers tell.
-func (d *dispatcher) itemOf(o order, p *pool) scheduler.Item {
-	expected := min(p.durations[scheduler.Class(o.class.GetName())], (o.deadline-o.arrived)/2)
-	deadline := o.deadline - expected
-	if o.begun {
-		deadline = o.deadline
-	}
-	startBy := deadline
-	if first := o.class.GetTarget().GetFirstToken().AsDuration(); first > 0 {
-		startBy = min(startBy, o.arrived+first)
-	}
-	return scheduler.Item{
-		ID:           d.nextItem,
-		Class:        scheduler.Class(o.class.GetName()),
-		Tier:         scheduler.Tier(o.class.GetTier()),
-		Organisation: scheduler.Organisation(o.organisation),
-		StartBy:      startBy,
-		Deadline:     deadline,
-		Begun:        o.begun,
-	}
-}
-
-func (d *dispatcher) pool(key poolKey) *pool {
-	p := d.pools[key]
-	if p == nil {
-		q := d.settings.GetEntry().GetQueue()
-		baseline := picker.Policy(d.settings.GetEntry().GetPolicy()) != picker.PolicyStandard
-		p = &pool{durations: map[scheduler.Class]time.Duration{}, scheduler: scheduler.New(scheduler.Config{
-			Waiting:              int(q.GetWaiting()),
-			GuaranteedPercent:    int(q.GetGuaranteedPercent()),
-			FirstComeFirstServed: baseline,
-		})}
-		d.pools[key] = p
-	}
-	return p
-}
-
-// served reports whether any upstream takes new work of a pool.
-func (d *dispatcher) served(key poolKey) bool {
-	for _, u := range d.registrar.All() {
-		if d.takesNew(u, key) {
-			return true
-		}
-	}
-	return false
-}
-
-// takesNew reports whether an upstream takes new work of a pool.
-func (d *dispatcher) takesNew(u *registrar.Upstream, key poolKey) bool {
-	return u.CanServe(key.kind, key.name) && !d.draining[u.ID]
-}
-
-// drain replaces the set of upstreams that get nothing new.
-func (d *dispatcher) drain(ids []string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.draining = map[registrar.UpstreamID]bool{}
-	for _, id := range ids {
-		d.draining[registrar.UpstreamID(id)] = true
-	}
-}
-
-// pump dispatches while requests wait and an upstream is free.
-func (d *dispatcher) pump(key poolKey, p *pool) {
-	for p.scheduler.Waiting() > 0 {
-		upstreams, candidates := d.candidates(key, p)
-		if !anyFree(candidates) {
-			p.scheduler.Blocked()
-			return
-		}
-		now := d.now()
-		item, found := p.scheduler.Next(now)
-		if !found {
-			return
-		}
-		t := d.tickets[item.ID]
-		delete(d.tickets, item.ID)
-		chosen := upstreams[d.picker.Pick(t.order.pick, candidates)]
-		tr := d.tracks[chosen.ID]
-		tr.start(now)
-		p.running++
-		t.granted <- &grant{upstream: chosen, track: tr, item: item, pool: key, at: now}
-	}
-}
-
-func anyFree(candidates []picker.Candidate) bool {
-	for i := range candidates {
-		if candidates[i].Free {
-			return true
-		}
-	}
-	return false
-}
-
-func (d *dispatcher) candidates(key poolKey, p *pool) ([]*registrar.Upstream, []picker.Candidate) {
-	now := d.now()
-	domain := registrar.FailureDomain(d.settings.GetHost().GetFailureDomain())
-	demand := p.running + p.scheduler.Waiting()
-	others := d.peers.demands(now, key)
-	var (
-		upstreams  []*registrar.Upstream
-		candidates []picker.Candidate
-	)
-	for _, u := range d.registrar.All() {
-		if !d.takesNew(u, key) {
-			continue
-		}
-		tr := d.tracks[u.ID]
-		if u.Load.Slots > 0 {
-			tr.limiter.SetCeiling(limiter.DivideSlots(u.Load.Slots, demand, others))
-		}
-		upstreams = append(upstreams, u)
-		candidates = append(candidates, picker.Candidate{
-			ID:          u.ID,
-			Local:       u.FailureDomain == domain,
-			Preemptible: u.Preemptible,
-			Free:        tr.free(now),
-			Reported:    u.Load.Running + u.Load.Waiting,
-			OwnAtReport: tr.inFlightAt(u.Load.MeasuredAt),
-			Own:         tr.limiter.InFlight(),
-			Slots:       slotsOf(u),
-			Latency:     tr.limiter.Latency(),
-		})
-	}
-	return upstreams, candidates
-}
-
-func slotsOf(u *registrar.Upstream) int {
-	if u.Load.Slots > 0 {
-		return u.Load.Slots
-	}
-	return assumedSlots
-}
-
 // answered learns from the time to the response headers of an attempt.
 func (d *dispatcher) answered(g *grant, firstByte time.Duration) {
 	d.mu.Lock()
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/comfreybend/comfreybend/pkg/timer"
+
 	"go.uber.org/zap"
 
 	"github.com/comfreybend/comfreybend/internal/messenger"
@@ -72,7 +74,7 @@
 			x.router.log.Debug("exchange with a peer failed",
 				zap.String("peer", x.clients[i].Address()), zap.Error(err))
 		}
-		pause(ctx, x.interval)
+		timer.Sleep(ctx, x.interval)
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -10,8 +10,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/comfreybend/comfreybend/internal/server"
+	"github.com/comfreybend/comfreybend/pkg/timer"
+
 	"github.com/google/uuid"
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
@@ -85,9 +87,9 @@
 	group.Go(func() error { return r.authority.run(running) })
 	group.Go(func() error { return r.peers.run(running) })
 	group.Go(func() error { return r.dispatcher.run(running) })
-	group.Go(func() error { return serve(status, l.status) })
-	group.Go(func() error { return serve(upstreams, l.upstream) })
-	group.Go(func() error { return serve(callers, l.caller) })
+	group.Go(func() error { return server.Serve(status, l.status) })
+	group.Go(func() error { return server.Serve(upstreams, l.upstream) })
+	group.Go(func() error { return server.Serve(callers, l.caller) })
 	group.Go(func() error {
 		defer stopBackground()
 		return r.drain(ctx, running, callers, status, upstreams)
@@ -110,7 +112,7 @@
 	s := r.settings.GetEntry()
 	r.draining.Store(true)
 	r.log.Info("graceful shutdown begins", zap.Int64("requestsInProgress", r.inProgress.Load()))
-	pause(running, s.GetShutdownDelay().AsDuration())
+	timer.Sleep(running, s.GetShutdownDelay().AsDuration())
 	grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.GetShutdownGrace().AsDuration())
 	defer cancel()
 	err := callers.Shutdown(grace)
@@ -137,20 +139,14 @@
 func (r *Router) listen(ctx context.Context) (*routerListeners, error) {
 	e := r.settings.GetEntry()
 	l := &routerListeners{}
-	for _, item := range []struct {
-		address string
-		target  *net.Listener
-	}{
-		{e.GetCallerListen(), &l.caller},
-		{e.GetUpstreamListen(), &l.upstream},
-		{e.GetStatusListen(), &l.status},
-		{e.GetPeerListen(), &l.peer},
-	} {
-		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", item.address)
-		if err != nil {
-			return nil, errors.Wrap(err, "listening")
-		}
-		*item.target = listener
+	err := server.Listen(ctx,
+		server.Binding{Address: e.GetCallerListen(), Target: &l.caller},
+		server.Binding{Address: e.GetUpstreamListen(), Target: &l.upstream},
+		server.Binding{Address: e.GetStatusListen(), Target: &l.status},
+		server.Binding{Address: e.GetPeerListen(), Target: &l.peer},
+	)
+	if err != nil {
+		return nil, err
 	}
 	public, err := certifier.Public(r.settings.GetTls())
 	if err != nil {
@@ -185,21 +181,3 @@
 		return ""
 	}
 }
-
-func serve(server *http.Server, l net.Listener) error {
-	err := server.Serve(l)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return errors.Wrap(err, "serving HTTP")
-}
-
-// pause returns after d or when ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,37 @@
+// Package server opens listeners and serves HTTP on them for the daemons.
+package server
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// Binding is an address to listen on, and where the listener goes.
+type Binding struct {
+	Address string
+	Target  *net.Listener
+}
+
+// Listen opens a listener for each binding.
+func Listen(ctx context.Context, bindings ...Binding) error {
+	for _, b := range bindings {
+		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", b.Address)
+		if err != nil {
+			return errors.Wrap(err, "listening")
+		}
+		*b.Target = listener
+	}
+	return nil
+}
+
+// Serve serves until the server is shut down or closed.
+func Serve(s *http.Server, l net.Listener) error {
+	err := s.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serving HTTP")
+}
--- a/internal/trier/trier.go
+++ b/internal/trier/trier.go
@@ -6,8 +6,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"time"
@@ -95,7 +97,7 @@
 	if err = os.WriteFile(path, data, mode); err != nil {
 		return errors.Wrap(err, "writing the operator token file")
 	}
-	addresses, err := freeAddresses(ctx, addressCount)
+	addresses, err := freeAddresses(ctx, t.listen, addressCount)
 	if err != nil {
 		return err
 	}
@@ -126,16 +128,23 @@
 	return nil
 }
 
-// freeAddresses returns loopback addresses whose ports are free.
-func freeAddresses(ctx context.Context, n int) ([]string, error) {
-	out := make([]string, 0, n)
-	for range n {
-		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.Wrap(err, "finding a free port")
+// freeAddresses returns addresses with the next free ports after that of an address.
+func freeAddresses(ctx context.Context, after string, n int) ([]string, error) {
+	address, err := netip.ParseAddrPort(after)
+	if err != nil {
+		return nil, errors.Wrap(err, "address for callers")
+	}
+	var out []string
+	for port := int(address.Port()) + 1; len(out) < n && port <= math.MaxUint16; port++ {
+		candidate := netip.AddrPortFrom(address.Addr(), uint16(port)).String()
+		l, listenErr := (&net.ListenConfig{}).Listen(ctx, "tcp", candidate)
+		if listenErr == nil {
+			_ = l.Close()
+			out = append(out, candidate)
 		}
-		defer func() { _ = l.Close() }()
-		out = append(out, l.Addr().String())
+	}
+	if len(out) < n {
+		return nil, errors.Errorf("no free ports after %s", after)
 	}
 	return out, nil
 }
--- a/pkg/timer/timer.go
+++ b/pkg/timer/timer.go
@@ -1,8 +1,9 @@
-// Package timer reads a monotonic clock that also counts while the machine is
+// Package timer waits, and reads a monotonic clock that also counts while the machine is
 // suspended, for leases and freshness.
 package timer
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -17,3 +18,15 @@
 	}
 	return time.Duration(t.Nano())
 }
+
+// Sleep waits for d and reports false if ctx ended first.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/test/integration/platform_test.go
+++ b/test/integration/platform_test.go
@@ -29,6 +29,8 @@
 		reports map[string][][]byte
 		// orders are in the order of their arrival.
 		orders []platformOrder
+		// fences are the fencing numbers of everything in the order of arrival.
+		fences []uint64
 		// failing answers with an error, after noting what arrived.
 		failing bool
 		// hold delays answers until it is closed.
@@ -73,6 +75,7 @@
 func (p *platform) takeReport(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	p.mu.Lock()
+	p.noteFence(r)
 	number := r.Header.Get("Comfreybend-Report-Window")
 	p.reports[number] = append(p.reports[number], body)
 	p.mu.Unlock()
@@ -85,6 +88,7 @@
 		p.t.Errorf("order: %v", err)
 	}
 	p.mu.Lock()
+	p.noteFence(r)
 	known := false
 	for _, earlier := range p.orders {
 		known = known || earlier.OrderID == order.OrderID
@@ -98,6 +102,38 @@
 	p.answer(w, r)
 }
 
+func (p *platform) noteFence(r *http.Request) {
+	fence, err := strconv.ParseUint(r.Header.Get("Comfreybend-Fencing-Number"), 10, 64)
+	if err != nil {
+		p.t.Errorf("fencing number: %v", err)
+	}
+	p.fences = append(p.fences, fence)
+}
+
+// checkFences fails unless fencing numbers arrived in ascending order: nothing
+// of an earlier process in charge may arrive after a later one has begun.
+func (p *platform) checkFences() {
+	p.t.Helper()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := 1; i < len(p.fences); i++ {
+		if p.fences[i] < p.fences[i-1] {
+			p.t.Errorf("fencing number %d arrived after %d", p.fences[i], p.fences[i-1])
+		}
+	}
+}
+
+// latestFence returns the highest fencing number that arrived.
+func (p *platform) latestFence() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var latest uint64
+	for _, f := range p.fences {
+		latest = max(latest, f)
+	}
+	return latest
+}
+
 func (p *platform) answer(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	failing, hold := p.failing, p.hold
@@ -242,6 +278,7 @@
 		return nil
 	})
 	p.checkReports()
+	p.checkFences()
 }
 
 // TestOrders saturates a pool until the process in charge orders upstreams, and
@@ -337,11 +374,48 @@
 		}
 		return nil
 	})
-	var last uint64
-	for i, o := range p.arrived() {
-		if o.FencingNumber < last {
-			t.Errorf("order %d carries fencing number %d after %d", i, o.FencingNumber, last)
+	p.checkFences()
+}
+
+// TestCutOffLeaderStopsReporting cuts the leader off from the other control
+// processes, but not from the platform, which it still reaches: after its
+// successor has begun, nothing of it may arrive.
+func TestCutOffLeaderStopsReporting(t *testing.T) {
+	p := newPlatform(t)
+	s := startSystem(t, layout{controls: 3, entries: []string{"a"}, adjustControl: p.adjust(200 * time.Millisecond)})
+	s.configure()
+	e := s.entries[0]
+	s.startUpstream("orders-1", "a", "service", "orders", s.entries)
+	key := s.grant("one")
+	s.inForce(key.Key, e)
+	for range 2 {
+		before := p.latestFence()
+		eventually(t, startWithin, func() error {
+			e.get("/orders/x", key.Key)
+			if p.latestFence() == 0 {
+				return fmt.Errorf("no report yet")
+			}
+			return nil
+		})
+		old := s.leader()
+		for _, c := range s.controls {
+			if c != old {
+				s.network.cut(old.id, c.id)
+			}
+		}
+		eventually(t, startWithin, func() error {
+			e.get("/orders/x", key.Key)
+			if p.latestFence() <= before {
+				return fmt.Errorf("no report of a successor yet")
+			}
+			return nil
+		})
+		for _, c := range s.controls {
+			if c != old {
+				s.network.join(old.id, c.id)
+			}
 		}
-		last = o.FencingNumber
 	}
+	p.checkFences()
+	p.checkReports()
 }
--- a/test/integration/stop_test.go
+++ b/test/integration/stop_test.go
@@ -37,6 +37,8 @@
 	})
 	checkTokens(t, open.rest(), tokens)
 	<-done
+	e.start()
+	s.inForce(key.Key, e)
 }
 
 // TestLeavingUpstream lets an upstream leave in the middle of a stream; it gets
--- a/test/integration/system_test.go
+++ b/test/integration/system_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -79,15 +80,29 @@
 	}
 )
 
-// freeAddress returns a loopback address whose port is free.
+// nextPort is the port that freeAddress tries next.
+var nextPort atomic.Int64
+
+// freeAddress returns a loopback address whose port is free. Ports come from
+// below the range from which the system takes ports for outgoing connections
+// and for listeners without a port, so that nothing else takes them before use.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	const (
+		lowest = 12_000
+		ports  = 18_000
+	)
+	nextPort.CompareAndSwap(0, int64(os.Getpid()*97%ports))
+	for range ports {
+		address := fmt.Sprintf("127.0.0.1:%d", lowest+nextPort.Add(1)%ports)
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			_ = l.Close()
+			return address
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	t.Fatal("no port is free")
+	return ""
 }
 
 // eventually polls until check returns nil, at most for within.
