--- a/internal/keeper/change.go
+++ b/internal/keeper/change.go
@@ -60,12 +60,26 @@
 	k.catalog = next
 	revised := &state.Revised{Revision: uint64(next.Revision()), Operation: change.GetOperation()}
 	k.recent = append(k.recent, revised)
-	if len(k.recent) > recentChanges {
-		k.recent = append([]*state.Revised(nil), k.recent[len(k.recent)-recentChanges:]...)
-	}
+	k.trimRecent()
 	return &state.Outcome{Accepted: true, Revision: uint64(next.Revision())}
 }
 
+// trimRecent keeps the latest changes, within their number and size.
+func (k *Keeper) trimRecent() {
+	size := 0
+	kept := 0
+	for kept < min(len(k.recent), recentChanges) {
+		size += proto.Size(k.recent[len(k.recent)-1-kept])
+		if size > recentBytes {
+			break
+		}
+		kept++
+	}
+	if kept < len(k.recent) {
+		k.recent = append([]*state.Revised(nil), k.recent[len(k.recent)-kept:]...)
+	}
+}
+
 func (k *Keeper) trimAudit(limit int) {
 	if limit <= 0 || len(k.audit) <= limit {
 		return
--- a/internal/keeper/claim.go
+++ b/internal/keeper/claim.go
@@ -23,9 +23,13 @@
 	key          string
 }
 
+func keyOfClaim(c *state.Claim) claimKey {
+	return claimKey{organisation: c.GetOrganisation(), route: c.GetRoute(), key: c.GetIdempotencyKey()}
+}
+
 func (k *Keeper) applyClaim(c *state.Claim, limits *state.Limits) *wire.ProposeReply {
 	k.expireClaims(limits.GetClaimRetentionMillis())
-	key := claimKey{organisation: c.GetOrganisation(), route: c.GetRoute(), key: c.GetIdempotencyKey()}
+	key := keyOfClaim(c)
 	if first := k.claims[key]; first != nil {
 		if first.GetClaim().GetAttempt() == c.GetAttempt() {
 			return accepted()
@@ -69,11 +73,9 @@
 }
 
 func (k *Keeper) addClaim(c *state.ClaimState) {
-	claim := c.GetClaim()
-	key := claimKey{organisation: claim.GetOrganisation(), route: claim.GetRoute(), key: claim.GetIdempotencyKey()}
-	k.claims[key] = c
+	k.claims[keyOfClaim(c.GetClaim())] = c
 	k.claimOrder = append(k.claimOrder, c)
-	k.claimCount[claim.GetOrganisation()]++
+	k.claimCount[c.GetClaim().GetOrganisation()]++
 }
 
 func (k *Keeper) removeClaim(key claimKey, c *state.ClaimState) {
@@ -92,11 +94,7 @@
 	expired := 0
 	for expired < len(k.claimOrder) && k.claimOrder[expired].GetAtMillis()+retention < k.clock {
 		claim := k.claimOrder[expired].GetClaim()
-		delete(k.claims, claimKey{
-			organisation: claim.GetOrganisation(),
-			route:        claim.GetRoute(),
-			key:          claim.GetIdempotencyKey(),
-		})
+		delete(k.claims, keyOfClaim(claim))
 		k.claimCount[claim.GetOrganisation()]--
 		expired++
 	}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -18,6 +18,8 @@
 const (
 	// recentChanges is the number of accepted operations kept for incremental syncs.
 	recentChanges = 1024
+	// recentBytes bounds their size; a whole configuration may be large.
+	recentBytes = 4 << 20
 	// sentWindows is the number of windows kept after they were sent.
 	sentWindows = 100
 	// incarnationMillis is how long the counters of a silent entry process are kept.
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -77,6 +77,34 @@
 	}
 }
 
+// TestRecentChangesAreBounded applies large configurations: entry processes that lag get the whole instead.
+func TestRecentChangesAreBounded(t *testing.T) {
+	k := New()
+	large := &state.Configuration{}
+	for i := range 2000 {
+		large.Organisations = append(large.Organisations, &state.Organisation{
+			Id: fmt.Sprint(i), Name: strings.Repeat("n", 1000),
+		})
+	}
+	for revision := range uint64(10) {
+		op := &state.Operation{Kind: &state.Operation_ApplyConfiguration{ApplyConfiguration: large}}
+		apply(t, k, 1, change(fmt.Sprint("c", revision), revision, op))
+	}
+	size := 0
+	for _, r := range k.recent {
+		size += proto.Size(r)
+	}
+	if size > recentBytes || len(k.recent) == 0 {
+		t.Errorf("%d changes with %d bytes are kept", len(k.recent), size)
+	}
+	if reply := k.SyncSince(1); !reply.GetWhole() || reply.GetRevision() != 10 {
+		t.Errorf("a process that lags gets revision %d, whole: %t", reply.GetRevision(), reply.GetWhole())
+	}
+	if reply := k.SyncSince(9); reply.GetWhole() || len(reply.GetChanges()) != 1 {
+		t.Errorf("a process that lags by one gets the whole: %t", reply.GetWhole())
+	}
+}
+
 func TestAuditNamesNoKey(t *testing.T) {
 	op := grantKey("k1", "one")
 	if text := Summarize(op); strings.Contains(text, string(op.GetGrantKey().GetHash())) || !strings.Contains(text, "k1") {
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -49,19 +49,14 @@
 
 // served reports whether any upstream takes new work of a pool.
 func (d *dispatcher) served(key poolKey) bool {
-	for _, u := range d.registrar.All() {
-		if d.takesNew(u, key) {
+	for _, u := range d.registrar.Serving(key.kind, key.name) {
+		if !d.draining[u.ID] {
 			return true
 		}
 	}
 	return false
 }
 
-// takesNew reports whether an upstream takes new work of a pool.
-func (d *dispatcher) takesNew(u *registrar.Upstream, key poolKey) bool {
-	return u.CanServe(key.kind, key.name) && !d.draining[u.ID]
-}
-
 // drain replaces the set of upstreams that get nothing new.
 func (d *dispatcher) drain(ids []string) {
 	d.mu.Lock()
@@ -113,8 +108,8 @@
 		upstreams  []*registrar.Upstream
 		candidates []picker.Candidate
 	)
-	for _, u := range d.registrar.All() {
-		if !d.takesNew(u, key) {
+	for _, u := range d.registrar.Serving(key.kind, key.name) {
+		if d.draining[u.ID] {
 			continue
 		}
 		tr := d.tracks[u.ID]
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -53,6 +53,14 @@
 	Registrar struct {
 		lease     time.Duration
 		upstreams map[UpstreamID]*Upstream
+		// serving holds the answers of Serving until an announcement changes them.
+		serving map[offer][]*Upstream
+	}
+
+	// offer is what an upstream serves.
+	offer struct {
+		kind Kind
+		name string
 	}
 )
 
@@ -67,7 +75,11 @@
 
 // New returns an empty table whose announcements last for lease.
 func New(lease time.Duration) *Registrar {
-	return &Registrar{lease: lease, upstreams: map[UpstreamID]*Upstream{}}
+	return &Registrar{
+		lease:     lease,
+		upstreams: map[UpstreamID]*Upstream{},
+		serving:   map[offer][]*Upstream{},
+	}
 }
 
 // Announce takes an announcement into the table and reports whether it is new.
@@ -83,6 +95,10 @@
 	if before != nil && before.Incarnation == u.Incarnation && before.State == Leaving {
 		u.State = Leaving
 	}
+	if before != nil {
+		r.forgetServing(before)
+	}
+	r.forgetServing(&u)
 	r.upstreams[u.ID] = &u
 	return true
 }
@@ -93,6 +109,7 @@
 	for id, u := range r.upstreams {
 		if now-u.HeardAt >= r.lease {
 			delete(r.upstreams, id)
+			r.forgetServing(u)
 			gone = append(gone, id)
 		}
 	}
@@ -114,6 +131,30 @@
 	return out
 }
 
+// Serving returns the upstreams that take new work of a kind and name, by id.
+// Neither they nor the list must be changed.
+func (r *Registrar) Serving(kind Kind, name string) []*Upstream {
+	key := offer{kind: kind, name: name}
+	if list, found := r.serving[key]; found {
+		return list
+	}
+	list := []*Upstream{}
+	for _, u := range r.upstreams {
+		if u.CanServe(kind, name) {
+			list = append(list, u)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	r.serving[key] = list
+	return list
+}
+
+func (r *Registrar) forgetServing(u *Upstream) {
+	for _, name := range u.Serves {
+		delete(r.serving, offer{kind: u.Kind, name: name})
+	}
+}
+
 // CanServe reports whether the upstream takes new work of a kind and name.
 func (u *Upstream) CanServe(kind Kind, name string) bool {
 	if u.State != Serving || u.Kind != kind {
--- a/pkg/registrar/registrar_test.go
+++ b/pkg/registrar/registrar_test.go
@@ -41,6 +41,29 @@
 	}
 }
 
+func TestServingFollowsAnnouncements(t *testing.T) {
+	r := New(lease)
+	count := func(name string) int { return len(r.Serving(KindModel, name)) }
+	counts := []int{count("m")}
+	r.Announce(0, announcement(1, 1, Serving, 0))
+	counts = append(counts, count("m"))
+	moved := announcement(1, 2, Serving, 0)
+	moved.Serves = []string{"other"}
+	r.Announce(0, moved)
+	counts = append(counts, count("m"), count("other"))
+	r.Announce(0, announcement(2, 1, Leaving, 0))
+	counts = append(counts, count("m"), count("other"))
+	r.Announce(0, announcement(3, 1, Serving, 0))
+	counts = append(counts, count("m"))
+	r.Expire(lease)
+	counts = append(counts, count("m"))
+	for i, want := range []int{0, 1, 0, 1, 0, 0, 1, 0} {
+		if counts[i] != want {
+			t.Fatalf("upstreams that serve: %v", counts)
+		}
+	}
+}
+
 func TestLeaseEnds(t *testing.T) {
 	r := New(lease)
 	r.Announce(0, announcement(1, 1, Serving, 0))
