picker, router: prefix affinity by cache events

Cause: engines publish cache events, and docs/INTERFACES.md had no place for them; affinity worked by hash alone, so a prompt did not follow the cache. Ruled out: taking a cache's content for granted after a lost event (removals may be among the lost): a gap or a new incarnation forgets it. Change: cacheEvents beside the announcements, passed on to every entry process; a holder of the prefix is chosen before its home by hash, within the same bound on load; requests carry the prefix's id.

--- a/internal/emulator/announcer.go
+++ b/internal/emulator/announcer.go
@@ -20,6 +20,7 @@
 	defer ticker.Stop()
 	for {
 		u.announce(ctx)
+		u.publishCache(ctx)
 		select {
 		case <-ctx.Done():
 			return nil
@@ -33,7 +34,33 @@
 	body, first := u.announcement()
 	for i := range u.config.Announce {
 		target := u.config.Announce[(first+i)%len(u.config.Announce)]
-		if postAnnouncement(ctx, target, body) {
+		if post(ctx, target+"/upstream/v1/announcements", body) {
+			return
+		}
+	}
+}
+
+// publishCache publishes what the cache has gained since the last time.
+func (u *Upstream) publishCache(ctx context.Context) {
+	u.mu.Lock()
+	stored := u.stored
+	u.stored = nil
+	if len(stored) > 0 {
+		u.cacheSequence++
+	}
+	event := &wire.CacheEvent{
+		Upstream: u.config.ID, Incarnation: u.incarnation, Sequence: u.cacheSequence, Stored: stored,
+	}
+	u.mu.Unlock()
+	if len(stored) == 0 {
+		return
+	}
+	body, err := protojson.Marshal(event)
+	if err != nil {
+		panic(err)
+	}
+	for _, target := range u.config.Announce {
+		if post(ctx, target+"/upstream/v1/cacheEvents", body) {
 			return
 		}
 	}
@@ -71,11 +98,12 @@
 	return body, int(u.sequence)
 }
 
-func postAnnouncement(ctx context.Context, target string, body []byte) bool {
+// post sends a document to an entry process and reports whether it was taken.
+func post(ctx context.Context, url string, body []byte) bool {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost,
-		target+"/upstream/v1/announcements", bytes.NewReader(body))
+		url, bytes.NewReader(body))
 	if err != nil {
 		return false
 	}
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -76,6 +76,8 @@
 		Calls    int `json:"calls"`
 		Resumed  int `json:"resumed"`
 		Canceled int `json:"canceled"`
+		// CacheHits counts the requests whose prompt prefix was in the cache.
+		CacheHits int `json:"cacheHits"`
 		// TokensSent counts the tokens written to connections.
 		TokensSent int `json:"tokensSent"`
 		// Orders counts the runs of each order by its reference.
@@ -98,6 +100,10 @@
 		attempts map[string]*attemptState
 		sequence uint64
 		leaving  bool
+		// cached holds the prompt prefixes in the cache, stored those not yet published.
+		cached        map[string]bool
+		stored        []string
+		cacheSequence uint64
 	}
 
 	attemptState struct {
@@ -115,6 +121,7 @@
 		stats:       Stats{Orders: map[string]int{}},
 		seen:        map[string]bool{},
 		attempts:    map[string]*attemptState{},
+		cached:      map[string]bool{},
 	}
 }
 
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -13,10 +13,10 @@
 
 type (
 	completionRequest struct {
-		Model     string            `json:"model"`
-		Stream    bool              `json:"stream"`
-		MaxTokens int               `json:"max_tokens"`
-		Messages  []json.RawMessage `json:"messages"`
+		Model     string          `json:"model"`
+		Stream    bool            `json:"stream"`
+		MaxTokens int             `json:"max_tokens"`
+		Messages  json.RawMessage `json:"messages"`
 	}
 
 	completion struct {
@@ -44,6 +44,7 @@
 	c.promptIn = max(1, int(r.ContentLength)/bytesPerToken)
 	id := r.Header.Get("Comfreybend-Attempt")
 	c.attempt = u.beginAttempt(id)
+	u.noteCachedPrefix(r.Header.Get("Comfreybend-Prefix"))
 	priority, _ := strconv.Atoi(r.Header.Get("Comfreybend-Priority"))
 	if !u.batch.enter(r.Context(), priority) {
 		u.endAttempt(c.attempt, true)
@@ -65,6 +66,20 @@
 	u.endAttempt(c.attempt, !finished)
 }
 
+// noteCachedPrefix puts a prompt prefix into the cache.
+func (u *Upstream) noteCachedPrefix(prefix string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.cached[prefix] {
+		u.stats.CacheHits++
+		return
+	}
+	if prefix != "" {
+		u.cached[prefix] = true
+		u.stored = append(u.stored, prefix)
+	}
+}
+
 // pause waits as the engine's speed says and reports false once the caller has left.
 func (c *completion) pause(d time.Duration) bool {
 	if c.faults.SlowFactor > 1 {
--- a/internal/router/announcement.go
+++ b/internal/router/announcement.go
@@ -24,6 +24,9 @@
 	mux.Handle("POST /upstream/v1/announcements", kithttp.NewServer(
 		r.announceEndpoint, decodeAnnouncement, encodeNothing,
 		kithttp.ServerErrorEncoder(r.encodeRefusal)))
+	mux.Handle("POST /upstream/v1/cacheEvents", kithttp.NewServer(
+		r.cacheEventEndpoint, decodeCacheEvent, encodeNothing,
+		kithttp.ServerErrorEncoder(r.encodeRefusal)))
 	return mux
 }
 
--- /dev/null
+++ b/internal/router/cache.go
@@ -0,0 +1,58 @@
+package router
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"github.com/comfreybend/comfreybend/pkg/picker"
+	"github.com/comfreybend/comfreybend/pkg/registrar"
+	"github.com/comfreybend/comfreybend/schema/wire"
+)
+
+// maximumCacheEventBytes bounds one cache event.
+const maximumCacheEventBytes = 1 << 20
+
+func decodeCacheEvent(_ context.Context, request *http.Request) (any, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(nil, request.Body, maximumCacheEventBytes))
+	if err != nil {
+		return nil, refuse(http.StatusRequestEntityTooLarge, CodeTooLarge, err.Error())
+	}
+	e := &wire.CacheEvent{}
+	if err = protojson.Unmarshal(body, e); err != nil {
+		return nil, refuse(http.StatusBadRequest, CodeMalformed, err.Error())
+	}
+	if e.GetUpstream() == "" || e.GetSequence() == 0 {
+		return nil, refuse(http.StatusBadRequest, CodeMalformed, "upstream or sequence is missing")
+	}
+	return e, nil
+}
+
+// cacheEventEndpoint takes an event of an upstream and passes it on to every peer.
+func (r *Router) cacheEventEndpoint(_ context.Context, request any) (any, error) {
+	e, _ := request.(*wire.CacheEvent)
+	if r.dispatcher.noteCache(cacheEventFromWire(e)) {
+		r.peers.relayCache(e)
+	}
+	return nil, nil
+}
+
+func cacheEventFromWire(e *wire.CacheEvent) picker.CacheEvent {
+	return picker.CacheEvent{
+		Upstream:    registrar.UpstreamID(e.GetUpstream()),
+		Incarnation: registrar.Incarnation(e.GetIncarnation()),
+		Sequence:    registrar.Sequence(e.GetSequence()),
+		Stored:      prefixIDs(e.GetStored()),
+		Removed:     prefixIDs(e.GetRemoved()),
+	}
+}
+
+func prefixIDs(texts []string) []picker.PrefixID {
+	out := make([]picker.PrefixID, 0, len(texts))
+	for _, t := range texts {
+		out = append(out, picker.PrefixID(t))
+	}
+	return out
+}
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -13,7 +13,10 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/comfreybend/comfreybend/internal/configurer"
+	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/state"
 )
@@ -25,6 +28,7 @@
 	prefixBytes = 512
 	// bytesPerToken estimates the tokens of a prompt that the engine does not count.
 	bytesPerToken = 4
+	hexadecimal   = 16
 )
 
 type (
@@ -226,6 +230,9 @@
 	out.Set(HeaderOrganisation, string(c.who.organisation))
 	out.Set(HeaderClass, c.class.GetName())
 	out.Set(HeaderPriority, strconv.Itoa(int(c.class.GetTier())))
+	if prefix := c.prefix(); prefix != "" {
+		out.Set(HeaderPrefix, string(prefix))
+	}
 	return out
 }
 
@@ -242,12 +249,15 @@
 	}
 }
 
-// prefix identifies the beginning of the prompt for prefix affinity.
-func (c *call) prefix() string {
+// prefix identifies the beginning of the prompt; it is empty for services.
+func (c *call) prefix() picker.PrefixID {
 	if c.pool.kind != registrar.KindModel {
 		return ""
 	}
-	return c.pool.name + "\x00" + string(c.body[:min(len(c.body), prefixBytes)])
+	digest := xxhash.New()
+	_, _ = digest.WriteString(c.pool.name + "\x00")
+	_, _ = digest.Write(c.body[:min(len(c.body), prefixBytes)])
+	return picker.PrefixID(strconv.FormatUint(digest.Sum64(), hexadecimal))
 }
 
 // fingerprint identifies the content of a call that must not run twice.
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -94,6 +94,7 @@
 		tickets   map[scheduler.ItemID]*ticket
 		nextItem  scheduler.ItemID
 		picker    *picker.Picker
+		prefixes  *picker.Prefixes
 		budget    *retrier.Budget
 		peers     *demandTable
 		// draining are the upstreams that the process in charge is about to stop.
@@ -122,6 +123,7 @@
 		pools:     map[poolKey]*pool{},
 		tickets:   map[scheduler.ItemID]*ticket{},
 		picker:    picker.New(picker.Policy(e.GetPolicy()), rand.IntN),
+		prefixes:  picker.NewPrefixes(),
 		budget:    retrier.NewBudget(int(e.GetUpstreamLimits().GetRetryPercent())),
 		peers:     newDemandTable(len(e.GetPeerAddresses())),
 	}
@@ -143,6 +145,7 @@
 	for _, id := range d.registrar.Expire(now) {
 		d.tracks[id].lose()
 		delete(d.tracks, id)
+		d.prefixes.Forget(id)
 	}
 	for key, p := range d.pools {
 		if p.scheduler.Waiting() > 0 && !d.served(key) {
@@ -183,6 +186,13 @@
 	return true
 }
 
+// noteCache takes a cache event and reports whether it is new.
+func (d *dispatcher) noteCache(e picker.CacheEvent) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.prefixes.Apply(e)
+}
+
 // submit waits for an upstream. The error is a *RefusalError.
 func (d *dispatcher) submit(ctx context.Context, o order) (*grant, *RefusalError) {
 	t, refusal := d.enqueue(o)
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -20,6 +20,8 @@
 	demandLifetime = 2 * time.Second
 	// peerTimeout bounds one exchange with a peer.
 	peerTimeout = time.Second
+	// maximumQueuedCacheEvents bounds the cache events that wait for one peer.
+	maximumQueuedCacheEvents = 1000
 )
 
 type (
@@ -33,6 +35,9 @@
 		mu sync.Mutex
 		// outgoing holds, for each client, the announcements that it has not answered yet.
 		outgoing []map[registrar.UpstreamID]registrar.Upstream
+		// cacheEvents holds, for each client, the cache events to send next. They
+		// may be lost, which the receiver notices as a gap.
+		cacheEvents [][]*wire.CacheEvent
 	}
 
 	// demandTable holds the demand of the other entry processes. The dispatcher guards it.
@@ -53,6 +58,7 @@
 	for _, address := range e.GetPeerAddresses() {
 		x.clients = append(x.clients, messenger.NewClient(address, security, peerTimeout))
 		x.outgoing = append(x.outgoing, map[registrar.UpstreamID]registrar.Upstream{})
+		x.cacheEvents = append(x.cacheEvents, nil)
 	}
 	return x
 }
@@ -83,6 +89,7 @@
 	defer cancel()
 	pending := x.take(i)
 	request := x.describe()
+	request.CacheEvents = x.takeCacheEvents(i)
 	now := x.router.dispatcher.now()
 	for _, u := range pending {
 		request.Upstreams = append(request.Upstreams, toWire(&u, now))
@@ -105,6 +112,25 @@
 	}
 }
 
+// relayCache queues a cache event that arrived here for every peer.
+func (x *peerExchanger) relayCache(e *wire.CacheEvent) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for i := range x.cacheEvents {
+		if len(x.cacheEvents[i]) < maximumQueuedCacheEvents {
+			x.cacheEvents[i] = append(x.cacheEvents[i], e)
+		}
+	}
+}
+
+func (x *peerExchanger) takeCacheEvents(i int) []*wire.CacheEvent {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	events := x.cacheEvents[i]
+	x.cacheEvents[i] = nil
+	return events
+}
+
 func (x *peerExchanger) take(i int) map[registrar.UpstreamID]registrar.Upstream {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -148,6 +174,9 @@
 			d.announce(fromWire(u, d.now()))
 		}
 	}
+	for _, e := range exchange.GetCacheEvents() {
+		d.noteCache(cacheEventFromWire(e))
+	}
 	d.learnDemand(exchange.GetHost(), exchange.GetDemands())
 }
 
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -82,6 +82,11 @@
 		}
 		t := d.tickets[item.ID]
 		delete(d.tickets, item.ID)
+		if prefix := t.order.pick.Prefix; prefix != "" {
+			for i := range candidates {
+				candidates[i].Cached = d.prefixes.Holds(candidates[i].ID, prefix)
+			}
+		}
 		chosen := upstreams[d.picker.Pick(t.order.pick, candidates)]
 		tr := d.tracks[chosen.ID]
 		tr.start(now)
--- a/internal/router/refusal.go
+++ b/internal/router/refusal.go
@@ -27,6 +27,7 @@
 const (
 	HeaderOrganisation = "Comfreybend-Organisation"
 	HeaderPriority     = "Comfreybend-Priority"
+	HeaderPrefix       = "Comfreybend-Prefix"
 	HeaderLastEventID  = "Last-Event-ID"
 )
 
--- a/pkg/picker/picker.go
+++ b/pkg/picker/picker.go
@@ -1,7 +1,8 @@
 // Package picker chooses the upstream for a request among those with a free
 // slot. It corrects lagging load reports by the requests sent since, takes the
 // better of two random candidates so that many choosers do not herd, and keeps
-// requests with a common prefix together as long as that overloads nobody.
+// requests with a common prefix together as long as that overloads nobody: at an
+// upstream that is known to hold the prefix, else at its home by hash.
 package picker
 
 import (
@@ -34,6 +35,8 @@
 		Preemptible bool
 		// Free reports a free slot at this process.
 		Free bool
+		// Cached reports that the upstream holds the request's prefix, as far as is known.
+		Cached bool
 		// Reported is the load that the upstream reported last.
 		Reported int
 		// OwnAtReport and Own are this process's requests in flight when the
@@ -49,7 +52,7 @@
 	// Request is what the choice depends on.
 	Request struct {
 		// Prefix identifies the beginning of the prompt; empty for none.
-		Prefix string
+		Prefix PrefixID
 		// Movable requests can be resumed elsewhere and may run on preemptible upstreams.
 		Movable bool
 		// Avoid lists upstreams at which the request has failed before.
@@ -82,6 +85,9 @@
 		return leastReported(candidates, eligible)
 	}
 	if r.Prefix != "" {
+		if holder := byCache(candidates, eligible); holder >= 0 {
+			return holder
+		}
 		if home := byAffinity(r.Prefix, candidates, eligible); home >= 0 {
 			return home
 		}
@@ -167,14 +173,12 @@
 }
 
 // byAffinity returns the candidate with the highest hash of prefix and id, if its load is within the bound.
-func byAffinity(prefix string, candidates []Candidate, eligible []int) int {
+func byAffinity(prefix PrefixID, candidates []Candidate, eligible []int) int {
 	home := -1
 	var highest uint64
-	total := 0
 	for _, i := range eligible {
-		total += candidates[i].Load()
 		digest := xxhash.New()
-		_, _ = digest.WriteString(prefix)
+		_, _ = digest.WriteString(string(prefix))
 		_, _ = digest.WriteString("\x00")
 		_, _ = digest.WriteString(string(candidates[i].ID))
 		if h := digest.Sum64(); home < 0 || h > highest {
@@ -182,13 +186,35 @@
 			highest = h
 		}
 	}
-	bound := affinityBound * float64(total+1) / float64(len(eligible))
-	if float64(candidates[home].Load()) > bound {
+	if float64(candidates[home].Load()) > loadBound(candidates, eligible) {
 		return -1
 	}
 	return home
 }
 
+// byCache returns the least loaded candidate that holds the prefix, if its load is within the bound.
+func byCache(candidates []Candidate, eligible []int) int {
+	holder := -1
+	for _, i := range eligible {
+		if candidates[i].Cached && (holder < 0 || candidates[i].Load() < candidates[holder].Load()) {
+			holder = i
+		}
+	}
+	if holder >= 0 && float64(candidates[holder].Load()) > loadBound(candidates, eligible) {
+		return -1
+	}
+	return holder
+}
+
+// loadBound returns the load up to which prefixes decide.
+func loadBound(candidates []Candidate, eligible []int) float64 {
+	total := 0
+	for _, i := range eligible {
+		total += candidates[i].Load()
+	}
+	return affinityBound * float64(total+1) / float64(len(eligible))
+}
+
 func leastReported(candidates []Candidate, eligible []int) int {
 	best := eligible[0]
 	for _, i := range eligible {
--- a/pkg/picker/picker_test.go
+++ b/pkg/picker/picker_test.go
@@ -104,6 +104,66 @@
 	}
 }
 
+func TestCachedPrefix(t *testing.T) {
+	p := New(PolicyStandard, rand.New(rand.NewSource(1)).Intn)
+	candidates := make([]Candidate, 10)
+	for i := range candidates {
+		candidates[i] = Candidate{ID: registrar.UpstreamID(fmt.Sprint(i)), Free: true, Local: true, Slots: 8, Own: 3}
+	}
+	home := p.Pick(Request{Prefix: "catalogue"}, candidates)
+	holder := (home + 1) % len(candidates)
+	candidates[holder].Cached = true
+	if i := p.Pick(Request{Prefix: "catalogue"}, candidates); i != holder {
+		t.Errorf("picked %d although %d holds the prefix", i, holder)
+	}
+	candidates[holder].Own = 30
+	if i := p.Pick(Request{Prefix: "catalogue"}, candidates); i == holder {
+		t.Error("the holder of a prefix is overloaded")
+	}
+}
+
+func TestPrefixes(t *testing.T) {
+	event := func(incarnation registrar.Incarnation, sequence registrar.Sequence, stored, removed string) CacheEvent {
+		e := CacheEvent{Upstream: "u", Incarnation: incarnation, Sequence: sequence}
+		for _, r := range stored {
+			e.Stored = append(e.Stored, PrefixID(r))
+		}
+		for _, r := range removed {
+			e.Removed = append(e.Removed, PrefixID(r))
+		}
+		return e
+	}
+	tests := map[string]struct {
+		events []CacheEvent
+		want   string
+	}{
+		"stored":                  {events: []CacheEvent{event(1, 1, "ab", "")}, want: "ab"},
+		"removed":                 {events: []CacheEvent{event(1, 1, "ab", ""), event(1, 2, "c", "a")}, want: "bc"},
+		"a gap forgets":           {events: []CacheEvent{event(1, 1, "ab", ""), event(1, 3, "c", "")}, want: "c"},
+		"late ones are dropped":   {events: []CacheEvent{event(1, 1, "a", ""), event(1, 3, "c", ""), event(1, 2, "b", "")}, want: "c"},
+		"twice the same":          {events: []CacheEvent{event(1, 1, "a", ""), event(1, 1, "b", "")}, want: "a"},
+		"a new incarnation":       {events: []CacheEvent{event(1, 1, "a", ""), event(2, 1, "b", "")}, want: "b"},
+		"an earlier one, delayed": {events: []CacheEvent{event(2, 1, "b", ""), event(1, 9, "a", "")}, want: "b"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := NewPrefixes()
+			for _, e := range test.events {
+				p.Apply(e)
+			}
+			got := ""
+			for _, r := range "abc" {
+				if p.Holds("u", PrefixID(r)) {
+					got += string(r)
+				}
+			}
+			if got != test.want {
+				t.Errorf("holds %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
 func TestSlowUpstreamGetsLess(t *testing.T) {
 	p := New(PolicyStandard, rand.New(rand.NewSource(1)).Intn)
 	candidates := []Candidate{
--- a/test/integration/answer_test.go
+++ b/test/integration/answer_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -62,6 +63,45 @@
 	}
 }
 
+// TestCacheEvents lets one engine cache several prompts and publish that to one
+// entry process: through another one the prompts go to the same engine.
+func TestCacheEvents(t *testing.T) {
+	const prompts = 8
+	s := startSystem(t, layout{controls: 1, entries: []string{"a", "a"}})
+	s.configure()
+	s.startUpstream("orders-1", "a", "service", "orders", s.entries)
+	holder := s.startUpstream("engine-1", "a", "model", "m", s.entries[:1])
+	key := s.grant("one")
+	s.inForce(key.Key, s.entries...)
+	for _, e := range s.entries {
+		s.served(e, key.Key)
+	}
+	ask := func(e *entryProcess, n int) {
+		body := fmt.Sprintf(`{"model":"m","stream":true,"max_tokens":1,"messages":"prompt %d"}`, n)
+		if a := e.do(t.Context(), http.MethodPost, "/v1/chat/completions", key.Key, body); a.status != http.StatusOK {
+			t.Fatalf("status %d, body %s", a.status, a.body)
+		}
+	}
+	for n := range prompts {
+		ask(s.entries[0], n)
+	}
+	other := s.startUpstream("engine-2", "a", "model", "m", s.entries)
+	eventually(t, startWithin, func() error {
+		s.entries[1].complete(key.Key, 1)
+		if other.stats(t).Calls == 0 {
+			return fmt.Errorf("the second engine gets nothing yet")
+		}
+		return nil
+	})
+	before := holder.stats(t).CacheHits
+	for n := range prompts {
+		ask(s.entries[1], n)
+	}
+	if hits := holder.stats(t).CacheHits - before; hits != prompts {
+		t.Errorf("%d of %d prompts went to the engine that holds them", hits, prompts)
+	}
+}
+
 // TestStreamWithoutSuccessor cuts a stream that no other engine can resume: the
 // caller must see an error, never a clean end.
 func TestStreamWithoutSuccessor(t *testing.T) {
