operator: reads go on through a change of leader

Changes were sent again while no leader answered, reads were not, so the command line gave up at once during every election. Ruled out: the damage itself (the process refused to start, as it must) and the log (the other two elected a leader). Change: a read is tried again for 3 s, longer than an election.

--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -29,8 +29,10 @@
 	keyPrefix   = "cfb"
 	keyIDBytes  = 6
 	secretBytes = 24
-	// resends is how often a change is sent again while its outcome is not known.
+	// resends is how often a change is sent again while its outcome is not known,
+	// rereads how often a read is: long enough for a new leader to be elected.
 	resends     = 20
+	rereads     = 12
 	resendPause = 250 * time.Millisecond
 	timeout     = 5 * time.Second
 )
@@ -112,9 +114,15 @@
 // Read returns the answer to one of the operator API's reads.
 func (c *Client) Read(ctx context.Context, what string) (*wire.ReadReply, error) {
 	reply := &wire.ReadReply{}
-	err := c.call(ctx, http.MethodGet, "/operator/v1/"+what, nil, reply)
-	if err == nil || refusedRequest(err) {
-		return reply, err
+	var err error
+	for range rereads {
+		err = c.call(ctx, http.MethodGet, "/operator/v1/"+what, nil, reply)
+		if err == nil || refusedRequest(err) {
+			return reply, err
+		}
+		if !timer.Sleep(ctx, resendPause) {
+			break
+		}
 	}
 	return nil, &UnavailableError{Cause: err}
 }
