--- a/cmd/comfreybend/control.go
+++ b/cmd/comfreybend/control.go
@@ -9,25 +9,25 @@
 	"github.com/comfreybend/comfreybend/internal/controller"
 	"github.com/comfreybend/comfreybend/internal/instrumenter"
 	"github.com/comfreybend/comfreybend/internal/logger"
-	"github.com/comfreybend/comfreybend/internal/validator"
 	"github.com/comfreybend/comfreybend/schema/settings"
 )
 
 func init() {
 	register(func(app *kingpin.Application, actions map[string]action) {
 		c := app.Command("control", "Run a control process, which keeps the durable state on a host with a disk.")
-		file := c.Flag("settings", "Settings file.").Required().String()
+		flags := &daemonFlags{}
+		flags.add(c)
 		actions[c.FullCommand()] = func(ctx context.Context) error {
-			s, err := validator.Load(*file)
+			s, err := flags.load()
 			if err != nil {
 				return err
 			}
-			return runControl(ctx, s)
+			return runControl(ctx, s, flags)
 		}
 	})
 }
 
-func runControl(ctx context.Context, s *settings.Settings) error {
+func runControl(ctx context.Context, s *settings.Settings, flags *daemonFlags) error {
 	if s.GetControl() == nil {
 		return errors.New("the settings have no control section")
 	}
@@ -37,9 +37,10 @@
 	}
 	instruments := instrumenter.New("control")
 	defer instruments.Close()
-	c, err := controller.New(s, log, instruments)
+	c, err := controller.New(s, flags.controllerDialect(), log, instruments)
 	if err != nil {
 		return err
 	}
+	flags.watch(ctx, log, c.Reload)
 	return c.Run(ctx)
 }
--- /dev/null
+++ b/cmd/comfreybend/daemon.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"os"
+	"runtime/debug"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+
+	"github.com/comfreybend/comfreybend/internal/controller"
+	"github.com/comfreybend/comfreybend/internal/router"
+	"github.com/comfreybend/comfreybend/internal/validator"
+	"github.com/comfreybend/comfreybend/platform"
+	"github.com/comfreybend/comfreybend/schema/settings"
+)
+
+// daemonFlags are the flags of both daemons.
+type daemonFlags struct {
+	file     string
+	platform bool
+}
+
+func (f *daemonFlags) add(c *kingpin.CmdClause) {
+	c.Flag("settings", "Settings file.").StringVar(&f.file)
+	c.Flag("platform", "Run on the users' platform: the settings file is the one that "+
+		platform.SettingsVariable+" names, in the platform's form.").BoolVar(&f.platform)
+}
+
+// load reads the settings and bounds the process's memory by them.
+func (f *daemonFlags) load() (*settings.Settings, error) {
+	s, err := f.read()
+	if err != nil {
+		return nil, err
+	}
+	if limit := s.GetResources().GetMemoryBytes(); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
+	return s, nil
+}
+
+// path returns where the settings file is.
+func (f *daemonFlags) path() string {
+	if f.platform {
+		return os.Getenv(platform.SettingsVariable)
+	}
+	return f.file
+}
+
+func (f *daemonFlags) read() (*settings.Settings, error) {
+	switch {
+	case f.platform && f.file != "":
+		return nil, errors.New("--settings and --platform exclude each other")
+	case f.platform:
+		return platform.Load()
+	case f.file == "":
+		return nil, errors.New("--settings is missing")
+	default:
+		return validator.Load(f.file)
+	}
+}
+
+func (f *daemonFlags) routerDialect() router.Dialect {
+	if f.platform {
+		return platform.Router()
+	}
+	return router.Own()
+}
+
+func (f *daemonFlags) controllerDialect() controller.Dialect {
+	if f.platform {
+		return platform.Controller()
+	}
+	return controller.Dialect{}
+}
--- a/cmd/comfreybend/entry.go
+++ b/cmd/comfreybend/entry.go
@@ -9,25 +9,25 @@
 	"github.com/comfreybend/comfreybend/internal/instrumenter"
 	"github.com/comfreybend/comfreybend/internal/logger"
 	"github.com/comfreybend/comfreybend/internal/router"
-	"github.com/comfreybend/comfreybend/internal/validator"
 	"github.com/comfreybend/comfreybend/schema/settings"
 )
 
 func init() {
 	register(func(app *kingpin.Application, actions map[string]action) {
 		c := app.Command("entry", "Run an entry process, which stands between callers and upstreams.")
-		file := c.Flag("settings", "Settings file.").Required().String()
+		flags := &daemonFlags{}
+		flags.add(c)
 		actions[c.FullCommand()] = func(ctx context.Context) error {
-			s, err := validator.Load(*file)
+			s, err := flags.load()
 			if err != nil {
 				return err
 			}
-			return runEntry(ctx, s)
+			return runEntry(ctx, s, flags)
 		}
 	})
 }
 
-func runEntry(ctx context.Context, s *settings.Settings) error {
+func runEntry(ctx context.Context, s *settings.Settings, flags *daemonFlags) error {
 	if s.GetEntry() == nil {
 		return errors.New("the settings have no entry section")
 	}
@@ -37,9 +37,10 @@
 	}
 	instruments := instrumenter.New("entry")
 	defer instruments.Close()
-	r, err := router.New(s, log, instruments)
+	r, err := router.New(s, flags.routerDialect(), log, instruments)
 	if err != nil {
 		return err
 	}
+	flags.watch(ctx, log, r.Reload)
 	return r.Run(ctx)
 }
--- /dev/null
+++ b/internal/announcer/announcer.go
@@ -0,0 +1,68 @@
+// Package announcer carries announcements of upstreams between processes. Times
+// travel as ages, so that each process places them on its own clock.
+package announcer
+
+import (
+	"time"
+
+	"github.com/comfreybend/comfreybend/pkg/registrar"
+	"github.com/comfreybend/comfreybend/schema/wire"
+)
+
+// FromWire places an announcement on this process's clock.
+func FromWire(u *wire.Upstream, now time.Duration) registrar.Upstream {
+	heard := now - time.Duration(u.GetAgeMillis())*time.Millisecond
+	return registrar.Upstream{
+		ID:            registrar.UpstreamID(u.GetId()),
+		Incarnation:   registrar.Incarnation(u.GetIncarnation()),
+		Sequence:      registrar.Sequence(u.GetSequence()),
+		URL:           u.GetUrl(),
+		FailureDomain: registrar.FailureDomain(u.GetFailureDomain()),
+		Kind:          registrar.Kind(u.GetKind()),
+		Serves:        u.GetServes(),
+		State:         registrar.State(u.GetState()),
+		Preemptible:   u.GetPreemptible(),
+		Load: registrar.Load{
+			Running:    int(u.GetLoad().GetRunning()),
+			Waiting:    int(u.GetLoad().GetWaiting()),
+			Slots:      int(u.GetLoad().GetSlots()),
+			MeasuredAt: heard - time.Duration(u.GetLoad().GetAgeMillis())*time.Millisecond,
+		},
+		HeardAt: heard,
+
+		LeavesAt: leavesAt(u, heard),
+		WarmAt:   heard + time.Duration(u.GetWarmupMillis())*time.Millisecond,
+	}
+}
+
+// ToWire describes an upstream to another process.
+func ToWire(u *registrar.Upstream, now time.Duration) *wire.Upstream {
+	return &wire.Upstream{
+		Id:            string(u.ID),
+		Incarnation:   uint64(u.Incarnation),
+		Sequence:      uint64(u.Sequence),
+		Url:           u.URL,
+		FailureDomain: string(u.FailureDomain),
+		Kind:          string(u.Kind),
+		Serves:        u.Serves,
+		State:         string(u.State),
+		Preemptible:   u.Preemptible,
+		Load: &wire.Load{
+			Running:   int32(u.Load.Running),
+			Waiting:   int32(u.Load.Waiting),
+			Slots:     int32(u.Load.Slots),
+			AgeMillis: (u.HeardAt - u.Load.MeasuredAt).Milliseconds(),
+		},
+		AgeMillis: (now - u.HeardAt).Milliseconds(),
+
+		LeavesMillis: max(0, u.LeavesAt-u.HeardAt).Milliseconds(),
+		WarmupMillis: max(0, u.WarmAt-u.HeardAt).Milliseconds(),
+	}
+}
+
+func leavesAt(u *wire.Upstream, heard time.Duration) time.Duration {
+	if u.GetLeavesMillis() == 0 {
+		return 0
+	}
+	return heard + time.Duration(u.GetLeavesMillis())*time.Millisecond
+}
--- a/internal/configurer/check.go
+++ b/internal/configurer/check.go
@@ -51,6 +51,7 @@
 	e := &InvalidConfigurationError{}
 	classes := e.checkClasses(c)
 	e.checkRoutes(c, classes)
+	e.checkPools(c)
 	e.checkOrganisations(c)
 	if len(e.Faults) > 0 {
 		return e
@@ -90,16 +91,21 @@
 	for i, r := range c.GetRoutes() {
 		path := fmt.Sprintf("$.routes[%d]", i)
 		e.checkName(path+".name", r.GetName(), seen)
-		e.checkName(path+".pathPrefix", r.GetPathPrefix(), prefixes)
+		if r.GetPathPrefix() == "" {
+			e.add(path+".pathPrefix", "missing")
+		}
+		if place := r.GetHost() + r.GetPathPrefix(); prefixes[place] {
+			e.add(path+".pathPrefix", "%q stands twice", place)
+		} else {
+			prefixes[place] = true
+		}
 		if !strings.HasPrefix(r.GetPathPrefix(), "/") {
 			e.add(path+".pathPrefix", "%q does not begin with /", r.GetPathPrefix())
 		}
 		switch r.GetKind() {
 		case KindModel:
 		case KindService:
-			if r.GetService() == "" {
-				e.add(path+".service", "missing; a service route names the service")
-			}
+			e.checkServices(path, r)
 		default:
 			e.add(path+".kind", "found %q; allowed: model, service", r.GetKind())
 		}
@@ -114,6 +120,60 @@
 	}
 }
 
+// checkServices checks that a route has one service, or shares of several.
+func (e *InvalidConfigurationError) checkServices(path string, r *state.Route) {
+	if len(r.GetSplits()) == 0 {
+		if r.GetService() == "" {
+			e.add(path+".service", "missing; a service route names the service")
+		}
+		return
+	}
+	total := 0
+	for i, s := range r.GetSplits() {
+		at := fmt.Sprintf("%s.splits[%d]", path, i)
+		if s.GetService() == "" {
+			e.add(at+".service", "missing")
+		}
+		if s.GetWeight() < 0 {
+			e.add(at+".weight", "%d is negative", s.GetWeight())
+		}
+		total += int(s.GetWeight())
+	}
+	if total == 0 {
+		e.add(path+".splits", "the weights add up to 0")
+	}
+}
+
+// checkPools checks that routes name declared pools, if any are declared.
+func (e *InvalidConfigurationError) checkPools(c *state.Configuration) {
+	if len(c.GetPools()) == 0 {
+		return
+	}
+	seen := map[string]bool{}
+	for i, p := range c.GetPools() {
+		e.checkName(fmt.Sprintf("$.pools[%d].name", i), p.GetName(), seen)
+	}
+	for i, r := range c.GetRoutes() {
+		for _, name := range Services(r) {
+			if name != "" && !seen[name] {
+				e.add(fmt.Sprintf("$.routes[%d].service", i), "no pool %q", name)
+			}
+		}
+	}
+}
+
+// Services returns the names that a service route may go to.
+func Services(r *state.Route) []string {
+	if len(r.GetSplits()) == 0 {
+		return []string{r.GetService()}
+	}
+	var names []string
+	for _, s := range r.GetSplits() {
+		names = append(names, s.GetService())
+	}
+	return names
+}
+
 func (e *InvalidConfigurationError) checkOrganisations(c *state.Configuration) {
 	seen := map[string]bool{}
 	for i, o := range c.GetOrganisations() {
--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -28,9 +28,12 @@
 	// Catalog is the configuration at one revision. Readers may share it;
 	// Apply returns a changed copy.
 	Catalog struct {
-		revision      Revision
-		classes       map[ClassName]*state.Class
-		routes        []*state.Route
+		revision Revision
+		classes  map[ClassName]*state.Class
+		routes   []*state.Route
+		// byHost holds the routes of each host, longest prefix first; those of any host under the empty name.
+		byHost        map[string][]*state.Route
+		pools         map[string]*state.Pool
 		organisations map[OrganisationID]*state.Organisation
 		keys          map[string]*state.Key
 		byHash        map[KeyHash]*state.Key
@@ -80,6 +83,10 @@
 // Configuration returns classes, routes and organisations in a stable order.
 func (c *Catalog) Configuration() *state.Configuration {
 	out := &state.Configuration{Routes: append([]*state.Route(nil), c.routes...)}
+	for _, p := range c.pools {
+		out.Pools = append(out.Pools, p)
+	}
+	sort.Slice(out.Pools, func(i, j int) bool { return out.Pools[i].GetName() < out.Pools[j].GetName() })
 	for _, class := range c.classes {
 		out.Classes = append(out.Classes, class)
 	}
@@ -121,16 +128,29 @@
 // Classes returns the number of classes.
 func (c *Catalog) Classes() int { return len(c.classes) }
 
-// Route returns the route with the longest prefix of a path, or nil.
-func (c *Catalog) Route(path string) *state.Route {
-	for _, r := range c.routes {
-		if strings.HasPrefix(path, r.GetPathPrefix()) {
-			return r
+// Route returns the route with the longest prefix of a path, or nil. Routes
+// that name the host go before those of any host.
+func (c *Catalog) Route(host, path string) *state.Route {
+	for _, name := range []string{host, ""} {
+		for _, r := range c.byHost[name] {
+			if strings.HasPrefix(path, r.GetPathPrefix()) {
+				return r
+			}
 		}
 	}
 	return nil
 }
 
+// Pool returns what is declared about a pool, or nil.
+func (c *Catalog) Pool(name string) *state.Pool {
+	return c.pools[name]
+}
+
+// Organisation returns an organisation, or nil.
+func (c *Catalog) Organisation(id OrganisationID) *state.Organisation {
+	return c.organisations[id]
+}
+
 // Deadline returns the time in which a class's answers are due, or zero if it has none.
 func Deadline(class *state.Class) time.Duration {
 	return class.GetTarget().GetWholeAnswer().AsDuration()
@@ -148,6 +168,8 @@
 		return c.grantKey(kind.GrantKey)
 	case *state.Operation_WithdrawKey:
 		return c.withdrawKey(kind.WithdrawKey)
+	case *state.Operation_Replace:
+		return c.replace(kind.Replace)
 	default:
 		return &InvalidError{Path: "$", Problem: "no operation"}
 	}
@@ -166,6 +188,23 @@
 	return nil
 }
 
+// replace puts a document in the place of everything.
+func (c *Catalog) replace(d *state.Document) error {
+	if err := Check(d.GetConfiguration()); err != nil {
+		return err
+	}
+	c.setConfiguration(d.GetConfiguration())
+	c.keys = map[string]*state.Key{}
+	c.byHash = map[KeyHash]*state.Key{}
+	for _, k := range d.GetKeys() {
+		if len(k.GetHash()) != sha256.Size || c.byHash[KeyHash(k.GetHash())] != nil {
+			return &InvalidError{Path: "$.keys", Problem: "two keys are the same, or one is not hashed"}
+		}
+		c.setKey(k)
+	}
+	return nil
+}
+
 func (c *Catalog) setConfiguration(configuration *state.Configuration) {
 	c.classes = map[ClassName]*state.Class{}
 	c.organisations = map[OrganisationID]*state.Organisation{}
@@ -179,6 +218,14 @@
 	sort.SliceStable(c.routes, func(i, j int) bool {
 		return len(c.routes[i].GetPathPrefix()) > len(c.routes[j].GetPathPrefix())
 	})
+	c.byHost = map[string][]*state.Route{}
+	for _, r := range c.routes {
+		c.byHost[r.GetHost()] = append(c.byHost[r.GetHost()], r)
+	}
+	c.pools = map[string]*state.Pool{}
+	for _, p := range configuration.GetPools() {
+		c.pools[p.GetName()] = p
+	}
 }
 
 func (c *Catalog) putOrganisation(o *state.Organisation) error {
@@ -249,6 +296,8 @@
 		revision:      c.revision,
 		classes:       cloneMap(c.classes),
 		routes:        append([]*state.Route(nil), c.routes...),
+		byHost:        c.byHost,
+		pools:         c.pools,
 		organisations: cloneMap(c.organisations),
 		keys:          cloneMap(c.keys),
 		byHash:        cloneMap(c.byHash),
--- a/internal/controller/charge.go
+++ b/internal/controller/charge.go
@@ -20,6 +20,8 @@
 const (
 	// chargeInterval is the time between looks at what the process in charge has to do.
 	chargeInterval = 100 * time.Millisecond
+	// actRetryInterval is the pause after a failed call, since calls are priced and limited.
+	actRetryInterval = 500 * time.Millisecond
 	// Headers of requests to the platform.
 	headerFencingNumber = "Comfreybend-Fencing-Number"
 	headerReport        = "Comfreybend-Report-Window"
@@ -40,6 +42,8 @@
 	fence     uint64
 	fenceTerm leaser.Term
 	orders    *orderer
+	// retryAt is the time before which nothing is tried again after a failure.
+	retryAt time.Duration
 }
 
 // runCharge follows the leadership and acts while it is held.
@@ -50,7 +54,7 @@
 	ch := &charge{
 		controller: c,
 		holder: leaser.New(leaser.Config{
-			LongestLease: s.GetElectionTimeout().AsDuration(),
+			LongestLease: max(s.GetElectionTimeout().AsDuration(), s.GetPlatformLease().AsDuration()),
 			LongestAct:   longestAct,
 		}),
 	}
@@ -58,7 +62,11 @@
 	c.orders.Store(ch.orders)
 	for ctx.Err() == nil {
 		timer.Sleep(ctx, chargeInterval)
+		if timer.Now() < ch.retryAt {
+			continue
+		}
 		if err := ch.act(ctx); err != nil {
+			ch.retryAt = timer.Now() + actRetryInterval
 			c.log.Warn("acting towards the platform failed", zap.Error(err))
 		}
 	}
@@ -94,6 +102,7 @@
 		ch.fenceTerm = ch.holder.Term()
 		ch.fence = 0
 		ch.orders.reset()
+		ch.controller.reports.reset(ch.controller.followers.trueTime(ch.controller.settings.GetHost().GetId()))
 	}
 	return ch.holder.InCharge(timer.Now())
 }
@@ -112,6 +121,9 @@
 
 // freezeWindow commits the figures of the window in progress once it is over.
 func (ch *charge) freezeWindow(ctx context.Context) error {
+	if ch.controller.settings.GetControl().GetAlignedWindow() != nil {
+		return ch.freezeAligned(ctx)
+	}
 	s := ch.controller.settings.GetControl().GetReporting()
 	start := ch.controller.keeper.WindowStart()
 	now := time.Now().UnixMilli()
@@ -147,6 +159,9 @@
 
 // sendWindow sends the frozen bytes of a window.
 func (ch *charge) sendWindow(ctx context.Context, url string, w *state.Window) error {
+	if ch.controller.dialect.Usage != nil {
+		return ch.sendAligned(ctx, url, w)
+	}
 	header := http.Header{headerReport: {strconv.FormatUint(w.GetNumber(), 10)}}
 	status, err := ch.send(ctx, http.MethodPut, url, w.GetReport(), header)
 	if err != nil {
@@ -158,6 +173,29 @@
 	return nil
 }
 
+// sendAligned sends the frozen bytes of an aligned window in the platform's own form.
+func (ch *charge) sendAligned(ctx context.Context, url string, w *state.Window) error {
+	call, err := ch.controller.dialect.Usage(Report{Window: w.GetNumber()})
+	if err != nil {
+		return errors.Wrap(err, "making a usage report")
+	}
+	call.Body = w.GetReport()
+	status, err := ch.makeCall(ctx, url, call)
+	if err != nil {
+		return errors.Wrap(err, "sending a usage report")
+	}
+	if status/100 != 2 {
+		return errors.Errorf("the platform refused window %d with status %d", w.GetNumber(), status)
+	}
+	ch.controller.log.Info("usage report accepted", zap.Uint64("window", w.GetNumber()), zap.Uint64("fencingNumber", ch.fence))
+	return nil
+}
+
+func (ch *charge) makeCall(ctx context.Context, url string, call Call) (int, error) {
+	header := call.Header(ch.controller.settings.GetHost().GetId(), ch.fence)
+	return ch.send(ctx, http.MethodPost, url+call.Path, call.Body, header)
+}
+
 // send makes one request to the platform under a deadline that ends before the
 // lease does, and returns the status of the answer.
 func (ch *charge) send(ctx context.Context, method, url string, body []byte, header http.Header) (int, error) {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -43,6 +43,9 @@
 	// httpHeaderTimeout bounds the time in which the headers of an operator's request arrive.
 	httpHeaderTimeout = 5 * time.Second
 	httpShutdown      = 5 * time.Second
+	// snapshotBytes is the payload of applied commands after which a snapshot is
+	// taken, so that whole documents fit the memory and disk of a small host.
+	snapshotBytes = 4 << 20
 )
 
 type (
@@ -64,6 +67,10 @@
 		membership *memberKeeper
 		collector  *usageCollector
 		entries    *entryTable
+		dialect    Dialect
+		table      *upstreamTable
+		followers  *followers
+		reports    *reportCollector
 		orders     atomic.Pointer[orderer]
 
 		committed tally.Counter
@@ -72,7 +79,9 @@
 )
 
 // New returns a control process that has not started.
-func New(s *settings.Settings, log *zap.Logger, instruments *instrumenter.Instruments) (*Controller, error) {
+func New(
+	s *settings.Settings, dialect Dialect, log *zap.Logger, instruments *instrumenter.Instruments,
+) (*Controller, error) {
 	security, err := certifier.Peer(s.GetTls())
 	if err != nil {
 		return nil, err
@@ -85,6 +94,10 @@
 		keeper:      keeper.New(),
 		collector:   newUsageCollector(),
 		entries:     newEntryTable(),
+		dialect:     dialect,
+		table:       newUpstreamTable(s.GetControl().GetAnnouncementLease().AsDuration()),
+		followers:   newFollowers(),
+		reports:     newReportCollector(s.GetControl()),
 		committed:   instruments.Scope.Counter("commands_committed"),
 		refused:     instruments.Scope.Counter("commands_refused"),
 	}
@@ -114,8 +127,10 @@
 	group, ctx := errgroup.WithContext(ctx)
 	exchanges := messenger.NewServer(listeners.peer, c.security, c.handle)
 	group.Go(func() error { return exchanges.Run(ctx) })
-	group.Go(func() error { return c.serveHTTP(ctx, listeners.status, c.instruments.Handler(c.notReady)) })
-	group.Go(func() error { return c.serveHTTP(ctx, listeners.operator, c.operatorHandler()) })
+	group.Go(func() error { return c.serveHTTP(ctx, listeners.status, c.instruments.Handler(c.notReady, "")) })
+	group.Go(func() error { return c.serveHTTP(ctx, listeners.operator, c.outsideHandler()) })
+	group.Go(func() error { return c.runSpread(ctx) })
+	group.Go(func() error { return c.peers.run(ctx) })
 	group.Go(func() error { return c.runNode(ctx, recovered) })
 	c.log.Info("control process started",
 		zap.Uint64("incarnation", c.identity.GetIncarnation()), zap.String("peerListen", s.GetPeerListen()))
@@ -124,6 +139,11 @@
 	return err
 }
 
+// Reload takes over the settings that may change while the process runs: the seeds.
+func (c *Controller) Reload(s *settings.Settings) {
+	c.peers.reseed(s.GetControl().GetSeeds())
+}
+
 type listeners struct {
 	peer     net.Listener
 	operator net.Listener
@@ -184,7 +204,6 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return n.Run(ctx) })
 	group.Go(func() error { return c.membership.run(ctx) })
-	group.Go(func() error { return c.peers.run(ctx) })
 	group.Go(func() error { return c.runUsage(ctx) })
 	group.Go(func() error { return c.runCharge(ctx) })
 	return group.Wait()
@@ -216,6 +235,7 @@
 		Snapshot:        c.keeper.Snapshot,
 		Restore:         c.keeper.Restore,
 		SnapshotEntries: int(s.GetSnapshotEntries()),
+		SnapshotBytes:   snapshotBytes,
 	}, recovered.Snapshot)
 }
 
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -21,6 +21,9 @@
 	introductionInterval = 200 * time.Millisecond
 	// applicantLifetime is the time after which an applicant that fell silent is forgotten.
 	applicantLifetime = 5 * introductionInterval
+	// deadSilences is how many times the silence that makes room for a newer
+	// member must last until a member is taken for dead.
+	deadSilences = 4
 )
 
 type (
@@ -33,6 +36,8 @@
 		node     *node
 		formed   bool
 		founding *replication.Membership
+		// membership is the latest one seen in the node's status.
+		membership *replication.Membership
 		// applicants are the processes that introduced themselves, by incarnation.
 		applicants map[uint64]applicant
 	}
@@ -75,6 +80,8 @@
 		Incarnation: k.controller.identity.GetIncarnation(),
 		Formed:      k.formed,
 		Founding:    k.founding,
+		Address:     k.controller.peers.address,
+		Membership:  k.membership,
 	}
 }
 
@@ -112,6 +119,9 @@
 // names this process; otherwise this process joins as a new member.
 func (k *memberKeeper) decideFounding(known []*wire.Introduction) (*replication.Membership, bool) {
 	own := k.introduction()
+	if !k.controller.peers.closed {
+		return k.decideSeeded(own, known)
+	}
 	members := []*replication.Member{{Id: own.GetIncarnation(), Host: own.GetHost(), Voter: true}}
 	for _, i := range known {
 		if i.GetFormed() && replicator.FindMember(i.GetFounding(), replicator.MemberID(own.GetIncarnation())) != nil {
@@ -124,13 +134,49 @@
 		}
 		members = append(members, &replication.Member{Id: i.GetIncarnation(), Host: i.GetHost(), Voter: true})
 	}
-	if len(known) < len(k.controller.peers.clients) {
+	if len(known) < len(k.controller.peers.clients()) {
 		return nil, false
 	}
 	sort.Slice(members, func(i, j int) bool { return members[i].GetHost() < members[j].GetHost() })
 	return &replication.Membership{Members: members}, true
 }
 
+// decideSeeded joins the group that another process belongs to. If there is
+// none, the seeds form one, provided that this process is one of them, that it
+// may, and that all of them are there.
+func (k *memberKeeper) decideSeeded(own *wire.Introduction, known []*wire.Introduction) (*replication.Membership, bool) {
+	byAddress := map[string]*wire.Introduction{own.GetAddress(): own}
+	for _, i := range known {
+		if i.GetFormed() {
+			if replicator.FindMember(i.GetFounding(), replicator.MemberID(own.GetIncarnation())) != nil {
+				return i.GetFounding(), true
+			}
+			return nil, true
+		}
+		byAddress[i.GetAddress()] = i
+	}
+	s := k.controller.settings.GetControl()
+	if !s.GetFounder() {
+		return nil, false
+	}
+	founding := &replication.Membership{Size: int32(len(s.GetSeeds()))}
+	seeded := false
+	for _, address := range s.GetSeeds() {
+		i := byAddress[address]
+		if i == nil {
+			return nil, false
+		}
+		seeded = seeded || i == own
+		founding.Members = append(founding.Members, &replication.Member{
+			Id: i.GetIncarnation(), Host: i.GetHost(), Voter: true, Address: address,
+		})
+	}
+	sort.Slice(founding.Members, func(i, j int) bool {
+		return founding.Members[i].GetHost() < founding.Members[j].GetHost()
+	})
+	return founding, seeded
+}
+
 // introduceAll exchanges introductions with every other control process that answers.
 func (k *memberKeeper) introduceAll(ctx context.Context) []*wire.Introduction {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
@@ -141,7 +187,7 @@
 		known []*wire.Introduction
 	)
 	request := &wire.Request{Kind: &wire.Request_Introduction{Introduction: k.introduction()}}
-	for _, client := range k.controller.peers.clients {
+	for _, client := range k.controller.peers.introductionClients() {
 		group.Go(func() {
 			reply, err := client.Exchange(ctx, request)
 			if err != nil {
@@ -159,10 +205,21 @@
 
 // run keeps introducing a process that has no vote, and as leader changes the membership.
 func (k *memberKeeper) run(ctx context.Context) error {
+	var last replicator.Status
 	for ctx.Err() == nil {
 		n := k.currentNode()
 		s := n.Status()
+		if s.Role != last.Role || s.Term != last.Term || s.Leader != last.Leader {
+			last = *s
+			k.controller.log.Info("leadership", zap.Stringer("memberRole", s.Role), zap.Uint64("term", uint64(s.Term)),
+				zap.String("leader", k.controller.peers.host(s.Leader)), zap.Uint64("commit", uint64(s.Commit)))
+		}
 		k.controller.peers.learn(s.Membership)
+		k.mu.Lock()
+		before := k.membership
+		k.membership = s.Membership
+		k.mu.Unlock()
+		k.controller.peers.forget(before, s.Membership)
 		if !replicator.FindMember(s.Membership, s.ID).GetVoter() {
 			k.introduceAll(ctx)
 		}
@@ -177,7 +234,15 @@
 func (k *memberKeeper) changeMembership(n *node, s *replicator.Status) {
 	caughtUp := func(id replicator.MemberID) bool { return s.Matches[id] >= s.Commit }
 	next := replicator.NextMembership(s.Membership, k.freshApplicants(), caughtUp)
-	if next == nil {
+	if !k.controller.peers.closed {
+		succession := k.succession(s)
+		if next == nil {
+			next = succession.Shrink(s.Membership)
+		} else {
+			succession.Grow(s.Membership, next)
+		}
+	}
+	if next == nil || !s.MembershipCommitted {
 		return
 	}
 	k.controller.peers.learn(next)
@@ -185,6 +250,19 @@
 	n.ProposeMembership(next)
 }
 
+// succession tells which members have been silent, as the leader's heartbeats show.
+func (k *memberKeeper) succession(s *replicator.Status) replicator.Succession {
+	now := timer.Now()
+	silence := k.controller.settings.GetControl().GetMemberSilence().AsDuration()
+	longerThan := func(d time.Duration) func(replicator.MemberID) bool {
+		return func(id replicator.MemberID) bool {
+			confirmed, found := s.Confirmed[id]
+			return found && now-confirmed > d
+		}
+	}
+	return replicator.Succession{Silent: longerThan(silence), Dead: longerThan(deadSilences * silence)}
+}
+
 func (k *memberKeeper) freshApplicants() []replicator.Applicant {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -194,12 +272,14 @@
 			delete(k.applicants, id)
 			continue
 		}
-		if _, configured := k.controller.peers.clients[a.introduction.GetHost()]; !configured {
+		if k.controller.peers.client(a.introduction.GetHost()) == nil {
 			continue
 		}
 		out = append(out, replicator.Applicant{
 			ID:   replicator.MemberID(id),
 			Host: a.introduction.GetHost(),
+
+			Address: a.introduction.GetAddress(),
 		})
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -86,7 +86,7 @@
 	if err := o.resendOpen(ctx); err != nil {
 		return err
 	}
-	pools := o.charge.controller.entries.pools()
+	pools := o.charge.controller.entries.pools(o.charge.controller.upstreams())
 	for _, order := range o.plan(pools) {
 		if order.Action == planner.Stop {
 			o.beginDrain(order)
@@ -254,7 +254,7 @@
 }
 
 // pools returns what the entry processes observe of each pool; refusals count since the last call.
-func (t *entryTable) pools() []planner.Pool {
+func (t *entryTable) pools(upstreams []*wire.Upstream) []planner.Pool {
 	byName := map[string]*planner.Pool{}
 	pool := func(name string) *planner.Pool {
 		if byName[name] == nil {
@@ -269,7 +269,7 @@
 			p.Refused += t.refusedSince(s, d)
 		}
 	}
-	for _, u := range t.upstreams() {
+	for _, u := range upstreams {
 		for _, name := range u.GetServes() {
 			p := pool(u.GetKind() + "/" + name)
 			p.Upstreams = append(p.Upstreams, planner.Upstream{
--- a/internal/controller/requests.go
+++ b/internal/controller/requests.go
@@ -31,6 +31,7 @@
 	ReadAudit         = "audit"
 	ReadStatus        = "status"
 	ReadUpstreams     = "upstreams"
+	ReadDocument      = "document"
 )
 
 // handle answers one exchange of another process.
@@ -42,6 +43,11 @@
 	case *wire.Request_Introduction:
 		own := c.membership.receive(kind.Introduction)
 		return &wire.Reply{Kind: &wire.Reply_Introduction{Introduction: own}}
+	case *wire.Request_Follow:
+		return c.follow(ctx, kind.Follow)
+	case *wire.Request_Spread:
+		c.receiveSpread(kind.Spread)
+		return nil
 	case *wire.Request_Sync, *wire.Request_Propose, *wire.Request_Read:
 		return c.execute(ctx, r)
 	default:
@@ -84,7 +90,7 @@
 }
 
 func (c *Controller) forward(ctx context.Context, s *replicator.Status, r *wire.Request) *wire.Reply {
-	client := c.peers.clients[c.peers.host(s.Leader)]
+	client := c.peers.client(c.peers.host(s.Leader))
 	if client == nil {
 		return failure(ReasonNoLeader, "no leader is known")
 	}
@@ -120,6 +126,7 @@
 	}
 	c.collector.push(s.GetUsage())
 	c.entries.note(s)
+	c.reports.note(s)
 	reply := c.keeper.SyncSince(configurer.Revision(s.GetHaveRevision()))
 	if o := c.orders.Load(); o != nil {
 		reply.Draining = o.drainingUpstreams()
@@ -143,7 +150,10 @@
 	case ReadStatus:
 		reply.Status = c.status(n)
 	case ReadUpstreams:
-		reply.Upstreams = c.entries.upstreams()
+		reply.Upstreams = c.upstreams()
+	case ReadDocument:
+		reply.Version = c.keeper.Document().GetVersion()
+		reply.Document = c.keeper.Document().GetContent()
 	default:
 		return failure(ReasonInvalid, "unknown read")
 	}
@@ -164,6 +174,14 @@
 	}
 }
 
+// upstreams returns what the entry processes know, or what announced itself here.
+func (c *Controller) upstreams() []*wire.Upstream {
+	if c.table.empty() {
+		return c.entries.upstreams()
+	}
+	return c.table.all()
+}
+
 func withoutHashes(keys []*state.Key) []*state.Key {
 	out := make([]*state.Key, 0, len(keys))
 	for _, k := range keys {
--- a/internal/instrumenter/instrumenter.go
+++ b/internal/instrumenter/instrumenter.go
@@ -48,19 +48,24 @@
 }
 
 // Handler serves /livez, /readyz, /metrics and /debug/pprof/. notReady returns why the
-// process takes no work, or an empty string.
-func (i *Instruments) Handler(notReady func() string) http.Handler {
+// process takes no work, or an empty string. readyPath is a further path for
+// readiness; it may be empty.
+func (i *Instruments) Handler(notReady func() string, readyPath string) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, "ok\n")
 	})
-	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+	ready := func(w http.ResponseWriter, _ *http.Request) {
 		if reason := notReady(); reason != "" {
 			http.Error(w, reason, http.StatusServiceUnavailable)
 			return
 		}
 		_, _ = io.WriteString(w, "ok\n")
-	})
+	}
+	mux.HandleFunc("GET /readyz", ready)
+	if readyPath != "" {
+		mux.HandleFunc("GET "+readyPath, ready)
+	}
 	mux.Handle("GET /metrics", i.reporter.HTTPHandler())
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
--- a/internal/keeper/change.go
+++ b/internal/keeper/change.go
@@ -58,6 +58,7 @@
 		return &state.Outcome{Revision: revision, Reason: ReasonInvalid, Detail: err.Error()}
 	}
 	k.catalog = next
+	k.announceChange()
 	revised := &state.Revised{Revision: uint64(next.Revision()), Operation: change.GetOperation()}
 	k.recent = append(k.recent, revised)
 	k.trimRecent()
@@ -106,6 +107,10 @@
 		return fmt.Sprintf("grant key %s to organisation %s", kind.GrantKey.GetId(), kind.GrantKey.GetOrganisation())
 	case *state.Operation_WithdrawKey:
 		return "withdraw key " + kind.WithdrawKey
+	case *state.Operation_Replace:
+		c := kind.Replace.GetConfiguration()
+		return fmt.Sprintf("replace everything by version %d with %d routes, %d organisations",
+			kind.Replace.GetVersion(), len(c.GetRoutes()), len(c.GetOrganisations()))
 	default:
 		return "unknown operation"
 	}
@@ -118,6 +123,18 @@
 	return k.catalog.Revision()
 }
 
+// Changed returns a channel that is closed when the configuration changes.
+func (k *Keeper) Changed() <-chan struct{} {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	return k.changed
+}
+
+func (k *Keeper) announceChange() {
+	close(k.changed)
+	k.changed = make(chan struct{})
+}
+
 // Catalog returns the configuration in force.
 func (k *Keeper) Catalog() *configurer.Catalog {
 	k.mu.RLock()
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -34,6 +34,8 @@
 
 	clock   int64
 	catalog *configurer.Catalog
+	// changed is closed when the catalog changes.
+	changed chan struct{}
 	recent  []*state.Revised
 
 	audit         []*state.AuditRecord
@@ -53,11 +55,16 @@
 	fence   uint64
 	holder  string
 	intents []*state.Intent
+
+	// document is the latest document's version and content.
+	document *state.Document
+	// aligned is the highest number of a window that is aligned to true time.
+	aligned uint64
 }
 
 // New returns the empty state.
 func New() *Keeper {
-	k := &Keeper{}
+	k := &Keeper{changed: make(chan struct{})}
 	k.reset()
 	return k
 }
@@ -90,6 +97,8 @@
 		return k.applyIntentOutcome(kind.IntentOutcome)
 	case *state.Command_Fence:
 		return k.applyFence(kind.Fence)
+	case *state.Command_Document:
+		return k.applyDocument(kind.Document, command.GetLimits())
 	default:
 		return refused("invalid", "unknown command")
 	}
@@ -114,6 +123,8 @@
 		OpenIntents:       k.intents,
 		Recent:            k.recent,
 		ClockMillis:       k.clock,
+		Document:          k.document,
+		AlignedWindow:     k.aligned,
 	}
 	for _, u := range k.usage {
 		s.Usage = append(s.Usage, u)
@@ -157,6 +168,9 @@
 	k.fence = s.GetFencingNumber()
 	k.holder = s.GetHolder()
 	k.intents = s.GetOpenIntents()
+	k.announceChange()
+	k.document = s.GetDocument()
+	k.aligned = s.GetAlignedWindow()
 	return nil
 }
 
@@ -170,6 +184,7 @@
 	k.claimCount = map[string]int{}
 	k.usage = map[string]*state.Usage{}
 	k.pending = map[rowKey]*state.UsageRow{}
+	k.document = nil
 }
 
 func refused(reason, detail string) *wire.ProposeReply {
--- a/internal/keeper/usage.go
+++ b/internal/keeper/usage.go
@@ -105,6 +105,9 @@
 
 // applyFreeze fixes the bytes of the window in progress.
 func (k *Keeper) applyFreeze(f *state.FreezeWindow) *wire.ProposeReply {
+	if f.GetNumber() != 0 {
+		return k.applyAlignedFreeze(f)
+	}
 	if k.windowStart == 0 || f.GetEndMillis() <= k.windowStart {
 		return refused(ReasonInvalid, "the window has not begun or was frozen before")
 	}
@@ -141,6 +144,24 @@
 	return accepted()
 }
 
+// applyAlignedFreeze keeps the bytes of a window that is aligned to true time.
+// The first freeze of a number stands, and numbers only grow.
+func (k *Keeper) applyAlignedFreeze(f *state.FreezeWindow) *wire.ProposeReply {
+	if f.GetNumber() <= k.aligned {
+		return refused(ReasonInvalid, "the window was frozen before")
+	}
+	k.aligned = f.GetNumber()
+	k.windows = append(k.windows, &state.Window{Number: f.GetNumber(), EndMillis: f.GetEndMillis(), Report: f.GetReport()})
+	return accepted()
+}
+
+// AlignedWindow returns the highest number of a frozen window that is aligned to true time.
+func (k *Keeper) AlignedWindow() uint64 {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	return k.aligned
+}
+
 func (r ReportRow) before(other ReportRow) bool {
 	if r.Organisation != other.Organisation {
 		return r.Organisation < other.Organisation
--- a/internal/router/announcement.go
+++ b/internal/router/announcement.go
@@ -5,7 +5,8 @@
 	"io"
 	"net/http"
 	"net/url"
-	"time"
+
+	"github.com/comfreybend/comfreybend/internal/announcer"
 
 	kithttp "github.com/go-kit/kit/transport/http"
 	"github.com/pkg/errors"
@@ -66,7 +67,7 @@
 func (r *Router) announceEndpoint(_ context.Context, request any) (any, error) {
 	u, _ := request.(*wire.Upstream)
 	u.AgeMillis = 0
-	announced := fromWire(u, r.dispatcher.now())
+	announced := announcer.FromWire(u, r.dispatcher.now())
 	if r.dispatcher.announce(announced) {
 		r.peers.relay(announced)
 	}
@@ -77,47 +78,3 @@
 	w.WriteHeader(http.StatusNoContent)
 	return nil
 }
-
-// fromWire places an announcement on this process's clock.
-func fromWire(u *wire.Upstream, now time.Duration) registrar.Upstream {
-	heard := now - time.Duration(u.GetAgeMillis())*time.Millisecond
-	return registrar.Upstream{
-		ID:            registrar.UpstreamID(u.GetId()),
-		Incarnation:   registrar.Incarnation(u.GetIncarnation()),
-		Sequence:      registrar.Sequence(u.GetSequence()),
-		URL:           u.GetUrl(),
-		FailureDomain: registrar.FailureDomain(u.GetFailureDomain()),
-		Kind:          registrar.Kind(u.GetKind()),
-		Serves:        u.GetServes(),
-		State:         registrar.State(u.GetState()),
-		Preemptible:   u.GetPreemptible(),
-		Load: registrar.Load{
-			Running:    int(u.GetLoad().GetRunning()),
-			Waiting:    int(u.GetLoad().GetWaiting()),
-			Slots:      int(u.GetLoad().GetSlots()),
-			MeasuredAt: heard - time.Duration(u.GetLoad().GetAgeMillis())*time.Millisecond,
-		},
-		HeardAt: heard,
-	}
-}
-
-func toWire(u *registrar.Upstream, now time.Duration) *wire.Upstream {
-	return &wire.Upstream{
-		Id:            string(u.ID),
-		Incarnation:   uint64(u.Incarnation),
-		Sequence:      uint64(u.Sequence),
-		Url:           u.URL,
-		FailureDomain: string(u.FailureDomain),
-		Kind:          string(u.Kind),
-		Serves:        u.Serves,
-		State:         string(u.State),
-		Preemptible:   u.Preemptible,
-		Load: &wire.Load{
-			Running:   int32(u.Load.Running),
-			Waiting:   int32(u.Load.Waiting),
-			Slots:     int32(u.Load.Slots),
-			AgeMillis: (u.HeardAt - u.Load.MeasuredAt).Milliseconds(),
-		},
-		AgeMillis: (now - u.HeardAt).Milliseconds(),
-	}
-}
--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -117,7 +117,7 @@
 // the caller has nothing yet.
 func (x *exchange) readWhole(w *callerWriter) error {
 	at := x.current
-	if !delimited(at.response) {
+	if !delimited(at.response) && !x.router.dialect.Unframed {
 		return errors.New("the end of the answer is not marked")
 	}
 	body, err := io.ReadAll(io.LimitReader(at.response.Body, wholeBytes+1))
@@ -126,8 +126,7 @@
 	}
 	x.noteWholeUsage(body)
 	x.recordAnswer(body, len(body) <= wholeBytes)
-	copyResponseHeader(w.w.Header(), at.response.Header)
-	w.w.Header().Set(HeaderAttempt, string(at.id))
+	x.copyResponseHeader(w.w.Header(), at.response.Header)
 	if at.response.ContentLength >= 0 {
 		w.w.Header().Set("Content-Length", strconv.FormatInt(at.response.ContentLength, 10))
 	}
@@ -177,12 +176,15 @@
 	panic(http.ErrAbortHandler)
 }
 
-func copyResponseHeader(to, from http.Header) {
+func (x *exchange) copyResponseHeader(to, from http.Header) {
 	for name, values := range from {
-		if !withheldFromCaller(name) {
+		if !withheldFromCaller(name) && !x.router.dialect.WithholdsAnswer(name) {
 			to[name] = values
 		}
 	}
+	if x.call.Attempt == "" {
+		to.Set(HeaderAttempt, string(x.current.id))
+	}
 }
 
 func withheldFromCaller(name string) bool {
@@ -190,7 +192,7 @@
 	case "Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length":
 		return true
 	default:
-		return strings.HasPrefix(name, "Comfreybend-")
+		return false
 	}
 }
 
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -7,12 +7,14 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/settings"
 )
@@ -37,14 +39,17 @@
 
 	// attempter sends attempts.
 	attempter struct {
-		limits *settings.UpstreamLimits
-		now    func() time.Duration
+		limits  *settings.UpstreamLimits
+		dialect Dialect
+		now     func() time.Duration
 		// shared reuses connections; net/http may send a request on a reused
 		// connection again, so it carries repeatable calls only.
 		shared *http.Transport
 		// single uses a new connection for each attempt.
 		single *http.Transport
 		probe  *http.Client
+		// ownConnections gives each call that may not be repeated a connection of its own.
+		ownConnections bool
 	}
 
 	// attempt is one try of a call at one upstream.
@@ -56,6 +61,8 @@
 		begun    time.Duration
 		// firstByte is the time to the response headers.
 		firstByte time.Duration
+		// load is the upstream's load as the answer told; nil if it did not.
+		load *registrar.Load
 		// connected reports that a connection was obtained, so that bytes may have left.
 		connected atomic.Bool
 		// active is when bytes were received last, on the monotonic clock.
@@ -77,7 +84,9 @@
 		Attempt AttemptID
 		// NotRun reports that no byte reached the upstream.
 		NotRun bool
-		Cause  error
+		// Refused reports that the upstream itself refused to run the request.
+		Refused bool
+		Cause   error
 	}
 
 	// crossedError reports an answer that belongs to another attempt.
@@ -108,7 +117,7 @@
 // Error implements error.
 func (e *silentError) Error() string { return "connection fell silent: " + e.Verdict }
 
-func newAttempter(e *settings.Entry) *attempter {
+func newAttempter(e *settings.Entry, dialect Dialect) *attempter {
 	l := e.GetUpstreamLimits()
 	dialer := &net.Dialer{
 		Timeout: l.GetConnectTimeout().AsDuration(),
@@ -127,7 +136,7 @@
 			DisableCompression:  true,
 		}
 	}
-	a := &attempter{limits: l, now: timer.Now, shared: transport(), single: transport()}
+	a := &attempter{limits: l, dialect: dialect, now: timer.Now, shared: transport(), single: transport(), ownConnections: !e.GetFollowControl()}
 	a.single.DisableKeepAlives = true
 	probe := transport()
 	probe.DisableKeepAlives = true
@@ -139,7 +148,11 @@
 // headers. last is the last event that the caller has, for streams that are
 // resumed. The error is an *attemptError.
 func (a *attempter) send(ctx context.Context, c *call, g *grant, last EventID) (*attempt, error) {
-	at := &attempt{id: AttemptID(uuid.NewString()), grant: g, begun: a.now(), done: make(chan struct{})}
+	id := c.Attempt
+	if id == "" {
+		id = AttemptID(uuid.NewString())
+	}
+	at := &attempt{id: id, grant: g, begun: a.now(), done: make(chan struct{})}
 	at.touch(at.begun)
 	ctx, at.cancel = context.WithCancelCause(ctx)
 	at.expiry = time.AfterFunc(c.deadline-at.begun, func() { at.cancel(&expiredError{}) })
@@ -148,11 +161,11 @@
 		at.close(err)
 		return nil, &attemptError{Attempt: at.id, NotRun: true, Cause: err}
 	}
-	if c.stream {
+	if c.stream && !c.route.GetEventStream() {
 		go a.watch(ctx, at)
 	}
 	transport := a.shared
-	if !c.repeatable {
+	if !c.repeatable && (a.ownConnections || replayable(c.method)) {
 		transport = a.single
 	}
 	response, err := transport.RoundTrip(request) //nolint:bodyclose // attempt.close closes it.
@@ -163,40 +176,80 @@
 		at.close(err)
 		return nil, &attemptError{Attempt: at.id, NotRun: !at.connected.Load(), Cause: err}
 	}
-	if c.stream {
+	if c.stream && !c.route.GetEventStream() {
 		at.expiry.Stop()
 	}
 	at.response = response
 	at.firstByte = a.now() - at.begun
 	at.touch(a.now())
-	if echoed := response.Header.Get(HeaderAttempt); echoed != "" && echoed != string(at.id) {
-		err = &crossedError{Echoed: echoed}
+	if err = a.judge(at); err != nil {
 		at.close(err)
-		return nil, &attemptError{Attempt: at.id, Cause: err}
+		return nil, err
 	}
 	return at, nil
 }
 
+// judge looks at an answer's headers. The error is an *attemptError.
+func (a *attempter) judge(at *attempt) error {
+	j := a.dialect.Judge(at.response)
+	at.load = j.Load
+	status := at.response.StatusCode
+	switch {
+	case j.Echoed != "" && j.Echoed != at.id:
+		return &attemptError{Attempt: at.id, Cause: &crossedError{Echoed: string(j.Echoed)}}
+	case j.NotRun:
+		return &attemptError{
+			Attempt: at.id, NotRun: true, Refused: true,
+			Cause: errors.Errorf("upstream refused with status %d", status),
+		}
+	case j.Spurious:
+		return &attemptError{Attempt: at.id, Cause: errors.Errorf("answer with status %d is not the upstream's own", status)}
+	default:
+		return nil
+	}
+}
+
+// replayable reports methods whose requests net/http may send again on its own
+// when a reused connection breaks.
+func replayable(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	default:
+		return false
+	}
+}
+
 func (a *attempter) newRequest(ctx context.Context, c *call, at *attempt, last EventID) (*http.Request, error) {
-	target := at.grant.upstream.URL + c.escaped
-	if c.query != "" {
-		target += "?" + c.query
+	target, err := url.ParseRequestURI(at.grant.upstream.URL + c.target)
+	if err != nil {
+		return nil, errors.Wrap(err, "making the upstream request")
 	}
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { at.connected.Store(true) }}
 	ctx = httptrace.WithClientTrace(ctx, trace)
-	request, err := http.NewRequestWithContext(ctx, c.method, target, bytes.NewReader(c.body))
+	request, err := http.NewRequestWithContext(ctx, c.method, at.grant.upstream.URL, bytes.NewReader(c.body))
 	if err != nil {
 		return nil, errors.Wrap(err, "making the upstream request")
 	}
+	request.URL = target
 	if !c.repeatable {
 		// Without GetBody net/http cannot send the body a second time.
 		request.GetBody = nil
 	}
-	request.Header = c.upstreamHeader()
-	request.Header.Set(HeaderAttempt, string(at.id))
-	if last != noEvent {
-		request.Header.Set(HeaderLastEventID, fmt.Sprint(uint64(last)))
+	if a.dialect.KeepsHost {
+		request.Host = c.hostHeader
 	}
+	request.Header = c.forwardedHeader(a.dialect.Withholds)
+	a.dialect.Stamp(request.Header, Attempt{
+		ID:           at.id,
+		Organisation: string(c.who.organisation),
+		Class:        c.class.GetName(),
+		Tier:         c.tier,
+		Prefix:       c.prefix(),
+		Upstream:     at.grant.upstream.ID,
+		Left:         c.deadline - a.now(),
+		Delivered:    last,
+	})
 	return request, nil
 }
 
--- a/internal/router/authority.go
+++ b/internal/router/authority.go
@@ -18,8 +18,12 @@
 )
 
 const (
-	// exchangesPerFreshness is how many control processes can be tried before the configuration goes stale.
+	// exchangesPerFreshness is how many control processes can be dialled before the configuration goes stale.
 	exchangesPerFreshness = 8
+	// syncsPerFreshness is how many configuration requests can fail before the configuration goes stale.
+	syncsPerFreshness = 4
+	// hedgeInterval is how long one control process is waited for before the next is asked too.
+	hedgeInterval = 200 * time.Millisecond
 	// proposeTimeout bounds one proposal over all control processes, proposeTry
 	// the wait for one of them.
 	proposeTimeout = 4 * time.Second
@@ -32,7 +36,7 @@
 	// quorum-confirmed leader answered.
 	authority struct {
 		router   *Router
-		clients  []*messenger.Client
+		controls *controls
 		interval time.Duration
 		lifetime time.Duration
 		now      func() time.Duration
@@ -43,13 +47,19 @@
 		// syncing is held during a configuration request.
 		syncing sync.Mutex
 
-		mu sync.Mutex
-		// preferred is the position of the control process that answered last.
-		preferred int
+		// wake asks for a request at once.
+		wake chan struct{}
 		// pushedAt is when usage was pushed last with an answer.
 		pushedAt time.Duration
 	}
 
+	// syncAnswer is one control process's answer to a configuration request.
+	syncAnswer struct {
+		client *messenger.Client
+		reply  *wire.SyncReply
+		err    error
+	}
+
 	// identity is who a request runs for.
 	identity struct {
 		organisation configurer.OrganisationID
@@ -69,7 +79,7 @@
 	return "control process answered with an earlier revision"
 }
 
-func newAuthority(r *Router, security messenger.Security) *authority {
+func newAuthority(r *Router) *authority {
 	e := r.settings.GetEntry()
 	a := &authority{
 		router:   r,
@@ -78,10 +88,8 @@
 		now:      timer.Now,
 	}
 	a.pushedAt = a.now()
-	timeout := a.lifetime / exchangesPerFreshness
-	for _, address := range e.GetControlAddresses() {
-		a.clients = append(a.clients, messenger.NewClient(address, security, timeout))
-	}
+	a.controls = r.controls
+	a.wake = make(chan struct{}, 1)
 	return a
 }
 
@@ -89,64 +97,102 @@
 func (a *authority) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		a.syncOnce(ctx, false)
-		timer.Sleep(ctx, a.interval)
-	}
-	for _, c := range a.clients {
-		c.Close()
+		select {
+		case <-ctx.Done():
+		case <-a.wake:
+		case <-time.After(a.interval):
+		}
 	}
+	a.controls.close()
 	return nil
 }
 
-// syncOnce asks the control processes in turn, the one that answered last first.
+// syncOnce asks the control processes in turn, the one that answered last
+// first. One that does not answer at once is not waited for alone: the next is
+// asked beside it, and the first answer counts.
 func (a *authority) syncOnce(ctx context.Context, final bool) {
 	a.syncing.Lock()
 	defer a.syncing.Unlock()
-	for range a.clients {
-		if ctx.Err() != nil {
-			return
+	ctx, cancel := context.WithTimeout(ctx, a.lifetime/syncsPerFreshness)
+	defer cancel()
+	sentAt := a.now()
+	request := &wire.Request{Kind: &wire.Request_Sync{Sync: a.question(sentAt, final)}}
+	clients := a.controls.inOrder()
+	answers := make(chan syncAnswer, len(clients))
+	asked, failed := 0, 0
+	for failed < len(clients) {
+		if asked < len(clients) {
+			go ask(ctx, clients[asked], request, answers)
+			asked++
 		}
-		a.mu.Lock()
-		client := a.clients[a.preferred]
-		a.mu.Unlock()
-		err := a.syncWith(ctx, client, final)
-		if err == nil {
-			return
+		var next <-chan time.Time
+		if asked < len(clients) {
+			next = time.After(hedgeInterval)
 		}
-		a.router.log.Debug("configuration request failed", zap.String("control", client.Address()), zap.Error(err))
-		var back *wentBackError
-		if errors.As(err, &back) {
-			a.router.log.Error("refusing an earlier revision", zap.Uint64("held", uint64(back.Held)),
-				zap.Uint64("answered", uint64(back.Answered)), zap.String("control", client.Address()))
+		select {
+		case <-ctx.Done():
+			failed = len(clients)
+		case <-next:
+		case answer := <-answers:
+			if answer.err == nil {
+				answer.err = a.take(sentAt, answer.reply)
+			}
+			if answer.err == nil {
+				return
+			}
+			failed++
+			a.noteFailure(answer)
 		}
-		a.mu.Lock()
-		a.preferred = (a.preferred + 1) % len(a.clients)
-		a.mu.Unlock()
 	}
-	a.router.metrics.syncFailures.Inc(1)
+	if ctx.Err() == nil || a.now()-sentAt >= a.lifetime/syncsPerFreshness {
+		a.router.metrics.syncFailures.Inc(1)
+	}
 }
 
-func (a *authority) syncWith(ctx context.Context, client *messenger.Client, final bool) error {
-	ctx, cancel := context.WithTimeout(ctx, a.lifetime/exchangesPerFreshness)
-	defer cancel()
-	sentAt := a.now()
+func ask(ctx context.Context, client *messenger.Client, request *wire.Request, answers chan<- syncAnswer) {
+	reply, err := client.Exchange(ctx, request)
+	answers <- syncAnswer{client: client, reply: reply.GetSync(), err: err}
+}
+
+func (a *authority) noteFailure(answer syncAnswer) {
+	a.router.log.Debug("configuration request failed",
+		zap.String("control", answer.client.Address()), zap.Error(answer.err))
+	var back *wentBackError
+	if errors.As(answer.err, &back) {
+		a.router.log.Error("refusing an earlier revision", zap.Uint64("held", uint64(back.Held)),
+			zap.Uint64("answered", uint64(back.Answered)), zap.String("control", answer.client.Address()))
+	}
+	var unreachable *messenger.UnreachableError
+	if errors.As(answer.err, &unreachable) {
+		a.controls.failed(answer.client)
+	}
+}
+
+// question describes this process to a control process.
+func (a *authority) question(sentAt time.Duration, final bool) *wire.Sync {
 	host := a.router.settings.GetHost()
-	request := &wire.Sync{
+	q := &wire.Sync{
 		Host:          host.GetId(),
 		FailureDomain: host.GetFailureDomain(),
 		HaveRevision:  uint64(a.revision()),
 		Usage:         a.router.usage.push(host.GetId(), a.router.incarnation, final),
 		Upstreams:     a.router.dispatcher.announced(),
 		Demands:       a.router.dispatcher.demands(),
+		Windows:       a.router.windows.recent(),
 	}
-	request.Usage.UnreportedMillis = (sentAt - a.pushedAt).Milliseconds()
-	reply, err := client.Exchange(ctx, &wire.Request{Kind: &wire.Request_Sync{Sync: request}})
-	if err != nil {
-		return err
+	if a.router.settings.GetEntry().GetFollowControl() {
+		q.Upstreams = nil
 	}
-	if err = a.accept(reply.GetSync()); err != nil {
+	q.Usage.UnreportedMillis = (sentAt - a.pushedAt).Milliseconds()
+	return q
+}
+
+// take takes the answer to a request that was sent at a time.
+func (a *authority) take(sentAt time.Duration, reply *wire.SyncReply) error {
+	if err := a.accept(reply); err != nil {
 		return err
 	}
-	a.router.dispatcher.drain(reply.GetSync().GetDraining())
+	a.router.dispatcher.drain(reply.GetDraining())
 	a.pushedAt = sentAt
 	a.freshUntil.Store(int64(sentAt + a.lifetime))
 	return nil
@@ -221,7 +267,10 @@
 	if !who.keyed {
 		return nil
 	}
-	if !a.fresh() {
+	if !a.configured() {
+		return refuseUntil(http.StatusServiceUnavailable, CodeNotFresh, "no configuration yet", time.Second)
+	}
+	if !a.fresh() && !a.router.settings.GetEntry().GetServeStale() {
 		return refuseUntil(http.StatusServiceUnavailable, CodeNotFresh,
 			"the configuration cannot be confirmed, so keys are not relied on", a.interval)
 	}
@@ -238,12 +287,8 @@
 func (a *authority) propose(ctx context.Context, command *state.Command) (*wire.ProposeReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	a.mu.Lock()
-	first := a.preferred
-	a.mu.Unlock()
 	var last error
-	for i := range a.clients {
-		client := a.clients[(first+i)%len(a.clients)]
+	for _, client := range a.controls.inOrder() {
 		reply, err := proposeThrough(ctx, client, command)
 		if err == nil {
 			return reply, nil
@@ -266,6 +311,14 @@
 	return reply.GetPropose(), nil
 }
 
+// hurry asks for a configuration request at once.
+func (a *authority) hurry() {
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
 // pushFinal pushes the counters of a process that stops.
 func (a *authority) pushFinal(ctx context.Context) {
 	a.syncOnce(ctx, true)
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"path"
@@ -37,19 +38,25 @@
 		method string
 		path   string
 		// escaped is the path as it was sent.
-		escaped     string
-		query       string
-		header      http.Header
-		body        []byte
-		key         string
-		who         identity
-		route       *state.Route
-		class       *state.Class
-		pool        poolKey
-		stream      bool
-		idempotency string
-		arrived     time.Duration
-		deadline    time.Duration
+		escaped string
+		query   string
+		header  http.Header
+		body    []byte
+		// host is the name in the Host header, hostHeader the header as it was sent.
+		host       string
+		hostHeader string
+		// target is the path and query as they were sent.
+		target string
+		Description
+		who    identity
+		route  *state.Route
+		class  *state.Class
+		pool   poolKey
+		stream bool
+		// tier is the class's or the organisation's.
+		tier     int32
+		arrived  time.Duration
+		deadline time.Duration
 		// repeatable calls may be sent more than once.
 		repeatable bool
 	}
@@ -72,6 +79,10 @@
 		return nil, refuse(http.StatusRequestEntityTooLarge, CodeTooLarge,
 			"the body has more than "+strconv.FormatInt(limit, 10)+" bytes")
 	}
+	d, err := r.dialect.Describe(request)
+	if err != nil {
+		return nil, refuse(http.StatusBadRequest, CodeMalformed, err.Error())
+	}
 	return &call{
 		method:      request.Method,
 		path:        request.URL.Path,
@@ -79,12 +90,22 @@
 		query:       request.URL.RawQuery,
 		header:      request.Header,
 		body:        body,
-		key:         keyOf(request.Header),
-		idempotency: request.Header.Get(HeaderIdempotencyKey),
+		host:        hostName(request.Host),
+		hostHeader:  request.Host,
+		target:      request.RequestURI,
+		Description: d,
 		arrived:     r.dispatcher.now(),
 	}, nil
 }
 
+// hostName returns the name in a Host header, without its port.
+func hostName(header string) string {
+	if name, _, err := net.SplitHostPort(header); err == nil {
+		header = name
+	}
+	return strings.ToLower(header)
+}
+
 func keyOf(h http.Header) string {
 	if key, found := strings.CutPrefix(h.Get("Authorization"), bearerPrefix); found {
 		return strings.TrimSpace(key)
@@ -101,7 +122,7 @@
 	if !plainPath(c.path) {
 		return refuse(http.StatusBadRequest, CodeMalformed, "the path has empty, \".\" or \"..\" segments")
 	}
-	c.route = catalog.Route(c.path)
+	c.route = catalog.Route(c.host, c.path)
 	if refusal := r.admitIdentity(c); refusal != nil {
 		return refusal
 	}
@@ -111,14 +132,16 @@
 	if refusal := c.chooseClass(catalog); refusal != nil {
 		return refusal
 	}
-	if refusal := c.choosePool(); refusal != nil {
+	c.chooseTier(catalog)
+	if refusal := c.choosePool(r.random); refusal != nil {
 		return refusal
 	}
 	if carriesKey(c) {
 		return refuse(http.StatusBadRequest, CodeMalformed,
 			"the key stands in the path, query or body, which go to the upstream")
 	}
-	return r.setDeadline(c)
+	r.setDeadline(c)
+	return nil
 }
 
 // plainPath reports a path that no upstream can read as another one, which
@@ -131,10 +154,10 @@
 // admitIdentity checks the key; only routes open to all run without one.
 func (r *Router) admitIdentity(c *call) *RefusalError {
 	open := c.route.GetOpenToAll()
-	if c.key == "" && !open {
+	if c.Key == "" && !open {
 		return refuse(http.StatusUnauthorized, CodeUnauthorized, "a key is needed")
 	}
-	who, refusal := r.authority.identify(c.key)
+	who, refusal := r.authority.identify(c.Key)
 	if refusal != nil && open {
 		// An open route needs no key, so one that cannot be relied on does no harm.
 		return nil
@@ -144,7 +167,7 @@
 }
 
 func (c *call) chooseClass(catalog *configurer.Catalog) *RefusalError {
-	wanted := c.header.Get(HeaderClass)
+	wanted := c.Class
 	if wanted == "" {
 		wanted = c.route.GetClasses()[0]
 	}
@@ -158,15 +181,47 @@
 		"class must be one of "+strings.Join(c.route.GetClasses(), ", "))
 }
 
-func (c *call) choosePool() *RefusalError {
-	c.repeatable = true
+// chooseTier takes the organisation's tier before the class's.
+func (c *call) chooseTier(catalog *configurer.Catalog) {
+	c.tier = c.class.GetTier()
+	if own := catalog.Organisation(c.who.organisation).GetTier(); own > 0 {
+		c.tier = own
+	}
+}
+
+// chooseService draws one of the services that share a route.
+func (c *call) chooseService(random func(n int) int) string {
+	splits := c.route.GetSplits()
+	if len(splits) == 0 {
+		return c.route.GetService()
+	}
+	total := 0
+	for _, s := range splits {
+		total += int(s.GetWeight())
+	}
+	drawn := random(total)
+	for _, s := range splits {
+		drawn -= int(s.GetWeight())
+		if drawn < 0 {
+			return s.GetService()
+		}
+	}
+	return splits[len(splits)-1].GetService()
+}
+
+func (c *call) choosePool(random func(n int) int) *RefusalError {
+	c.repeatable = !c.route.GetNonIdempotent()
+	if c.route.GetEventStream() {
+		c.repeatable = c.route.GetResumable()
+		c.stream = true
+	}
 	for _, m := range c.route.GetNonIdempotentMethods() {
 		if m == c.method {
 			c.repeatable = false
 		}
 	}
 	if c.route.GetKind() == configurer.KindService {
-		c.pool = poolKey{kind: registrar.KindService, name: c.route.GetService()}
+		c.pool = poolKey{kind: registrar.KindService, name: c.chooseService(random)}
 		return nil
 	}
 	var m modelRequest
@@ -181,45 +236,43 @@
 	return nil
 }
 
-func (r *Router) setDeadline(c *call) *RefusalError {
+func (r *Router) setDeadline(c *call) {
 	allowed := r.settings.GetEntry().GetCallerLimits().GetDefaultDeadline().AsDuration()
 	if target := configurer.Deadline(c.class); target > 0 {
 		allowed = target
 	}
-	if text := c.header.Get(HeaderDeadline); text != "" {
-		millis, err := strconv.ParseInt(text, 10, 32)
-		if err != nil || millis <= 0 {
-			return refuse(http.StatusBadRequest, CodeMalformed, HeaderDeadline+" is no positive number of milliseconds")
-		}
-		allowed = time.Duration(millis) * time.Millisecond
+	if c.TimeLeft > 0 {
+		allowed = c.TimeLeft
+	}
+	if timeout := c.route.GetTimeout().AsDuration(); timeout > 0 {
+		allowed = min(allowed, timeout)
 	}
 	c.deadline = c.arrived + allowed
-	return nil
 }
 
 // carriesKey reports whether the key stands in a part that goes to the upstream.
 func carriesKey(c *call) bool {
-	if c.key == "" {
+	if c.Key == "" {
 		return false
 	}
 	unescaped, err := url.QueryUnescape(c.query)
 	if err != nil {
 		unescaped = c.query
 	}
-	return strings.Contains(c.path, c.key) || strings.Contains(c.escaped, c.key) || strings.Contains(c.query, c.key) ||
-		strings.Contains(unescaped, c.key) || bytes.Contains(c.body, []byte(c.key))
+	return strings.Contains(c.path, c.Key) || strings.Contains(c.escaped, c.Key) || strings.Contains(c.query, c.Key) ||
+		strings.Contains(unescaped, c.Key) || bytes.Contains(c.body, []byte(c.Key))
 }
 
-// upstreamHeader returns the headers that go to the upstream: the caller's,
-// without keys, cookies, connection headers and the router's own.
-func (c *call) upstreamHeader() http.Header {
+// forwardedHeader returns the caller's headers that go to the upstream: all
+// but keys, cookies, connection headers and those that the dialect withholds.
+func (c *call) forwardedHeader(withholds func(string) bool) http.Header {
 	out := make(http.Header, len(c.header))
 	for name, values := range c.header {
-		if withheld(name) {
+		if withheld(name) || withholds(name) {
 			continue
 		}
 		for _, v := range values {
-			if c.key == "" || !strings.Contains(v, c.key) {
+			if c.Key == "" || !strings.Contains(v, c.Key) {
 				out.Add(name, v)
 			}
 		}
@@ -227,11 +280,9 @@
 	for _, name := range strings.Split(c.header.Get("Connection"), ",") {
 		out.Del(strings.TrimSpace(name))
 	}
-	out.Set(HeaderOrganisation, string(c.who.organisation))
-	out.Set(HeaderClass, c.class.GetName())
-	out.Set(HeaderPriority, strconv.Itoa(int(c.class.GetTier())))
-	if prefix := c.prefix(); prefix != "" {
-		out.Set(HeaderPrefix, string(prefix))
+	if _, found := out["User-Agent"]; !found {
+		// An empty value keeps net/http from adding its own.
+		out["User-Agent"] = []string{""}
 	}
 	return out
 }
@@ -240,17 +291,21 @@
 // of them: net/http would send a request that carries it twice.
 func withheld(name string) bool {
 	switch name {
-	case "Authorization", "Proxy-Authorization", headerAPIKey, "Cookie", HeaderIdempotencyKey, "X-Idempotency-Key",
+	case "Authorization", "Proxy-Authorization", "Cookie", HeaderIdempotencyKey, "X-Idempotency-Key",
 		"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-		"Content-Length", "Expect", "Accept-Encoding", HeaderLastEventID:
+		"Content-Length", "Expect", "Accept-Encoding", HeaderLastEventID, headerLastEventIDCanonical:
 		return true
 	default:
-		return strings.HasPrefix(name, "Comfreybend-")
+		return false
 	}
 }
 
-// prefix identifies the beginning of the prompt; it is empty for services.
+// prefix identifies the beginning of the prompt, by its last part that other
+// requests share if the request says; it is empty for services.
 func (c *call) prefix() picker.PrefixID {
+	if n := len(c.Prompt.Parts); n > 0 {
+		return c.Prompt.Parts[max(0, n-2)].ID
+	}
 	if c.pool.kind != registrar.KindModel {
 		return ""
 	}
@@ -272,6 +327,9 @@
 
 // estimatedTokensIn estimates the tokens of the prompt.
 func (c *call) estimatedTokensIn() TokenCount {
+	if c.Prompt.In > 0 {
+		return c.Prompt.In
+	}
 	if c.pool.kind != registrar.KindModel {
 		return 0
 	}
--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -51,7 +51,7 @@
 	claim := &state.Claim{
 		Organisation:   string(c.who.organisation),
 		Route:          c.route.GetName(),
-		IdempotencyKey: c.idempotency,
+		IdempotencyKey: c.Idempotency,
 		Fingerprint:    c.fingerprint(),
 		Attempt:        string(x.claim),
 	}
@@ -134,7 +134,7 @@
 func (x *exchange) proposeOutcome(ctx context.Context, outcome *state.ClaimOutcome) bool {
 	outcome.Organisation = string(x.call.who.organisation)
 	outcome.Route = x.call.route.GetName()
-	outcome.IdempotencyKey = x.call.idempotency
+	outcome.IdempotencyKey = x.call.Idempotency
 	outcome.Attempt = string(x.claim)
 	_, err := x.router.authority.propose(ctx, &state.Command{Kind: &state.Command_ClaimOutcome{ClaimOutcome: outcome}})
 	return err == nil
--- /dev/null
+++ b/internal/router/controls.go
@@ -0,0 +1,119 @@
+package router
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/comfreybend/comfreybend/internal/messenger"
+	"github.com/comfreybend/comfreybend/pkg/timer"
+	"github.com/comfreybend/comfreybend/schema/settings"
+)
+
+// avoidance is how long other control processes go before one that did not answer.
+const avoidance = 3 * time.Second
+
+// controls holds the clients of the control processes: those in the settings,
+// and those that a control process has told of since.
+type controls struct {
+	security messenger.Security
+	seeds    []string
+	settings *settings.Entry
+
+	mu sync.Mutex
+	// order holds the clients, the one to ask first at the front.
+	order []*messenger.Client
+	// avoided holds the addresses that did not answer, and until when others go first.
+	avoided map[string]time.Duration
+}
+
+func newControls(e *settings.Entry, security messenger.Security) *controls {
+	c := &controls{security: security, seeds: e.GetControlAddresses(), settings: e, avoided: map[string]time.Duration{}}
+	c.learn(nil)
+	return c
+}
+
+// learn replaces the control processes by those at the addresses, in their
+// order. The seeds stay at the end, since all others may be gone one day.
+func (c *controls) learn(addresses []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := map[string]*messenger.Client{}
+	for _, client := range c.order {
+		known[client.Address()] = client
+	}
+	timeout := c.settings.GetFreshness().AsDuration() / exchangesPerFreshness
+	var order []*messenger.Client
+	taken := map[string]bool{}
+	for _, address := range append(append([]string(nil), addresses...), c.seeds...) {
+		if taken[address] {
+			continue
+		}
+		taken[address] = true
+		client := known[address]
+		if client == nil {
+			client = messenger.NewClient(address, c.security, timeout)
+		}
+		delete(known, address)
+		order = append(order, client)
+	}
+	for _, client := range known {
+		client.Close()
+	}
+	now := timer.Now()
+	sort.SliceStable(order, func(i, j int) bool {
+		return now >= c.avoided[order[i].Address()] && now < c.avoided[order[j].Address()]
+	})
+	c.order = order
+}
+
+// reseed replaces the addresses that the settings name.
+func (c *controls) reseed(addresses []string) {
+	c.mu.Lock()
+	c.seeds = addresses
+	known := make([]string, 0, len(c.order))
+	for _, client := range c.order {
+		known = append(known, client.Address())
+	}
+	c.mu.Unlock()
+	c.learn(known)
+}
+
+// preferred returns the control process to ask first.
+func (c *controls) preferred() *messenger.Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.order[0]
+}
+
+// inOrder returns all control processes, the one to ask first at the front.
+func (c *controls) inOrder() []*messenger.Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]*messenger.Client(nil), c.order...)
+}
+
+func (c *controls) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.order)
+}
+
+// failed moves a control process that did not answer to the end.
+func (c *controls) failed(client *messenger.Client) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.avoided[client.Address()] = timer.Now() + avoidance
+	for i, other := range c.order {
+		if other == client {
+			c.order = append(append(c.order[:i:i], c.order[i+1:]...), client)
+			return
+		}
+	}
+}
+
+func (c *controls) close() {
+	for _, client := range c.inOrder() {
+		client.Close()
+	}
+}
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/comfreybend/comfreybend/internal/announcer"
+
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
@@ -54,12 +56,15 @@
 	order struct {
 		pool         poolKey
 		class        *state.Class
+		tier         int32
 		organisation configurer.OrganisationID
 		deadline     time.Duration
 		arrived      time.Duration
 		// begun calls have been sent before and were broken off.
 		begun bool
 		pick  picker.Request
+		// prompt is set for requests that are placed by the work of their prompts.
+		prompt *picker.PromptRequest
 	}
 
 	ticket struct {
@@ -76,8 +81,28 @@
 		item     scheduler.Item
 		pool     poolKey
 		at       time.Duration
+		// unread are the tokens that the upstream is expected to read, until the first token.
+		unread float64
+		// alone reports that the upstream had nothing of this process's to read before.
+		alone bool
+		// read reports that the prompt has been read.
+		read bool
+	}
+
+	// budget bounds the retries of this process.
+	budget interface {
+		// Requested counts a request, Succeeded one that was answered.
+		Requested(now time.Duration)
+		Succeeded()
+		// Take uses up one retry, or reports that none is left.
+		Take(now time.Duration) bool
+		// Divide tells how many processes share the budget.
+		Divide(processes int)
 	}
 
+	// successBudget is a budget of this process alone.
+	successBudget struct{ *retrier.Budget }
+
 	// verdict is what an attempt says about its upstream.
 	verdict int
 
@@ -94,8 +119,9 @@
 		tickets   map[scheduler.ItemID]*ticket
 		nextItem  scheduler.ItemID
 		picker    *picker.Picker
+		placer    *picker.Placer
 		prefixes  *picker.Prefixes
-		budget    *retrier.Budget
+		budget    budget
 		peers     *demandTable
 		// draining are the upstreams that the process in charge is about to stop.
 		draining map[registrar.UpstreamID]bool
@@ -118,17 +144,34 @@
 		settings:  s,
 		metrics:   m,
 		now:       timer.Now,
-		registrar: registrar.New(e.GetAnnouncementLease().AsDuration()),
+		registrar: newRegistrar(e),
 		tracks:    map[registrar.UpstreamID]*track{},
 		pools:     map[poolKey]*pool{},
 		tickets:   map[scheduler.ItemID]*ticket{},
 		picker:    picker.New(picker.Policy(e.GetPolicy()), rand.IntN),
 		prefixes:  picker.NewPrefixes(),
-		budget:    retrier.NewBudget(int(e.GetUpstreamLimits().GetRetryPercent())),
+		placer:    picker.NewPlacer(),
+		budget:    newBudget(e),
 		peers:     newDemandTable(len(e.GetPeerAddresses())),
 	}
 }
 
+// newBudget returns this process's part of the budget that all entry processes
+// share, or the product's own budget by successes.
+func newBudget(e *settings.Entry) budget {
+	if s := e.GetSharedBudget(); s != nil {
+		return retrier.NewShared(s.GetRatio(), float64(s.GetAllowance()), s.GetWindow().AsDuration())
+	}
+	return &successBudget{retrier.NewBudget(int(e.GetUpstreamLimits().GetRetryPercent()))}
+}
+
+func newRegistrar(e *settings.Entry) *registrar.Registrar {
+	if e.GetFollowControl() {
+		return registrar.NewExclusive(e.GetAnnouncementLease().AsDuration())
+	}
+	return registrar.New(e.GetAnnouncementLease().AsDuration())
+}
+
 // run looks after leases and deadlines until ctx ends.
 func (d *dispatcher) run(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -228,6 +271,12 @@
 	}
 	p := d.pool(o.pool)
 	d.nextItem++
+	if !o.begun && len(o.pick.Avoid) == 0 {
+		d.budget.Requested(d.now())
+		if o.prompt != nil {
+			d.placer.Arrived(d.now(), *o.prompt)
+		}
+	}
 	t := &ticket{
 		order:   o,
 		item:    d.itemOf(o, p),
@@ -252,12 +301,34 @@
 }
 
 // answered learns from the time to the response headers of an attempt.
-func (d *dispatcher) answered(g *grant, firstByte time.Duration) {
+func (d *dispatcher) answered(g *grant, firstByte time.Duration, load *registrar.Load) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if load != nil {
+		g.track.load = *load
+		g.track.load.MeasuredAt = d.now()
+	}
 	g.track.answered(d.now(), firstByte)
 }
 
+// firstToken learns from the first token of a model's answer: the prompt has been read.
+func (d *dispatcher) firstToken(g *grant) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.promptRead(g)
+	if g.alone {
+		d.placer.Measured(int(g.unread), d.now()-g.at)
+	}
+}
+
+// promptRead takes a prompt off what an upstream has still to read.
+func (d *dispatcher) promptRead(g *grant) {
+	if !g.read {
+		g.read = true
+		g.track.pending -= g.unread
+	}
+}
+
 // release ends a grant with what the attempt says about the upstream and the work it took.
 func (d *dispatcher) release(g *grant, v verdict, cost scheduler.Cost) {
 	d.mu.Lock()
@@ -269,6 +340,7 @@
 func (d *dispatcher) finish(g *grant, v verdict) {
 	p := d.pools[g.pool]
 	p.running--
+	d.promptRead(g)
 	g.track.finish(d.now(), v)
 	if v == verdictAnswered {
 		d.budget.Succeeded()
@@ -282,7 +354,7 @@
 func (d *dispatcher) mayRetry() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.budget.Take()
+	return d.budget.Take(d.now())
 }
 
 // refuseAll refuses every waiting request of a pool that no upstream serves any more.
@@ -310,7 +382,7 @@
 	defer d.mu.Unlock()
 	var out []*wire.Upstream
 	for _, u := range d.registrar.All() {
-		out = append(out, toWire(u, d.now()))
+		out = append(out, announcer.ToWire(u, d.now()))
 	}
 	return out
 }
@@ -330,6 +402,22 @@
 	return out
 }
 
+// setEntryHosts tells how many entry processes share the retry budget.
+func (d *dispatcher) setEntryHosts(n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.budget.Divide(max(1, n))
+}
+
+// Requested does nothing: the budget grows by successes.
+func (b *successBudget) Requested(time.Duration) {}
+
+// Take uses up one retry, or reports that none is left.
+func (b *successBudget) Take(time.Duration) bool { return b.Budget.Take() }
+
+// Divide does nothing: the budget is this process's own.
+func (b *successBudget) Divide(int) {}
+
 // String returns the pool's name between processes.
 func (k poolKey) String() string {
 	return string(k.kind) + "/" + k.name
--- /dev/null
+++ b/internal/router/follower.go
@@ -0,0 +1,162 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/comfreybend/comfreybend/internal/announcer"
+	"github.com/comfreybend/comfreybend/internal/configurer"
+	"github.com/comfreybend/comfreybend/internal/messenger"
+	"github.com/comfreybend/comfreybend/pkg/reporter"
+	"github.com/comfreybend/comfreybend/pkg/timer"
+	"github.com/comfreybend/comfreybend/schema/settings"
+	"github.com/comfreybend/comfreybend/schema/wire"
+)
+
+const (
+	// followWait is the time that a control process may wait for news before it answers.
+	followWait = 500 * time.Millisecond
+	// followTimeout bounds one exchange, the wait included.
+	followTimeout = followWait + 500*time.Millisecond
+	// followPause is the least time between two exchanges; what is new in it comes with the next.
+	followPause = 100 * time.Millisecond
+	// unconfirmedAfter is the time without a configuration after which one is
+	// taken that no quorum has confirmed.
+	unconfirmedAfter = time.Second
+	// windowsKept is the number of recent usage windows that are told again and again.
+	windowsKept = 4
+)
+
+type (
+	// follower asks a control process for what is new and takes it in.
+	follower struct {
+		router *Router
+		begun  time.Duration
+		table  uint64
+		at     uint64
+	}
+
+	// windowCounter counts requests in windows that are aligned to true time.
+	windowCounter struct {
+		mu      sync.Mutex
+		counter *reporter.Counter
+		// offset is the true time at the zero of the monotonic clock, once it is known.
+		offset time.Duration
+		known  bool
+	}
+)
+
+func newFollower(r *Router) *follower {
+	return &follower{router: r, begun: timer.Now()}
+}
+
+// run follows the control processes until ctx ends.
+func (f *follower) run(ctx context.Context) error {
+	if !f.router.settings.GetEntry().GetFollowControl() {
+		return nil
+	}
+	for ctx.Err() == nil {
+		client := f.router.controls.preferred()
+		reply, err := f.ask(ctx, client)
+		if err != nil {
+			f.router.controls.failed(client)
+			f.router.log.Debug("following a control process failed", zap.String("control", client.Address()), zap.Error(err))
+		} else {
+			f.take(reply.GetFollow())
+		}
+		timer.Sleep(ctx, followPause)
+	}
+	return nil
+}
+
+func (f *follower) ask(ctx context.Context, client *messenger.Client) (*wire.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, followTimeout)
+	defer cancel()
+	return client.Exchange(ctx, f.question())
+}
+
+func (f *follower) question() *wire.Request {
+	host := f.router.settings.GetHost()
+	return &wire.Request{Kind: &wire.Request_Follow{Follow: &wire.Follow{
+		Host:            host.GetId(),
+		FailureDomain:   host.GetFailureDomain(),
+		HaveRevision:    uint64(f.router.authority.revision()),
+		Table:           f.table,
+		Position:        f.at,
+		WaitMillis:      followWait.Milliseconds(),
+		WantUnconfirmed: !f.router.authority.configured() && timer.Now()-f.begun > unconfirmedAfter,
+	}}}
+}
+
+func (f *follower) take(reply *wire.FollowReply) {
+	r := f.router
+	now := timer.Now()
+	for _, u := range reply.GetUpstreams() {
+		r.dispatcher.announce(announcer.FromWire(u, now))
+	}
+	f.table = reply.GetTable()
+	f.at = reply.GetPosition()
+	r.controls.learn(reply.GetControlAddresses())
+	r.dispatcher.setEntryHosts(int(reply.GetEntryHosts()))
+	r.windows.setTime(now, time.UnixMilli(reply.GetTrueMillis()))
+	if u := reply.GetUnconfirmed(); u != nil && u.GetRevision() > 0 {
+		r.log.Warn("taking a configuration that no quorum has confirmed", zap.Uint64("revision", u.GetRevision()))
+		if err := r.authority.accept(u); err != nil {
+			r.log.Error("unconfirmed configuration was refused", zap.Error(err))
+		}
+	}
+	if configurer.Revision(reply.GetRevision()) > r.authority.revision() {
+		r.authority.hurry()
+	}
+}
+
+func newWindowCounter(e *settings.Entry) *windowCounter {
+	length := e.GetAlignedWindow().AsDuration()
+	if length <= 0 {
+		return &windowCounter{}
+	}
+	return &windowCounter{counter: reporter.NewCounter(length, windowsKept)}
+}
+
+func (w *windowCounter) setTime(now time.Duration, truth time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.offset = time.Duration(truth.UnixNano()) - now
+	w.known = true
+}
+
+// add counts a request that begins to run now. Before the true time is known
+// the time of day stands for it.
+func (w *windowCounter) add(who identity) {
+	if w.counter == nil || who.organisation == "" {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	at := time.Now()
+	if w.known {
+		at = time.Unix(0, int64(w.offset+timer.Now()))
+	}
+	w.counter.Add(at, reporter.Organisation(who.organisation))
+}
+
+// recent returns the counts of the recent windows.
+func (w *windowCounter) recent() []*wire.WindowCounts {
+	if w.counter == nil {
+		return nil
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []*wire.WindowCounts
+	for number, counts := range w.counter.Recent() {
+		row := &wire.WindowCounts{Number: uint64(number), Counts: map[string]uint64{}}
+		for organisation, n := range counts {
+			row.Counts[string(organisation)] = n
+		}
+		out = append(out, row)
+	}
+	return out
+}
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -15,6 +15,9 @@
 	"github.com/comfreybend/comfreybend/pkg/scheduler"
 )
 
+// maximumRefusals bounds the upstreams that a call is offered to while they refuse to run it.
+const maximumRefusals = 5
+
 type (
 	controllerContextKey struct{}
 
@@ -28,10 +31,14 @@
 		claim AttemptID
 
 		attempts int
+		// refusals counts the upstreams that refused to run the call.
+		refusals int
 		// sent reports that a byte of the call may have reached an upstream.
 		sent    bool
 		avoid   []registrar.UpstreamID
 		current *attempt
+		// begun reports that the request was counted as running.
+		begun bool
 
 		// delivered is the last event that the caller has.
 		delivered EventID
@@ -74,7 +81,7 @@
 		// The body is read; without a deadline the connection is watched for the caller's leaving.
 		_ = control.SetReadDeadline(time.Time{})
 	}
-	x := &exchange{router: r, call: c, log: r.log}
+	x := &exchange{router: r, call: c, log: r.log, delivered: c.Delivered}
 	if refusal := r.resolve(c); refusal != nil {
 		return nil, x.refused(refusal)
 	}
@@ -95,7 +102,7 @@
 		if refusal != nil {
 			return nil, refusal
 		}
-		if !x.call.repeatable && x.call.idempotency != "" && !x.claimed {
+		if !x.call.repeatable && x.call.Idempotency != "" && !x.claimed {
 			stored, claimRefusal := x.reserve(limit)
 			if claimRefusal != nil || stored != nil {
 				x.router.dispatcher.release(g, verdictAbandoned, 0)
@@ -120,10 +127,12 @@
 	g, refusal := x.router.dispatcher.submit(ctx, order{
 		pool:         c.pool,
 		class:        c.class,
+		tier:         c.tier,
 		organisation: c.who.organisation,
 		arrived:      c.arrived,
 		deadline:     c.deadline,
 		begun:        x.sent,
+		prompt:       x.prompt(),
 		pick: picker.Request{
 			Prefix:  c.prefix(),
 			Movable: c.repeatable,
@@ -140,6 +149,22 @@
 	return g, nil
 }
 
+// prompt describes the work of a model request; nil for other requests.
+func (x *exchange) prompt() *picker.PromptRequest {
+	c := x.call
+	if len(c.Prompt.Parts) == 0 {
+		return nil
+	}
+	return &picker.PromptRequest{
+		Class:      picker.Class(c.class.GetName()),
+		Parts:      c.Prompt.Parts,
+		In:         int(c.Prompt.In),
+		Out:        int(c.Prompt.Out),
+		FirstToken: c.class.GetTarget().GetFirstToken().AsDuration(),
+		Avoid:      x.avoid,
+	}
+}
+
 // try sends one attempt and keeps it as the current one if the upstream answered.
 func (x *exchange) try(ctx context.Context, g *grant) error {
 	x.attempts++
@@ -149,14 +174,17 @@
 		return err
 	}
 	x.sent = true
-	if x.call.repeatable && overloadedStatus(at.response.StatusCode) {
+	if x.call.repeatable && x.router.dialect.Retries(at.response.StatusCode) {
 		err = &attemptError{Attempt: at.id, Cause: errors.Errorf("upstream answered %d", at.response.StatusCode)}
 		at.close(err)
 		x.avoid = append(x.avoid, g.upstream.ID)
 		x.router.dispatcher.release(g, verdictOverloaded, 0)
 		return err
 	}
-	x.router.dispatcher.answered(g, at.firstByte)
+	x.router.dispatcher.answered(g, at.firstByte, at.load)
+	if !x.call.stream {
+		x.began()
+	}
 	x.current = at
 	return nil
 }
@@ -169,9 +197,15 @@
 		silent  *silentError
 	)
 	v := verdictFailed
-	if !errors.As(err, &failure) || !failure.NotRun {
+	switch {
+	case !errors.As(err, &failure) || !failure.NotRun:
 		x.sent = true
-	} else {
+		if !x.call.stream {
+			x.began()
+		}
+	case failure.Refused:
+		v = verdictOverloaded
+	default:
 		v = verdictUnreachable
 	}
 	if errors.As(err, &crossed) {
@@ -210,9 +244,16 @@
 	var failure *attemptError
 	if errors.As(err, &failure) && failure.NotRun {
 		x.attempts--
-		return true
+		if !failure.Refused {
+			return true
+		}
+		x.refusals++
+		return x.refusals < maximumRefusals && x.router.dispatcher.mayRetry()
 	}
 	limit := int(x.router.settings.GetEntry().GetUpstreamLimits().GetAttempts())
+	if own := int(x.call.route.GetAttempts()); own > 0 {
+		limit = own
+	}
 	return x.call.repeatable && x.attempts < limit && x.router.dispatcher.mayRetry()
 }
 
@@ -223,6 +264,10 @@
 		refusal.Status = http.StatusGatewayTimeout
 		refusal.Code = CodeDeadline
 	}
+	if !x.sent {
+		refusal.Status = http.StatusServiceUnavailable
+		refusal.Code = CodeOverloaded
+	}
 	var failure *attemptError
 	if errors.As(err, &failure) {
 		refusal.Attempt = failure.Attempt
@@ -260,6 +305,18 @@
 	x.router.dispatcher.release(at.grant, v, max(cost, 1))
 }
 
+// began counts a request that has begun to run, once.
+func (x *exchange) began() {
+	if x.begun {
+		return
+	}
+	x.begun = true
+	if x.current != nil {
+		x.router.dispatcher.firstToken(x.current.grant)
+	}
+	x.router.windows.add(x.call.who)
+}
+
 // count adds the call and its work to the usage counters.
 func (x *exchange) count() {
 	x.router.usage.add(x.call.who, configurer.ClassName(x.call.class.GetName()), x.tokensIn, x.tokensOut)
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/comfreybend/comfreybend/internal/announcer"
+
 	"github.com/comfreybend/comfreybend/pkg/timer"
 
 	"go.uber.org/zap"
@@ -92,7 +94,7 @@
 	request.CacheEvents = x.takeCacheEvents(i)
 	now := x.router.dispatcher.now()
 	for _, u := range pending {
-		request.Upstreams = append(request.Upstreams, toWire(&u, now))
+		request.Upstreams = append(request.Upstreams, announcer.ToWire(&u, now))
 	}
 	reply, err := x.clients[i].Exchange(ctx, &wire.Request{Kind: &wire.Request_PeerExchange{PeerExchange: request}})
 	if err != nil {
@@ -171,7 +173,7 @@
 	d := x.router.dispatcher
 	for _, u := range exchange.GetUpstreams() {
 		if checkAnnouncement(u) == nil {
-			d.announce(fromWire(u, d.now()))
+			d.announce(announcer.FromWire(u, d.now()))
 		}
 	}
 	for _, e := range exchange.GetCacheEvents() {
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -39,7 +39,7 @@
 	return scheduler.Item{
 		ID:           d.nextItem,
 		Class:        scheduler.Class(o.class.GetName()),
-		Tier:         scheduler.Tier(o.class.GetTier()),
+		Tier:         scheduler.Tier(o.tier),
 		Organisation: scheduler.Organisation(o.organisation),
 		StartBy:      startBy,
 		Deadline:     deadline,
@@ -82,13 +82,64 @@
 		}
 		t := d.tickets[item.ID]
 		delete(d.tickets, item.ID)
+		t.granted <- d.grant(t, key, upstreams, candidates)
+	}
+}
+
+// grant chooses the upstream for a request.
+func (d *dispatcher) grant(
+	t *ticket, key poolKey, upstreams []*registrar.Upstream, candidates []picker.Candidate,
+) *grant {
+	now := d.now()
+	g := &grant{item: t.item, pool: key, at: now}
+	if t.order.prompt != nil {
+		chosen, unread := d.placer.Pick(now, *t.order.prompt, d.engines(upstreams, candidates))
+		g.upstream = upstreams[chosen]
+		g.unread = unread
+	} else {
 		d.markCached(candidates, t.order.pick.Prefix)
-		chosen := upstreams[d.picker.Pick(t.order.pick, candidates)]
-		tr := d.tracks[chosen.ID]
-		tr.start(now)
-		p.running++
-		t.granted <- &grant{upstream: chosen, track: tr, item: item, pool: key, at: now}
+		g.upstream = upstreams[d.picker.Pick(t.order.pick, candidates)]
 	}
+	g.track = d.tracks[g.upstream.ID]
+	if t.order.prompt != nil {
+		d.placer.Placed(now, *t.order.prompt, g.upstream.ID)
+		g.alone = g.track.pending == 0
+		g.track.pending += g.unread
+	}
+	g.track.start(now)
+	d.pools[key].running++
+	return g
+}
+
+// engines describes upstreams to the placer. What other processes have there
+// to read is expected to be like what this one has.
+func (d *dispatcher) engines(upstreams []*registrar.Upstream, candidates []picker.Candidate) []picker.Engine {
+	now := d.now()
+	pending, running := 0.0, 0
+	for _, u := range upstreams {
+		pending += d.tracks[u.ID].pending
+		running += d.tracks[u.ID].limiter.InFlight()
+	}
+	each := 0.0
+	if running > 0 {
+		each = pending / float64(running)
+	}
+	out := make([]picker.Engine, 0, len(upstreams))
+	for i, u := range upstreams {
+		c := &candidates[i]
+		others := max(0, c.Reported-c.OwnAtReport)
+		out = append(out, picker.Engine{
+			ID:      u.ID,
+			Domain:  u.FailureDomain,
+			Local:   c.Local,
+			Free:    c.Free,
+			Cold:    now < u.WarmAt,
+			Running: c.Load(),
+			Pending: d.tracks[u.ID].pending + each*float64(others),
+			Penalty: d.tracks[u.ID].penalty(now),
+		})
+	}
+	return out
 }
 
 // markCached marks the candidates whose caches hold a prefix.
@@ -124,6 +175,10 @@
 			continue
 		}
 		tr := d.tracks[u.ID]
+		load := u.Load
+		if tr.load.MeasuredAt > load.MeasuredAt {
+			load.Running, load.Waiting, load.MeasuredAt = tr.load.Running, tr.load.Waiting, tr.load.MeasuredAt
+		}
 		if u.Load.Slots > 0 {
 			tr.limiter.SetCeiling(limiter.DivideSlots(u.Load.Slots, demand, others))
 		}
@@ -133,8 +188,8 @@
 			Local:       u.FailureDomain == domain,
 			Preemptible: u.Preemptible,
 			Free:        tr.free(now),
-			Reported:    u.Load.Running + u.Load.Waiting,
-			OwnAtReport: tr.inFlightAt(u.Load.MeasuredAt),
+			Reported:    load.Running + load.Waiting,
+			OwnAtReport: tr.inFlightAt(load.MeasuredAt),
 			Own:         tr.limiter.InFlight(),
 			Slots:       slotsOf(u),
 			Latency:     tr.limiter.Latency(),
--- a/internal/router/refusal.go
+++ b/internal/router/refusal.go
@@ -29,6 +29,9 @@
 	HeaderPriority     = "Comfreybend-Priority"
 	HeaderPrefix       = "Comfreybend-Prefix"
 	HeaderLastEventID  = "Last-Event-ID"
+
+	// headerLastEventIDCanonical is the form in which net/http keeps the header.
+	headerLastEventIDCanonical = "Last-Event-Id"
 )
 
 // Run says whether a refused or failed request was run.
@@ -130,6 +133,10 @@
 		refusal = refuse(http.StatusInternalServerError, "internal", err.Error())
 		refusal.Run = MayHaveRun
 	}
+	r.dialect.Refuse(w, refusal)
+}
+
+func refuseOwn(w http.ResponseWriter, refusal *RefusalError) {
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set(HeaderRun, string(refusal.Run))
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -34,6 +35,11 @@
 // Router is one entry process.
 type Router struct {
 	settings    *settings.Settings
+	dialect     Dialect
+	random      func(n int) int
+	windows     *windowCounter
+	follower    *follower
+	controls    *controls
 	log         *zap.Logger
 	instruments *instrumenter.Instruments
 	incarnation string
@@ -49,13 +55,18 @@
 }
 
 // New returns an entry process that has not started.
-func New(s *settings.Settings, log *zap.Logger, instruments *instrumenter.Instruments) (*Router, error) {
+func New(
+	s *settings.Settings, dialect Dialect, log *zap.Logger, instruments *instrumenter.Instruments,
+) (*Router, error) {
 	security, err := certifier.Peer(s.GetTls())
 	if err != nil {
 		return nil, err
 	}
 	r := &Router{
 		settings:    s,
+		dialect:     dialect,
+		random:      rand.IntN,
+		windows:     newWindowCounter(s.GetEntry()),
 		log:         log,
 		instruments: instruments,
 		incarnation: uuid.NewString(),
@@ -63,8 +74,10 @@
 		metrics:     newMetrics(instruments.Scope),
 	}
 	r.dispatcher = newDispatcher(s, r.metrics)
-	r.attempter = newAttempter(s.GetEntry())
-	r.authority = newAuthority(r, security)
+	r.attempter = newAttempter(s.GetEntry(), dialect)
+	r.controls = newControls(s.GetEntry(), security)
+	r.authority = newAuthority(r)
+	r.follower = newFollower(r)
 	r.peers = newPeerExchanger(r, security)
 	return r, nil
 }
@@ -80,12 +93,13 @@
 	defer stopBackground()
 	group, running := errgroup.WithContext(background)
 	peerServer := messenger.NewServer(l.peer, r.peers.security, r.peers.handle)
-	status := &http.Server{Handler: r.instruments.Handler(r.notReady), ReadHeaderTimeout: idleTimeout}
+	status := &http.Server{Handler: r.instruments.Handler(r.notReady, r.dialect.ReadyPath), ReadHeaderTimeout: idleTimeout}
 	upstreams := &http.Server{Handler: r.announcementHandler(), ReadHeaderTimeout: idleTimeout}
 	callers := r.callerServer()
 	group.Go(func() error { return peerServer.Run(running) })
 	group.Go(func() error { return r.authority.run(running) })
 	group.Go(func() error { return r.peers.run(running) })
+	group.Go(func() error { return r.follower.run(running) })
 	group.Go(func() error { return r.dispatcher.run(running) })
 	group.Go(func() error { return server.Serve(status, l.status) })
 	group.Go(func() error { return server.Serve(upstreams, l.upstream) })
@@ -101,6 +115,12 @@
 	return err
 }
 
+// Reload takes over the settings that may change while the process runs: the
+// addresses of control processes.
+func (r *Router) Reload(s *settings.Settings) {
+	r.controls.reseed(s.GetEntry().GetControlAddresses())
+}
+
 // drain waits for the end of ctx and then shuts down gracefully: readiness
 // fails first, then no new connection is accepted, and every request in
 // progress ends before the process does.
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 
@@ -96,8 +97,7 @@
 // relayStream relays a stream, resuming it at another upstream after the last
 // event that the caller has. It ends with the done marker or with a reset.
 func (x *exchange) relayStream(ctx context.Context, w *callerWriter) {
-	copyResponseHeader(w.w.Header(), x.current.response.Header)
-	w.w.Header().Set(HeaderAttempt, string(x.current.id))
+	x.copyResponseHeader(w.w.Header(), x.current.response.Header)
 	w.w.WriteHeader(x.current.response.StatusCode)
 	x.tokensIn = x.call.estimatedTokensIn()
 	for {
@@ -125,6 +125,9 @@
 	reader := &eventReader{buffer: bufio.NewReaderSize(at.response.Body, streamBuffer)}
 	for {
 		e, err := reader.next()
+		if x.call.route.GetEventStream() && errors.Is(err, io.EOF) && len(reader.raw) == 0 {
+			return nil, nil
+		}
 		if err != nil {
 			return err, nil
 		}
@@ -156,6 +159,7 @@
 
 // noteEvent counts an event that the caller has.
 func (x *exchange) noteEvent(e event, done bool) {
+	x.began()
 	x.current.received.Add(1)
 	if e.id != 0 {
 		x.delivered = e.id
@@ -179,14 +183,21 @@
 		x.router.metrics.silent.Inc(1)
 	}
 	x.avoid = append(x.avoid, at.grant.upstream.ID)
-	x.finish(verdictFailed, failure)
+	var expired *expiredError
+	if errors.As(cause, &expired) {
+		x.finish(verdictAbandoned, failure)
+	} else {
+		x.finish(verdictFailed, failure)
+	}
 	x.log.Info("stream broke", zap.String("attempt", string(at.id)),
 		zap.Uint64("delivered", uint64(x.delivered)), zap.Error(cause))
 	if x.delivered == noEvent && at.received.Load() > 0 {
 		return x.gaveUp(failure)
 	}
-	// The caller has a part of the answer already, so the rest is still wanted.
-	x.call.deadline = max(x.call.deadline, x.router.dispatcher.now()+begunWait)
+	if !x.call.route.GetEventStream() {
+		// The caller has a part of the answer already, so the rest is still wanted.
+		x.call.deadline = max(x.call.deadline, x.router.dispatcher.now()+begunWait)
+	}
 	if !x.mayTryAgain(ctx, failure) {
 		return x.gaveUp(failure)
 	}
@@ -206,7 +217,7 @@
 func (x *exchange) endStream(w *callerWriter, refusal *RefusalError) {
 	refusal.Run = MayHaveRun
 	document, err := json.Marshal(x.refused(refusal).body())
-	if err == nil {
+	if err == nil && !x.call.route.GetEventStream() {
 		_ = w.write([]byte("event: error\ndata: " + string(document) + "\n\n"))
 		_ = w.flush()
 	}
--- a/internal/router/track.go
+++ b/internal/router/track.go
@@ -1,15 +1,23 @@
 package router
 
 import (
+	"math"
 	"time"
 
 	"github.com/comfreybend/comfreybend/pkg/limiter"
+	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/retrier"
 	"github.com/comfreybend/comfreybend/schema/settings"
 )
 
-// trackSamples bounds the remembered changes of the requests in flight.
-const trackSamples = 512
+const (
+	// trackSamples bounds the remembered changes of the requests in flight.
+	trackSamples = 512
+	// failureMemory is the time over which a failure is forgotten.
+	failureMemory = 4 * time.Second
+	// failurePenalty is what one failure counts for, as a delay.
+	failurePenalty = 400 * time.Millisecond
+)
 
 type (
 	// track is what this process has learnt about one incarnation of an upstream.
@@ -17,6 +25,13 @@
 		limiter *limiter.Limiter
 		circuit *retrier.Circuit
 		samples []inFlightSample
+		// pending are the tokens of this process's prompts that the upstream has still to read.
+		pending float64
+		// failures is the weight of the failures of late, as of failedAt.
+		failures float64
+		failedAt time.Duration
+		// load is the upstream's load as its latest answer told.
+		load registrar.Load
 		// lost is closed when the announcement lease ends.
 		lost chan struct{}
 	}
@@ -70,6 +85,8 @@
 	case verdictFailed:
 		t.limiter.Overloaded(now)
 		t.circuit.Failed(now)
+		t.failures = t.failuresAt(now) + 1
+		t.failedAt = now
 	case verdictUnreachable:
 		t.circuit.Trip(now)
 	case verdictAbandoned:
@@ -78,6 +95,15 @@
 	t.sample(now)
 }
 
+func (t *track) failuresAt(now time.Duration) float64 {
+	return t.failures * math.Exp(-float64(now-t.failedAt)/float64(failureMemory))
+}
+
+// penalty returns what the failures of late count for, as a delay.
+func (t *track) penalty(now time.Duration) time.Duration {
+	return time.Duration(t.failuresAt(now) * float64(failurePenalty))
+}
+
 func (t *track) sample(now time.Duration) {
 	t.samples = append(t.samples, inFlightSample{at: now, count: t.limiter.InFlight()})
 	if len(t.samples) > 2*trackSamples {
--- a/internal/trier/trier.go
+++ b/internal/trier/trier.go
@@ -156,7 +156,7 @@
 	}
 	instruments := instrumenter.New("control")
 	defer instruments.Close()
-	c, err := controller.New(t.settings, log, instruments)
+	c, err := controller.New(t.settings, controller.Dialect{}, log, instruments)
 	if err != nil {
 		return err
 	}
@@ -170,7 +170,7 @@
 	}
 	instruments := instrumenter.New("entry")
 	defer instruments.Close()
-	r, err := router.New(t.settings, log, instruments)
+	r, err := router.New(t.settings, router.Own(), log, instruments)
 	if err != nil {
 		return err
 	}
--- a/internal/validator/control.go
+++ b/internal/validator/control.go
@@ -11,6 +11,7 @@
 	defaultHeartbeat       = 100 * time.Millisecond
 	defaultElection        = time.Second
 	defaultSnapshotEntries = 4096
+	defaultMemberSilence   = 30 * time.Second
 	defaultAuditRecords    = 100_000
 	defaultClaimRetention  = 24 * time.Hour
 	defaultClaims          = 100_000
@@ -30,6 +31,10 @@
 func fillControl(s *settings.Control) {
 	setDuration(&s.HeartbeatInterval, defaultHeartbeat)
 	setDuration(&s.ElectionTimeout, defaultElection)
+	setDuration(&s.AnnouncementLease, defaultAnnouncementLease)
+	setDuration(&s.MemberSilence, defaultMemberSilence)
+	setDuration(&s.PlatformLease, defaultElection)
+	setDuration(&s.AlignedSettle, defaultSettle)
 	setNumber(&s.SnapshotEntries, defaultSnapshotEntries)
 	setNumber(&s.AuditRecords, defaultAuditRecords)
 	if s.Claims == nil {
@@ -63,7 +68,15 @@
 	c.address("$.control.statusListen", s.GetStatusListen())
 	c.present("$.control.dataFolder", s.GetDataFolder())
 	c.present("$.control.operatorTokenFile", s.GetOperatorTokenFile())
-	checkPeers(c, s.GetPeers(), whole.GetHost().GetId())
+	if len(s.GetSeeds()) > 0 {
+		c.addresses("$.control.seeds", s.GetSeeds())
+	} else {
+		checkPeers(c, s.GetPeers(), whole.GetHost().GetId())
+	}
+	c.duration("$.control.announcementLease", s.GetAnnouncementLease(), 100*time.Millisecond, 10*time.Minute)
+	c.duration("$.control.memberSilence", s.GetMemberSilence(), 100*time.Millisecond, time.Hour)
+	c.duration("$.control.platformLease", s.GetPlatformLease(), 0, time.Minute)
+	c.duration("$.control.alignedSettle", s.GetAlignedSettle(), 0, time.Hour)
 	c.duration("$.control.heartbeatInterval", s.GetHeartbeatInterval(), 5*time.Millisecond, 10*time.Second)
 	lowest := heartbeatsPerElection * s.GetHeartbeatInterval().AsDuration()
 	c.duration("$.control.electionTimeout", s.GetElectionTimeout(), lowest, time.Minute)
--- a/pkg/picker/picker.go
+++ b/pkg/picker/picker.go
@@ -25,6 +25,12 @@
 )
 
 type (
+	// Part is one part of a prompt; upstreams remember parts that follow each other.
+	Part struct {
+		ID     PrefixID
+		Tokens int
+	}
+
 	// Policy names a way of choosing.
 	Policy string
 
--- /dev/null
+++ b/pkg/picker/placer.go
@@ -0,0 +1,309 @@
+package picker
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/comfreybend/comfreybend/pkg/registrar"
+)
+
+const (
+	// initialReadRate is assumed before any prompt was read, in tokens a second.
+	initialReadRate = 40_000
+	// measuredPrompt is the least number of tokens that tells something about the read rate.
+	measuredPrompt = 4000
+	// fasterWeight and slowerWeight are the weights of a read rate above and below
+	// the one believed; a slow reading mostly means that others were read beside it.
+	fasterWeight = 0.2
+	slowerWeight = 0.005
+	// outputWeight is the work of a generated token as a multiple of a read one's.
+	outputWeight = 10
+	// lightPart is the part of the pool's mean prompt below which a class is light.
+	lightPart = 0.35
+	// workMemory is the time over which the classes' work is averaged.
+	workMemory = 10 * time.Second
+	// hitShare is how much of the shared parts is expected in the memory of an
+	// upstream that has read them.
+	hitShare = 0.9
+	// readWeight is the weight of reading a prompt, which delays every request beside it,
+	// against waiting for others to be read.
+	readWeight = 4
+	// stepGrowth is what one running request adds to the time of each generated token.
+	stepGrowth = 150 * time.Microsecond
+	// remotePenalty stands for the traffic between failure domains.
+	remotePenalty = 5 * time.Millisecond
+	// coldPenalty keeps requests from upstreams that are slow after their start.
+	coldPenalty = 500 * time.Millisecond
+	// memoryLifetime is how long a dispatch makes an upstream one that has read the parts.
+	memoryLifetime = time.Minute
+	// rememberedParts bounds the parts remembered over all upstreams.
+	rememberedParts = 50_000
+)
+
+type (
+	// Class names a class of work.
+	Class string
+
+	// PromptRequest is a model request to be placed.
+	PromptRequest struct {
+		Class Class
+		// Parts are the parts of the prompt; the last one is the request's own.
+		Parts []Part
+		// In and Out are the tokens of the prompt and the most that are generated.
+		In, Out int
+		// FirstToken is the time in which the first token is due; zero for none.
+		FirstToken time.Duration
+		// Avoid lists upstreams at which the request has failed before.
+		Avoid []registrar.UpstreamID
+	}
+
+	// Engine is an upstream that could take the request.
+	Engine struct {
+		ID     registrar.UpstreamID
+		Domain registrar.FailureDomain
+		Local  bool
+		// Free reports that it takes one more request of this process.
+		Free bool
+		// Cold reports that it is slow after its start.
+		Cold bool
+		// Running is the expected number of requests there.
+		Running int
+		// Pending are the tokens of prompts there that are still to be read, as far
+		// as they are known or expected.
+		Pending float64
+		// Penalty is what its failures of late count for.
+		Penalty time.Duration
+	}
+
+	// Placer chooses upstreams for model requests by the predicted time to the
+	// first token.
+	//
+	// It answers two patterns. Long prompts are read in chunks between the tokens
+	// of all requests beside them, so that a class of short prompts whose answers
+	// must flow suffers from long ones: light classes get upstreams of their own,
+	// as many as their part of the work asks for. And prompts share parts, which
+	// an upstream that has read them need not read again: requests with the same
+	// last shared part have the same home by hash, for all processes alike, and
+	// leave it only if waiting there is worse than reading the parts elsewhere.
+	//
+	// It is not safe for concurrent use.
+	Placer struct {
+		rate    float64
+		classes map[Class]*classWork
+		read    map[partAt]time.Duration
+	}
+
+	classWork struct {
+		// prompt is the mean of the prompts' tokens, work the tokens a second.
+		prompt  float64
+		work    float64
+		updated time.Duration
+	}
+
+	partAt struct {
+		part     PrefixID
+		upstream registrar.UpstreamID
+	}
+)
+
+// NewPlacer returns a placer that has learnt nothing.
+func NewPlacer() *Placer {
+	return &Placer{rate: initialReadRate, classes: map[Class]*classWork{}, read: map[partAt]time.Duration{}}
+}
+
+// Arrived learns what a class asks for from a request that arrives.
+func (p *Placer) Arrived(now time.Duration, r PromptRequest) {
+	c := p.classes[r.Class]
+	if c == nil {
+		c = &classWork{prompt: float64(r.In), updated: now}
+		p.classes[r.Class] = c
+	}
+	c.decay(now)
+	c.prompt += (float64(r.In) - c.prompt) / 50
+	c.work += (float64(own(r.Parts, r.In)) + outputWeight*float64(r.Out)) / workMemory.Seconds()
+}
+
+func (c *classWork) decay(now time.Duration) {
+	c.work *= math.Exp(-float64(now-c.updated) / float64(workMemory))
+	c.updated = now
+}
+
+// Measured learns the read rate from the time to the first token of a request
+// that found nothing of this process's before it.
+func (p *Placer) Measured(tokens int, took time.Duration) {
+	if tokens < measuredPrompt || took <= 0 {
+		return
+	}
+	seen := float64(tokens) / took.Seconds()
+	weight := slowerWeight
+	if seen > p.rate {
+		weight = fasterWeight
+	}
+	p.rate += weight * (seen - p.rate)
+}
+
+// Unread returns the tokens that an upstream is expected to read for a request.
+func (p *Placer) Unread(now time.Duration, r PromptRequest, id registrar.UpstreamID, home bool) float64 {
+	fresh := float64(own(r.Parts, r.In))
+	shared := float64(r.In) - fresh
+	if shared <= 0 {
+		return fresh
+	}
+	at, found := p.read[partAt{part: lastShared(r.Parts), upstream: id}]
+	if home || found && now-at < memoryLifetime {
+		shared *= 1 - hitShare
+	}
+	return fresh + shared
+}
+
+// Placed remembers that an upstream reads a request's parts.
+func (p *Placer) Placed(now time.Duration, r PromptRequest, id registrar.UpstreamID) {
+	if len(r.Parts) == 0 {
+		return
+	}
+	if len(p.read) >= rememberedParts {
+		for key, at := range p.read {
+			if now-at > memoryLifetime {
+				delete(p.read, key)
+			}
+		}
+	}
+	if len(p.read) < rememberedParts {
+		p.read[partAt{part: lastShared(r.Parts), upstream: id}] = now
+	}
+}
+
+// Pick returns the position of the chosen engine and the tokens that it is
+// expected to read, or -1 if none is free.
+func (p *Placer) Pick(now time.Duration, r PromptRequest, engines []Engine) (position int, unread float64) {
+	light := p.lightGroup(now, engines)
+	wanted := p.isLight(r.Class)
+	home := homeOf(r, engines, light, wanted)
+	best, bestCost, bestUnread := -1, time.Duration(0), 0.0
+	for i := range engines {
+		e := &engines[i]
+		if !e.Free {
+			continue
+		}
+		tokens := p.Unread(now, r, e.ID, i == home)
+		cost := p.cost(r, e, tokens)
+		if light != nil && light[i] != wanted {
+			cost += r.FirstToken
+		}
+		if contains(r.Avoid, e.ID) {
+			cost += time.Hour
+		}
+		if best < 0 || cost < bestCost {
+			best, bestCost, bestUnread = i, cost, tokens
+		}
+	}
+	return best, bestUnread
+}
+
+// cost predicts the time to the first token, and what the request will suffer from those beside it.
+func (p *Placer) cost(r PromptRequest, e *Engine, unread float64) time.Duration {
+	seconds := (e.Pending + readWeight*unread) / p.rate
+	cost := time.Duration(seconds*float64(time.Second)) + e.Penalty
+	cost += time.Duration(e.Running*max(1, r.Out)) * stepGrowth / 4
+	if !e.Local {
+		cost += remotePenalty
+	}
+	if e.Cold {
+		cost += coldPenalty
+	}
+	return cost
+}
+
+// isLight reports a class whose prompts are short beside those of the pool.
+func (p *Placer) isLight(class Class) bool {
+	c := p.classes[class]
+	if c == nil || len(p.classes) < 2 {
+		return false
+	}
+	total, work := 0.0, 0.0
+	for _, other := range p.classes {
+		total += other.work * other.prompt
+		work += other.work
+	}
+	return work > 0 && c.prompt < lightPart*total/work
+}
+
+// lightGroup returns which engines the light classes have to themselves, or
+// nil if there is no use in keeping classes apart.
+func (p *Placer) lightGroup(now time.Duration, engines []Engine) []bool {
+	light, total := 0.0, 0.0
+	for name, c := range p.classes {
+		c.decay(now)
+		total += c.work
+		if p.isLight(name) {
+			light += c.work
+		}
+	}
+	n := len(engines)
+	if n < 2 || light == 0 || light == total {
+		return nil
+	}
+	size := min(n-1, max(1, int(math.Round(light/total*float64(n)))))
+	group := make([]bool, n)
+	for _, i := range spreadOrder(engines)[:size] {
+		group[i] = true
+	}
+	return group
+}
+
+// spreadOrder orders engines so that each beginning of the list holds equally
+// many of each failure domain; the order is the same for all processes.
+func spreadOrder(engines []Engine) []int {
+	hashes := make([]uint64, len(engines))
+	order := make([]int, len(engines))
+	for i := range engines {
+		hashes[i] = xxhash.Sum64String(string(engines[i].ID))
+		order[i] = i
+	}
+	sort.Slice(order, func(a, b int) bool { return hashes[order[a]] < hashes[order[b]] })
+	rank := make([]int, len(engines))
+	count := map[registrar.FailureDomain]int{}
+	for _, i := range order {
+		rank[i] = count[engines[i].Domain]
+		count[engines[i].Domain]++
+	}
+	sort.SliceStable(order, func(a, b int) bool { return rank[order[a]] < rank[order[b]] })
+	return order
+}
+
+// homeOf returns the position of the engine in the request's group with the
+// highest hash of its last shared part, or -1 if it shares none.
+func homeOf(r PromptRequest, engines []Engine, light []bool, wanted bool) int {
+	if len(r.Parts) < 2 {
+		return -1
+	}
+	part := string(lastShared(r.Parts))
+	home := -1
+	var highest uint64
+	for i := range engines {
+		if light != nil && light[i] != wanted {
+			continue
+		}
+		if h := xxhash.Sum64String(part + "\x00" + string(engines[i].ID)); home < 0 || h > highest {
+			home, highest = i, h
+		}
+	}
+	return home
+}
+
+// lastShared returns the last part that other requests share.
+func lastShared(parts []Part) PrefixID {
+	return parts[max(0, len(parts)-2)].ID
+}
+
+// own returns the tokens of a prompt that no other request shares.
+func own(parts []Part, in int) int {
+	shared := 0
+	for _, part := range parts[:max(0, len(parts)-1)] {
+		shared += part.Tokens
+	}
+	return max(0, in-shared)
+}
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -47,6 +47,10 @@
 		Load        Load
 		// HeardAt is when the announcement was made, on this process's monotonic clock.
 		HeardAt time.Duration
+		// LeavesAt is when the upstream is taken away, zero if it is not known.
+		LeavesAt time.Duration
+		// WarmAt is when the upstream stops being slow after its start.
+		WarmAt time.Duration
 	}
 
 	// Registrar holds the table. It is not safe for concurrent use.
@@ -55,6 +59,8 @@
 		upstreams map[UpstreamID]*Upstream
 		// serving holds the answers of Serving until an announcement changes them.
 		serving map[offer][]*Upstream
+		// byURL holds the newest incarnation at each address, nil unless addresses are exclusive.
+		byURL map[string]*Upstream
 	}
 
 	// offer is what an upstream serves.
@@ -82,6 +88,15 @@
 	}
 }
 
+// NewExclusive returns an empty table in which an address belongs to the
+// upstream with the newest incarnation alone, whatever its id. Incarnations must
+// be comparable across upstreams, for example times of their starts.
+func NewExclusive(lease time.Duration) *Registrar {
+	r := New(lease)
+	r.byURL = map[string]*Upstream{}
+	return r
+}
+
 // Announce takes an announcement into the table and reports whether it is new.
 // An upstream that is leaving stays so for the rest of its incarnation.
 func (r *Registrar) Announce(now time.Duration, u Upstream) bool {
@@ -95,6 +110,9 @@
 	if before != nil && before.Incarnation == u.Incarnation && before.State == Leaving {
 		u.State = Leaving
 	}
+	if !r.claimAddress(&u) {
+		return false
+	}
 	if before != nil {
 		r.forgetServing(before)
 	}
@@ -110,6 +128,9 @@
 		if now-u.HeardAt >= r.lease {
 			delete(r.upstreams, id)
 			r.forgetServing(u)
+			if r.byURL[u.URL] == u {
+				delete(r.byURL, u.URL)
+			}
 			gone = append(gone, id)
 		}
 	}
@@ -168,6 +189,40 @@
 	return false
 }
 
+// claimAddress gives an address to an upstream and reports false if a newer
+// incarnation of another one has it. The one that had it before is leaving.
+func (r *Registrar) claimAddress(u *Upstream) bool {
+	if r.byURL == nil {
+		return true
+	}
+	holder := r.byURL[u.URL]
+	if holder != nil && holder.ID != u.ID {
+		if holder.Incarnation > u.Incarnation {
+			return false
+		}
+		replaced := *holder
+		replaced.State = Leaving
+		r.forgetServing(holder)
+		r.upstreams[holder.ID] = &replaced
+	}
+	r.byURL[u.URL] = u
+	return true
+}
+
+// SameOffer reports whether two announcements say the same, but for their times and load.
+func (u *Upstream) SameOffer(other *Upstream) bool {
+	if len(u.Serves) != len(other.Serves) {
+		return false
+	}
+	for i := range u.Serves {
+		if u.Serves[i] != other.Serves[i] {
+			return false
+		}
+	}
+	return u.Incarnation == other.Incarnation && u.URL == other.URL && u.State == other.State && u.Kind == other.Kind &&
+		u.FailureDomain == other.FailureDomain && u.Preemptible == other.Preemptible
+}
+
 func newer(before, after *Upstream) bool {
 	if after.Incarnation != before.Incarnation {
 		return after.Incarnation > before.Incarnation
--- a/pkg/replicator/core.go
+++ b/pkg/replicator/core.go
@@ -156,6 +156,16 @@
 	return 0
 }
 
+// Confirmed returns, at a leader, the sending time of the latest message that
+// each other member answered.
+func (c *Core) Confirmed() map[MemberID]time.Duration {
+	out := make(map[MemberID]time.Duration, len(c.progress))
+	for id, p := range c.progress {
+		out[id] = p.confirmed
+	}
+	return out
+}
+
 // SnapshotHeader describes a snapshot of the state machine after index i, which must be committed.
 func (c *Core) SnapshotHeader(i Index) *replication.SnapshotHeader {
 	term, _ := c.log.term(i)
--- a/pkg/replicator/election.go
+++ b/pkg/replicator/election.go
@@ -6,6 +6,9 @@
 	"github.com/comfreybend/comfreybend/schema/replication"
 )
 
+// retryDivisor shortens the wait of a candidate that won no election.
+const retryDivisor = 4
+
 func isPreVote(m *replication.Message) bool {
 	return m.GetKind() == replication.MessageKind_MESSAGE_KIND_PRE_VOTE ||
 		m.GetKind() == replication.MessageKind_MESSAGE_KIND_PRE_VOTE_REPLY && !m.GetRejected()
@@ -22,7 +25,9 @@
 func (c *Core) campaign(now time.Duration, role Role) {
 	c.role = role
 	c.leader = 0
-	c.resetElection(now)
+	// The others have waited as long already, so a lost vote is repeated sooner.
+	again := c.config.ElectionTimeout / retryDivisor
+	c.electionDeadline = now + again + time.Duration(c.config.Random(int64(c.config.ElectionTimeout/2)))
 	c.votes = map[MemberID]bool{c.config.ID: true}
 	kind := replication.MessageKind_MESSAGE_KIND_PRE_VOTE
 	term := c.term + 1
--- a/pkg/replicator/membership.go
+++ b/pkg/replicator/membership.go
@@ -10,6 +10,73 @@
 type Applicant struct {
 	ID   MemberID
 	Host string
+	// Address is where the other members reach it; empty where the settings name it.
+	Address string
+}
+
+// minimumVoters is the number of voters below which none is removed.
+const minimumVoters = 3
+
+// Succession removes voters that are gone for good. A voter that is merely
+// down, frozen or cut off must keep its place until a newer one has taken it.
+type Succession struct {
+	// Silent reports that a member has not answered for long enough that a
+	// voter that joined since may take its place.
+	Silent func(MemberID) bool
+	// Dead reports that a member has not answered for longer than any
+	// disruption lasts.
+	Dead func(MemberID) bool
+}
+
+// Grow sets the size that a membership is meant to have after a voter joined.
+func (s Succession) Grow(before, after *replication.Membership) {
+	after.Size = max(before.GetSize(), 1)
+	if votersOf(after) <= votersOf(before) {
+		return
+	}
+	for _, m := range before.GetMembers() {
+		if m.GetVoter() && s.Silent(MemberID(m.GetId())) {
+			return
+		}
+	}
+	after.Size = max(after.Size, int32(votersOf(after)))
+}
+
+// Shrink returns the membership without one voter that has been succeeded or
+// is dead, or nil if there is none. The voters that answer stay a majority.
+func (s Succession) Shrink(m *replication.Membership) *replication.Membership {
+	voters := votersOf(m)
+	answering := 0
+	for _, member := range m.GetMembers() {
+		if member.GetVoter() && !s.Silent(MemberID(member.GetId())) {
+			answering++
+		}
+	}
+	if voters <= minimumVoters || answering <= voters/2 {
+		return nil
+	}
+	for _, member := range m.GetMembers() {
+		id := MemberID(member.GetId())
+		if member.GetVoter() && (s.Dead(id) || s.Silent(id) && voters > int(m.GetSize())) {
+			next := withoutMember(m, member.GetId())
+			next.Size = m.GetSize()
+			if s.Dead(id) {
+				next.Size = min(next.Size, int32(voters-1))
+			}
+			return next
+		}
+	}
+	return nil
+}
+
+func votersOf(m *replication.Membership) int {
+	voters := 0
+	for _, member := range m.GetMembers() {
+		if member.GetVoter() {
+			voters++
+		}
+	}
+	return voters
 }
 
 // FindMember returns the member with an id, or nil.
@@ -35,7 +102,7 @@
 	for _, a := range applicants {
 		if FindMember(m, a.ID) == nil && !hasLearner(m, a.Host) {
 			next := cloneMembership(m)
-			next.Members = append(next.Members, &replication.Member{Id: uint64(a.ID), Host: a.Host})
+			next.Members = append(next.Members, &replication.Member{Id: uint64(a.ID), Host: a.Host, Address: a.Address})
 			return next
 		}
 	}
@@ -78,7 +145,7 @@
 }
 
 func withoutMember(m *replication.Membership, id uint64) *replication.Membership {
-	next := &replication.Membership{}
+	next := &replication.Membership{Size: m.GetSize()}
 	for _, member := range cloneMembership(m).GetMembers() {
 		if member.GetId() != id {
 			next.Members = append(next.Members, member)
--- a/pkg/replicator/node.go
+++ b/pkg/replicator/node.go
@@ -40,6 +40,9 @@
 		Restore func([]byte) error
 		// SnapshotEntries is the number of applied entries after which a snapshot is taken.
 		SnapshotEntries int
+		// SnapshotBytes is the payload of applied entries after which a snapshot is
+		// taken; zero for no such bound.
+		SnapshotBytes int
 	}
 
 	// Node drives a Core: it keeps its journal, applies what is committed and
@@ -61,8 +64,10 @@
 		// confirmed reads wait until their index is applied.
 		confirmed []*reader
 
-		applied      Index
-		snapshotAt   Index
+		applied    Index
+		snapshotAt Index
+		// appliedBytes is the payload that was applied since the last snapshot.
+		appliedBytes int
 		lastSnapshot *replication.Snapshot
 		status       atomic.Pointer[Status]
 	}
@@ -83,6 +88,8 @@
 		LeaseUntil time.Duration
 		// Matches holds, at a leader, the index up to which each member's log is known to be identical.
 		Matches map[MemberID]Index
+		// Confirmed holds, at a leader, the sending time of the latest message that each other member answered.
+		Confirmed map[MemberID]time.Duration
 	}
 
 	proposal[R any] struct {
@@ -321,6 +328,7 @@
 	}
 	n.applied = index
 	n.snapshotAt = index
+	n.appliedBytes = 0
 	n.lastSnapshot = s
 	return nil
 }
@@ -339,6 +347,7 @@
 		var value R
 		if len(e.GetData()) > 0 {
 			value = n.config.Apply(index, e.GetData())
+			n.appliedBytes += len(e.GetData())
 		}
 		n.applied = index
 		n.answerProposal(index, Term(e.GetTerm()), value)
@@ -394,9 +403,14 @@
 }
 
 func (n *Node[R]) takeSnapshot() error {
-	if n.applied < n.snapshotAt+Index(n.config.SnapshotEntries) {
+	full := n.config.SnapshotBytes > 0 && n.appliedBytes > n.config.SnapshotBytes
+	if n.applied < n.snapshotAt+Index(n.config.SnapshotEntries) && !full {
 		return nil
 	}
+	keep := n.config.SnapshotEntries
+	if full {
+		keep = 0
+	}
 	data, err := n.config.Snapshot()
 	if err != nil {
 		return errors.Wrap(err, "encoding a snapshot")
@@ -407,7 +421,8 @@
 	}
 	n.lastSnapshot = s
 	n.snapshotAt = n.applied
-	n.step(Compact{Index: n.applied, Keep: n.config.SnapshotEntries})
+	n.appliedBytes = 0
+	n.step(Compact{Index: n.applied, Keep: keep})
 	return nil
 }
 
@@ -427,6 +442,7 @@
 	}
 	if s.Role == Leader {
 		s.Matches = map[MemberID]Index{}
+		s.Confirmed = n.core.Confirmed()
 		for _, m := range s.Membership.GetMembers() {
 			s.Matches[MemberID(m.GetId())] = n.core.Match(MemberID(m.GetId()))
 		}
--- /dev/null
+++ b/pkg/reporter/reporter_test.go
@@ -0,0 +1,86 @@
+package reporter_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/comfreybend/comfreybend/pkg/reporter"
+)
+
+func Example() {
+	start := time.Unix(1000, 0)
+	counter := reporter.NewCounter(5*time.Second, 4)
+	counter.Add(start, "one")
+	counter.Add(start.Add(time.Second), "one")
+	collector := reporter.NewCollector(5*time.Second, 2*time.Second, start)
+	for w, counts := range counter.Recent() {
+		collector.Note(w, "entry-1", counts)
+	}
+	w, due := collector.Due(start.Add(7*time.Second), 0)
+	fmt.Println(w, due, collector.Sum(w))
+	// Output: 200 true map[one:2]
+}
+
+func TestCollector(t *testing.T) {
+	const length, settle = 5 * time.Second, 3 * time.Second
+	begin := time.Unix(1000, 0)
+	tests := map[string]struct {
+		notes func(*reporter.Collector)
+		last  reporter.Window
+		now   time.Time
+		due   bool
+		sum   uint64
+	}{
+		"not settled yet": {
+			notes: func(c *reporter.Collector) { c.Note(200, "a", reporter.Counts{"o": 1}) },
+			now:   begin.Add(length + settle - 1),
+		},
+		"settled over two processes": {
+			notes: func(c *reporter.Collector) {
+				c.Note(200, "a", reporter.Counts{"o": 1})
+				c.Note(200, "b", reporter.Counts{"o": 2})
+			},
+			now: begin.Add(length + settle), due: true, sum: 3,
+		},
+		"an older word that was delayed": {
+			notes: func(c *reporter.Collector) {
+				c.Note(200, "a", reporter.Counts{"o": 5})
+				c.Note(200, "a", reporter.Counts{"o": 4})
+			},
+			now: begin.Add(length + settle), due: true, sum: 5,
+		},
+		"frozen before": {
+			notes: func(c *reporter.Collector) { c.Note(200, "a", reporter.Counts{"o": 1}) },
+			last:  200, now: begin.Add(time.Minute),
+		},
+		"a new collector waits for every process": {
+			notes: func(c *reporter.Collector) { c.Note(198, "a", reporter.Counts{"o": 1}) },
+			now:   begin.Add(settle - 1),
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := reporter.NewCollector(length, settle, begin)
+			test.notes(c)
+			w, due := c.Due(test.now, test.last)
+			if due != test.due {
+				t.Fatalf("window %d due: %t", w, due)
+			}
+			if sum := c.Sum(w)["o"]; due && sum != test.sum {
+				t.Errorf("sum %d", sum)
+			}
+		})
+	}
+}
+
+// TestCounterForgets counts over many windows: only the recent ones are remembered.
+func TestCounterForgets(t *testing.T) {
+	counter := reporter.NewCounter(time.Second, 3)
+	for i := range 20 {
+		counter.Add(time.Unix(int64(100+i), 0), "o")
+	}
+	if kept := len(counter.Recent()); kept > 4 {
+		t.Errorf("%d windows are remembered", kept)
+	}
+}
--- a/pkg/retrier/retrier.go
+++ b/pkg/retrier/retrier.go
@@ -68,6 +68,70 @@
 	return true
 }
 
+// Shared is one process's part of a retry budget that several processes share:
+// a ratio of the requests, and an allowance in each window. It is not safe for
+// concurrent use.
+type Shared struct {
+	ratio     float64
+	allowance float64
+	window    time.Duration
+	processes float64
+
+	saved   float64
+	updated time.Duration
+}
+
+const (
+	// safeShare is the part of the budget that is used, since the processes'
+	// windows and the counting one's are not aligned.
+	safeShare = 0.6
+)
+
+// NewShared returns a full budget for one process.
+func NewShared(ratio, allowance float64, window time.Duration) *Shared {
+	s := &Shared{ratio: ratio, allowance: allowance, window: window, processes: 1}
+	s.saved = s.capacity()
+	return s
+}
+
+// capacity is the part of the allowance that one process may use at once; the
+// other part refills over a window.
+func (s *Shared) capacity() float64 {
+	return s.allowance * safeShare / 2 / s.processes
+}
+
+// Divide tells how many processes share the budget.
+func (s *Shared) Divide(processes int) {
+	s.processes = float64(processes)
+	s.saved = min(s.saved, s.capacity()+s.ratio)
+}
+
+// Requested counts a request.
+func (s *Shared) Requested(now time.Duration) {
+	s.refill(now)
+	s.saved = min(s.saved+s.ratio*safeShare, s.capacity()+1)
+}
+
+// Succeeded does nothing: the budget grows by requests and time.
+func (s *Shared) Succeeded() {}
+
+// Take uses up one retry, or reports that none is left.
+func (s *Shared) Take(now time.Duration) bool {
+	s.refill(now)
+	if s.saved < 1 {
+		return false
+	}
+	s.saved--
+	return true
+}
+
+func (s *Shared) refill(now time.Duration) {
+	elapsed := now - s.updated
+	s.updated = now
+	grown := s.capacity() * float64(elapsed) / float64(s.window)
+	s.saved = min(s.saved+grown, s.capacity()+1)
+}
+
 // NewCircuit returns a closed circuit.
 func NewCircuit(config CircuitConfig) *Circuit {
 	return &Circuit{config: config}
--- /dev/null
+++ b/pkg/synchronizer/synchronizer_test.go
@@ -0,0 +1,48 @@
+package synchronizer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/comfreybend/comfreybend/pkg/synchronizer"
+)
+
+func Example() {
+	s := synchronizer.New(10 * time.Second)
+	noon := time.Date(2026, 1, 2, 12, 0, 0, 0, time.UTC)
+	s.Observe(time.Hour, "a", noon)
+	s.Observe(time.Hour, "b", noon.Add(2*time.Millisecond))
+	s.Observe(time.Hour, "c", noon.Add(-time.Minute))
+	agreed, _ := s.True(time.Hour + time.Second)
+	fmt.Println(agreed.UTC().Format(time.TimeOnly))
+	// Output: 12:00:01
+}
+
+func TestTrue(t *testing.T) {
+	noon := time.Date(2026, 1, 2, 12, 0, 0, 0, time.UTC)
+	tests := map[string]struct {
+		steps map[synchronizer.Host]time.Duration
+		age   time.Duration
+		known bool
+	}{
+		"nobody heard":            {},
+		"all agree":               {steps: map[synchronizer.Host]time.Duration{"a": 0, "b": 0, "c": 0}, known: true},
+		"one of three is ahead":   {steps: map[synchronizer.Host]time.Duration{"a": 2 * time.Second, "b": 0, "c": 0}, known: true},
+		"one of four is ahead":    {steps: map[synchronizer.Host]time.Duration{"a": time.Hour, "b": 0, "c": 0, "d": 0}, known: true},
+		"one of four is behind":   {steps: map[synchronizer.Host]time.Duration{"a": -time.Hour, "b": 0, "c": 0, "d": 0}, known: true},
+		"everybody is long quiet": {steps: map[synchronizer.Host]time.Duration{"a": 0}, age: time.Minute},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := synchronizer.New(10 * time.Second)
+			for host, step := range test.steps {
+				s.Observe(time.Hour, host, noon.Add(step))
+			}
+			got, known := s.True(time.Hour + test.age)
+			if known != test.known || known && !got.Equal(noon) {
+				t.Errorf("true time %v, known %t", got, known)
+			}
+		})
+	}
+}
