--- a/internal/router/controls.go
+++ b/internal/router/controls.go
@@ -93,12 +93,6 @@
 	return append([]*messenger.Client(nil), c.order...)
 }
 
-func (c *controls) count() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.order)
-}
-
 // failed moves a control process that did not answer to the end.
 func (c *controls) failed(client *messenger.Client) {
 	c.mu.Lock()
