planner, picker: numbers of upstreams follow the work; steadier placement

Change: Sizer orders numbers of lasting and preemptible upstreams by domain; a light class keeps the oldest engines; homes are settled engines; parts stay where this process placed them; the work is measured by prompts' own parts.

--- a/internal/controller/charge.go
+++ b/internal/controller/charge.go
@@ -104,6 +104,10 @@
 		ch.orders.reset()
 		ch.controller.reports.reset(ch.controller.followers.trueTime(ch.controller.settings.GetHost().GetId()))
 	}
+	if ch.fence == 0 && s.LeaseUntil > 0 && s.Applied >= s.Commit && !ch.controller.keeper.EverInCharge() {
+		// The whole log, which a majority confirms, holds no fencing number.
+		ch.holder.First()
+	}
 	return ch.holder.InCharge(timer.Now())
 }
 
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -28,6 +28,9 @@
 		// resumed reports that the orders of earlier holders were taken up.
 		resumed bool
 		planner *planner.Planner
+		sizer   *planner.Sizer
+		// busy is the work that the numbers of upstreams were decided by, by service.
+		busy map[string]float64
 
 		mu sync.Mutex
 		// draining holds the upstreams that get nothing new, and since when.
@@ -60,6 +63,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.planner = nil
+	o.sizer = nil
 	o.resumed = false
 	o.draining = map[string]drainingUpstream{}
 }
@@ -83,6 +87,9 @@
 		return nil
 	}
 	o.due = timer.Now() + s.GetInterval().AsDuration()
+	if o.charge.controller.dialect.Count != nil {
+		return o.actCounts(ctx)
+	}
 	if err := o.resendOpen(ctx); err != nil {
 		return err
 	}
--- a/internal/controller/table.go
+++ b/internal/controller/table.go
@@ -20,6 +20,8 @@
 // table, which takes nothing from the followers.
 type upstreamTable struct {
 	lease time.Duration
+	// begun is when the table was empty.
+	begun time.Duration
 
 	mu        sync.Mutex
 	registrar *registrar.Registrar
@@ -41,6 +43,7 @@
 func newUpstreamTable(lease time.Duration) *upstreamTable {
 	return &upstreamTable{
 		lease:     lease,
+		begun:     timer.Now(),
 		registrar: registrar.NewExclusive(lease),
 		id:        rand.Uint64() | 1,
 		changed:   map[registrar.UpstreamID]change{},
--- a/internal/keeper/intent.go
+++ b/internal/keeper/intent.go
@@ -11,6 +11,13 @@
 	ReasonFenced = "fenced"
 )
 
+// EverInCharge reports whether any process has ever taken a fencing number.
+func (k *Keeper) EverInCharge() bool {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	return k.fence != 0
+}
+
 // applyFence gives the next fencing number to a holder; the reply carries it as the revision.
 func (k *Keeper) applyFence(f *state.Fence) *wire.ProposeReply {
 	k.fence++
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -46,6 +46,8 @@
 		scheduler *scheduler.Scheduler
 		// running counts the requests that were dispatched from this pool.
 		running int
+		// prompts reports that requests are placed by the work of their prompts.
+		prompts bool
 		// refused counts the requests that could not be served in time.
 		refused uint64
 		// durations are the average times from dispatch to the end of an answer, by class.
@@ -274,6 +276,7 @@
 	if !o.begun && len(o.pick.Avoid) == 0 {
 		d.budget.Requested(d.now())
 		if o.prompt != nil {
+			p.prompts = true
 			d.placer.Arrived(d.now(), *o.prompt)
 		}
 	}
@@ -397,11 +400,27 @@
 			Pool:     key.String(),
 			Requests: int32(p.running + p.scheduler.Waiting()),
 			Refused:  p.refused,
+			Busy:     d.busy(p, key),
+			Service:  key.name,
 		})
 	}
 	return out
 }
 
+// busy returns how many upstreams the pool's work would keep busy: the time that
+// prompts take to read, and the slots in use.
+func (d *dispatcher) busy(p *pool, key poolKey) float64 {
+	upstreams := d.registrar.Serving(key.kind, key.name)
+	if len(upstreams) == 0 {
+		return 0
+	}
+	slots := float64(p.running+p.scheduler.Waiting()) / float64(slotsOf(upstreams[0]))
+	if !p.prompts {
+		return slots
+	}
+	return slots + d.placer.Busy(d.now())
+}
+
 // setEntryHosts tells how many entry processes share the retry budget.
 func (d *dispatcher) setEntryHosts(n int) {
 	d.mu.Lock()
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -129,11 +129,15 @@
 		c := &candidates[i]
 		others := max(0, c.Reported-c.OwnAtReport)
 		out = append(out, picker.Engine{
-			ID:      u.ID,
-			Domain:  u.FailureDomain,
+			ID:     u.ID,
+			Domain: u.FailureDomain,
+
+			Incarnation: u.Incarnation,
+
 			Local:   c.Local,
 			Free:    c.Free,
 			Cold:    now < u.WarmAt,
+			Age:     now - d.tracks[u.ID].created,
 			Running: c.Load(),
 			Pending: d.tracks[u.ID].pending + each*float64(others),
 			Penalty: d.tracks[u.ID].penalty(now),
--- a/internal/router/track.go
+++ b/internal/router/track.go
@@ -25,6 +25,8 @@
 		limiter *limiter.Limiter
 		circuit *retrier.Circuit
 		samples []inFlightSample
+		// created is when the incarnation became known.
+		created time.Duration
 		// pending are the tokens of this process's prompts that the upstream has still to read.
 		pending float64
 		// failures is the weight of the failures of late, as of failedAt.
@@ -44,6 +46,7 @@
 
 func newTrack(l *settings.UpstreamLimits, now time.Duration) *track {
 	return &track{
+		created: now,
 		limiter: limiter.New(limiter.Config{
 			Initial:   int(l.GetInitialConcurrency()),
 			Maximum:   int(l.GetMaximumConcurrency()),
--- a/pkg/leaser/leaser.go
+++ b/pkg/leaser/leaser.go
@@ -52,6 +52,12 @@
 	h.leaseUntil = leaseUntil
 }
 
+// First tells the holder that nobody was ever in charge before it, so that
+// there is no act of an earlier holder to wait for.
+func (h *Holder) First() {
+	h.waitUntil = 0
+}
+
 // InCharge reports whether the holder may begin an act at a time.
 func (h *Holder) InCharge(now time.Duration) bool {
 	return h.Remaining(now) >= h.config.LongestAct
--- a/pkg/picker/placer.go
+++ b/pkg/picker/placer.go
@@ -12,19 +12,36 @@
 
 const (
 	// initialReadRate is assumed before any prompt was read, in tokens a second.
-	initialReadRate = 40_000
+	initialReadRate = 60_000
 	// measuredPrompt is the least number of tokens that tells something about the read rate.
 	measuredPrompt = 4000
-	// fasterWeight and slowerWeight are the weights of a read rate above and below
-	// the one believed; a slow reading mostly means that others were read beside it.
-	fasterWeight = 0.2
-	slowerWeight = 0.005
+	// firstTokenOverhead is the part of the time to the first token that does not depend on the prompt.
+	firstTokenOverhead = 25 * time.Millisecond
+	// faster and slower change the rate believed after a reading above or below it,
+	// so that three in four are below: a slow one mostly means that others were
+	// read beside it.
+	faster = 1.06
+	slower = 0.98
 	// outputWeight is the work of a generated token as a multiple of a read one's.
 	outputWeight = 10
 	// lightPart is the part of the pool's mean prompt below which a class is light.
 	lightPart = 0.35
+	// lightSlack is how far the light classes' part of the work must be from their
+	// engines before those change, since their memory is of no use to the others.
+	lightSlack     = 0.8
+	lightSlackPart = 0.1
+	// knownAfter is the number of requests after which the classes' work is known,
+	// and initialLight the part of the engines for light classes before.
+	knownAfter   = 60
+	initialLight = 0.25
+	// meanOver is the number of requests that the mean prompt of a class is taken over.
+	meanOver = 200
 	// workMemory is the time over which the classes' work is averaged.
-	workMemory = 10 * time.Second
+	workMemory = 20 * time.Second
+	// loadMemory is the time over which the load of reading is averaged.
+	loadMemory = 4 * time.Second
+	// missFactor is the reading beside prompts' own parts that a steady pool does.
+	missFactor = 1.25
 	// hitShare is how much of the shared parts is expected in the memory of an
 	// upstream that has read them.
 	hitShare = 0.9
@@ -37,6 +54,8 @@
 	remotePenalty = 5 * time.Millisecond
 	// coldPenalty keeps requests from upstreams that are slow after their start.
 	coldPenalty = 500 * time.Millisecond
+	// longestSettling is the age from which every engine is a home of parts.
+	longestSettling = time.Minute
 	// memoryLifetime is how long a dispatch makes an upstream one that has read the parts.
 	memoryLifetime = time.Minute
 	// rememberedParts bounds the parts remembered over all upstreams.
@@ -65,10 +84,14 @@
 		ID     registrar.UpstreamID
 		Domain registrar.FailureDomain
 		Local  bool
+		// Incarnation orders engines by their start, where incarnations are comparable.
+		Incarnation registrar.Incarnation
 		// Free reports that it takes one more request of this process.
 		Free bool
 		// Cold reports that it is slow after its start.
 		Cold bool
+		// Age is how long it has been known.
+		Age time.Duration
 		// Running is the expected number of requests there.
 		Running int
 		// Pending are the tokens of prompts there that are still to be read, as far
@@ -94,12 +117,20 @@
 		rate    float64
 		classes map[Class]*classWork
 		read    map[partAt]time.Duration
+		// reading is the rate of tokens that the requests ask to be read, in tokens a second, as of readingAt.
+		reading float64
+		// lightSize is the number of engines for light classes.
+		lightSize float64
+		// arrived counts requests.
+		arrived   int
+		readingAt time.Duration
 	}
 
 	classWork struct {
 		// prompt is the mean of the prompts' tokens, work the tokens a second.
 		prompt  float64
 		work    float64
+		seen    float64
 		updated time.Duration
 	}
 
@@ -122,7 +153,12 @@
 		p.classes[r.Class] = c
 	}
 	c.decay(now)
-	c.prompt += (float64(r.In) - c.prompt) / 50
+	c.seen = min(c.seen+1, meanOver)
+	c.prompt += (float64(r.In) - c.prompt) / c.seen
+	p.arrived++
+	// What engines read again because others came or went is no lasting load.
+	p.reading = p.readingNow(now) + missFactor*float64(own(r.Parts, r.In))/loadMemory.Seconds()
+	p.readingAt = now
 	c.work += (float64(own(r.Parts, r.In)) + outputWeight*float64(r.Out)) / workMemory.Seconds()
 }
 
@@ -134,15 +170,16 @@
 // Measured learns the read rate from the time to the first token of a request
 // that found nothing of this process's before it.
 func (p *Placer) Measured(tokens int, took time.Duration) {
+	took -= firstTokenOverhead
 	if tokens < measuredPrompt || took <= 0 {
 		return
 	}
 	seen := float64(tokens) / took.Seconds()
-	weight := slowerWeight
 	if seen > p.rate {
-		weight = fasterWeight
+		p.rate *= faster
+	} else {
+		p.rate *= slower
 	}
-	p.rate += weight * (seen - p.rate)
 }
 
 // Unread returns the tokens that an upstream is expected to read for a request.
@@ -176,12 +213,25 @@
 	}
 }
 
+func (p *Placer) readingNow(now time.Duration) float64 {
+	return p.reading * math.Exp(-float64(now-p.readingAt)/float64(loadMemory))
+}
+
+// Busy returns how many engines reading alone would keep busy all the time.
+func (p *Placer) Busy(now time.Duration) float64 {
+	return p.readingNow(now) / p.rate
+}
+
 // Pick returns the position of the chosen engine and the tokens that it is
 // expected to read, or -1 if none is free.
 func (p *Placer) Pick(now time.Duration, r PromptRequest, engines []Engine) (position int, unread float64) {
 	light := p.lightGroup(now, engines)
 	wanted := p.isLight(r.Class)
 	home := homeOf(r, engines, light, wanted)
+	if p.heldElsewhere(now, r, engines, home) {
+		// Another engine has read the parts; a home that is new has not.
+		home = -1
+	}
 	best, bestCost, bestUnread := -1, time.Duration(0), 0.0
 	for i := range engines {
 		e := &engines[i]
@@ -203,6 +253,24 @@
 	return best, bestUnread
 }
 
+// heldElsewhere reports that this process has placed the request's shared
+// parts lately, but not at their home.
+func (p *Placer) heldElsewhere(now time.Duration, r PromptRequest, engines []Engine, home int) bool {
+	part := lastShared(r.Parts)
+	held := false
+	for i := range engines {
+		at, found := p.read[partAt{part: part, upstream: engines[i].ID}]
+		if !found || now-at >= memoryLifetime {
+			continue
+		}
+		if i == home {
+			return false
+		}
+		held = true
+	}
+	return held
+}
+
 // cost predicts the time to the first token, and what the request will suffer from those beside it.
 func (p *Placer) cost(r PromptRequest, e *Engine, unread float64) time.Duration {
 	seconds := (e.Pending + readWeight*unread) / p.rate
@@ -242,20 +310,33 @@
 			light += c.work
 		}
 	}
-	n := len(engines)
+	settled := settledEngines(engines)
+	n := len(settled)
 	if n < 2 || light == 0 || light == total {
 		return nil
 	}
-	size := min(n-1, max(1, int(math.Round(light/total*float64(n)))))
-	group := make([]bool, n)
-	for _, i := range spreadOrder(engines)[:size] {
-		group[i] = true
+	exact := light / total * float64(n)
+	if p.arrived < knownAfter {
+		exact = initialLight * float64(n)
+	}
+	if math.Abs(exact-p.lightSize) > max(lightSlack, lightSlackPart*float64(n)) {
+		p.lightSize = math.Round(exact)
+	}
+	size := min(n-1, max(1, int(p.lightSize)))
+	group := make([]bool, len(engines))
+	chosen := 0
+	for _, i := range spreadOrder(engines) {
+		if chosen < size && settled[i] {
+			group[i] = true
+			chosen++
+		}
 	}
 	return group
 }
 
 // spreadOrder orders engines so that each beginning of the list holds equally
-// many of each failure domain; the order is the same for all processes.
+// many of each failure domain, the oldest first, so that a new engine pushes
+// none out. The order is the same for all processes.
 func spreadOrder(engines []Engine) []int {
 	hashes := make([]uint64, len(engines))
 	order := make([]int, len(engines))
@@ -263,7 +344,13 @@
 		hashes[i] = xxhash.Sum64String(string(engines[i].ID))
 		order[i] = i
 	}
-	sort.Slice(order, func(a, b int) bool { return hashes[order[a]] < hashes[order[b]] })
+	sort.Slice(order, func(a, b int) bool {
+		first, second := &engines[order[a]], &engines[order[b]]
+		if first.Incarnation != second.Incarnation {
+			return first.Incarnation < second.Incarnation
+		}
+		return hashes[order[a]] < hashes[order[b]]
+	})
 	rank := make([]int, len(engines))
 	count := map[registrar.FailureDomain]int{}
 	for _, i := range order {
@@ -283,8 +370,9 @@
 	part := string(lastShared(r.Parts))
 	home := -1
 	var highest uint64
+	settled := settledAge(engines)
 	for i := range engines {
-		if light != nil && light[i] != wanted {
+		if light != nil && light[i] != wanted || engines[i].Age < settled {
 			continue
 		}
 		if h := xxhash.Sum64String(part + "\x00" + string(engines[i].ID)); home < 0 || h > highest {
@@ -294,8 +382,35 @@
 	return home
 }
 
+// settledAge returns the age from which an engine is a home. One that is new
+// beside the others would take parts away that they have read, and may soon be
+// gone again.
+func settledAge(engines []Engine) time.Duration {
+	ages := make([]time.Duration, len(engines))
+	for i := range engines {
+		ages[i] = engines[i].Age
+	}
+	sort.Slice(ages, func(i, j int) bool { return ages[i] < ages[j] })
+	return min(longestSettling, ages[len(ages)/2]/2)
+}
+
+// settledEngines returns the positions of the engines that are settled.
+func settledEngines(engines []Engine) map[int]bool {
+	age := settledAge(engines)
+	out := make(map[int]bool, len(engines))
+	for i := range engines {
+		if engines[i].Age >= age {
+			out[i] = true
+		}
+	}
+	return out
+}
+
 // lastShared returns the last part that other requests share.
 func lastShared(parts []Part) PrefixID {
+	if len(parts) == 0 {
+		return ""
+	}
 	return parts[max(0, len(parts)-2)].ID
 }
 
