picker, planner, controller: load is known at once, the light part is agreed

Change: averages are corrected for their short life; the light classes' part of the work is summed by the leader and told to all in steps; ages of upstreams come from their starts; a quarter is lasting; stand-ins for preemptible upstreams only while needed; upstreams taken away are ordered again at once.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -30,8 +30,9 @@
 		},
 		HeardAt: heard,
 
-		LeavesAt: leavesAt(u, heard),
-		WarmAt:   heard + time.Duration(u.GetWarmupMillis())*time.Millisecond,
+		LeavesAt:  leavesAt(u, heard),
+		StartedAt: startedAt(u, heard),
+		WarmAt:    heard + time.Duration(u.GetWarmupMillis())*time.Millisecond,
 	}
 }
 
@@ -56,10 +57,25 @@
 		AgeMillis: (now - u.HeardAt).Milliseconds(),
 
 		LeavesMillis: max(0, u.LeavesAt-u.HeardAt).Milliseconds(),
+		UpMillis:     upMillis(u),
 		WarmupMillis: max(0, u.WarmAt-u.HeardAt).Milliseconds(),
 	}
 }
 
+func startedAt(u *wire.Upstream, heard time.Duration) time.Duration {
+	if u.GetUpMillis() == 0 {
+		return 0
+	}
+	return heard - time.Duration(u.GetUpMillis())*time.Millisecond
+}
+
+func upMillis(u *registrar.Upstream) int64 {
+	if u.StartedAt == 0 {
+		return 0
+	}
+	return max(1, (u.HeardAt - u.StartedAt).Milliseconds())
+}
+
 func leavesAt(u *wire.Upstream, heard time.Duration) time.Duration {
 	if u.GetLeavesMillis() == 0 {
 		return 0
--- a/internal/controller/requests.go
+++ b/internal/controller/requests.go
@@ -128,6 +128,7 @@
 	c.entries.note(s)
 	c.reports.note(s)
 	reply := c.keeper.SyncSince(configurer.Revision(s.GetHaveRevision()))
+	reply.LightParts = c.entries.lightPartsNow()
 	if o := c.orders.Load(); o != nil {
 		reply.Draining = o.drainingUpstreams()
 	}
--- a/internal/controller/usage.go
+++ b/internal/controller/usage.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sort"
 	"sync"
 	"time"
@@ -20,6 +21,10 @@
 	usageInterval = time.Second
 	// entryLifetime is the time after which a silent entry process is not shown any more.
 	entryLifetime = 30 * time.Second
+	// lightPartStep is the change of the light classes' part of the work that is told.
+	lightPartStep = 0.07
+	// workKnownAfter is how long work must have been seen before its parts are told.
+	workKnownAfter = 6 * time.Second
 )
 
 type (
@@ -40,6 +45,10 @@
 		entries map[string]entryReport
 		// refused holds the refusal counters that were seen last.
 		refused map[refusedKey]uint64
+		// lightParts are the parts of the work that light classes have, by service, as told last.
+		lightParts map[string]float64
+		// workSince is when work of a service was seen first.
+		workSince map[string]time.Time
 	}
 
 	refusedKey struct {
@@ -107,7 +116,7 @@
 }
 
 func newEntryTable() *entryTable {
-	return &entryTable{entries: map[string]entryReport{}, refused: map[refusedKey]uint64{}}
+	return &entryTable{entries: map[string]entryReport{}, refused: map[refusedKey]uint64{}, lightParts: map[string]float64{}, workSince: map[string]time.Time{}}
 }
 
 func (t *entryTable) note(s *wire.Sync) {
@@ -132,6 +141,35 @@
 	return out
 }
 
+// lightPartsNow returns the part of the work that light classes have over all
+// entry processes. It changes in steps, so that all of them choose alike.
+func (t *entryTable) lightPartsNow() map[string]float64 {
+	light, all := map[string]float64{}, map[string]float64{}
+	for _, s := range t.fresh() {
+		for _, d := range s.GetDemands() {
+			light[d.GetService()] += d.GetLightWork()
+			all[d.GetService()] += d.GetWork()
+		}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := map[string]float64{}
+	for service, work := range all {
+		if t.workSince[service].IsZero() && work > 0 {
+			t.workSince[service] = time.Now()
+		}
+		if work == 0 || time.Since(t.workSince[service]) < workKnownAfter {
+			continue
+		}
+		part := light[service] / work
+		if told, found := t.lightParts[service]; !found || math.Abs(part-told) > lightPartStep {
+			t.lightParts[service] = part
+		}
+		out[service] = t.lightParts[service]
+	}
+	return out
+}
+
 func (t *entryTable) hosts() []string {
 	var out []string
 	for _, s := range t.fresh() {
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -403,6 +403,10 @@
 			Busy:     d.busy(p, key),
 			Service:  key.name,
 		})
+		if p.prompts {
+			last := out[len(out)-1]
+			last.LightWork, last.Work = d.placer.Work(d.now())
+		}
 	}
 	return out
 }
@@ -421,6 +425,17 @@
 	return slots + d.placer.Busy(d.now())
 }
 
+// setLightParts takes the part of the work that light classes have over all entry processes.
+func (d *dispatcher) setLightParts(parts map[string]float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for key, p := range d.pools {
+		if part, found := parts[key.name]; found && p.prompts {
+			d.placer.Agree(part)
+		}
+	}
+}
+
 // setEntryHosts tells how many entry processes share the retry budget.
 func (d *dispatcher) setEntryHosts(n int) {
 	d.mu.Lock()
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -137,7 +137,7 @@
 			Local:   c.Local,
 			Free:    c.Free,
 			Cold:    now < u.WarmAt,
-			Age:     now - d.tracks[u.ID].created,
+			Age:     now - startOf(u, d.tracks[u.ID]),
 			Running: c.Load(),
 			Pending: d.tracks[u.ID].pending + each*float64(others),
 			Penalty: d.tracks[u.ID].penalty(now),
@@ -146,6 +146,14 @@
 	return out
 }
 
+// startOf returns when an upstream started, or when it became known if it does not say.
+func startOf(u *registrar.Upstream, t *track) time.Duration {
+	if u.StartedAt != 0 {
+		return u.StartedAt
+	}
+	return t.created
+}
+
 // markCached marks the candidates whose caches hold a prefix.
 func (d *dispatcher) markCached(candidates []picker.Candidate, prefix picker.PrefixID) {
 	if prefix == "" {
--- a/pkg/picker/placer.go
+++ b/pkg/picker/placer.go
@@ -30,16 +30,20 @@
 	// engines before those change, since their memory is of no use to the others.
 	lightSlack     = 0.8
 	lightSlackPart = 0.1
-	// knownAfter is the number of requests after which the classes' work is known,
+	// enginesPerDomain is the number from which each failure domain keeps a light engine.
+	enginesPerDomain = 3
+	// knownAfter is the time after which the classes' work is known,
 	// and initialLight the part of the engines for light classes before.
-	knownAfter   = 60
+	knownAfter   = 8 * time.Second
 	initialLight = 0.25
 	// meanOver is the number of requests that the mean prompt of a class is taken over.
 	meanOver = 200
 	// workMemory is the time over which the classes' work is averaged.
 	workMemory = 20 * time.Second
 	// loadMemory is the time over which the load of reading is averaged.
-	loadMemory = 4 * time.Second
+	loadMemory = 3 * time.Second
+	// shortestLoad is the time over which load is taken as known at the least.
+	shortestLoad = 500 * time.Millisecond
 	// missFactor is the reading beside prompts' own parts that a steady pool does.
 	missFactor = 1.25
 	// hitShare is how much of the shared parts is expected in the memory of an
@@ -121,8 +125,10 @@
 		reading float64
 		// lightSize is the number of engines for light classes.
 		lightSize float64
-		// arrived counts requests.
-		arrived   int
+		// agreed is the light classes' part of the work over all processes, zero if it is not known.
+		agreed float64
+		// begun is when the first request arrived.
+		begun     time.Duration
 		readingAt time.Duration
 	}
 
@@ -155,7 +161,9 @@
 	c.decay(now)
 	c.seen = min(c.seen+1, meanOver)
 	c.prompt += (float64(r.In) - c.prompt) / c.seen
-	p.arrived++
+	if p.begun == 0 {
+		p.begun = now
+	}
 	// What engines read again because others came or went is no lasting load.
 	p.reading = p.readingNow(now) + missFactor*float64(own(r.Parts, r.In))/loadMemory.Seconds()
 	p.readingAt = now
@@ -219,7 +227,12 @@
 
 // Busy returns how many engines reading alone would keep busy all the time.
 func (p *Placer) Busy(now time.Duration) float64 {
-	return p.readingNow(now) / p.rate
+	if p.begun == 0 {
+		return 0
+	}
+	// Soon after the first request the memory is not filled yet.
+	filled := 1 - math.Exp(-float64(max(shortestLoad, now-p.begun))/float64(loadMemory))
+	return p.readingNow(now) / p.rate / filled
 }
 
 // Pick returns the position of the chosen engine and the tokens that it is
@@ -299,10 +312,8 @@
 	return work > 0 && c.prompt < lightPart*total/work
 }
 
-// lightGroup returns which engines the light classes have to themselves, or
-// nil if there is no use in keeping classes apart.
-func (p *Placer) lightGroup(now time.Duration, engines []Engine) []bool {
-	light, total := 0.0, 0.0
+// Work returns the work of the light classes and of all, in tokens a second.
+func (p *Placer) Work(now time.Duration) (light, total float64) {
 	for name, c := range p.classes {
 		c.decay(now)
 		total += c.work
@@ -310,19 +321,35 @@
 			light += c.work
 		}
 	}
+	return light, total
+}
+
+// Agree takes the part of the work that the light classes have over all
+// processes, in place of what this one sees.
+func (p *Placer) Agree(lightPart float64) {
+	p.agreed = lightPart
+}
+
+// lightGroup returns which engines the light classes have to themselves, or
+// nil if there is no use in keeping classes apart.
+func (p *Placer) lightGroup(now time.Duration, engines []Engine) []bool {
+	light, total := p.Work(now)
 	settled := settledEngines(engines)
 	n := len(settled)
 	if n < 2 || light == 0 || light == total {
 		return nil
 	}
 	exact := light / total * float64(n)
-	if p.arrived < knownAfter {
+	switch {
+	case p.agreed > 0:
+		exact = p.agreed * float64(n)
+	case now-p.begun < knownAfter:
 		exact = initialLight * float64(n)
 	}
 	if math.Abs(exact-p.lightSize) > max(lightSlack, lightSlackPart*float64(n)) {
 		p.lightSize = math.Round(exact)
 	}
-	size := min(n-1, max(1, int(p.lightSize)))
+	size := min(n-1, max(1, int(p.lightSize), leastLight(engines, n)))
 	group := make([]bool, len(engines))
 	chosen := 0
 	for _, i := range spreadOrder(engines) {
@@ -334,6 +361,19 @@
 	return group
 }
 
+// leastLight is the number of engines that light classes keep in any case: one
+// in each failure domain while there are several for each.
+func leastLight(engines []Engine, settled int) int {
+	domains := map[registrar.FailureDomain]bool{}
+	for i := range engines {
+		domains[engines[i].Domain] = true
+	}
+	if settled < enginesPerDomain*len(domains) {
+		return 1
+	}
+	return len(domains)
+}
+
 // spreadOrder orders engines so that each beginning of the list holds equally
 // many of each failure domain, the oldest first, so that a new engine pushes
 // none out. The order is the same for all processes.
--- a/pkg/planner/sizer.go
+++ b/pkg/planner/sizer.go
@@ -14,7 +14,7 @@
 	// lastingPart is the part of the needed upstreams that are lasting, and
 	// fewestLasting the least number, in different domains, so that no class rests
 	// on preemptible ones alone.
-	lastingPart   = 0.1
+	lastingPart   = 0.25
 	fewestLasting = 2
 	// fallbackPart is the part of the needed upstreams below which lasting ones
 	// stand in for preemptible ones that are not to be had.
@@ -28,8 +28,13 @@
 	unavailableFor = 5 * time.Second
 	// orderInterval is the least time between two orders for the same upstreams.
 	orderInterval = 2 * time.Second
-	// refillAfter is how long upstreams may be missing before they are ordered again.
+	// refillAfter is how long ordered upstreams may take to serve before they are ordered again.
 	refillAfter = 7 * time.Second
+	// lossPart is the part of the preemptible upstreams of a domain that is gone at
+	// once when they are taken away.
+	lossPart = 0.5
+	// standInFor is how long lasting upstreams that stand in are kept after the need for them.
+	standInFor = 6 * time.Second
 )
 
 type (
@@ -77,6 +82,9 @@
 		enoughSince time.Duration
 		lasting     map[FailureDomain]int
 		preemptible map[FailureDomain]int
+		// standIns are lasting upstreams in place of preemptible ones that are not to be had.
+		standIns    map[FailureDomain]int
+		standInTill time.Duration
 		ordered     map[countKey]orderedCount
 		unavailable map[FailureDomain]time.Duration
 	}
@@ -91,6 +99,8 @@
 		at    time.Duration
 		// fullAt is when as many served last.
 		fullAt time.Duration
+		// full reports that as many have served since the order.
+		full bool
 	}
 )
 
@@ -112,11 +122,11 @@
 		if now >= s.unavailable[d] {
 			orders = s.order(now, orders, p.Name, key, s.preemptible[d], p.Preemptible[d])
 		}
-		if s.preemptible[d] > p.Preemptible[d] && s.lasting[d] < p.Lasting[d] && now >= s.unavailable[d] {
+		if s.preemptible[d] > p.Preemptible[d] && s.lasting[d]+s.standIns[d] < p.Lasting[d] && now >= s.unavailable[d] {
 			// Lasting upstreams are given up once those in their place serve.
 			continue
 		}
-		orders = s.order(now, orders, p.Name, countKey{domain: d}, s.lasting[d], p.Lasting[d])
+		orders = s.order(now, orders, p.Name, countKey{domain: d}, s.lasting[d]+s.standIns[d], p.Lasting[d])
 	}
 	return orders
 }
@@ -203,11 +213,20 @@
 		return p.Maximum - s.lasting[d]
 	})
 	least := int(math.Ceil(fallbackPart * float64(s.needed)))
-	level(min(left, least-(s.needed-left)), domains, s.preemptible, s.lasting, func(d FailureDomain) int {
+	missing := min(left, least-(s.needed-left))
+	if missing <= 0 && now < s.standInTill {
+		return
+	}
+	s.standIns = map[FailureDomain]int{}
+	if missing <= 0 {
+		return
+	}
+	s.standInTill = now + standInFor
+	level(missing, domains, s.lasting, s.standIns, func(d FailureDomain) int {
 		if available(d) {
-			return p.Maximum - s.preemptible[d]
+			return p.Maximum - s.preemptible[d] - s.lasting[d]
 		}
-		return p.Maximum - min(s.preemptible[d], p.Preemptible[d])
+		return p.Maximum - min(s.preemptible[d], p.Preemptible[d]) - s.lasting[d]
 	})
 }
 
@@ -239,9 +258,14 @@
 	last, found := s.ordered[key]
 	if found && serving >= last.count {
 		last.fullAt = now
+		last.full = true
 		s.ordered[key] = last
 	}
 	same := found && last.count == count
+	if same && key.preemptible && last.full && float64(serving) < lossPart*float64(count) {
+		// They were taken away; the answer to a new order tells whether there are others.
+		same = false
+	}
 	if found && now-last.at < orderInterval || same && now-max(last.fullAt, last.at) < refillAfter {
 		return orders
 	}
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -51,6 +51,8 @@
 		LeavesAt time.Duration
 		// WarmAt is when the upstream stops being slow after its start.
 		WarmAt time.Duration
+		// StartedAt is when the upstream started, zero if it is not known.
+		StartedAt time.Duration
 	}
 
 	// Registrar holds the table. It is not safe for concurrent use.
