--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -43,6 +43,8 @@
 	// httpHeaderTimeout bounds the time in which the headers of an operator's request arrive.
 	httpHeaderTimeout = 5 * time.Second
 	httpShutdown      = 5 * time.Second
+	// diskRetryInterval is the time between attempts to open a journal whose disk refuses writes.
+	diskRetryInterval = 500 * time.Millisecond
 	// snapshotBytes is the payload of applied commands after which a snapshot is
 	// taken, so that whole documents fit the memory and disk of a small host.
 	snapshotBytes = 4 << 20
@@ -109,7 +111,7 @@
 func (c *Controller) Run(ctx context.Context) error {
 	s := c.settings.GetControl()
 	host := c.settings.GetHost().GetId()
-	journal, recovered, err := journaler.Open(filepath.Join(s.GetDataFolder(), journalFolder), host, journaler.OSDisk())
+	journal, recovered, err := c.openJournal(ctx, host)
 	if err != nil {
 		return err
 	}
@@ -139,6 +141,21 @@
 	return err
 }
 
+// openJournal opens the journal, as soon as the disk takes what that needs to write.
+func (c *Controller) openJournal(ctx context.Context, host string) (*journaler.Journal, *journaler.Recovered, error) {
+	folder := filepath.Join(c.settings.GetControl().GetDataFolder(), journalFolder)
+	for {
+		journal, recovered, err := journaler.Open(folder, host, journaler.OSDisk())
+		if err == nil || !errors.As(err, new(*journaler.RefusedError)) {
+			return journal, recovered, err
+		}
+		c.log.Warn("the journal cannot be opened yet", zap.Error(err))
+		if !timer.Sleep(ctx, diskRetryInterval) {
+			return nil, nil, ctx.Err()
+		}
+	}
+}
+
 // Reload takes over the settings that may change while the process runs: the seeds.
 func (c *Controller) Reload(s *settings.Settings) {
 	c.peers.reseed(s.GetControl().GetSeeds())
@@ -226,6 +243,7 @@
 		},
 		Now:          timer.Now,
 		Append:       c.journal.Append,
+		Refused:      func(err error) bool { return errors.As(err, new(*journaler.RefusedError)) },
 		SaveSnapshot: c.journal.SaveSnapshot,
 		Send:         c.peers.send,
 		Apply: func(_ replicator.Index, data []byte) *wire.ProposeReply {
--- a/pkg/journaler/errors.go
+++ b/pkg/journaler/errors.go
@@ -1,6 +1,11 @@
 package journaler
 
-import "fmt"
+import (
+	"fmt"
+	"syscall"
+
+	"github.com/pkg/errors"
+)
 
 type (
 	// DamageError reports a file whose synced content has changed. A voter
@@ -33,3 +38,23 @@
 func (e *SyncError) Unwrap() error {
 	return e.Cause
 }
+
+// RefusedError says that the disk refused a write, for example because it is
+// full. Nothing has changed.
+type RefusedError struct {
+	File  string
+	Cause error
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return "the disk refused a write to " + e.File + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *RefusedError) Unwrap() error { return e.Cause }
+
+// refusedByDisk reports errors of a disk that has no room.
+func refusedByDisk(err error) bool {
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
+}
--- a/pkg/journaler/journaler.go
+++ b/pkg/journaler/journaler.go
@@ -10,6 +10,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -47,7 +48,9 @@
 		disk     Disk
 		segment  *os.File
 		sequence uint64
-		failed   error
+		// size is the length of the whole frames in the segment.
+		size   int64
+		failed error
 	}
 
 	// Recovered is what a voter finds on its disk.
@@ -92,7 +95,9 @@
 	return j, r, nil
 }
 
-// Append writes and syncs one record. After an error every later call fails.
+// Append writes and syncs one record. The error is a *RefusedError if the disk
+// took nothing; the same call may be made again then. After any other error every
+// later call fails.
 func (j *Journal) Append(record *replication.Record) error {
 	if j.failed != nil {
 		return j.failed
@@ -101,11 +106,16 @@
 	if err != nil {
 		return errors.Wrap(err, "encoding a record")
 	}
-	return j.writeFrame(j.segment, payload)
+	if err = j.writeFrame(j.segment, payload); err != nil {
+		return j.cutBack(err)
+	}
+	j.size += int64(headerBytes + len(payload))
+	return nil
 }
 
 // SaveSnapshot makes the snapshot last and replaces the journal by the hard
-// state and the entries after the snapshot.
+// state and the entries after the snapshot. The error is a *RefusedError if the
+// disk took nothing; the journal stays as it was then.
 func (j *Journal) SaveSnapshot(
 	snapshot *replication.Snapshot,
 	hard *replication.HardState,
@@ -247,6 +257,7 @@
 		return errors.Wrap(err, "opening the journal")
 	}
 	j.segment = file
+	j.size = whole
 	if r.CutBytes == 0 {
 		return nil
 	}
@@ -269,6 +280,10 @@
 		_ = j.segment.Close()
 	}
 	j.segment = file
+	j.size, err = file.Seek(0, io.SeekEnd)
+	if err != nil {
+		return j.fail(file.Name(), err)
+	}
 	return nil
 }
 
@@ -280,11 +295,16 @@
 	}
 	path := filepath.Join(j.folder, name)
 	file, err := os.OpenFile(path+temporary, os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, fileMode)
+	if refusedByDisk(err) {
+		return nil, &RefusedError{File: path, Cause: err}
+	}
 	if err != nil {
 		return nil, j.fail(path, err)
 	}
 	if err = j.writeFrame(file, payload); err != nil {
 		_ = file.Close()
+		// What is left of it is removed at the next start at the latest.
+		_ = os.Remove(path + temporary)
 		return nil, err
 	}
 	if err = os.Rename(path+temporary, path); err != nil {
@@ -300,6 +320,9 @@
 
 func (j *Journal) writeFrame(file *os.File, payload []byte) error {
 	if _, err := j.disk.Write(file, EncodeFrame(payload)); err != nil {
+		if refusedByDisk(err) {
+			return &RefusedError{File: file.Name(), Cause: err}
+		}
 		return j.fail(file.Name(), err)
 	}
 	if err := j.disk.Sync(file); err != nil {
@@ -308,6 +331,19 @@
 	return nil
 }
 
+// cutBack removes what a refused write has left of a frame, so that the next
+// one follows whole ones.
+func (j *Journal) cutBack(cause error) error {
+	var refused *RefusedError
+	if !errors.As(cause, &refused) {
+		return cause
+	}
+	if err := j.segment.Truncate(j.size); err != nil {
+		return j.fail(j.segment.Name(), err)
+	}
+	return cause
+}
+
 func (j *Journal) syncFolder() error {
 	folder, err := os.Open(j.folder)
 	if err != nil {
--- a/pkg/journaler/journaler_test.go
+++ b/pkg/journaler/journaler_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -233,6 +234,57 @@
 	}
 }
 
+// TestFullDisk fills the disk in the middle of a frame: nothing is acknowledged,
+// nothing is lost, and the journal goes on once there is room.
+func TestFullDisk(t *testing.T) {
+	full := false
+	disk := OSDisk()
+	disk.Write = func(f *os.File, data []byte) (int, error) {
+		if !full {
+			return f.Write(data)
+		}
+		n, err := f.Write(data[:len(data)/2])
+		if err != nil {
+			return n, err
+		}
+		return n, &os.PathError{Op: "write", Path: f.Name(), Err: syscall.ENOSPC}
+	}
+	folder := t.TempDir()
+	j, _, err := Open(folder, "host", disk)
+	if err != nil {
+		t.Fatal(err)
+	}
+	record := func(index uint64) *replication.Record {
+		return &replication.Record{Entries: []*replication.Entry{entry(index, 1)}}
+	}
+	if err = j.Append(record(1)); err != nil {
+		t.Fatal(err)
+	}
+	full = true
+	for range 3 {
+		var refused *RefusedError
+		if err = j.Append(record(2)); !errors.As(err, &refused) {
+			t.Fatalf("append on a full disk: %v", err)
+		}
+		err = j.SaveSnapshot(&replication.Snapshot{Header: &replication.SnapshotHeader{Index: 1}}, &replication.HardState{}, nil)
+		if !errors.As(err, &refused) {
+			t.Fatalf("snapshot on a full disk: %v", err)
+		}
+	}
+	full = false
+	if err = j.Append(record(2)); err != nil {
+		t.Fatal(err)
+	}
+	_ = j.Close()
+	_, recovered, err := Open(folder, "host", OSDisk())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(recovered.Entries) != 2 || recovered.CutBytes != 0 {
+		t.Errorf("%d entries, %d bytes cut", len(recovered.Entries), recovered.CutBytes)
+	}
+}
+
 func TestMissingIdentityIsDamage(t *testing.T) {
 	folder := t.TempDir()
 	write(t, folder, entry(1, 1))
--- a/pkg/planner/sizer.go
+++ b/pkg/planner/sizer.go
@@ -123,7 +123,12 @@
 			orders = s.order(now, orders, p.Name, key, s.preemptible[d], p.Preemptible[d])
 		}
 		if s.preemptible[d] > p.Preemptible[d] && s.lasting[d]+s.standIns[d] < p.Lasting[d] && now >= s.unavailable[d] {
-			// Lasting upstreams are given up once those in their place serve.
+			// Lasting upstreams are given up once those in their place serve, but for
+			// those whose room these need.
+			room := max(s.lasting[d]+s.standIns[d], p.Maximum-s.preemptible[d])
+			if room < p.Lasting[d] {
+				orders = s.order(now, orders, p.Name, countKey{domain: d}, room, p.Lasting[d])
+			}
 			continue
 		}
 		orders = s.order(now, orders, p.Name, countKey{domain: d}, s.lasting[d]+s.standIns[d], p.Lasting[d])
--- /dev/null
+++ b/pkg/replicator/disk_test.go
@@ -0,0 +1,95 @@
+package replicator
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/comfreybend/comfreybend/schema/replication"
+)
+
+var errDiskFull = errors.New("no space left")
+
+// TestDiskRefusesWrites lets the disk of a group of one refuse everything for a
+// while: nothing is acknowledged meanwhile, the node does not end, and what was
+// proposed is committed once the disk takes it.
+func TestDiskRefusesWrites(t *testing.T) {
+	var full atomic.Bool
+	var refusals atomic.Int64
+	refuse := func() error {
+		if full.Load() {
+			refusals.Add(1)
+			return errDiskFull
+		}
+		return nil
+	}
+	membership := &replication.Membership{Members: []*replication.Member{{Id: 1, Host: "a", Voter: true}}}
+	started := time.Now()
+	n, err := NewNode(NodeConfig[int]{
+		Core: Config{
+			ID: 1, HeartbeatInterval: 5 * time.Millisecond, ElectionTimeout: 30 * time.Millisecond,
+			BatchBytes: 1 << 20, Random: func(int64) int64 { return 0 },
+		},
+		Restored: Restored{
+			HardState: &replication.HardState{}, Snapshot: &replication.SnapshotHeader{Membership: membership},
+		},
+		Now:    func() time.Duration { return time.Since(started) },
+		Append: func(*replication.Record) error { return refuse() },
+		SaveSnapshot: func(*replication.Snapshot, *replication.HardState, []*replication.Entry) error {
+			return refuse()
+		},
+		Refused:         func(err error) bool { return errors.Is(err, errDiskFull) },
+		Send:            func([]*replication.Message) {},
+		Apply:           func(_ Index, data []byte) int { return len(data) },
+		Snapshot:        func() ([]byte, error) { return nil, nil },
+		Restore:         func([]byte) error { return nil },
+		SnapshotEntries: 2,
+	}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(ctx) }()
+	propose := func() <-chan error {
+		done := make(chan error, 1)
+		go func() {
+			var proposed error
+			for ctx.Err() == nil {
+				_, proposed = n.Propose(ctx, []byte("x"))
+				if !errors.As(proposed, new(*NotLeaderError)) {
+					break
+				}
+				time.Sleep(time.Millisecond)
+			}
+			done <- proposed
+		}()
+		return done
+	}
+	if err = <-propose(); err != nil {
+		t.Fatal(err)
+	}
+	full.Store(true)
+	waiting := propose()
+	for refusals.Load() < 3 {
+		select {
+		case err = <-waiting:
+			t.Fatalf("acknowledged on a full disk: %v", err)
+		case err = <-ended:
+			t.Fatalf("the node ended: %v", err)
+		case <-time.After(time.Millisecond):
+		}
+	}
+	full.Store(false)
+	if err = <-waiting; err != nil {
+		t.Errorf("the proposal was lost: %v", err)
+	}
+	cancel()
+	if err = <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/pkg/replicator/node.go
+++ b/pkg/replicator/node.go
@@ -17,6 +17,10 @@
 	batchProposals = 512
 	// ticksPerHeartbeat is how often the clock is read within a heartbeat interval.
 	ticksPerHeartbeat = 4
+	// refusedPause is the time between attempts at a write that the disk refuses.
+	refusedPause = 100 * time.Millisecond
+	// snapshotPause is the time between attempts at a snapshot that the disk refuses.
+	snapshotPause = time.Second
 )
 
 type (
@@ -30,6 +34,9 @@
 		Append func(*replication.Record) error
 		// SaveSnapshot makes a snapshot durable in place of the records before it.
 		SaveSnapshot func(*replication.Snapshot, *replication.HardState, []*replication.Entry) error
+		// Refused reports that an error of Append or SaveSnapshot has changed nothing,
+		// so that the call is made again. Nil stands for none.
+		Refused func(error) bool
 		// Send hands messages to the network. It must not block; messages may be lost.
 		Send func([]*replication.Message)
 		// Apply applies a committed command to the state machine.
@@ -70,6 +77,10 @@
 		appliedBytes int
 		lastSnapshot *replication.Snapshot
 		status       atomic.Pointer[Status]
+		// running is the context of Run, which ends the waits for a disk.
+		running context.Context //nolint:containedctx // It is Run's own.
+		// snapshotDue is the time before which no other snapshot is tried.
+		snapshotDue time.Duration
 	}
 
 	// Status is a consistent view of a node.
@@ -141,6 +152,7 @@
 func (n *Node[R]) Run(ctx context.Context) error {
 	ticker := time.NewTicker(n.config.Core.HeartbeatInterval / ticksPerHeartbeat)
 	defer ticker.Stop()
+	n.running = ctx
 	err := n.finish()
 	for err == nil {
 		select {
@@ -314,13 +326,36 @@
 	if out.Record == nil {
 		return nil
 	}
-	return n.config.Append(out.Record)
+	return n.insist(func() error { return n.config.Append(out.Record) })
+}
+
+// insist makes a call again and again while the disk refuses it. Meanwhile the
+// member is silent: it acknowledges nothing, and others lead.
+func (n *Node[R]) insist(call func() error) error {
+	for {
+		err := call()
+		if err == nil || !n.refused(err) {
+			return err
+		}
+		select {
+		case <-n.running.Done():
+			return n.running.Err()
+		case <-time.After(refusedPause):
+		}
+	}
+}
+
+func (n *Node[R]) refused(err error) bool {
+	return n.config.Refused != nil && n.config.Refused(err)
 }
 
 // install replaces journal and state machine by a leader's snapshot.
 func (n *Node[R]) install(s *replication.Snapshot) error {
 	index := Index(s.GetHeader().GetIndex())
-	if err := n.config.SaveSnapshot(s, n.core.HardState(), n.core.EntriesAfter(index)); err != nil {
+	err := n.insist(func() error {
+		return n.config.SaveSnapshot(s, n.core.HardState(), n.core.EntriesAfter(index))
+	})
+	if err != nil {
 		return err
 	}
 	if err := n.config.Restore(s.GetData()); err != nil {
@@ -407,6 +442,9 @@
 	if n.applied < n.snapshotAt+Index(n.config.SnapshotEntries) && !full {
 		return nil
 	}
+	if n.config.Now() < n.snapshotDue {
+		return nil
+	}
 	keep := n.config.SnapshotEntries
 	if full {
 		keep = 0
@@ -416,7 +454,12 @@
 		return errors.Wrap(err, "encoding a snapshot")
 	}
 	s := &replication.Snapshot{Header: n.core.SnapshotHeader(n.applied), Data: data}
-	if err = n.config.SaveSnapshot(s, n.core.HardState(), n.core.EntriesAfter(n.applied)); err != nil {
+	err = n.config.SaveSnapshot(s, n.core.HardState(), n.core.EntriesAfter(n.applied))
+	if err != nil && n.refused(err) {
+		n.snapshotDue = n.config.Now() + snapshotPause
+		return nil
+	}
+	if err != nil {
 		return err
 	}
 	n.lastSnapshot = s
