--- a/internal/controller/table.go
+++ b/internal/controller/table.go
@@ -94,9 +94,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := timer.Now()
-	for _, id := range t.registrar.Expire(now) {
-		delete(t.changed, id)
-	}
+	t.expire(now)
 	if table != t.id {
 		position = 0
 	}
@@ -109,6 +107,14 @@
 	return reply, t.news
 }
 
+// expire forgets the upstreams whose lease has ended.
+func (t *upstreamTable) expire(now time.Duration) {
+	for _, id := range t.registrar.Expire(now) {
+		delete(t.changed, id)
+		delete(t.outgoing, id)
+	}
+}
+
 // takeOutgoing returns what the other control processes have not been told.
 func (t *upstreamTable) takeOutgoing() []*wire.Upstream {
 	t.mu.Lock()
@@ -134,7 +140,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := timer.Now()
-	t.registrar.Expire(now)
+	t.expire(now)
 	var out []*wire.Upstream
 	for _, u := range t.registrar.All() {
 		out = append(out, announcer.ToWire(u, now))
--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protodelim"
 
+	"github.com/comfreybend/comfreybend/internal/dialer"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
@@ -139,7 +140,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", c.address)
+	conn, err := (&net.Dialer{Control: dialer.UserTimeout(writeTimeout)}).DialContext(ctx, "tcp", c.address)
 	if err != nil {
 		return nil, errors.Wrap(err, "dialling")
 	}
--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -78,7 +78,7 @@
 		at := x.current
 		failure := &attemptError{Attempt: at.id, Cause: err}
 		x.avoid = append(x.avoid, at.grant.upstream.ID)
-		v := verdictFailed
+		v := failureVerdict(err)
 		if ctx.Err() != nil {
 			v = verdictAbandoned
 		}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -14,15 +14,19 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"github.com/comfreybend/comfreybend/internal/dialer"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/settings"
 )
 
 const (
-	tcpKeepAliveIdle     = 5 * time.Second
-	tcpKeepAliveInterval = 2 * time.Second
-	tcpKeepAliveCount    = 3
+	// A connection whose other end is cut off is found in two to three seconds,
+	// by probes or by bytes that are not acknowledged: less than callers wait.
+	tcpKeepAliveIdle     = time.Second
+	tcpKeepAliveInterval = time.Second
+	tcpKeepAliveCount    = 2
+	tcpUserTimeout       = 1500 * time.Millisecond
 	idlePerUpstream      = 256
 	idleUpstreamTimeout  = 30 * time.Second
 	// drainTimeout bounds the wait for the end of a body whose content is complete.
@@ -119,8 +123,9 @@
 
 func newAttempter(e *settings.Entry, dialect Dialect) *attempter {
 	l := e.GetUpstreamLimits()
-	dialer := &net.Dialer{
+	direct := &net.Dialer{
 		Timeout: l.GetConnectTimeout().AsDuration(),
+		Control: dialer.UserTimeout(tcpUserTimeout),
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     tcpKeepAliveIdle,
@@ -130,7 +135,7 @@
 	}
 	transport := func() *http.Transport {
 		return &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         direct.DialContext,
 			MaxIdleConnsPerHost: idlePerUpstream,
 			IdleConnTimeout:     idleUpstreamTimeout,
 			DisableCompression:  true,
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -25,8 +25,6 @@
 	maintenanceInterval = 50 * time.Millisecond
 	// slowStart is the time over which a new or recovered upstream is eased in.
 	slowStart = 3 * time.Second
-	// noUpstreamRetry is when to come back if no upstream serves what is asked for.
-	noUpstreamRetry = 2 * time.Second
 	// begunWait is how long a call that was broken off may wait for another upstream at least.
 	begunWait = 10 * time.Second
 	// durationSmoothing is the inverse weight of a new duration in the average.
@@ -113,6 +111,8 @@
 		settings *settings.Settings
 		metrics  *metrics
 		now      func() time.Duration
+		// returnAfter is when to come back if no upstream serves what is asked for.
+		returnAfter func() time.Duration
 
 		mu        sync.Mutex
 		registrar *registrar.Registrar
@@ -127,6 +127,8 @@
 		peers     *demandTable
 		// draining are the upstreams that the process in charge is about to stop.
 		draining map[registrar.UpstreamID]bool
+		// domains holds the failures of late to reach upstreams, by failure domain.
+		domains map[registrar.FailureDomain]*fading
 	}
 )
 
@@ -138,6 +140,8 @@
 	verdictUnreachable
 	verdictOverloaded
 	verdictAbandoned
+	// verdictSilent means that a connection was cut off without a word.
+	verdictSilent
 )
 
 func newDispatcher(s *settings.Settings, m *metrics) *dispatcher {
@@ -150,6 +154,7 @@
 		tracks:    map[registrar.UpstreamID]*track{},
 		pools:     map[poolKey]*pool{},
 		tickets:   map[scheduler.ItemID]*ticket{},
+		domains:   map[registrar.FailureDomain]*fading{},
 		picker:    picker.New(picker.Policy(e.GetPolicy()), rand.IntN),
 		prefixes:  picker.NewPrefixes(),
 		placer:    picker.NewPlacer(),
@@ -262,14 +267,14 @@
 	default:
 	}
 	return nil, refuseUntil(http.StatusServiceUnavailable, CodeDeadline,
-		"the request ended while it waited", noUpstreamRetry)
+		"the request ended while it waited", d.returnAfter())
 }
 
 func (d *dispatcher) enqueue(o order) (*ticket, *RefusalError) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.served(o.pool) {
-		return nil, noUpstream(o.pool)
+		return nil, d.noUpstream(o.pool)
 	}
 	p := d.pool(o.pool)
 	d.nextItem++
@@ -345,6 +350,9 @@
 	p.running--
 	d.promptRead(g)
 	g.track.finish(d.now(), v)
+	if v == verdictUnreachable || v == verdictSilent {
+		d.domain(g.upstream.FailureDomain).add(d.now())
+	}
 	if v == verdictAnswered {
 		d.budget.Succeeded()
 		before := p.durations[g.item.Class]
@@ -353,6 +361,16 @@
 	d.pump(g.pool, p)
 }
 
+// domain returns the failures of late in a failure domain.
+func (d *dispatcher) domain(name registrar.FailureDomain) *fading {
+	f := d.domains[name]
+	if f == nil {
+		f = &fading{}
+		d.domains[name] = f
+	}
+	return f
+}
+
 // mayRetry takes one retry from the budget.
 func (d *dispatcher) mayRetry() bool {
 	d.mu.Lock()
@@ -364,13 +382,13 @@
 func (d *dispatcher) refuseAll(key poolKey, p *pool) {
 	for id, t := range d.tickets {
 		if t.order.pool == key && p.scheduler.Remove(id) {
-			d.refuseTicket(id, noUpstream(key))
+			d.refuseTicket(id, d.noUpstream(key))
 		}
 	}
 }
 
-func noUpstream(key poolKey) *RefusalError {
-	return refuseUntil(http.StatusServiceUnavailable, CodeNoUpstream, "no upstream serves "+key.name, noUpstreamRetry)
+func (d *dispatcher) noUpstream(key poolKey) *RefusalError {
+	return refuseUntil(http.StatusServiceUnavailable, CodeNoUpstream, "no upstream serves "+key.name, d.returnAfter())
 }
 
 func (d *dispatcher) refuseTicket(id scheduler.ItemID, refusal *RefusalError) {
--- a/internal/router/follower.go
+++ b/internal/router/follower.go
@@ -25,7 +25,7 @@
 	followPause = 100 * time.Millisecond
 	// unconfirmedAfter is the time without a configuration after which one is
 	// taken that no quorum has confirmed.
-	unconfirmedAfter = time.Second
+	unconfirmedAfter = 200 * time.Millisecond
 	// windowsKept is the number of recent usage windows that are told again and again.
 	windowsKept = 4
 )
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"syscall"
 	"time"
 
 	kithttp "github.com/go-kit/kit/transport/http"
@@ -196,7 +197,7 @@
 		crossed *crossedError
 		silent  *silentError
 	)
-	v := verdictFailed
+	v := failureVerdict(err)
 	switch {
 	case !errors.As(err, &failure) || !failure.NotRun:
 		x.sent = true
@@ -223,6 +224,14 @@
 		zap.Int("attempts", x.attempts), zap.Error(err))
 }
 
+// failureVerdict tells a connection that was cut off without a word from other failures.
+func failureVerdict(err error) verdict {
+	if errors.Is(err, syscall.ETIMEDOUT) {
+		return verdictSilent
+	}
+	return verdictFailed
+}
+
 func overloadedStatus(status int) bool {
 	switch status {
 	case http.StatusTooManyRequests, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -111,6 +111,9 @@
 	return g
 }
 
+// domainShare divides what an unreachable upstream counts for at the others of its failure domain.
+const domainShare = 2
+
 // engines describes upstreams to the placer. What other processes have there
 // to read is expected to be like what this one has.
 func (d *dispatcher) engines(upstreams []*registrar.Upstream, candidates []picker.Candidate) []picker.Engine {
@@ -140,7 +143,7 @@
 			Age:     now - startOf(u, d.tracks[u.ID]),
 			Running: c.Load(),
 			Pending: d.tracks[u.ID].pending + each*float64(others),
-			Penalty: d.tracks[u.ID].penalty(now),
+			Penalty: d.tracks[u.ID].failures.penalty(now) + d.domain(u.FailureDomain).penalty(now)/domainShare,
 		})
 	}
 	return out
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -30,6 +30,13 @@
 	finalSyncTimeout = 2 * time.Second
 	// idleTimeout closes callers' connections on which nothing happens.
 	idleTimeout = 2 * time.Minute
+	// startUpTime is the time after its start in which a process has learnt the
+	// configuration and the upstreams: an election, and one announcement of each.
+	startUpTime = 2500 * time.Millisecond
+	// shortestReturn is the least time after which a refused caller comes back.
+	shortestReturn = 400 * time.Millisecond
+	// returnSpread divides the time to come back into the time over which callers spread.
+	returnSpread = 3
 )
 
 // Router is one entry process.
@@ -40,6 +47,7 @@
 	windows     *windowCounter
 	follower    *follower
 	controls    *controls
+	begun       time.Duration
 	log         *zap.Logger
 	instruments *instrumenter.Instruments
 	incarnation string
@@ -66,6 +74,7 @@
 		settings:    s,
 		dialect:     dialect,
 		random:      rand.IntN,
+		begun:       timer.Now(),
 		windows:     newWindowCounter(s.GetEntry()),
 		log:         log,
 		instruments: instruments,
@@ -74,6 +83,7 @@
 		metrics:     newMetrics(instruments.Scope),
 	}
 	r.dispatcher = newDispatcher(s, r.metrics)
+	r.dispatcher.returnAfter = r.returnAfter
 	r.attempter = newAttempter(s.GetEntry(), dialect)
 	r.controls = newControls(s.GetEntry(), security)
 	r.authority = newAuthority(r)
@@ -189,6 +199,14 @@
 	}
 }
 
+// returnAfter tells a caller whose request cannot be served yet when to come
+// back: once a process that has just started has what it needs, spread so that
+// not all return at once.
+func (r *Router) returnAfter() time.Duration {
+	left := max(shortestReturn, startUpTime-(timer.Now()-r.begun))
+	return left + time.Duration(r.random(int(left/returnSpread)))
+}
+
 // notReady returns why the process takes no work. A process whose
 // configuration is not fresh still serves open routes.
 func (r *Router) notReady() string {
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -187,7 +187,7 @@
 	if errors.As(cause, &expired) {
 		x.finish(verdictAbandoned, failure)
 	} else {
-		x.finish(verdictFailed, failure)
+		x.finish(failureVerdict(cause), failure)
 	}
 	x.log.Info("stream broke", zap.String("attempt", string(at.id)),
 		zap.Uint64("delivered", uint64(x.delivered)), zap.Error(cause))
--- a/internal/router/track.go
+++ b/internal/router/track.go
@@ -29,15 +29,20 @@
 		created time.Duration
 		// pending are the tokens of this process's prompts that the upstream has still to read.
 		pending float64
-		// failures is the weight of the failures of late, as of failedAt.
-		failures float64
-		failedAt time.Duration
+		// failures are the attempts that failed of late.
+		failures fading
 		// load is the upstream's load as its latest answer told.
 		load registrar.Load
 		// lost is closed when the announcement lease ends.
 		lost chan struct{}
 	}
 
+	// fading counts events and forgets them over time.
+	fading struct {
+		weight  float64
+		updated time.Duration
+	}
+
 	inFlightSample struct {
 		at    time.Duration
 		count int
@@ -88,9 +93,9 @@
 	case verdictFailed:
 		t.limiter.Overloaded(now)
 		t.circuit.Failed(now)
-		t.failures = t.failuresAt(now) + 1
-		t.failedAt = now
-	case verdictUnreachable:
+		t.failures.add(now)
+	case verdictUnreachable, verdictSilent:
+		t.failures.add(now)
 		t.circuit.Trip(now)
 	case verdictAbandoned:
 		t.circuit.Abandoned()
@@ -98,13 +103,20 @@
 	t.sample(now)
 }
 
-func (t *track) failuresAt(now time.Duration) float64 {
-	return t.failures * math.Exp(-float64(now-t.failedAt)/float64(failureMemory))
+// add counts an event.
+func (f *fading) add(now time.Duration) {
+	f.weight = f.at(now) + 1
+	f.updated = now
+}
+
+// at returns the weight at a time.
+func (f *fading) at(now time.Duration) float64 {
+	return f.weight * math.Exp(-float64(now-f.updated)/float64(failureMemory))
 }
 
-// penalty returns what the failures of late count for, as a delay.
-func (t *track) penalty(now time.Duration) time.Duration {
-	return time.Duration(t.failuresAt(now) * float64(failurePenalty))
+// penalty returns what the events of late count for, as a delay.
+func (f *fading) penalty(now time.Duration) time.Duration {
+	return time.Duration(f.at(now) * float64(failurePenalty))
 }
 
 func (t *track) sample(now time.Duration) {
--- a/pkg/planner/sizer.go
+++ b/pkg/planner/sizer.go
@@ -19,6 +19,8 @@
 	// fallbackPart is the part of the needed upstreams below which lasting ones
 	// stand in for preemptible ones that are not to be had.
 	fallbackPart = 0.6
+	// unknownReserve multiplies what is there while the load is not known yet.
+	unknownReserve = 1.35
 	// shrinkPart is how much smaller a pool must suffice before any upstream is
 	// given up, since its memory is lost with it.
 	shrinkPart = 0.8
@@ -164,7 +166,7 @@
 		for _, d := range domainsOf(p) {
 			s.needed += p.Lasting[d] + p.Preemptible[d]
 		}
-		s.needed = max(s.needed, wanted)
+		s.needed = max(int(math.Ceil(unknownReserve*float64(s.needed))), wanted)
 		s.enoughSince = now
 		return true
 	}
