--- a/cmd/comfreybend/control.go
+++ b/cmd/comfreybend/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/pkg/errors"
@@ -31,12 +32,14 @@
 	if s.GetControl() == nil {
 		return errors.New("the settings have no control section")
 	}
-	log, err := logger.New(s.GetLogging().GetLevel(), "control", s.GetHost().GetId())
+	log, lines, err := logger.New(os.Stdout, s.GetLogging().GetLevel(), "control", s.GetHost().GetId())
 	if err != nil {
 		return err
 	}
+	defer lines.Close()
 	instruments := instrumenter.New("control")
 	defer instruments.Close()
+	instruments.Count("log_lines_dropped", lines.Dropped)
 	c, err := controller.New(s, flags.controllerDialect(), log, instruments)
 	if err != nil {
 		return err
--- a/cmd/comfreybend/entry.go
+++ b/cmd/comfreybend/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/pkg/errors"
@@ -31,12 +32,14 @@
 	if s.GetEntry() == nil {
 		return errors.New("the settings have no entry section")
 	}
-	log, err := logger.New(s.GetLogging().GetLevel(), "entry", s.GetHost().GetId())
+	log, lines, err := logger.New(os.Stdout, s.GetLogging().GetLevel(), "entry", s.GetHost().GetId())
 	if err != nil {
 		return err
 	}
+	defer lines.Close()
 	instruments := instrumenter.New("entry")
 	defer instruments.Close()
+	instruments.Count("log_lines_dropped", lines.Dropped)
 	r, err := router.New(s, flags.routerDialect(), log, instruments)
 	if err != nil {
 		return err
--- a/internal/instrumenter/instrumenter.go
+++ b/internal/instrumenter/instrumenter.go
@@ -23,6 +23,7 @@
 	Scope    tally.Scope
 	closer   io.Closer
 	reporter prometheus.Reporter
+	closed   chan struct{}
 }
 
 // New returns instruments whose metrics carry the role of the process.
@@ -39,11 +40,34 @@
 		CachedReporter: reporter,
 		Separator:      prometheus.DefaultSeparator,
 	}, reportInterval)
-	return &Instruments{Scope: scope, closer: closer, reporter: reporter}
+	return &Instruments{Scope: scope, closer: closer, reporter: reporter, closed: make(chan struct{})}
+}
+
+// Count exports a number that only grows, read once a report interval.
+func (i *Instruments) Count(name string, read func() uint64) {
+	counter := i.Scope.Counter(name)
+	go i.follow(counter, read)
+}
+
+func (i *Instruments) follow(counter tally.Counter, read func() uint64) {
+	var last uint64
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-i.closed:
+			return
+		case <-ticker.C:
+		}
+		now := read()
+		counter.Inc(int64(now - last))
+		last = now
+	}
 }
 
 // Close reports the last values.
 func (i *Instruments) Close() {
+	close(i.closed)
 	_ = i.closer.Close()
 }
 
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -1,27 +1,69 @@
-// Package logger makes the structured log that every daemon writes to standard error.
+// Package logger makes the structured log that every daemon writes to standard
+// output: one JSON line for each decision. Its volume is bounded, and it never
+// blocks the work that it tells of.
 package logger
 
 import (
+	"io"
+
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 )
 
-// New returns a JSON logger for one process of a host.
-func New(level, role, host string) (*zap.Logger, error) {
+// servedCore writes lines of a logger named Served so that they are dropped first.
+type servedCore struct {
+	zapcore.Core
+	served zapcore.Core
+}
+
+// Served is the name of loggers whose lines tell of served requests.
+const Served = "served"
+
+// New returns a JSON logger for one process of a host, and the writer behind
+// it, which the caller closes.
+func New(out io.Writer, level, role, host string) (*zap.Logger, *Writer, error) {
 	parsed, err := zapcore.ParseLevel(level)
 	if err != nil {
-		return nil, errors.Wrap(err, "log level")
+		return nil, nil, errors.Wrap(err, "log level")
 	}
-	config := zap.NewProductionConfig()
-	config.Level = zap.NewAtomicLevelAt(parsed)
-	config.Sampling = nil
-	config.DisableStacktrace = true
-	config.EncoderConfig.TimeKey = "time"
-	config.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	log, err := config.Build()
-	if err != nil {
-		return nil, errors.Wrap(err, "building the logger")
+	w := NewWriter(out)
+	return newLogger(parsed, w).With(zap.String("role", role), zap.String("host", host)), w, nil
+}
+
+func newLogger(level zapcore.Level, w *Writer) *zap.Logger {
+	config := zap.NewProductionEncoderConfig()
+	config.TimeKey = "time"
+	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	config.CallerKey = zapcore.OmitKey
+	core := func(write func([]byte) (int, error)) zapcore.Core {
+		return zapcore.NewCore(zapcore.NewJSONEncoder(config), zapcore.AddSync(writeFunc(write)), level)
+	}
+	return zap.New(&servedCore{Core: core(w.Write), served: core(w.WriteServed)})
+}
+
+type writeFunc func([]byte) (int, error)
+
+// Write implements io.Writer.
+func (f writeFunc) Write(line []byte) (int, error) { return f(line) }
+
+// With implements zapcore.Core.
+func (c *servedCore) With(fields []zapcore.Field) zapcore.Core {
+	return &servedCore{Core: c.Core.With(fields), served: c.served.With(fields)}
+}
+
+// Check implements zapcore.Core.
+func (c *servedCore) Check(e zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if c.Enabled(e.Level) {
+		return checked.AddCore(e, c)
+	}
+	return checked
+}
+
+// Write implements zapcore.Core.
+func (c *servedCore) Write(e zapcore.Entry, fields []zapcore.Field) error {
+	if e.LoggerName == Served {
+		return c.served.Write(e, fields)
 	}
-	return log.With(zap.String("role", role), zap.String("host", host)), nil
+	return c.Core.Write(e, fields)
 }
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -87,6 +87,15 @@
 		alone bool
 		// read reports that the prompt has been read.
 		read bool
+		// choice is what the upstream was chosen by.
+		choice choice
+	}
+
+	// choice is what was believed of an upstream when it was chosen.
+	choice struct {
+		candidates int
+		load       int
+		loadAge    time.Duration
 	}
 
 	// budget bounds the retries of this process.
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -220,8 +220,7 @@
 	}
 	x.avoid = append(x.avoid, g.upstream.ID)
 	x.router.dispatcher.release(g, v, 0)
-	x.log.Info("attempt failed", zap.String("upstream", string(g.upstream.ID)),
-		zap.Int("attempts", x.attempts), zap.Error(err))
+	x.log.Info("attempt failed", append(x.inputs(g), zap.Int("attempts", x.attempts), zap.Error(err))...)
 }
 
 // failureVerdict tells a connection that was cut off without a word from other failures.
@@ -295,16 +294,21 @@
 
 func (x *exchange) refused(refusal *RefusalError) *RefusalError {
 	x.router.metrics.refused(refusal.Code)
-	x.log.Info("request refused", zap.String("code", refusal.Code), zap.Int("status", refusal.Status),
-		zap.String("run", string(refusal.Run)), zap.String("attempt", string(refusal.Attempt)),
+	x.log.Info("request refused", zap.String("requestId", x.requestID(refusal)), zap.String("code", refusal.Code),
+		zap.Int("status", refusal.Status), zap.String("run", string(refusal.Run)),
+		zap.Duration("retryAfter", refusal.RetryAfter), zap.Int("attempts", x.attempts),
+		zap.Uint64("revision", uint64(x.router.authority.revision())), zap.Duration("since", x.age()),
 		zap.String("organisation", string(x.call.who.organisation)), zap.String("class", x.call.class.GetName()),
-		zap.String("reason", refusal.Detail))
+		zap.String("pool", x.call.pool.name), zap.String("reason", refusal.Detail))
 	return refusal
 }
 
 // finish ends the current attempt and counts the work.
 func (x *exchange) finish(v verdict, cause error) {
 	at := x.current
+	if v == verdictAnswered {
+		x.served(at.grant, at.response.StatusCode, at.firstByte)
+	}
 	x.current = nil
 	if cause == nil {
 		at.drain()
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -92,15 +92,20 @@
 ) *grant {
 	now := d.now()
 	g := &grant{item: t.item, pool: key, at: now}
+	var chosen int
 	if t.order.prompt != nil {
-		chosen, unread := d.placer.Pick(now, *t.order.prompt, d.engines(upstreams, candidates))
-		g.upstream = upstreams[chosen]
-		g.unread = unread
+		chosen, g.unread = d.placer.Pick(now, *t.order.prompt, d.engines(upstreams, candidates))
 	} else {
 		d.markCached(candidates, t.order.pick.Prefix)
-		g.upstream = upstreams[d.picker.Pick(t.order.pick, candidates)]
+		chosen = d.picker.Pick(t.order.pick, candidates)
 	}
+	g.upstream = upstreams[chosen]
 	g.track = d.tracks[g.upstream.ID]
+	g.choice = choice{
+		candidates: len(candidates),
+		load:       candidates[chosen].Load(),
+		loadAge:    now - max(g.track.load.MeasuredAt, g.upstream.Load.MeasuredAt),
+	}
 	if t.order.prompt != nil {
 		d.placer.Placed(now, *t.order.prompt, g.upstream.ID)
 		g.alone = g.track.pending == 0
--- /dev/null
+++ b/internal/router/trace.go
@@ -0,0 +1,56 @@
+package router
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/comfreybend/comfreybend/internal/logger"
+)
+
+// requestID returns the id that a caller knows its request by.
+func (x *exchange) requestID(refusal *RefusalError) string {
+	if x.call.Attempt != "" {
+		return string(x.call.Attempt)
+	}
+	if refusal != nil {
+		return string(refusal.Attempt)
+	}
+	if x.current != nil {
+		return string(x.current.id)
+	}
+	return ""
+}
+
+// age returns the time since the request arrived.
+func (x *exchange) age() time.Duration {
+	return x.router.dispatcher.now() - x.call.arrived
+}
+
+// inputs returns the fields that say why an upstream was chosen: what was
+// believed of it, how old that was, and among how many it stood.
+func (x *exchange) inputs(g *grant) []zap.Field {
+	return []zap.Field{
+		zap.String("requestId", x.requestID(nil)),
+		zap.String("upstream", string(g.upstream.ID)),
+		zap.String("upstreamDomain", string(g.upstream.FailureDomain)),
+		zap.Int("candidates", g.choice.candidates),
+		zap.Int("load", g.choice.load),
+		zap.Duration("loadAge", g.choice.loadAge),
+		zap.Int("unreadTokens", int(g.unread)),
+		zap.Duration("wait", g.at-x.call.arrived),
+	}
+}
+
+// served writes the one line of a request whose answer was relayed.
+func (x *exchange) served(g *grant, status int, firstByte time.Duration) {
+	x.log.Named(logger.Served).Info("request served", append(x.inputs(g),
+		zap.Int("status", status),
+		zap.Int("attempts", x.attempts),
+		zap.Duration("firstByte", firstByte),
+		zap.Duration("whole", x.age()),
+		zap.Uint64("events", uint64(x.delivered)),
+		zap.String("organisation", string(x.call.who.organisation)),
+		zap.String("class", x.call.class.GetName()),
+		zap.Int32("tier", x.call.tier))...)
+}
--- a/internal/trier/trier.go
+++ b/internal/trier/trier.go
@@ -150,10 +150,11 @@
 }
 
 func (t *Trier) runControl(ctx context.Context) error {
-	log, err := logger.New(t.settings.GetLogging().GetLevel(), "control", t.settings.GetHost().GetId())
+	log, lines, err := logger.New(os.Stderr, t.settings.GetLogging().GetLevel(), "control", t.settings.GetHost().GetId())
 	if err != nil {
 		return err
 	}
+	defer lines.Close()
 	instruments := instrumenter.New("control")
 	defer instruments.Close()
 	c, err := controller.New(t.settings, controller.Dialect{}, log, instruments)
@@ -164,10 +165,11 @@
 }
 
 func (t *Trier) runEntry(ctx context.Context) error {
-	log, err := logger.New(t.settings.GetLogging().GetLevel(), "entry", t.settings.GetHost().GetId())
+	log, lines, err := logger.New(os.Stderr, t.settings.GetLogging().GetLevel(), "entry", t.settings.GetHost().GetId())
 	if err != nil {
 		return err
 	}
+	defer lines.Close()
 	instruments := instrumenter.New("entry")
 	defer instruments.Close()
 	r, err := router.New(t.settings, router.Own(), log, instruments)
--- a/pkg/retrier/retrier.go
+++ b/pkg/retrier/retrier.go
@@ -100,6 +100,11 @@
 	return s.allowance * safeShare / 2 / s.processes
 }
 
+// most is what one process saves up at the most.
+func (s *Shared) most() float64 {
+	return max(1, s.capacity())
+}
+
 // Divide tells how many processes share the budget.
 func (s *Shared) Divide(processes int) {
 	s.processes = float64(processes)
@@ -109,16 +114,17 @@
 // Requested counts a request.
 func (s *Shared) Requested(now time.Duration) {
 	s.refill(now)
-	s.saved = min(s.saved+s.ratio*safeShare, s.capacity()+1)
+	s.saved = min(s.saved+s.ratio*safeShare, s.most())
 }
 
 // Succeeded does nothing: the budget grows by requests and time.
 func (s *Shared) Succeeded() {}
 
-// Take uses up one retry, or reports that none is left.
+// Take uses up one retry, or reports that none is left. A retry may be begun on
+// credit: the part of one process among many is often less than one.
 func (s *Shared) Take(now time.Duration) bool {
 	s.refill(now)
-	if s.saved < 1 {
+	if s.saved <= 0 {
 		return false
 	}
 	s.saved--
@@ -126,10 +132,10 @@
 }
 
 func (s *Shared) refill(now time.Duration) {
-	elapsed := now - s.updated
+	elapsed := min(now-s.updated, s.window)
 	s.updated = now
 	grown := s.capacity() * float64(elapsed) / float64(s.window)
-	s.saved = min(s.saved+grown, s.capacity()+1)
+	s.saved = min(s.saved+grown, s.most())
 }
 
 // NewCircuit returns a closed circuit.
--- a/pkg/retrier/retrier_test.go
+++ b/pkg/retrier/retrier_test.go
@@ -53,3 +53,61 @@
 		t.Fatal("a successful probe does not close the circuit")
 	}
 }
+
+// TestSharedBudget lets many processes retry as much as they can: together they
+// stay within the ratio of the requests and the allowance of a window.
+func TestSharedBudget(t *testing.T) {
+	const (
+		ratio  = 0.2
+		window = 10 * time.Second
+		step   = 10 * time.Millisecond
+	)
+	tests := map[string]struct {
+		processes int
+		allowance float64
+		// requests a second over all processes.
+		requests float64
+		// least is the number of retries that must be possible in a window.
+		least float64
+	}{
+		"a few busy processes":      {processes: 6, allowance: 52, requests: 66, least: 60},
+		"a few idle processes":      {processes: 6, allowance: 52, requests: 0, least: 10},
+		"many processes":            {processes: 88, allowance: 216, requests: 540, least: 500},
+		"many processes, few calls": {processes: 88, allowance: 216, requests: 20, least: 60},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			budgets := make([]*Shared, test.processes)
+			for i := range budgets {
+				budgets[i] = NewShared(ratio, test.allowance, window)
+				budgets[i].Divide(test.processes)
+			}
+			var taken []time.Duration
+			due, next := 0.0, 0
+			for now := time.Hour; now < time.Hour+3*window; now += step {
+				for due += test.requests * step.Seconds(); due >= 1; due-- {
+					budgets[next%test.processes].Requested(now)
+					next++
+				}
+				for _, b := range budgets {
+					for b.Take(now) {
+						taken = append(taken, now)
+					}
+				}
+			}
+			most := 0
+			for first, last := 0, 0; last < len(taken); last++ {
+				for taken[last]-taken[first] >= window {
+					first++
+				}
+				most = max(most, last-first+1)
+			}
+			if allowed := ratio*test.requests*window.Seconds() + test.allowance; float64(most) > allowed {
+				t.Errorf("%d retries in a window that allows %.0f", most, allowed)
+			}
+			if float64(most) < test.least {
+				t.Errorf("%d retries in a window", most)
+			}
+		})
+	}
+}
