--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -177,6 +177,7 @@
 	x.sent = true
 	if x.call.repeatable && x.router.dialect.Retries(at.response.StatusCode) {
 		err = &attemptError{Attempt: at.id, Cause: errors.Errorf("upstream answered %d", at.response.StatusCode)}
+		x.log.Info("attempt failed", append(x.inputs(g), zap.Int("attempts", x.attempts), zap.Error(err))...)
 		at.close(err)
 		x.avoid = append(x.avoid, g.upstream.ID)
 		x.router.dispatcher.release(g, verdictOverloaded, 0)
--- /dev/null
+++ b/internal/router/hedge_test.go
@@ -0,0 +1,121 @@
+package router
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/comfreybend/comfreybend/internal/instrumenter"
+	"github.com/comfreybend/comfreybend/internal/messenger"
+	"github.com/comfreybend/comfreybend/internal/validator"
+	"github.com/comfreybend/comfreybend/schema/settings"
+	"github.com/comfreybend/comfreybend/schema/state"
+	"github.com/comfreybend/comfreybend/schema/wire"
+)
+
+// startControl serves exchanges of a control process and returns its address.
+func startControl(t *testing.T, handle func(context.Context, *wire.Request) *wire.Reply) string {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- messenger.NewServer(l, messenger.Security{}, handle).Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return l.Addr().String()
+}
+
+func whole(revision uint64) *wire.Reply {
+	return &wire.Reply{Kind: &wire.Reply_Sync{Sync: &wire.SyncReply{
+		Revision: revision, Whole: true, Configuration: &state.Configuration{},
+	}}}
+}
+
+// TestHedgedSync asks control processes of which the first ones are frozen: a
+// configuration is in force long before the first one's time has run out.
+func TestHedgedSync(t *testing.T) {
+	frozen := func(ctx context.Context, _ *wire.Request) *wire.Reply {
+		<-ctx.Done()
+		return nil
+	}
+	answering := func(context.Context, *wire.Request) *wire.Reply { return whole(7) }
+	tests := map[string][]func(context.Context, *wire.Request) *wire.Reply{
+		"the first answers":   {answering, frozen},
+		"the first is frozen": {frozen, answering},
+		"two of three are":    {frozen, frozen, answering},
+		"one refuses, one hangs": {func(context.Context, *wire.Request) *wire.Reply {
+			return &wire.Reply{Failure: &wire.Failure{Reason: "noLeader"}}
+		}, frozen, answering},
+	}
+	for name, handlers := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := &settings.Settings{
+				Host:  &settings.Host{Id: "e", FailureDomain: "a"},
+				Entry: &settings.Entry{Freshness: durationpb.New(20 * time.Second)},
+			}
+			for _, handle := range handlers {
+				s.Entry.ControlAddresses = append(s.Entry.ControlAddresses, startControl(t, handle))
+			}
+			validator.FillDefaults(s)
+			r, err := New(s, Own(), zap.NewNop(), instrumenter.New("entry"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer r.controls.close()
+			begun := time.Now()
+			r.authority.syncOnce(t.Context(), false)
+			if r.authority.revision() != 7 {
+				t.Fatalf("revision %d after %v", r.authority.revision(), time.Since(begun))
+			}
+			// The first one alone would take the whole time of a request, 5 s.
+			if took := time.Since(begun); took > 4*time.Second {
+				t.Errorf("the request took %v", took)
+			}
+		})
+	}
+}
+
+// TestControls keeps every seed, avoids those that fail and forgets those that are gone.
+func TestControls(t *testing.T) {
+	tests := map[string]struct {
+		play func(*controls)
+		want []string
+	}{
+		"the settings' ones":             {play: func(*controls) {}, want: []string{"a", "b"}},
+		"learnt ones go first":           {play: func(c *controls) { c.learn([]string{"c"}) }, want: []string{"c", "a", "b"}},
+		"one that failed goes last":      {play: func(c *controls) { c.failed(c.preferred()) }, want: []string{"b", "a"}},
+		"and stays there for a while":    {play: func(c *controls) { c.failed(c.preferred()); c.learn([]string{"a", "b"}) }, want: []string{"b", "a"}},
+		"one that is gone is forgotten":  {play: func(c *controls) { c.learn([]string{"c"}); c.learn([]string{"d"}) }, want: []string{"d", "a", "b"}},
+		"other seeds replace the former": {play: func(c *controls) { c.learn([]string{"c"}); c.reseed([]string{"x"}) }, want: []string{"c", "a", "b", "x"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			e := &settings.Entry{ControlAddresses: []string{"a", "b"}, Freshness: durationpb.New(5 * time.Second)}
+			c := newControls(e, messenger.Security{})
+			test.play(c)
+			var got []string
+			for _, client := range c.inOrder() {
+				got = append(got, client.Address())
+			}
+			if len(got) != len(test.want) {
+				t.Fatalf("order %v, want %v", got, test.want)
+			}
+			for i := range got {
+				if got[i] != test.want[i] {
+					t.Fatalf("order %v, want %v", got, test.want)
+				}
+			}
+		})
+	}
+}
--- a/internal/validator/entry.go
+++ b/internal/validator/entry.go
@@ -1,6 +1,7 @@
 package validator
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/comfreybend/comfreybend/schema/settings"
@@ -109,6 +110,16 @@
 	c.oneOf("$.entry.policy", e.GetPolicy(), "standard", "random", "leastReported")
 	c.number("$.entry.queue.waiting", int64(e.GetQueue().GetWaiting()), 1, 1_000_000)
 	c.number("$.entry.queue.guaranteedPercent", int64(e.GetQueue().GetGuaranteedPercent()), 1, 10)
+	if w := e.GetAlignedWindow(); w != nil {
+		c.duration("$.entry.alignedWindow", w, 100*time.Millisecond, 24*time.Hour)
+	}
+	if b := e.GetSharedBudget(); b != nil {
+		if b.GetRatio() < 0 || b.GetRatio() > 1 {
+			c.add("$.entry.sharedBudget.ratio", fmt.Sprint("found ", b.GetRatio()), "0 to 1")
+		}
+		c.number("$.entry.sharedBudget.allowance", int64(b.GetAllowance()), 0, 1_000_000)
+		c.duration("$.entry.sharedBudget.window", b.GetWindow(), 100*time.Millisecond, time.Hour)
+	}
 	checkCallerLimits(c, e.GetCallerLimits())
 	checkUpstreamLimits(c, e.GetUpstreamLimits())
 }
