test: a randomized soak of whole systems

Cause: faults were tested one by one; the users ask for a soak that draws them from a seed, lets them overlap and checks the promises from outside.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 TRY_LISTEN    ?= 127.0.0.1:8080
 TEST_TIMEOUT  ?= 20m
 
-.PHONY: build try test check format generate bench clean
+.PHONY: build try test check format generate soak bench clean
 
 build:
 	$(GO) build -o $(BIN)/comfreybend ./cmd/comfreybend
@@ -38,6 +38,12 @@
 	GOBIN=$(BIN) $(GO) install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOGEN_VER)
 	PATH=$(BIN):$$PATH $(GO) run github.com/bufbuild/buf/cmd/buf@$(BUF_VER) generate
 
+# Plays random faults against a whole system: make soak SEED=7 SECONDS=60.
+SEED    ?= 1
+SECONDS ?= 60
+soak:
+	SOAK_SEED=$(SEED) SOAK_SECONDS=$(SECONDS) $(GO) test -race -count=1 -v -timeout 30m -run 'TestSoak$$' ./test/integration
+
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem -benchtime 1x -timeout 40m ./test/integration
 	$(GO) test -run '^$$' -bench . -benchmem ./pkg/... ./internal/...
--- a/test/integration/caller_test.go
+++ b/test/integration/caller_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/comfreybend/comfreybend/internal/emulator"
 	"github.com/comfreybend/comfreybend/internal/router"
@@ -145,15 +146,23 @@
 // fault makes a stand-in fail.
 func (u *upstreamProcess) fault(t testing.TB, f emulator.Faults) {
 	t.Helper()
+	if err := u.tryFault(f); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// tryFault makes a stand-in fail if it answers.
+func (u *upstreamProcess) tryFault(f emulator.Faults) error {
 	data, err := json.Marshal(f)
 	if err != nil {
-		t.Fatal(err)
+		return err
 	}
-	response, err := http.Post(u.url+"/emulator/v1/faults", "application/json", bytes.NewReader(data))
+	client := &http.Client{Timeout: time.Second}
+	response, err := client.Post(u.url+"/emulator/v1/faults", "application/json", bytes.NewReader(data))
 	if err != nil {
-		t.Fatal(err)
+		return err
 	}
-	_ = response.Body.Close()
+	return response.Body.Close()
 }
 
 // statusIs returns nil if an answer has a status.
