router: follow two control processes beside each other

Change: two control processes are followed beside each other, and one that does not answer is avoided for a time that doubles. Ruled out: the announcement itself (acknowledged and spread in 0.05 s); a longer avoidance alone (the thawed process answers from an old table).

--- a/internal/router/controls.go
+++ b/internal/router/controls.go
@@ -10,8 +10,12 @@
 	"github.com/comfreybend/comfreybend/schema/settings"
 )
 
-// avoidance is how long other control processes go before one that did not answer.
-const avoidance = 3 * time.Second
+// A control process that did not answer goes after the others for a time that
+// doubles with each failure.
+const (
+	shortestAvoidance = 3 * time.Second
+	longestAvoidance  = 24 * time.Second
+)
 
 // controls holds the clients of the control processes: those in the settings,
 // and those that a control process has told of since.
@@ -25,10 +29,12 @@
 	order []*messenger.Client
 	// avoided holds the addresses that did not answer, and until when others go first.
 	avoided map[string]time.Duration
+	// pauses holds how long they were avoided last.
+	pauses map[string]time.Duration
 }
 
 func newControls(e *settings.Entry, security messenger.Security) *controls {
-	c := &controls{security: security, seeds: e.GetControlAddresses(), settings: e, avoided: map[string]time.Duration{}}
+	c := &controls{security: security, seeds: e.GetControlAddresses(), settings: e, avoided: map[string]time.Duration{}, pauses: map[string]time.Duration{}}
 	c.learn(nil)
 	return c
 }
@@ -86,6 +92,16 @@
 	return c.order[0]
 }
 
+// ranked returns the control process of a rank in the order, or nil.
+func (c *controls) ranked(rank int) *messenger.Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if rank >= len(c.order) {
+		return nil
+	}
+	return c.order[rank]
+}
+
 // inOrder returns all control processes, the one to ask first at the front.
 func (c *controls) inOrder() []*messenger.Client {
 	c.mu.Lock()
@@ -93,11 +109,20 @@
 	return append([]*messenger.Client(nil), c.order...)
 }
 
+// answered forgets that a control process did not answer before.
+func (c *controls) answered(client *messenger.Client) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.pauses, client.Address())
+}
+
 // failed moves a control process that did not answer to the end.
 func (c *controls) failed(client *messenger.Client) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.avoided[client.Address()] = timer.Now() + avoidance
+	again := min(max(2*c.pauses[client.Address()], shortestAvoidance), longestAvoidance)
+	c.pauses[client.Address()] = again
+	c.avoided[client.Address()] = timer.Now() + again
 	for i, other := range c.order {
 		if other == client {
 			c.order = append(append(c.order[:i:i], c.order[i+1:]...), client)
--- a/internal/router/follower.go
+++ b/internal/router/follower.go
@@ -21,6 +21,9 @@
 	followWait = 500 * time.Millisecond
 	// followTimeout bounds one exchange, the wait included.
 	followTimeout = followWait + 500*time.Millisecond
+	// followed is the number of control processes that are followed beside each
+	// other, so that what is new arrives while one of them is frozen or cut off.
+	followed = 2
 	// followPause is the least time between two exchanges; what is new in it comes with the next.
 	followPause = 100 * time.Millisecond
 	// unconfirmedAfter is the time without a configuration after which one is
@@ -35,8 +38,12 @@
 	follower struct {
 		router *Router
 		begun  time.Duration
-		table  uint64
-		at     uint64
+	}
+
+	// place is how far this process has come in a control process's table.
+	place struct {
+		table    uint64
+		position uint64
 	}
 
 	// windowCounter counts requests in windows that are aligned to true time.
@@ -58,34 +65,51 @@
 	if !f.router.settings.GetEntry().GetFollowControl() {
 		return nil
 	}
+	var wait sync.WaitGroup
+	for rank := range followed {
+		wait.Go(func() { f.follow(ctx, rank) })
+	}
+	wait.Wait()
+	return nil
+}
+
+// follow keeps asking the control process of a rank in the order of preference.
+func (f *follower) follow(ctx context.Context, rank int) {
+	places := map[string]place{}
 	for ctx.Err() == nil {
-		client := f.router.controls.preferred()
-		reply, err := f.ask(ctx, client)
+		client := f.router.controls.ranked(rank)
+		if client == nil {
+			timer.Sleep(ctx, followPause)
+			continue
+		}
+		at := places[client.Address()]
+		reply, err := f.ask(ctx, client, at)
 		if err != nil {
 			f.router.controls.failed(client)
 			f.router.log.Debug("following a control process failed", zap.String("control", client.Address()), zap.Error(err))
 		} else {
+			f.router.controls.answered(client)
+			places[client.Address()] = place{table: reply.GetFollow().GetTable(), position: reply.GetFollow().GetPosition()}
 			f.take(reply.GetFollow())
 		}
 		timer.Sleep(ctx, followPause)
 	}
-	return nil
 }
 
-func (f *follower) ask(ctx context.Context, client *messenger.Client) (*wire.Reply, error) {
+func (f *follower) ask(ctx context.Context, client *messenger.Client, at place) (*wire.Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, followTimeout)
 	defer cancel()
-	return client.Exchange(ctx, f.question())
+	return client.Exchange(ctx, f.question(at))
 }
 
-func (f *follower) question() *wire.Request {
+func (f *follower) question(at place) *wire.Request {
 	host := f.router.settings.GetHost()
 	return &wire.Request{Kind: &wire.Request_Follow{Follow: &wire.Follow{
 		Host:            host.GetId(),
 		FailureDomain:   host.GetFailureDomain(),
 		HaveRevision:    uint64(f.router.authority.revision()),
-		Table:           f.table,
-		Position:        f.at,
+		Table:           at.table,
+		Position:        at.position,
 		WaitMillis:      followWait.Milliseconds(),
 		WantUnconfirmed: !f.router.authority.configured() && timer.Now()-f.begun > unconfirmedAfter,
 	}}}
@@ -97,8 +121,6 @@
 	for _, u := range reply.GetUpstreams() {
 		r.dispatcher.announce(announcer.FromWire(u, now))
 	}
-	f.table = reply.GetTable()
-	f.at = reply.GetPosition()
 	r.controls.learn(reply.GetControlAddresses())
 	r.dispatcher.setEntryHosts(int(reply.GetEntryHosts()))
 	r.windows.setTime(now, time.UnixMilli(reply.GetTrueMillis()))
--- a/internal/router/hedge_test.go
+++ b/internal/router/hedge_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,6 +14,7 @@
 	"github.com/comfreybend/comfreybend/internal/instrumenter"
 	"github.com/comfreybend/comfreybend/internal/messenger"
 	"github.com/comfreybend/comfreybend/internal/validator"
+	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/settings"
 	"github.com/comfreybend/comfreybend/schema/state"
 	"github.com/comfreybend/comfreybend/schema/wire"
@@ -119,3 +122,75 @@
 		})
 	}
 }
+
+// TestFollowsBesideAFrozenOne follows two control processes of which one is
+// frozen all the time: that an upstream leaves is known at once, and again and again.
+func TestFollowsBesideAFrozenOne(t *testing.T) {
+	frozen := func(ctx context.Context, _ *wire.Request) *wire.Reply {
+		<-ctx.Done()
+		return nil
+	}
+	var position atomic.Uint64
+	telling := func(_ context.Context, r *wire.Request) *wire.Reply {
+		if r.GetFollow() == nil {
+			return whole(1)
+		}
+		reply := &wire.FollowReply{Revision: 1, Table: 1, Position: position.Load(), EntryHosts: 1}
+		for n := r.GetFollow().GetPosition() + 1; n <= reply.GetPosition(); n++ {
+			reply.Upstreams = append(reply.Upstreams, &wire.Upstream{
+				Id: fmt.Sprint("upstream-", n), Incarnation: 1, Sequence: 1, Url: fmt.Sprint("http://127.0.0.1:", n),
+				Kind: "service", Serves: []string{"pool"}, State: "leaving",
+			})
+		}
+		return &wire.Reply{Kind: &wire.Reply_Follow{Follow: reply}}
+	}
+	for name, handlers := range map[string][]func(context.Context, *wire.Request) *wire.Reply{
+		"the near one is frozen": {frozen, telling, frozen},
+		"the far one is frozen":  {telling, frozen, frozen},
+	} {
+		t.Run(name, func(t *testing.T) {
+			position.Store(0)
+			s := &settings.Settings{
+				Host: &settings.Host{Id: "e", FailureDomain: "a"},
+				Entry: &settings.Entry{
+					Freshness: durationpb.New(20 * time.Second), FollowControl: true,
+					AnnouncementLease: durationpb.New(time.Minute),
+				},
+			}
+			for _, handle := range handlers {
+				s.Entry.ControlAddresses = append(s.Entry.ControlAddresses, startControl(t, handle))
+			}
+			validator.FillDefaults(s)
+			r, err := New(s, Own(), zap.NewNop(), instrumenter.New("entry"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer r.controls.close()
+			ctx, cancel := context.WithCancel(t.Context())
+			ended := make(chan error, 1)
+			go func() { ended <- r.follower.run(ctx) }()
+			for n := uint64(1); n <= 3; n++ {
+				position.Store(n)
+				// An upstream that leaves gets nothing new two seconds after its announcement.
+				end := time.Now().Add(2 * time.Second)
+				for !r.dispatcher.knows(fmt.Sprint("upstream-", n)) {
+					if time.Now().After(end) {
+						t.Fatalf("announcement %d is not known in time", n)
+					}
+					time.Sleep(5 * time.Millisecond)
+				}
+			}
+			cancel()
+			if err := <-ended; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// knows reports whether an upstream has been announced.
+func (d *dispatcher) knows(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.registrar.Get(registrar.UpstreamID(id)) != nil
+}
