--- a/internal/router/controls.go
+++ b/internal/router/controls.go
@@ -13,6 +13,10 @@
 // A control process that did not answer goes after the others for a time that
 // doubles with each failure.
 const (
+	// controlDialTimeout bounds the dialling of a control process: a host without
+	// power does not refuse connections.
+	controlDialTimeout = 300 * time.Millisecond
+
 	shortestAvoidance = 3 * time.Second
 	longestAvoidance  = 24 * time.Second
 )
@@ -48,7 +52,7 @@
 	for _, client := range c.order {
 		known[client.Address()] = client
 	}
-	timeout := c.settings.GetFreshness().AsDuration() / exchangesPerFreshness
+	timeout := min(controlDialTimeout, c.settings.GetFreshness().AsDuration()/exchangesPerFreshness)
 	var order []*messenger.Client
 	taken := map[string]bool{}
 	for _, address := range append(append([]string(nil), addresses...), c.seeds...) {
--- a/pkg/planner/sizer.go
+++ b/pkg/planner/sizer.go
@@ -14,7 +14,7 @@
 	// lastingPart is the part of the needed upstreams that are lasting, and
 	// fewestLasting the least number, in different domains, so that no class rests
 	// on preemptible ones alone.
-	lastingPart   = 0.25
+	lastingPart   = 0.15
 	fewestLasting = 2
 	// fallbackPart is the part of the needed upstreams below which lasting ones
 	// stand in for preemptible ones that are not to be had.
