--- a/pkg/planner/sizer.go
+++ b/pkg/planner/sizer.go
@@ -161,6 +161,7 @@
 // the beginning, and when fewer upstreams have sufficed for long.
 func (s *sizedState) size(now time.Duration, p SizedPool) bool {
 	wanted := max(fewestLasting, len(p.Prices)*max(1, p.Minimum), int(math.Ceil(p.Busy/sizedUse)))
+	wanted = min(wanted, len(p.Prices)*p.Maximum)
 	if s.lasting == nil {
 		// What is there was sized by someone who knew more.
 		for _, d := range domainsOf(p) {
--- a/test/integration/system_test.go
+++ b/test/integration/system_test.go
@@ -125,9 +125,7 @@
 func startSystem(t testing.TB, l layout) *system {
 	t.Helper()
 	s := &system{t: t, network: newNetwork(t), folder: t.TempDir()}
-	token, hash := operator.NewToken()
-	s.token = token
-	s.writeFile("operators.json", []byte(fmt.Sprintf("{%q: %q}", "tester", hash)))
+	s.token = s.writeOperators()
 	for i := range l.controls {
 		s.controls = append(s.controls, &controlProcess{
 			id:       fmt.Sprintf("control-%d", i+1),
@@ -161,6 +159,14 @@
 	return s
 }
 
+// writeOperators writes the operator token file and returns the token.
+func (s *system) writeOperators() string {
+	s.t.Helper()
+	token, hash := operator.NewToken()
+	s.writeFile("operators.json", []byte(fmt.Sprintf("{%q: %q}", "tester", hash)))
+	return token
+}
+
 func (s *system) writeFile(name string, data []byte) string {
 	s.t.Helper()
 	path := filepath.Join(s.folder, name)
