planner, router: a loss is noticed at once by a new process in charge; a smoothed mean

With 88 entry hosts the mean of what a request has still to read came from one or two requests. Change: an order notes whether as many serve; the mean is smoothed.

--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -136,6 +136,8 @@
 		peers     *demandTable
 		// draining are the upstreams that the process in charge is about to stop.
 		draining map[registrar.UpstreamID]bool
+		// pendingEach is the mean of the tokens that a running request has still to read.
+		pendingEach float64
 		// domains holds the failures of late to reach upstreams, by failure domain.
 		domains map[registrar.FailureDomain]*fading
 	}
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -116,6 +116,9 @@
 	return g
 }
 
+// pendingSmoothing is the inverse weight of a new look at what requests have still to read.
+const pendingSmoothing = 32
+
 // domainShare divides what an unreachable upstream counts for at the others of its failure domain.
 const domainShare = 2
 
@@ -128,9 +131,9 @@
 		pending += d.tracks[u.ID].pending
 		running += d.tracks[u.ID].limiter.InFlight()
 	}
-	each := 0.0
 	if running > 0 {
-		each = pending / float64(running)
+		// One of many processes has few requests at a time, so that its moments tell little.
+		d.pendingEach += (pending/float64(running) - d.pendingEach) / pendingSmoothing
 	}
 	out := make([]picker.Engine, 0, len(upstreams))
 	for i, u := range upstreams {
@@ -147,7 +150,7 @@
 			Cold:    now < u.WarmAt,
 			Age:     now - startOf(u, d.tracks[u.ID]),
 			Running: c.Load(),
-			Pending: d.tracks[u.ID].pending + each*float64(others),
+			Pending: d.tracks[u.ID].pending + d.pendingEach*float64(others),
 			Penalty: d.tracks[u.ID].failures.penalty(now) + d.domain(u.FailureDomain).penalty(now)/domainShare,
 		})
 	}
--- a/pkg/planner/sizer.go
+++ b/pkg/planner/sizer.go
@@ -280,7 +280,7 @@
 	if same && serving >= count {
 		return orders
 	}
-	s.ordered[key] = orderedCount{count: count, at: now}
+	s.ordered[key] = orderedCount{count: count, at: now, fullAt: now, full: serving >= count}
 	return append(orders, CountOrder{
 		Pool: name, FailureDomain: key.domain, Preemptible: key.preemptible, Count: count,
 	})
--- a/pkg/planner/sizer_test.go
+++ b/pkg/planner/sizer_test.go
@@ -143,3 +143,20 @@
 		t.Errorf("%d preemptible upstreams", preemptible)
 	}
 }
+
+// TestSizerNoticesALossAtOnce takes a domain's upstreams away right after a new
+// process took charge: they are ordered again at the next look, not after a refill.
+func TestSizerNoticesALossAtOnce(t *testing.T) {
+	p := newSizedPlatform(4)
+	// With 20 upstreams in all a successor orders what already serves.
+	p.pool.Maximum = 5
+	p.run(NewSizer(), 0, 10*time.Second, 4)
+	successor := NewSizer()
+	p.run(successor, 10*time.Second, 10*time.Second+sizerStep, 4)
+	p.pool.Preemptible["b"] = 0
+	lost := 10*time.Second + orderInterval
+	p.run(successor, lost, lost+2*sizerStep, 4)
+	if p.pool.Preemptible["b"] == 0 {
+		t.Error("the loss was not noticed")
+	}
+}
