picker, router, test: split grown files

Cause: placer.go and dispatcher.go held three jobs each, a test's set-up stood twice, and the retry budget was an interface beside concrete types. Change: homes, light classes and budget have files of their own; the budget is a type of function fields; moved as they were otherwise. Measured: go test of the packages and TestSeededGroup pass.

--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -25,12 +25,12 @@
 	rearmDivisor = 8
 )
 
-// callerWriter writes to a caller with a time limit for each write.
+// callerWriter writes to a caller with a deadline for each write.
 type callerWriter struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
 	timeout time.Duration
-	// armed is when the time limit was set last.
+	// armed is when the deadline was set last.
 	armed time.Time
 }
 
@@ -196,7 +196,7 @@
 	}
 }
 
-// write writes data within the time limit. The limit is set anew only once a
+// write writes data before the deadline, which is set anew only once a
 // fraction of it has passed, since a stream has many small writes.
 func (w *callerWriter) write(data []byte) error {
 	if now := time.Now(); now.Sub(w.armed) > w.timeout/rearmDivisor {
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -12,7 +12,6 @@
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
-	"github.com/comfreybend/comfreybend/pkg/retrier"
 	"github.com/comfreybend/comfreybend/pkg/scheduler"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/settings"
@@ -98,20 +97,6 @@
 		loadAge    time.Duration
 	}
 
-	// budget bounds the retries of this process.
-	budget interface {
-		// Requested counts a request, Succeeded one that was answered.
-		Requested(now time.Duration)
-		Succeeded()
-		// Take uses up one retry, or reports that none is left.
-		Take(now time.Duration) bool
-		// Divide tells how many processes share the budget.
-		Divide(processes int)
-	}
-
-	// successBudget is a budget of this process alone.
-	successBudget struct{ *retrier.Budget }
-
 	// verdict is what an attempt says about its upstream.
 	verdict int
 
@@ -174,15 +159,6 @@
 	}
 }
 
-// newBudget returns this process's part of the budget that all entry processes
-// share, or the product's own budget by successes.
-func newBudget(e *settings.Entry) budget {
-	if s := e.GetSharedBudget(); s != nil {
-		return retrier.NewShared(s.GetRatio(), float64(s.GetAllowance()), s.GetWindow().AsDuration())
-	}
-	return &successBudget{retrier.NewBudget(int(e.GetUpstreamLimits().GetRetryPercent()))}
-}
-
 func newRegistrar(e *settings.Entry) *registrar.Registrar {
 	if e.GetFollowControl() {
 		return registrar.NewExclusive(e.GetAnnouncementLease().AsDuration())
@@ -290,7 +266,7 @@
 	p := d.pool(o.pool)
 	d.nextItem++
 	if !o.begun && len(o.pick.Avoid) == 0 {
-		d.budget.Requested(d.now())
+		d.budget.requested(d.now())
 		if o.prompt != nil {
 			p.prompts = true
 			d.placer.Arrived(d.now(), *o.prompt)
@@ -365,7 +341,7 @@
 		d.domain(g.upstream.FailureDomain).add(d.now())
 	}
 	if v == verdictAnswered {
-		d.budget.Succeeded()
+		d.budget.succeeded()
 		before := p.durations[g.item.Class]
 		p.durations[g.item.Class] = before + (d.now()-g.at-before)/durationSmoothing
 	}
@@ -382,13 +358,6 @@
 	return f
 }
 
-// mayRetry takes one retry from the budget.
-func (d *dispatcher) mayRetry() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.budget.Take(d.now())
-}
-
 // refuseAll refuses every waiting request of a pool that no upstream serves any more.
 func (d *dispatcher) refuseAll(key poolKey, p *pool) {
 	for id, t := range d.tickets {
@@ -465,22 +434,6 @@
 	}
 }
 
-// setEntryHosts tells how many entry processes share the retry budget.
-func (d *dispatcher) setEntryHosts(n int) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.budget.Divide(max(1, n))
-}
-
-// Requested does nothing: the budget grows by successes.
-func (b *successBudget) Requested(time.Duration) {}
-
-// Take uses up one retry, or reports that none is left.
-func (b *successBudget) Take(time.Duration) bool { return b.Budget.Take() }
-
-// Divide does nothing: the budget is this process's own.
-func (b *successBudget) Divide(int) {}
-
 // String returns the pool's name between processes.
 func (k poolKey) String() string {
 	return string(k.kind) + "/" + k.name
--- /dev/null
+++ b/pkg/picker/homes.go
@@ -0,0 +1,146 @@
+package picker
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/comfreybend/comfreybend/pkg/registrar"
+)
+
+// unread returns the tokens that an upstream is expected to read for a request,
+// of whose shared parts it is expected to have read a share.
+func (p *Placer) unread(now time.Duration, r PromptRequest, id registrar.UpstreamID, expected float64) float64 {
+	fresh := float64(own(r.Parts, r.In))
+	shared := float64(r.In) - fresh
+	if shared <= 0 {
+		return fresh
+	}
+	at, found := p.read[partAt{part: lastShared(r.Parts), upstream: id}]
+	if found && now-at < memoryLifetime {
+		expected = hitShare
+	}
+	return fresh + shared*(1-expected)
+}
+
+// Placed remembers that an upstream reads a request's parts.
+func (p *Placer) Placed(now time.Duration, r PromptRequest, id registrar.UpstreamID) {
+	if len(r.Parts) == 0 {
+		return
+	}
+	if len(p.read) >= rememberedParts {
+		for key, at := range p.read {
+			if now-at > memoryLifetime {
+				delete(p.read, key)
+			}
+		}
+	}
+	if len(p.read) < rememberedParts {
+		p.read[partAt{part: lastShared(r.Parts), upstream: id}] = now
+	}
+}
+
+// expected returns the share of the request's shared parts that each engine is
+// expected to have read, as far as their hashes tell.
+func (p *Placer) expected(now time.Duration, r PromptRequest, engines []Engine, light []bool, wanted bool) map[int]float64 {
+	out := map[int]float64{}
+	share := hitShare
+	for rank, i := range homesOf(r, engines, light, wanted) {
+		if rank > 0 || !p.heldElsewhere(now, r, engines, i) {
+			out[i] = share
+		}
+		share *= nextHome
+	}
+	return out
+}
+
+// heldElsewhere reports that this process has placed the request's shared
+// parts lately, but not at their home: a home that is new has not read them.
+func (p *Placer) heldElsewhere(now time.Duration, r PromptRequest, engines []Engine, home int) bool {
+	part := lastShared(r.Parts)
+	held := false
+	for i := range engines {
+		at, found := p.read[partAt{part: part, upstream: engines[i].ID}]
+		if !found || now-at >= memoryLifetime {
+			continue
+		}
+		if i == home {
+			return false
+		}
+		held = true
+	}
+	return held
+}
+
+// homesOf returns the positions of the engines in the request's group with the
+// highest hashes of its last shared part, the highest first; none if it shares none.
+func homesOf(r PromptRequest, engines []Engine, light []bool, wanted bool) []int {
+	if len(r.Parts) < 2 {
+		return nil
+	}
+	part := string(lastShared(r.Parts))
+	settled := settledAge(engines)
+	var (
+		found  []int
+		hashes []uint64
+	)
+	for i := range engines {
+		if light != nil && light[i] != wanted || engines[i].Age < settled {
+			continue
+		}
+		h := xxhash.Sum64String(part + "\x00" + string(engines[i].ID))
+		at := sort.Search(len(hashes), func(k int) bool { return hashes[k] < h })
+		if at >= homes {
+			continue
+		}
+		found = slices.Insert(found, at, i)
+		hashes = slices.Insert(hashes, at, h)
+		if len(found) > homes {
+			found, hashes = found[:homes], hashes[:homes]
+		}
+	}
+	return found
+}
+
+// settledAge returns the age from which an engine is a home. One that is new
+// beside the others would take parts away that they have read, and may soon be
+// gone again.
+func settledAge(engines []Engine) time.Duration {
+	ages := make([]time.Duration, len(engines))
+	for i := range engines {
+		ages[i] = engines[i].Age
+	}
+	sort.Slice(ages, func(i, j int) bool { return ages[i] < ages[j] })
+	return min(longestSettling, ages[len(ages)/2]/2)
+}
+
+// settledEngines returns the positions of the engines that are settled.
+func settledEngines(engines []Engine) map[int]bool {
+	age := settledAge(engines)
+	out := make(map[int]bool, len(engines))
+	for i := range engines {
+		if engines[i].Age >= age {
+			out[i] = true
+		}
+	}
+	return out
+}
+
+// lastShared returns the last part that other requests share.
+func lastShared(parts []Part) PrefixID {
+	if len(parts) == 0 {
+		return ""
+	}
+	return parts[max(0, len(parts)-2)].ID
+}
+
+// own returns the tokens of a prompt that no other request shares.
+func own(parts []Part, in int) int {
+	shared := 0
+	for _, part := range parts[:max(0, len(parts)-1)] {
+		shared += part.Tokens
+	}
+	return max(0, in-shared)
+}
--- a/pkg/retrier/retrier.go
+++ b/pkg/retrier/retrier.go
@@ -117,9 +117,6 @@
 	s.saved = min(s.saved+s.ratio*safeShare, s.most())
 }
 
-// Succeeded does nothing: the budget grows by requests and time.
-func (s *Shared) Succeeded() {}
-
 // Take uses up one retry, or reports that none is left. A retry may be begun on
 // credit: the part of one process among many is often less than one.
 func (s *Shared) Take(now time.Duration) bool {
--- a/test/integration/seeds_test.go
+++ b/test/integration/seeds_test.go
@@ -27,14 +27,32 @@
 	}
 }
 
-// addControl starts one more control process with an empty disk, which knows the seeds alone.
-func (s *system) addControl(founder bool) *controlProcess {
+// seededSystem returns a system of three seeds that have not started.
+func seededSystem(t *testing.T) *system {
+	t.Helper()
+	s := &system{t: t, network: newNetwork(t), folder: t.TempDir()}
+	s.token = s.writeOperators()
+	for range 3 {
+		s.describeControl()
+	}
+	return s
+}
+
+// describeControl gives one more control process its name, addresses and folder.
+func (s *system) describeControl() *controlProcess {
 	s.t.Helper()
 	id := fmt.Sprintf("control-%d", len(s.controls)+1)
 	c := &controlProcess{
 		id: id, peer: freeAddress(s.t), operator: freeAddress(s.t), folder: filepath.Join(s.folder, "data-"+id),
 	}
 	s.controls = append(s.controls, c)
+	return c
+}
+
+// addControl starts one more control process with an empty disk, which knows the seeds alone.
+func (s *system) addControl(founder bool) *controlProcess {
+	s.t.Helper()
+	c := s.describeControl()
 	s.launch(c, founder)
 	return c
 }
@@ -74,14 +92,7 @@
 // loses one for good and gets another at a new address: it takes the lost one's
 // place, and everything acknowledged is kept.
 func TestSeededGroup(t *testing.T) {
-	s := &system{t: t, network: newNetwork(t), folder: t.TempDir()}
-	s.token = s.writeOperators()
-	for i := range 3 {
-		id := fmt.Sprintf("control-%d", i+1)
-		s.controls = append(s.controls, &controlProcess{
-			id: id, peer: freeAddress(t), operator: freeAddress(t), folder: filepath.Join(s.folder, "data-"+id),
-		})
-	}
+	s := seededSystem(t)
 	for _, c := range s.controls {
 		s.launch(c, true)
 	}
@@ -98,14 +109,7 @@
 // TestNobodyFoundsAlone starts two of three seeds, and processes that may not
 // found a group: no group forms until all seeds are there.
 func TestNobodyFoundsAlone(t *testing.T) {
-	s := &system{t: t, network: newNetwork(t), folder: t.TempDir()}
-	s.token = s.writeOperators()
-	for i := range 3 {
-		id := fmt.Sprintf("control-%d", i+1)
-		s.controls = append(s.controls, &controlProcess{
-			id: id, peer: freeAddress(t), operator: freeAddress(t), folder: filepath.Join(s.folder, "data-"+id),
-		})
-	}
+	s := seededSystem(t)
 	s.launch(s.controls[0], true)
 	s.launch(s.controls[1], true)
 	late := s.controls[2]
