--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -21,9 +21,6 @@
 	introductionInterval = 200 * time.Millisecond
 	// applicantLifetime is the time after which an applicant that fell silent is forgotten.
 	applicantLifetime = 5 * introductionInterval
-	// deadSilences is how many times the silence that makes room for a newer
-	// member must last until a member is taken for dead.
-	deadSilences = 4
 )
 
 type (
@@ -159,7 +156,7 @@
 	if !s.GetFounder() {
 		return nil, false
 	}
-	founding := &replication.Membership{Size: int32(len(s.GetSeeds()))}
+	founding := &replication.Membership{}
 	seeded := false
 	for _, address := range s.GetSeeds() {
 		i := byAddress[address]
@@ -220,7 +217,8 @@
 		k.membership = s.Membership
 		k.mu.Unlock()
 		k.controller.peers.forget(before, s.Membership)
-		if !replicator.FindMember(s.Membership, s.ID).GetVoter() {
+		if !replicator.FindMember(s.Membership, s.ID).GetVoter() || s.Leader == 0 {
+			// A member without a leader may have been taken for gone.
 			k.introduceAll(ctx)
 		}
 		if s.Role == replicator.Leader {
@@ -235,11 +233,8 @@
 	caughtUp := func(id replicator.MemberID) bool { return s.Matches[id] >= s.Commit }
 	next := replicator.NextMembership(s.Membership, k.freshApplicants(), caughtUp)
 	if !k.controller.peers.closed {
-		succession := k.succession(s)
 		if next == nil {
-			next = succession.Shrink(s.Membership)
-		} else {
-			succession.Grow(s.Membership, next)
+			next = replicator.Shrink(s.Membership, k.silent(s))
 		}
 	}
 	if next == nil || !s.MembershipCommitted {
@@ -250,17 +245,14 @@
 	n.ProposeMembership(next)
 }
 
-// succession tells which members have been silent, as the leader's heartbeats show.
-func (k *memberKeeper) succession(s *replicator.Status) replicator.Succession {
+// silent tells which members have not answered the leader's heartbeats for long.
+func (k *memberKeeper) silent(s *replicator.Status) func(replicator.MemberID) bool {
 	now := timer.Now()
 	silence := k.controller.settings.GetControl().GetMemberSilence().AsDuration()
-	longerThan := func(d time.Duration) func(replicator.MemberID) bool {
-		return func(id replicator.MemberID) bool {
-			confirmed, found := s.Confirmed[id]
-			return found && now-confirmed > d
-		}
+	return func(id replicator.MemberID) bool {
+		confirmed, found := s.Confirmed[id]
+		return found && now-confirmed > silence
 	}
-	return replicator.Succession{Silent: longerThan(silence), Dead: longerThan(deadSilences * silence)}
 }
 
 func (k *memberKeeper) freshApplicants() []replicator.Applicant {
--- a/pkg/replicator/membership.go
+++ b/pkg/replicator/membership.go
@@ -17,38 +17,19 @@
 // minimumVoters is the number of voters below which none is removed.
 const minimumVoters = 3
 
-// Succession removes voters that are gone for good. A voter that is merely
-// down, frozen or cut off must keep its place until a newer one has taken it.
-type Succession struct {
-	// Silent reports that a member has not answered for long enough that a
-	// voter that joined since may take its place.
-	Silent func(MemberID) bool
-	// Dead reports that a member has not answered for longer than any
-	// disruption lasts.
-	Dead func(MemberID) bool
-}
-
-// Grow sets the size that a membership is meant to have after a voter joined.
-func (s Succession) Grow(before, after *replication.Membership) {
-	after.Size = max(before.GetSize(), 1)
-	if votersOf(after) <= votersOf(before) {
-		return
-	}
-	for _, m := range before.GetMembers() {
-		if m.GetVoter() && s.Silent(MemberID(m.GetId())) {
-			return
-		}
-	}
-	after.Size = max(after.Size, int32(votersOf(after)))
-}
-
-// Shrink returns the membership without one voter that has been succeeded or
-// is dead, or nil if there is none. The voters that answer stay a majority.
-func (s Succession) Shrink(m *replication.Membership) *replication.Membership {
+// Shrink returns the membership without one voter that is silent, or nil if
+// there is none. silent reports that a member has not answered for longer than
+// a short disruption lasts; one that is only cut off or frozen introduces itself
+// again later and learns what it has missed before it votes.
+//
+// Hosts that are gone for good must leave, or a group that gets successors would
+// need ever more voters for a majority. It does not shrink below three voters,
+// and the voters that answer stay a majority with and without the one that leaves.
+func Shrink(m *replication.Membership, silent func(MemberID) bool) *replication.Membership {
 	voters := votersOf(m)
 	answering := 0
 	for _, member := range m.GetMembers() {
-		if member.GetVoter() && !s.Silent(MemberID(member.GetId())) {
+		if member.GetVoter() && !silent(MemberID(member.GetId())) {
 			answering++
 		}
 	}
@@ -56,14 +37,8 @@
 		return nil
 	}
 	for _, member := range m.GetMembers() {
-		id := MemberID(member.GetId())
-		if member.GetVoter() && (s.Dead(id) || s.Silent(id) && voters > int(m.GetSize())) {
-			next := withoutMember(m, member.GetId())
-			next.Size = m.GetSize()
-			if s.Dead(id) {
-				next.Size = min(next.Size, int32(voters-1))
-			}
-			return next
+		if member.GetVoter() && silent(MemberID(member.GetId())) {
+			return withoutMember(m, member.GetId())
 		}
 	}
 	return nil
@@ -145,7 +120,7 @@
 }
 
 func withoutMember(m *replication.Membership, id uint64) *replication.Membership {
-	next := &replication.Membership{Size: m.GetSize()}
+	next := &replication.Membership{}
 	for _, member := range cloneMembership(m).GetMembers() {
 		if member.GetId() != id {
 			next.Members = append(next.Members, member)
--- a/test/integration/seeds_test.go
+++ b/test/integration/seeds_test.go
@@ -123,3 +123,40 @@
 	s.launch(late, true)
 	s.expectVoters("control-1", "control-2", "control-3", "control-4")
 }
+
+// TestPlannedReplacement brings the successor first, stops the old member for
+// good and then loses another one: the group goes on, because the one that was
+// stopped has left it. A member that was only frozen comes back by itself.
+func TestPlannedReplacement(t *testing.T) {
+	s := seededSystem(t)
+	for _, c := range s.controls {
+		s.launch(c, true)
+	}
+	s.expectVoters("control-1", "control-2", "control-3")
+	const changes = 5
+	s.change(changes)
+	s.addControl(false)
+	s.expectVoters("control-1", "control-2", "control-3", "control-4")
+	s.controls[1].terminate()
+	s.expectVoters("control-1", "control-3", "control-4")
+	s.controls[0].kill()
+	s.addControl(false)
+	s.expectVoters("control-3", "control-4", "control-5")
+	s.addControl(false)
+	s.expectVoters("control-3", "control-4", "control-5", "control-6")
+	frozen := s.controls[2]
+	if s.leader() == frozen {
+		frozen = s.controls[3]
+	}
+	frozen.freeze()
+	var rest []string
+	for _, c := range s.controls[2:] {
+		if c != frozen {
+			rest = append(rest, c.id)
+		}
+	}
+	s.expectVoters(rest...)
+	frozen.thaw()
+	s.expectVoters("control-3", "control-4", "control-5", "control-6")
+	s.expectChanges(changes)
+}
