scheduler, router: rank by organisation tier and class tier

Now the organisation's tier goes before the class's, and among organisations of one tier the class's decides; queues are kept by class and tier. TestTiersOfOneClass failed first in all four cases. The two tests that looked a queue up by class look it up by class and tier now; their bounds are the same.

--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -34,6 +34,7 @@
 		// byHost holds the routes of each host, longest prefix first; those of any host under the empty name.
 		byHost        map[string][]*state.Route
 		pools         map[string]*state.Pool
+		ranks         []urgency
 		organisations map[OrganisationID]*state.Organisation
 		keys          map[string]*state.Key
 		byHash        map[KeyHash]*state.Key
@@ -222,6 +223,7 @@
 	for _, r := range c.routes {
 		c.byHost[r.GetHost()] = append(c.byHost[r.GetHost()], r)
 	}
+	c.ranks = c.rankAll()
 	c.pools = map[string]*state.Pool{}
 	for _, p := range configuration.GetPools() {
 		c.pools[p.GetName()] = p
@@ -233,6 +235,7 @@
 		return &InvalidError{Path: "$.id", Problem: "an organisation needs an id"}
 	}
 	c.organisations[OrganisationID(o.GetId())] = o
+	c.ranks = c.rankAll()
 	return nil
 }
 
@@ -241,6 +244,7 @@
 		return &InvalidError{Path: "$.id", Problem: "no organisation " + string(id)}
 	}
 	delete(c.organisations, id)
+	c.ranks = c.rankAll()
 	for _, k := range c.keys {
 		if OrganisationID(k.GetOrganisation()) == id {
 			c.markWithdrawn(k)
@@ -298,6 +302,7 @@
 		routes:        append([]*state.Route(nil), c.routes...),
 		byHost:        c.byHost,
 		pools:         c.pools,
+		ranks:         c.ranks,
 		organisations: cloneMap(c.organisations),
 		keys:          cloneMap(c.keys),
 		byHash:        cloneMap(c.byHash),
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -250,6 +250,8 @@
 		Organisation: string(c.who.organisation),
 		Class:        c.class.GetName(),
 		Tier:         c.tier,
+		Rank:         c.rank,
+		Ranks:        c.ranks,
 		Prefix:       c.prefix(),
 		Upstream:     at.grant.upstream.ID,
 		Left:         c.deadline - a.now(),
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -54,9 +54,11 @@
 		pool   poolKey
 		stream bool
 		// tier is the class's or the organisation's.
-		tier     int32
-		arrived  time.Duration
-		deadline time.Duration
+		tier int32
+		// rank, from 1, orders calls by the organisation's tier and then the class's; there are so many ranks.
+		rank, ranks int32
+		arrived     time.Duration
+		deadline    time.Duration
 		// repeatable calls may be sent more than once.
 		repeatable bool
 	}
@@ -181,12 +183,13 @@
 		"class must be one of "+strings.Join(c.route.GetClasses(), ", "))
 }
 
-// chooseTier takes the organisation's tier before the class's.
+// chooseTier takes the organisation's tier before the class's, and ranks by both.
 func (c *call) chooseTier(catalog *configurer.Catalog) {
 	c.tier = c.class.GetTier()
 	if own := catalog.Organisation(c.who.organisation).GetTier(); own > 0 {
 		c.tier = own
 	}
+	c.rank, c.ranks = catalog.RankOf(c.who.organisation, c.class)
 }
 
 // chooseService draws one of the services that share a route.
--- a/internal/router/dialect.go
+++ b/internal/router/dialect.go
@@ -72,7 +72,9 @@
 		Organisation string
 		Class        string
 		Tier         int32
-		Prefix       picker.PrefixID
+		// Rank, from 1, orders calls by the organisation's tier and then the class's, among so many Ranks.
+		Rank, Ranks int32
+		Prefix      picker.PrefixID
 		// Upstream is the one that is meant.
 		Upstream registrar.UpstreamID
 		// Left is the time until the deadline.
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -128,7 +128,7 @@
 	g, refusal := x.router.dispatcher.submit(ctx, order{
 		pool:         c.pool,
 		class:        c.class,
-		tier:         c.tier,
+		tier:         c.rank,
 		organisation: c.who.organisation,
 		arrived:      c.arrived,
 		deadline:     c.deadline,
--- a/pkg/scheduler/class.go
+++ b/pkg/scheduler/class.go
@@ -3,7 +3,13 @@
 import "time"
 
 type (
-	// classQueue holds the waiting requests of one class by organisation.
+	// queueKey tells queues apart: an organisation's tier may differ from its class's.
+	queueKey struct {
+		class Class
+		tier  Tier
+	}
+
+	// classQueue holds the waiting requests of one class and tier by organisation.
 	classQueue struct {
 		name          Class
 		tier          Tier
@@ -23,6 +29,8 @@
 	}
 )
 
+func (i *Item) key() queueKey { return queueKey{class: i.Class, tier: i.Tier} }
+
 func newClassQueue(name Class, tier Tier) *classQueue {
 	return &classQueue{name: name, tier: tier, organisations: map[Organisation]*organisationQueue{}}
 }
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -73,7 +73,7 @@
 	// Scheduler holds the waiting requests of one pool. It is not safe for concurrent use.
 	Scheduler struct {
 		config  Config
-		classes map[Class]*classQueue
+		classes map[queueKey]*classQueue
 		order   []*classQueue
 		items   map[ItemID]*Item
 		// begun are the waiting requests that have been dispatched before, in order.
@@ -91,7 +91,7 @@
 func New(config Config) *Scheduler {
 	return &Scheduler{
 		config:  config,
-		classes: map[Class]*classQueue{},
+		classes: map[queueKey]*classQueue{},
 		items:   map[ItemID]*Item{},
 	}
 }
@@ -133,7 +133,7 @@
 		return false
 	}
 	delete(s.items, id)
-	s.classes[item.Class].remove(item)
+	s.classes[item.key()].remove(item)
 	return true
 }
 
@@ -160,7 +160,7 @@
 	item := s.choose(now)
 	s.Remove(item.ID)
 	s.noteDispatch(now)
-	q := s.classes[item.Class]
+	q := s.classes[item.key()]
 	item.charged = q.averageCost()
 	q.charge(item.Organisation, item.charged)
 	s.giveCredit(q, item.charged)
@@ -169,7 +169,7 @@
 
 // Finished corrects the charge of a dispatched request by its measured cost.
 func (s *Scheduler) Finished(item Item, cost Cost) {
-	q := s.classes[item.Class]
+	q := s.classes[item.key()]
 	q.charge(item.Organisation, cost-item.charged)
 	if cost > 0 {
 		q.learnCost(cost)
@@ -248,7 +248,7 @@
 		return nil
 	}
 	largest := lowest.largest()
-	own := s.classes[item.Class].organisations[item.Organisation]
+	own := s.class(item.Class, item.Tier).organisations[item.Organisation]
 	if lowest.tier > item.Tier || own == nil || len(own.items)+1 < len(largest.items) {
 		return largest.newest()
 	}
@@ -295,13 +295,13 @@
 }
 
 func (s *Scheduler) class(name Class, tier Tier) *classQueue {
-	q := s.classes[name]
+	key := queueKey{class: name, tier: tier}
+	q := s.classes[key]
 	if q == nil {
 		q = newClassQueue(name, tier)
-		s.classes[name] = q
+		s.classes[key] = q
 		s.order = append(s.order, q)
 	}
-	q.tier = tier
 	return q
 }
 
--- a/pkg/scheduler/scheduler_test.go
+++ b/pkg/scheduler/scheduler_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"slices"
 	"testing"
 	"time"
 )
@@ -71,7 +72,7 @@
 	id := 0
 	for range 20_000 {
 		for class, tier := range tiers {
-			for s.classes[class] == nil || s.classes[class].waiting < 5 {
+			for q := s.class(class, tier); q.waiting < 5; {
 				id++
 				s.Add(0, item(id, class, tier, "one"))
 			}
@@ -100,7 +101,7 @@
 	id := 0
 	for range 30_000 {
 		for o := range costs {
-			for s.classes["c"] == nil || s.classes["c"].countOf(o) < 10 {
+			for q := s.class("c", 1); q.countOf(o) < 10; {
 				id++
 				s.Add(0, item(id, "c", 1, o))
 			}
@@ -254,3 +255,31 @@
 	fmt.Println(next.Class)
 	// Output: chat
 }
+
+// TestTiersOfOneClass queues requests of organisations with tiers of their own
+// in one class: the tier decides, whichever came last.
+func TestTiersOfOneClass(t *testing.T) {
+	tests := map[string][]Tier{
+		"the urgent one last":           {3, 3, 1},
+		"the urgent one first":          {1, 3, 3},
+		"the urgent one in the middle":  {3, 1, 2},
+		"several urgent ones among all": {2, 1, 3, 1},
+	}
+	for name, tiers := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := New(Config{Waiting: len(tiers)})
+			for i, tier := range tiers {
+				s.Add(0, item(i, "c", tier, Organisation(fmt.Sprint("o", i))))
+			}
+			victim := s.victimFor(&Item{Class: "c", Tier: 1, Organisation: "new"})
+			if want := slices.Max(tiers); victim == nil || victim.Tier != want {
+				t.Errorf("%v makes room, want one of tier %d", victim, want)
+			}
+			for _, want := range slices.Sorted(slices.Values(tiers)) {
+				if next, _ := s.Next(0); next.Tier != want {
+					t.Errorf("tier %d is next, want %d", next.Tier, want)
+				}
+			}
+		})
+	}
+}
