--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -5,6 +5,7 @@
 
 import (
 	"io"
+	"slices"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -60,10 +61,22 @@
 	return checked
 }
 
-// Write implements zapcore.Core.
+// Write implements zapcore.Core. Errors are written without their stacks, which
+// would make most of a line.
 func (c *servedCore) Write(e zapcore.Entry, fields []zapcore.Field) error {
+	fields = withoutStacks(fields)
 	if e.LoggerName == Served {
 		return c.served.Write(e, fields)
 	}
 	return c.Core.Write(e, fields)
 }
+
+func withoutStacks(fields []zapcore.Field) []zapcore.Field {
+	for i, f := range fields {
+		if err, ok := f.Interface.(error); ok && f.Type == zapcore.ErrorType {
+			fields = slices.Clone(fields)
+			fields[i] = zap.String(f.Key, err.Error())
+		}
+	}
+	return fields
+}
--- a/internal/logger/logger_test.go
+++ b/internal/logger/logger_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 )
@@ -89,6 +90,22 @@
 	}
 }
 
+// TestErrorsWithoutStacks writes an error that has a stack: the line has its text only.
+func TestErrorsWithoutStacks(t *testing.T) {
+	o := &output{}
+	w := NewWriter(o)
+	err := errors.Wrap(errors.New("reset"), "reading")
+	newLogger(zapcore.InfoLevel, w).Info("stream broke", zap.Error(err), zap.NamedError("cause", err))
+	w.Close()
+	line := o.String()
+	if !strings.Contains(line, `"error":"reading: reset"`) || !strings.Contains(line, `"cause":"reading: reset"`) {
+		t.Errorf("the errors' texts are missing: %s", line)
+	}
+	if strings.Contains(line, ".go:") || strings.Contains(line, "Verbose") {
+		t.Errorf("the line has a stack: %s", line)
+	}
+}
+
 func BenchmarkServedLine(b *testing.B) {
 	w := NewWriter(&output{})
 	log := newLogger(zapcore.InfoLevel, w).Named(Served)
--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -128,7 +128,8 @@
 		}
 		timer.Sleep(ctx, settlePause)
 	}
-	x.log.Warn("the outcome of a claim was not committed; it stays in doubt", zap.String("attempt", string(x.claim)))
+	x.log.Warn("the outcome of a claim was not committed; it stays in doubt", x.idField(),
+		zap.String("attempt", string(x.claim)))
 }
 
 func (x *exchange) proposeOutcome(ctx context.Context, outcome *state.ClaimOutcome) bool {
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -7,6 +7,7 @@
 	"time"
 
 	kithttp "github.com/go-kit/kit/transport/http"
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
@@ -24,9 +25,11 @@
 
 	// exchange is the life of one call: its attempts and what the caller has got.
 	exchange struct {
-		router  *Router
-		call    *call
-		log     *zap.Logger
+		router *Router
+		call   *call
+		log    *zap.Logger
+		// id is the same in all lines of the log: the client's, or one made here.
+		id      AttemptID
 		claimed bool
 		// claim is the attempt id under which the call's run is reserved.
 		claim AttemptID
@@ -82,7 +85,10 @@
 		// The body is read; without a deadline the connection is watched for the caller's leaving.
 		_ = control.SetReadDeadline(time.Time{})
 	}
-	x := &exchange{router: r, call: c, log: r.log, delivered: c.Delivered}
+	x := &exchange{router: r, call: c, log: r.log, id: c.Attempt, delivered: c.Delivered}
+	if x.id == "" {
+		x.id = AttemptID(uuid.NewString())
+	}
 	if refusal := r.resolve(c); refusal != nil {
 		return nil, x.refused(refusal)
 	}
@@ -295,7 +301,8 @@
 
 func (x *exchange) refused(refusal *RefusalError) *RefusalError {
 	x.router.metrics.refused(refusal.Code)
-	x.log.Info("request refused", zap.String("requestId", x.requestID(refusal)), zap.String("code", refusal.Code),
+	x.log.Info("request refused", x.idField(), zap.String("attempt", string(refusal.Attempt)),
+		zap.String("code", refusal.Code),
 		zap.Int("status", refusal.Status), zap.String("run", string(refusal.Run)),
 		zap.Duration("retryAfter", refusal.RetryAfter), zap.Int("attempts", x.attempts),
 		zap.Uint64("revision", uint64(x.router.authority.revision())), zap.Duration("since", x.age()),
--- a/internal/router/trace.go
+++ b/internal/router/trace.go
@@ -8,18 +8,15 @@
 	"github.com/comfreybend/comfreybend/internal/logger"
 )
 
-// requestID returns the id that a caller knows its request by.
-func (x *exchange) requestID(refusal *RefusalError) string {
-	if x.call.Attempt != "" {
-		return string(x.call.Attempt)
-	}
-	if refusal != nil {
-		return string(refusal.Attempt)
-	}
-	if x.current != nil {
-		return string(x.current.id)
+// idField leads from a request's id to its lines.
+func (x *exchange) idField() zap.Field { return zap.String("requestId", string(x.id)) }
+
+// attemptID returns the id of the current attempt, which an answer carries.
+func (x *exchange) attemptID() AttemptID {
+	if x.current == nil {
+		return ""
 	}
-	return ""
+	return x.current.id
 }
 
 // age returns the time since the request arrived.
@@ -31,7 +28,7 @@
 // believed of it, how old that was, and among how many it stood.
 func (x *exchange) inputs(g *grant) []zap.Field {
 	return []zap.Field{
-		zap.String("requestId", x.requestID(nil)),
+		x.idField(),
 		zap.String("upstream", string(g.upstream.ID)),
 		zap.String("upstreamDomain", string(g.upstream.FailureDomain)),
 		zap.Int("candidates", g.choice.candidates),
@@ -45,6 +42,7 @@
 // served writes the one line of a request whose answer was relayed.
 func (x *exchange) served(g *grant, status int, firstByte time.Duration) {
 	x.log.Named(logger.Served).Info("request served", append(x.inputs(g),
+		zap.String("attempt", string(x.attemptID())),
 		zap.Int("status", status),
 		zap.Int("attempts", x.attempts),
 		zap.Duration("firstByte", firstByte),
--- a/test/integration/answer_test.go
+++ b/test/integration/answer_test.go
@@ -117,6 +117,10 @@
 	if a := e.complete(key.Key, 20); a.err == nil {
 		t.Errorf("a cut stream ended cleanly: %s", a.body)
 	}
+	id := e.awaitLine("stream broke", "")
+	for _, message := range []string{"attempt failed", "request refused", "answer to the caller was cut"} {
+		e.awaitLine(message, id)
+	}
 }
 
 // TestOrdersRunAtMostOnce sends orders through faults at the service and resends them.
--- a/test/integration/process_test.go
+++ b/test/integration/process_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"flag"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -116,6 +118,23 @@
 	return data
 }
 
+// awaitLine waits for a line of the log that has a message and a request's id,
+// or any id if that is empty, and returns the id.
+func (p *process) awaitLine(message, id string) string {
+	p.t.Helper()
+	eventually(p.t, startWithin, func() error {
+		for line := range bytes.Lines(p.log()) {
+			var l struct{ Msg, RequestID string }
+			if json.Unmarshal(line, &l) == nil && l.Msg == message && l.RequestID != "" && (id == "" || l.RequestID == id) {
+				id = l.RequestID
+				return nil
+			}
+		}
+		return fmt.Errorf("%s has no line %q with the id %q", p.name, message, id)
+	})
+	return id
+}
+
 // checkLog fails the test on data races and panics, and shows the log of a failed test.
 func (p *process) checkLog() {
 	log := p.log()
