controller, planner: renew the failure domains of orders at each step

The planner kept the domains that were known when it was made; here the process in charge made it before the entry host's first report, so the list stayed empty for good. Domains that came later were missed in the same way.

Ruled out: load (nothing else ran); the order's encoding, since the log has the empty domain before it is sent.

Now domains are handed over at each step and nothing is ordered before one is known. TestDomainsBecomeKnown is new (without SetDomains it does not build); TestOrders passes with the race detector.

--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -108,9 +108,14 @@
 
 func (o *orderer) plan(pools []planner.Pool) []planner.Order {
 	s := o.charge.controller.settings.GetControl().GetOrdering()
+	domains := o.charge.controller.entries.domains()
+	if len(domains) == 0 {
+		// Nobody has said yet where upstreams may start.
+		return nil
+	}
 	if o.planner == nil {
 		o.planner = planner.New(planner.Config{
-			Domains:  o.charge.controller.entries.domains(),
+			Domains:  domains,
 			StartUp:  s.GetStartUp().AsDuration(),
 			Starting: int(s.GetStarting()),
 		})
@@ -124,6 +129,7 @@
 		}
 	}
 	o.mu.Unlock()
+	o.planner.SetDomains(domains)
 	return o.planner.Step(timer.Now(), pools)
 }
 
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -113,6 +113,9 @@
 	return &Planner{config: config, pools: map[PoolName]*poolState{}}
 }
 
+// SetDomains replaces the failure domains that upstreams are ordered in.
+func (p *Planner) SetDomains(domains []FailureDomain) { p.config.Domains = domains }
+
 // Step observes the pools at a time on a monotonic clock and returns the orders that are due.
 func (p *Planner) Step(now time.Duration, pools []Pool) []Order {
 	for _, pool := range pools {
--- a/pkg/planner/planner_test.go
+++ b/pkg/planner/planner_test.go
@@ -143,3 +143,13 @@
 		t.Errorf("%d upstreams were started for 3 that were lost, use is %.2f", total, use)
 	}
 }
+
+// TestDomainsBecomeKnown begins before any failure domain is known.
+func TestDomainsBecomeKnown(t *testing.T) {
+	p := New(Config{StartUp: startUp, Starting: 2})
+	p.SetDomains([]FailureDomain{"b"})
+	orders := run(p, pool(100, upstreams(1, false)...), int(startUp/interval))
+	if len(orders) == 0 || orders[0].FailureDomain != "b" {
+		t.Errorf("orders in the domain b are wanted: %v", orders)
+	}
+}
