integration: wait for usage by reported windows, not by a pause

It now waits until four windows of a second in a row brought no new call, which is longer than a window takes to be reported (settle 3 s), so the check is stricter than before.

--- a/test/integration/platform_test.go
+++ b/test/integration/platform_test.go
@@ -190,15 +190,25 @@
 	return calls, tokens
 }
 
+// quietWindows is the number of windows without a new call after which all
+// calls were reported: more than a window's delay.
+const quietWindows = 4
+
 // settled returns the sums once what was asked for so far has been reported.
 func (p *platform) settled() (calls, tokens uint64) {
 	p.t.Helper()
+	var (
+		before uint64
+		since  int
+	)
 	eventually(p.t, startWithin, func() error {
-		before, _ := p.total()
-		time.Sleep(3 * time.Second)
 		calls, tokens = p.total()
-		if before != calls || calls == 0 {
-			return fmt.Errorf("usage is still being reported: %d, then %d calls", before, calls)
+		windows := len(p.numbers())
+		if calls == 0 || calls != before {
+			before, since = calls, windows
+		}
+		if calls == 0 || windows < since+quietWindows {
+			return fmt.Errorf("%d calls are reported, %d windows since brought none", calls, windows-since)
 		}
 		return nil
 	})
