gatherer, router, controller: know the load of all entry processes

Change: entry processes tell the control process that they follow what they have in progress at each engine; control processes add it up, tell each other and tell back what changed in the sums.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -72,6 +72,7 @@
 		dialect    Dialect
 		table      *upstreamTable
 		followers  *followers
+		loads      *loadTable
 		reports    *reportCollector
 		orders     atomic.Pointer[orderer]
 
@@ -99,6 +100,7 @@
 		dialect:     dialect,
 		table:       newUpstreamTable(s.GetControl().GetAnnouncementLease().AsDuration()),
 		followers:   newFollowers(),
+		loads:       newLoadTable(),
 		reports:     newReportCollector(s.GetControl()),
 		committed:   instruments.Scope.Counter("commands_committed"),
 		refused:     instruments.Scope.Counter("commands_refused"),
--- a/internal/controller/follow.go
+++ b/internal/controller/follow.go
@@ -18,6 +18,9 @@
 const (
 	// spreadInterval is the time between looks at what the other control processes have to be told.
 	spreadInterval = 50 * time.Millisecond
+	// loadInterval is the time between shares of the load that others are told:
+	// about as often as entry processes tell theirs.
+	loadInterval = 200 * time.Millisecond
 	// beaconInterval is the time between messages that carry nothing but the time of day and the followers.
 	beaconInterval = time.Second
 	// followerLifetime is the time after which a silent entry process is not counted any more.
@@ -110,6 +113,7 @@
 // follow answers an entry process as soon as something is new. It needs no quorum.
 func (c *Controller) follow(ctx context.Context, f *wire.Follow) *wire.Reply {
 	c.followers.note(f.GetHost())
+	c.loads.note(f.GetHost(), f.GetLoadShare())
 	wait := min(time.Duration(f.GetWaitMillis())*time.Millisecond, longestWait)
 	until := timer.Now() + wait
 	var (
@@ -132,6 +136,13 @@
 		case <-time.After(left):
 		}
 	}
+	if f.GetLoadShare() != nil {
+		position := f.GetLoadPosition()
+		if f.GetTable() != reply.GetTable() {
+			position = 0
+		}
+		reply.Loads, reply.LoadPosition = c.loads.since(position)
+	}
 	reply.ControlAddresses = c.addressesFor(f.GetFailureDomain())
 	reply.EntryHosts = int32(c.followers.count())
 	reply.TrueMillis = c.followers.trueTime(c.settings.GetHost().GetId()).UnixMilli()
@@ -163,6 +174,7 @@
 // receiveSpread takes the soft state that another control process tells.
 func (c *Controller) receiveSpread(s *wire.Spread) {
 	c.followers.receive(s)
+	c.loads.receive(s.GetHost(), s.GetLoadShare())
 	now := timer.Now()
 	for _, u := range s.GetUpstreams() {
 		c.table.announce(announcer.FromWire(u, now), false)
@@ -173,7 +185,7 @@
 // was met only now gets everything.
 func (c *Controller) runSpread(ctx context.Context) error {
 	told := map[string]*messenger.Client{}
-	beacon := time.Duration(0)
+	beacon, shared := time.Duration(0), time.Duration(0)
 	for ctx.Err() == nil {
 		timer.Sleep(ctx, spreadInterval)
 		now := timer.Now()
@@ -182,14 +194,19 @@
 		if due {
 			beacon = now
 		}
+		var share *wire.LoadShare
+		if now-shared >= loadInterval {
+			shared = now
+			share = c.loads.outgoing()
+		}
 		for host, client := range c.peers.byHost() {
-			message := &wire.Spread{Upstreams: news}
+			message := &wire.Spread{Upstreams: news, LoadShare: share}
 			fresh := told[host] != client
 			if fresh {
 				told[host] = client
 				message.Upstreams = c.table.all()
 			}
-			if len(message.GetUpstreams()) == 0 && !due && !fresh {
+			if len(message.GetUpstreams()) == 0 && share == nil && !due && !fresh {
 				continue
 			}
 			go c.tell(ctx, client, message)
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -119,6 +119,7 @@
 		prefixes  *picker.Prefixes
 		budget    budget
 		peers     *demandTable
+		fleet     fleet
 		// draining are the upstreams that the process in charge is about to stop.
 		draining map[registrar.UpstreamID]bool
 		// pendingEach is the mean of the tokens that a running request has still to read.
@@ -336,6 +337,7 @@
 	p := d.pools[g.pool]
 	p.running--
 	d.promptRead(g)
+	g.track.begun -= g.unread
 	g.track.finish(d.now(), v)
 	if v == verdictUnreachable || v == verdictSilent {
 		d.domain(g.upstream.FailureDomain).add(d.now())
--- a/internal/router/follower.go
+++ b/internal/router/follower.go
@@ -26,6 +26,10 @@
 	followed = 2
 	// followPause is the least time between two exchanges; what is new in it comes with the next.
 	followPause = 100 * time.Millisecond
+	// busyWait takes the place of followWait while this process has requests in
+	// progress, so that all know each other's load before an engine has read a
+	// few prompts more.
+	busyWait = 100 * time.Millisecond
 	// unconfirmedAfter is the time without a configuration after which one is
 	// taken that no quorum has confirmed.
 	unconfirmedAfter = 200 * time.Millisecond
@@ -44,6 +48,8 @@
 	place struct {
 		table    uint64
 		position uint64
+		// load is how far it has come in the sums of the load.
+		load uint64
 	}
 
 	// windowCounter counts requests in windows that are aligned to true time.
@@ -82,29 +88,35 @@
 			timer.Sleep(ctx, followPause)
 			continue
 		}
-		at := places[client.Address()]
-		reply, err := f.ask(ctx, client, at)
+		question := f.question(places[client.Address()], rank)
+		reply, err := f.ask(ctx, client, question)
 		if err != nil {
 			f.router.controls.failed(client)
 			f.router.log.Debug("following a control process failed", zap.String("control", client.Address()), zap.Error(err))
 		} else {
 			f.router.controls.answered(client)
-			places[client.Address()] = place{table: reply.GetFollow().GetTable(), position: reply.GetFollow().GetPosition()}
-			f.take(reply.GetFollow())
+			places[client.Address()] = f.placeAfter(reply.GetFollow())
+			f.take(question, reply.GetFollow())
 		}
 		timer.Sleep(ctx, followPause)
 	}
 }
 
-func (f *follower) ask(ctx context.Context, client *messenger.Client, at place) (*wire.Reply, error) {
+func (f *follower) ask(ctx context.Context, client *messenger.Client, question *wire.Follow) (*wire.Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, followTimeout)
 	defer cancel()
-	return client.Exchange(ctx, f.question(at))
+	return client.Exchange(ctx, &wire.Request{Kind: &wire.Request_Follow{Follow: question}})
 }
 
-func (f *follower) question(at place) *wire.Request {
+func (f *follower) placeAfter(reply *wire.FollowReply) place {
+	return place{table: reply.GetTable(), position: reply.GetPosition(), load: reply.GetLoadPosition()}
+}
+
+// question asks for what is new. The first control process followed is also
+// told this process's share of the load.
+func (f *follower) question(at place, rank int) *wire.Follow {
 	host := f.router.settings.GetHost()
-	return &wire.Request{Kind: &wire.Request_Follow{Follow: &wire.Follow{
+	question := &wire.Follow{
 		Host:            host.GetId(),
 		FailureDomain:   host.GetFailureDomain(),
 		HaveRevision:    uint64(f.router.authority.revision()),
@@ -112,15 +124,28 @@
 		Position:        at.position,
 		WaitMillis:      followWait.Milliseconds(),
 		WantUnconfirmed: !f.router.authority.configured() && timer.Now()-f.begun > unconfirmedAfter,
-	}}}
+	}
+	if rank == 0 {
+		question.LoadShare = f.router.dispatcher.loadShare()
+		if f.router.dispatcher.fleetFrom(at.table) {
+			question.LoadPosition = at.load
+		}
+		if len(question.GetLoadShare().GetLoads()) > 0 {
+			question.WaitMillis = busyWait.Milliseconds()
+		}
+	}
+	return question
 }
 
-func (f *follower) take(reply *wire.FollowReply) {
+func (f *follower) take(question *wire.Follow, reply *wire.FollowReply) {
 	r := f.router
 	now := timer.Now()
 	for _, u := range reply.GetUpstreams() {
 		r.dispatcher.announce(announcer.FromWire(u, now))
 	}
+	if question.GetLoadShare() != nil {
+		r.dispatcher.learnFleet(question.GetLoadShare(), reply)
+	}
 	r.controls.learn(reply.GetControlAddresses())
 	r.dispatcher.setEntryHosts(int(reply.GetEntryHosts()))
 	r.windows.setTime(now, time.UnixMilli(reply.GetTrueMillis()))
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -94,36 +94,52 @@
 	g := &grant{item: t.item, pool: key, at: now}
 	var chosen int
 	if t.order.prompt != nil {
-		chosen, g.unread = d.placer.Pick(now, *t.order.prompt, d.engines(upstreams, candidates))
+		engines := d.engines(upstreams, candidates)
+		chosen, g.unread = d.placer.Pick(now, *t.order.prompt, engines)
+		g.choice.load = engines[chosen].Running
 	} else {
 		d.markCached(candidates, t.order.pick.Prefix)
 		chosen = d.picker.Pick(t.order.pick, candidates)
+		g.choice.load = candidates[chosen].Load()
 	}
 	g.upstream = upstreams[chosen]
 	g.track = d.tracks[g.upstream.ID]
-	g.choice = choice{
-		candidates: len(candidates),
-		load:       candidates[chosen].Load(),
-		loadAge:    now - max(g.track.load.MeasuredAt, g.upstream.Load.MeasuredAt),
-	}
+	g.choice.candidates = len(candidates)
+	g.choice.loadAge = ageOf(now, max(g.track.load.MeasuredAt, g.upstream.Load.MeasuredAt))
 	if t.order.prompt != nil {
+		if _, known := d.fleet.others(now, g.upstream.ID); known {
+			g.choice.loadAge = ageOf(now, d.fleet.at)
+		}
 		d.placer.Placed(now, *t.order.prompt, g.upstream.ID)
 		g.alone = g.track.pending == 0
 		g.track.pending += g.unread
+		g.track.begun += g.unread
 	}
 	g.track.start(now)
 	d.pools[key].running++
 	return g
 }
 
+// ageOf returns how old what was heard at a time is, neverHeard if nothing was.
+func ageOf(now, at time.Duration) time.Duration {
+	if at == 0 {
+		return neverHeard
+	}
+	return now - at
+}
+
 // pendingSmoothing is the inverse weight of a new look at what requests have still to read.
 const pendingSmoothing = 32
 
+// neverHeard stands for the age of what was never heard.
+const neverHeard = -time.Second
+
 // domainShare divides what an unreachable upstream counts for at the others of its failure domain.
 const domainShare = 2
 
 // engines describes upstreams to the placer. What other processes have there
-// to read is expected to be like what this one has.
+// is what the control processes add up; while that is not known, it is
+// expected to be like what this one has.
 func (d *dispatcher) engines(upstreams []*registrar.Upstream, candidates []picker.Candidate) []picker.Engine {
 	now := d.now()
 	pending, running := 0.0, 0
@@ -138,7 +154,12 @@
 	out := make([]picker.Engine, 0, len(upstreams))
 	for i, u := range upstreams {
 		c := &candidates[i]
-		others := max(0, c.Reported-c.OwnAtReport)
+		running := c.Load()
+		unread := d.pendingEach * float64(max(0, c.Reported-c.OwnAtReport))
+		if others, known := d.fleet.others(now, u.ID); known {
+			running = c.Own + others.Requests
+			unread = float64(others.Tokens)
+		}
 		out = append(out, picker.Engine{
 			ID:     u.ID,
 			Domain: u.FailureDomain,
@@ -149,8 +170,8 @@
 			Free:    c.Free,
 			Cold:    now < u.WarmAt,
 			Age:     now - startOf(u, d.tracks[u.ID]),
-			Running: c.Load(),
-			Pending: d.tracks[u.ID].pending + d.pendingEach*float64(others),
+			Running: running,
+			Pending: d.tracks[u.ID].pending + unread,
 			Penalty: d.tracks[u.ID].failures.penalty(now) + d.domain(u.FailureDomain).penalty(now)/domainShare,
 		})
 	}
--- a/internal/router/track.go
+++ b/internal/router/track.go
@@ -29,6 +29,8 @@
 		created time.Duration
 		// pending are the tokens of this process's prompts that the upstream has still to read.
 		pending float64
+		// begun are the tokens that this process's requests in progress had to be read at their start.
+		begun float64
 		// failures are the attempts that failed of late.
 		failures fading
 		// load is the upstream's load as its latest answer told.
