picker, router: take no more prompts than the engines can read

Cause: an engine that always has a prompt to read makes a token only every 110 ms (a chunk of 4,096 tokens at 36.7 a ms), so that no answer of 120 steps ends in 12 s. Beyond what engines can read, everything that was taken was given up while its answer was made, and read in vain. And a home that was full was left for engines that read the shared parts again, which kept others out. Reading weighs more the fuller the engines. TestFleetTakesNoMoreThanItCanRead failed without it: with twice what fits 217 answers were complete and 1,835 cut, with it 1,702 and 2.

--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -265,6 +265,9 @@
 		return nil, d.noUpstream(o.pool)
 	}
 	p := d.pool(o.pool)
+	if refusal := d.overcommitted(o, p); refusal != nil {
+		return nil, refusal
+	}
 	d.nextItem++
 	if !o.begun && len(o.pick.Avoid) == 0 {
 		d.budget.requested(d.now())
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -192,7 +192,7 @@
 		pool:  poolKey{kind: registrar.KindModel, name: "m"},
 		class: &state.Class{Name: "review", Tier: 1}, organisation: "one", arrived: now, deadline: now + fleetLimit,
 		prompt: &picker.PromptRequest{
-			Class: "review", In: fleetShared + fleetOwn, Out: fleetOut, FirstToken: fleetTarget,
+			Class: "review", In: fleetShared + fleetOwn, Out: fleetOut, FirstToken: fleetTarget, TimeLimit: fleetLimit,
 			Parts: []picker.Part{{ID: document, Tokens: fleetShared}, {ID: "own", Tokens: fleetOwn}},
 		},
 	})
@@ -297,3 +297,25 @@
 	}
 	return n
 }
+
+// TestFleetTakesNoMoreThanItCanRead answers the pattern of more prompts than
+// the engines can read: what they take ends in time, and with twice the load no
+// less is served than with all that fits.
+func TestFleetTakesNoMoreThanItCanRead(t *testing.T) {
+	const fits = 0.8
+	served := map[float64]int{}
+	for _, load := range []float64{fits, 2 * fits} {
+		run := newFleetRun(t, 80, load)
+		for run.now < fleetLength {
+			run.step()
+		}
+		t.Log(load, run.String())
+		served[load] = run.complete
+		if begun := run.arrived - run.refused; run.cut*20 > begun {
+			t.Errorf("load %v: %d of %d answers that were begun did not end in time", load, run.cut, begun)
+		}
+	}
+	if served[2*fits] < served[fits] {
+		t.Errorf("%d requests served of what fits, %d of twice as much", served[fits], served[2*fits])
+	}
+}
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -168,6 +168,9 @@
 		In:         int(c.Prompt.In),
 		Out:        int(c.Prompt.Out),
 		FirstToken: c.class.GetTarget().GetFirstToken().AsDuration(),
+		TimeLimit:  c.deadline - c.arrived,
+		Rank:       int(c.rank) - 1,
+		Ranks:      int(c.ranks),
 		Avoid:      x.avoid,
 	}
 }
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"github.com/comfreybend/comfreybend/pkg/limiter"
@@ -154,11 +156,12 @@
 	out := make([]picker.Engine, 0, len(upstreams))
 	for i, u := range upstreams {
 		c := &candidates[i]
-		running := c.Load()
+		running, begun := c.Load(), d.tracks[u.ID].begun
 		unread := d.pendingEach * float64(max(0, c.Reported-c.OwnAtReport))
 		if others, known := d.fleet.others(now, u.ID); known {
 			running = c.Own + others.Requests
 			unread = float64(others.Tokens)
+			begun += float64(others.Begun)
 		}
 		out = append(out, picker.Engine{
 			ID:     u.ID,
@@ -172,6 +175,7 @@
 			Age:     now - startOf(u, d.tracks[u.ID]),
 			Running: running,
 			Pending: d.tracks[u.ID].pending + unread,
+			Begun:   begun,
 			Penalty: d.tracks[u.ID].failures.penalty(now) + d.domain(u.FailureDomain).penalty(now)/domainShare,
 		})
 	}
@@ -248,3 +252,26 @@
 	}
 	return assumedSlots
 }
+
+// overcommitted refuses a model request that the engines cannot serve in time
+// beside what they have begun.
+func (d *dispatcher) overcommitted(o order, p *pool) *RefusalError {
+	if o.prompt == nil || o.begun {
+		return nil
+	}
+	upstreams, candidates := d.candidates(o.pool, p)
+	wait := d.placer.Wait(d.now(), *o.prompt, d.engines(upstreams, candidates))
+	if wait == 0 {
+		return nil
+	}
+	p.refused++
+	return refuseUntil(http.StatusTooManyRequests, CodeOverloaded,
+		"the engines have begun as many prompts as they can read in time", spreadReturn(wait))
+}
+
+// spreadReturn spreads the return of requests that were refused at one moment
+// over as long again, so that they do not come back together.
+func spreadReturn(wait time.Duration) time.Duration {
+	wait = max(wait, shortestReturn)
+	return wait + rand.N(wait)
+}
--- a/pkg/picker/light.go
+++ b/pkg/picker/light.go
@@ -20,6 +20,7 @@
 	c.decay(now)
 	c.seen = min(c.seen+1, meanOver)
 	c.prompt += (float64(r.In) - c.prompt) / c.seen
+	c.limit += time.Duration(float64(r.TimeLimit-c.limit) / c.seen)
 	if p.begun == 0 {
 		p.begun = now
 	}
--- a/pkg/picker/placer.go
+++ b/pkg/picker/placer.go
@@ -50,9 +50,6 @@
 	// what is expected there in part of what is expected at the one before.
 	homes    = 3
 	nextHome = 0.6
-	// readWeight is the weight of reading a prompt, which delays every request beside it,
-	// against waiting for others to be read.
-	readWeight = 4
 	// stepGrowth is what one running request adds to the time of each generated token.
 	stepGrowth = 150 * time.Microsecond
 	// remotePenalty stands for the traffic between failure domains.
@@ -80,6 +77,10 @@
 		In, Out int
 		// FirstToken is the time in which the first token is due; zero for none.
 		FirstToken time.Duration
+		// TimeLimit is the time in which the whole answer is due.
+		TimeLimit time.Duration
+		// Rank is the request's priority among Ranks, 0 the most urgent.
+		Rank, Ranks int
 		// Avoid lists upstreams at which the request has failed before.
 		Avoid []registrar.UpstreamID
 	}
@@ -102,6 +103,9 @@
 		// Pending are the tokens of prompts there that are still to be read, as far
 		// as they are known or expected.
 		Pending float64
+		// Begun are the tokens that its requests in progress had to be read at their
+		// start: each of them is held up while the others are read.
+		Begun float64
 		// Penalty is what its failures of late count for.
 		Penalty time.Duration
 	}
@@ -135,9 +139,11 @@
 
 	classWork struct {
 		// prompt is the mean of the prompts' tokens, work the tokens a second.
-		prompt  float64
-		work    float64
-		seen    float64
+		prompt float64
+		work   float64
+		seen   float64
+		// limit is the mean time in which answers are due.
+		limit   time.Duration
 		updated time.Duration
 	}
 
@@ -158,6 +164,9 @@
 	light := p.lightGroup(now, engines)
 	wanted := p.isLight(r.Class)
 	expected := p.expected(now, r, engines, light, wanted)
+	allowed := p.allowedReading(r)
+	full := p.fullness(engines, light, wanted, allowed)
+	weight := idleWeight + (fullWeight-idleWeight)*full
 	best, bestCost, bestUnread := -1, time.Duration(0), 0.0
 	for i := range engines {
 		e := &engines[i]
@@ -165,10 +174,16 @@
 			continue
 		}
 		tokens := p.unread(now, r, e.ID, expected[i])
-		cost := p.cost(r, e, tokens)
+		cost := p.cost(r, e, tokens, weight)
 		if light != nil && light[i] != wanted {
 			cost += r.FirstToken
 		}
+		if over := p.overcommitment(e, tokens, allowed); over > 0 {
+			cost += over
+			if full < roomy {
+				cost += allowed
+			}
+		}
 		if contains(r.Avoid, e.ID) {
 			cost += time.Hour
 		}
@@ -180,8 +195,8 @@
 }
 
 // cost predicts the time to the first token, and what the request will suffer from those beside it.
-func (p *Placer) cost(r PromptRequest, e *Engine, unread float64) time.Duration {
-	seconds := (e.Pending + readWeight*unread) / p.rate
+func (p *Placer) cost(r PromptRequest, e *Engine, unread, weight float64) time.Duration {
+	seconds := (e.Pending + weight*unread) / p.rate
 	cost := time.Duration(seconds*float64(time.Second)) + e.Penalty
 	cost += time.Duration(e.Running*max(1, r.Out)) * stepGrowth / 4
 	if !e.Local {
