gatherer, picker, router: know which engines hold which parts

Cause: what engines hold was known by hash and from a host's own requests. Change: the messages that carry the load also tell which engine began to read which part; all others read only where the holders are full, and then the same engine for all processes. Limits 0.4 and 0.3 of the shortest time limit in place of 0.45 and 0.35, since full holders are left later.

--- a/internal/announcer/loads.go
+++ b/internal/announcer/loads.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/comfreybend/comfreybend/pkg/gatherer"
+	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
@@ -27,3 +28,21 @@
 	}
 	return out
 }
+
+// HeldFromWire decodes the parts that upstreams hold.
+func HeldFromWire(held []*wire.HeldPart) []picker.Holding {
+	out := make([]picker.Holding, 0, len(held))
+	for _, h := range held {
+		out = append(out, picker.Holding{Part: picker.PrefixID(h.GetPart()), Upstream: registrar.UpstreamID(h.GetUpstream())})
+	}
+	return out
+}
+
+// HeldToWire encodes the parts that upstreams hold.
+func HeldToWire(held []picker.Holding) []*wire.HeldPart {
+	out := make([]*wire.HeldPart, 0, len(held))
+	for _, h := range held {
+		out = append(out, &wire.HeldPart{Part: string(h.Part), Upstream: string(h.Upstream)})
+	}
+	return out
+}
--- a/internal/controller/follow.go
+++ b/internal/controller/follow.go
@@ -137,11 +137,11 @@
 		}
 	}
 	if f.GetLoadShare() != nil {
-		position := f.GetLoadPosition()
+		loads, held := f.GetLoadPosition(), f.GetHeldPosition()
 		if f.GetTable() != reply.GetTable() {
-			position = 0
+			loads, held = 0, 0
 		}
-		reply.Loads, reply.LoadPosition = c.loads.since(position)
+		c.loads.tell(reply, loads, held)
 	}
 	reply.ControlAddresses = c.addressesFor(f.GetFailureDomain())
 	reply.EntryHosts = int32(c.followers.count())
--- a/internal/controller/loads.go
+++ b/internal/controller/loads.go
@@ -6,23 +6,35 @@
 
 	"github.com/comfreybend/comfreybend/internal/announcer"
 	"github.com/comfreybend/comfreybend/pkg/gatherer"
+	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
-// loadLifetime is the time after which a silent process's share of the load counts no more.
-const loadLifetime = 1500 * time.Millisecond
+const (
+	// loadLifetime is the time after which a silent process's share of the load counts no more.
+	loadLifetime = 1500 * time.Millisecond
+	// holdingLifetime is the time after which an upstream may have dropped a part
+	// that it was not asked for: as long as entry processes believe in it.
+	holdingLifetime = time.Minute
+	// mostHoldings bounds the parts held over all upstreams, 100 bytes each.
+	mostHoldings = 50_000
+)
 
 type (
 	// loadTable adds up the load that entry processes put on upstreams: those
-	// that follow this process, and what the other control processes tell of theirs.
+	// that follow this process, and what the other control processes tell of
+	// theirs. It passes on which upstreams hold which parts of prompts.
 	loadTable struct {
 		mu  sync.Mutex
 		own *gatherer.Gatherer[registrar.UpstreamID]
 		all *gatherer.Gatherer[registrar.UpstreamID]
 		// told reports that the others hold a share of this process that is not empty.
 		told bool
+		held *gatherer.Recents[picker.Holding]
+		// news are the parts that the others have not been told of.
+		news []picker.Holding
 	}
 )
 
@@ -30,6 +42,8 @@
 	return &loadTable{
 		own: gatherer.New[registrar.UpstreamID](loadLifetime),
 		all: gatherer.New[registrar.UpstreamID](loadLifetime),
+
+		held: gatherer.NewRecents[picker.Holding](holdingLifetime, mostHoldings),
 	}
 }
 
@@ -44,6 +58,11 @@
 	loads := announcer.LoadsFromWire(share.GetLoads())
 	t.own.Note(now, gatherer.Source(host), loads)
 	t.all.Note(now, gatherer.Source(host), loads)
+	for _, h := range announcer.HeldFromWire(share.GetHeld()) {
+		if t.held.Note(now, h) {
+			t.news = append(t.news, h)
+		}
+	}
 }
 
 // receive takes the share of another control process's followers.
@@ -53,15 +72,22 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.all.Note(timer.Now(), gatherer.Source("control/"+host), announcer.LoadsFromWire(share.GetLoads()))
+	now := timer.Now()
+	t.all.Note(now, gatherer.Source("control/"+host), announcer.LoadsFromWire(share.GetLoads()))
+	for _, h := range announcer.HeldFromWire(share.GetHeld()) {
+		t.held.Note(now, h)
+	}
 }
 
-// since returns the sums over all entry processes that changed after a position.
-func (t *loadTable) since(after uint64) (changed []*wire.UpstreamLoad, position uint64) {
+// tell adds to a reply what changed after the positions asked for.
+func (t *loadTable) tell(reply *wire.FollowReply, loadsAfter, heldAfter uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	sums, reached := t.all.Since(timer.Now(), gatherer.Position(after))
-	return announcer.LoadsToWire(sums), uint64(reached)
+	now := timer.Now()
+	sums, position := t.all.Since(now, gatherer.Position(loadsAfter))
+	reply.Loads, reply.LoadPosition = announcer.LoadsToWire(sums), uint64(position)
+	held, position := t.held.Since(now, gatherer.Position(heldAfter))
+	reply.Held, reply.HeldPosition = announcer.HeldToWire(held), uint64(position)
 }
 
 // outgoing returns the share of this process's followers, or nil if it has long been empty.
@@ -74,9 +100,11 @@
 			delete(sums, id)
 		}
 	}
-	if len(sums) == 0 && !t.told {
+	if len(sums) == 0 && !t.told && len(t.news) == 0 {
 		return nil
 	}
 	t.told = len(sums) > 0
-	return &wire.LoadShare{Loads: announcer.LoadsToWire(sums)}
+	held := announcer.HeldToWire(t.news)
+	t.news = nil
+	return &wire.LoadShare{Loads: announcer.LoadsToWire(sums), Held: held}
 }
--- a/internal/controller/loads_test.go
+++ b/internal/controller/loads_test.go
@@ -16,17 +16,26 @@
 	near.note("entry-1", shareOf("engine", 2, 9000))
 	near.note("entry-2", shareOf("engine", 1, 3000))
 	near.note("entry-3", nil)
+	near.note("entry-1", &wire.LoadShare{
+		Loads: shareOf("engine", 2, 9000).GetLoads(), Held: []*wire.HeldPart{{Part: "part", Upstream: "engine"}},
+	})
 	far.note("entry-4", shareOf("engine", 4, 1000))
 	for range 3 {
 		near.receive("far", far.outgoing())
 		far.receive("near", near.outgoing())
 	}
 	for name, table := range map[string]*loadTable{"near": near, "far": far} {
-		changed, position := table.since(0)
-		if len(changed) != 1 || changed[0].GetRequests() != 7 || changed[0].GetTokens() != 13000 {
+		told := &wire.FollowReply{}
+		table.tell(told, 0, 0)
+		if changed := told.GetLoads(); len(changed) != 1 || changed[0].GetRequests() != 7 || changed[0].GetTokens() != 13000 {
 			t.Errorf("%s: the sums are %v, want 7 requests and 13000 tokens", name, changed)
 		}
-		if again, _ := table.since(position); len(again) != 0 {
+		if held := told.GetHeld(); len(held) != 1 || held[0].GetPart() != "part" || held[0].GetUpstream() != "engine" {
+			t.Errorf("%s: held are %v, want one part by one engine", name, held)
+		}
+		again := &wire.FollowReply{}
+		table.tell(again, told.GetLoadPosition(), told.GetHeldPosition())
+		if len(again.GetLoads()) != 0 || len(again.GetHeld()) != 0 {
 			t.Errorf("%s: told again: %v", name, again)
 		}
 	}
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -157,6 +157,7 @@
 		placer:    picker.NewPlacer(),
 		budget:    newBudget(e),
 		peers:     newDemandTable(len(e.GetPeerAddresses())),
+		fleet:     newFleet(),
 	}
 }
 
@@ -184,6 +185,7 @@
 		d.tracks[id].lose()
 		delete(d.tracks, id)
 		d.prefixes.Forget(id)
+		d.placer.Forget(id)
 	}
 	for key, p := range d.pools {
 		if p.scheduler.Waiting() > 0 && !d.served(key) {
@@ -212,6 +214,7 @@
 	if before == nil || before.Incarnation != u.Incarnation {
 		if t := d.tracks[u.ID]; t != nil {
 			t.lose()
+			d.placer.Forget(u.ID)
 		}
 		d.tracks[u.ID] = newTrack(d.settings.GetEntry().GetUpstreamLimits(), now)
 	}
--- a/internal/router/fleet.go
+++ b/internal/router/fleet.go
@@ -5,12 +5,22 @@
 
 	"github.com/comfreybend/comfreybend/internal/announcer"
 	"github.com/comfreybend/comfreybend/pkg/gatherer"
+	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
-// fleetLifetime is the time after which the others' load counts no more: several exchanges.
-const fleetLifetime = 2 * time.Second
+const (
+	// fleetLifetime is the time after which the others' load counts no more: several exchanges.
+	fleetLifetime = 2 * time.Second
+	// holdingLifetime is the time after which an upstream may have dropped a part
+	// that it was not asked for.
+	holdingLifetime = time.Minute
+	// mostHoldings bounds the parts known to be held, 100 bytes each.
+	mostHoldings = 50_000
+	// mostNews bounds the parts that wait to be told in one message.
+	mostNews = 2000
+)
 
 type (
 	// fleet is the load that all entry processes put on upstreams, as a control
@@ -22,9 +32,23 @@
 		// own is this process's part of the sums.
 		own map[registrar.UpstreamID]gatherer.Load
 		at  time.Duration
+		// told are the holdings that were told or heard lately, news those still to be told.
+		told *gatherer.Recents[picker.Holding]
+		news []picker.Holding
 	}
 )
 
+func newFleet() fleet {
+	return fleet{told: gatherer.NewRecents[picker.Holding](holdingLifetime, mostHoldings)}
+}
+
+// began notes that this process had an upstream read a part.
+func (f *fleet) began(now time.Duration, h picker.Holding) {
+	if f.told.Note(now, h) && len(f.news) < mostNews {
+		f.news = append(f.news, h)
+	}
+}
+
 // others returns what the other entry processes have in progress at an
 // upstream; false if nothing was heard lately.
 func (f *fleet) others(now time.Duration, id registrar.UpstreamID) (gatherer.Load, bool) {
@@ -56,7 +80,16 @@
 			loads[id] = gatherer.Load{Requests: n, Tokens: int(max(0, t.pending)), Begun: int(t.begun)}
 		}
 	}
-	return &wire.LoadShare{Loads: announcer.LoadsToWire(loads)}
+	held := announcer.HeldToWire(d.fleet.news)
+	d.fleet.news = nil
+	return &wire.LoadShare{Loads: announcer.LoadsToWire(loads), Held: held}
+}
+
+// keepNews takes back what a lost message told of parts held.
+func (d *dispatcher) keepNews(share *wire.LoadShare) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fleet.news = append(d.fleet.news, announcer.HeldFromWire(share.GetHeld())...)
 }
 
 // learnFleet takes what changed in the sums since the position asked for, and
@@ -66,9 +99,13 @@
 	defer d.mu.Unlock()
 	f := &d.fleet
 	if f.table != reply.GetTable() {
-		*f = fleet{table: reply.GetTable(), sums: map[registrar.UpstreamID]gatherer.Load{}}
+		f.table, f.sums = reply.GetTable(), map[registrar.UpstreamID]gatherer.Load{}
 	}
 	f.at = d.now()
+	for _, h := range announcer.HeldFromWire(reply.GetHeld()) {
+		f.told.Note(f.at, h)
+		d.placer.Learn(f.at, h)
+	}
 	f.own = announcer.LoadsFromWire(share.GetLoads())
 	for id, load := range announcer.LoadsFromWire(reply.GetLoads()) {
 		if load == (gatherer.Load{}) {
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"testing"
 	"time"
@@ -51,13 +52,20 @@
 		engines map[registrar.UpstreamID]*readingEngine
 		// order lists the engines, so that each run is the same.
 		order   []*readingEngine
+		ids     []registrar.UpstreamID
 		waiting []*fleetRequest
+		// replaceEvery is the time between losses of an engine, which a new one follows.
+		replaceEvery time.Duration
 		// load is the part of the engines' time that the requests' own tokens take.
 		load float64
 		// firsts are the times to the first token.
 		firsts []time.Duration
 		// arrived, refused, complete, cut and reread count requests.
-		arrived, refused, complete, cut, reread int
+		arrived, refused, complete, cut, reread, broken int
+		// forgotten counts the documents whose last holder was lost.
+		forgotten int
+		// added numbers the engines.
+		added int
 	}
 
 	// readingEngine runs requests in steps: each makes one token of every answer
@@ -106,8 +114,8 @@
 func (f *fleetRun) String() string {
 	sort.Slice(f.firsts, func(i, j int) bool { return f.firsts[i] < f.firsts[j] })
 	n := len(f.firsts)
-	return fmt.Sprintf("%d arrived, %d refused, %d complete, %d cut, %d late, %d documents read again; first token median %v, 95 in 100 %v",
-		f.arrived, f.refused, f.complete, f.cut, f.late(), f.reread, f.firsts[n/2], f.firsts[n*95/100])
+	return fmt.Sprintf("%d arrived, %d refused, %d complete, %d cut, %d late, %d broken, %d documents read; first token median %v, 95 in 100 %v",
+		f.arrived, f.refused, f.complete, f.cut, f.late(), f.broken, f.reread, f.firsts[n/2], f.firsts[n*95/100])
 }
 
 func newFleetRun(t *testing.T, processes int, load float64) *fleetRun {
@@ -118,10 +126,8 @@
 		engines: map[registrar.UpstreamID]*readingEngine{},
 		load:    load,
 	}
-	for i := range fleetEngines {
-		e := &readingEngine{held: map[picker.PrefixID]bool{}}
-		f.order = append(f.order, e)
-		f.engines[registrar.UpstreamID(fmt.Sprint("engine-", i))] = e
+	for range fleetEngines {
+		f.addEngine()
 	}
 	for range processes {
 		f.entries = append(f.entries, f.newEntry(t))
@@ -141,21 +147,65 @@
 	}
 	d := r.dispatcher
 	d.now = func() time.Duration { return f.now + time.Hour }
-	for id := range f.engines {
-		d.announce(registrar.Upstream{
-			ID: id, Incarnation: 1, Sequence: 1, URL: "http://127.0.0.1:1", FailureDomain: "a",
-			Kind: registrar.KindModel, Serves: []string{"m"}, State: registrar.Serving,
-			Load: registrar.Load{Slots: 64}, HeardAt: d.now(), StartedAt: time.Second,
-		})
+	for _, id := range f.ids {
+		d.announce(f.announcement(d, id, registrar.Serving))
 	}
 	return d
 }
 
+func (f *fleetRun) announcement(d *dispatcher, id registrar.UpstreamID, state registrar.State) registrar.Upstream {
+	sequence := registrar.Sequence(1)
+	if state != registrar.Serving {
+		sequence++
+	}
+	return registrar.Upstream{
+		ID: id, Incarnation: 1, Sequence: sequence, URL: "http://127.0.0.1:1", FailureDomain: "a",
+		Kind: registrar.KindModel, Serves: []string{"m"}, State: state,
+		Load: registrar.Load{Slots: fleetSlots}, HeardAt: d.now(), StartedAt: f.now + time.Second,
+	}
+}
+
+func (f *fleetRun) addEngine() registrar.UpstreamID {
+	e := &readingEngine{held: map[picker.PrefixID]bool{}, free: f.now}
+	id := registrar.UpstreamID(fmt.Sprint("engine-", f.added))
+	f.added++
+	f.order = append(f.order, e)
+	f.ids = append(f.ids, id)
+	f.engines[id] = e
+	return id
+}
+
+// replaceEngine loses an engine; a new one takes its place.
+func (f *fleetRun) replaceEngine() {
+	i := f.random.IntN(len(f.order))
+	lost, id := f.order[i], f.ids[i]
+	f.order = slices.Delete(f.order, i, i+1)
+	f.ids = slices.Delete(f.ids, i, i+1)
+	delete(f.engines, id)
+	for document := range lost.held {
+		if !f.holds(document) {
+			f.forgotten++
+		}
+	}
+	for _, r := range append(lost.queue, lost.running...) {
+		r.entry.release(r.grant, verdictFailed, 1)
+		f.broken++
+	}
+	added := f.addEngine()
+	for _, d := range f.entries {
+		d.announce(f.announcement(d, id, registrar.Leaving))
+		d.announce(f.announcement(d, added, registrar.Serving))
+	}
+}
+
 func (f *fleetRun) step() {
 	f.now += fleetTick
 	if f.now%fleetTold == 0 {
 		f.exchange()
 	}
+	if f.replaceEvery > 0 && f.now%f.replaceEvery == 0 {
+		f.replaceEngine()
+	}
 	perTick := f.load * fleetEngines * fleetReadRate / fleetOwn * fleetTick.Seconds()
 	for perTick > f.random.Float64() {
 		f.arrive()
@@ -172,12 +222,14 @@
 // exchange tells every process the others' load.
 func (f *fleetRun) exchange() {
 	told := make([]*wire.LoadShare, len(f.entries))
+	reply := &wire.FollowReply{Table: 1}
 	for i, d := range f.entries {
 		told[i] = d.loadShare()
+		reply.Held = append(reply.Held, told[i].GetHeld()...)
 		f.shares.Note(f.now, gatherer.Source(fmt.Sprint(i)), announcer.LoadsFromWire(told[i].GetLoads()))
 	}
-	sums, position := f.shares.Since(f.now, 0)
-	reply := &wire.FollowReply{Table: 1, Loads: announcer.LoadsToWire(sums), LoadPosition: uint64(position)}
+	sums, _ := f.shares.Since(f.now, 0)
+	reply.Loads = announcer.LoadsToWire(sums)
 	for i, d := range f.entries {
 		d.learnFleet(told[i], reply)
 	}
@@ -206,6 +258,16 @@
 	})
 }
 
+// holds reports that some engine has read a document.
+func (f *fleetRun) holds(document picker.PrefixID) bool {
+	for _, e := range f.order {
+		if e.held[document] {
+			return true
+		}
+	}
+	return false
+}
+
 // dispatch hands over the requests whose upstreams were chosen.
 func (f *fleetRun) dispatch() {
 	var left []*fleetRequest
@@ -213,6 +275,11 @@
 		select {
 		case r.grant = <-r.ticket.granted:
 			e := f.engines[r.grant.upstream.ID]
+			if e == nil {
+				r.entry.release(r.grant, verdictFailed, 1)
+				f.broken++
+				continue
+			}
 			e.queue = append(e.queue, r)
 		default:
 			left = append(left, r)
@@ -319,3 +386,23 @@
 		t.Errorf("%d requests served of what fits, %d of twice as much", served[fits], served[2*fits])
 	}
 }
+
+// TestFleetKnowsWhoHoldsWhat answers the pattern of engines that come and go,
+// as preemptible ones do: a document is read again when its last holder was
+// lost, and otherwise only where one engine cannot serve all who ask for it.
+// Half of the reading of shared parts at least must be needed so.
+func TestFleetKnowsWhoHoldsWhat(t *testing.T) {
+	for name, processes := range map[string]int{"few processes": 6, "many processes": 80} {
+		t.Run(name, func(t *testing.T) {
+			run := newFleetRun(t, processes, 0.4)
+			run.replaceEvery = time.Second
+			for run.now < fleetLength {
+				run.step()
+			}
+			t.Log(run.String(), run.forgotten)
+			if needed := fleetDocuments + run.forgotten; run.reread > 2*needed {
+				t.Errorf("documents were read %d times, needed were %d", run.reread, needed)
+			}
+		})
+	}
+}
--- a/internal/router/follower.go
+++ b/internal/router/follower.go
@@ -48,8 +48,8 @@
 	place struct {
 		table    uint64
 		position uint64
-		// load is how far it has come in the sums of the load.
-		load uint64
+		// loads and held are how far it has come in the sums of the load and in the parts held.
+		loads, held uint64
 	}
 
 	// windowCounter counts requests in windows that are aligned to true time.
@@ -92,6 +92,7 @@
 		reply, err := f.ask(ctx, client, question)
 		if err != nil {
 			f.router.controls.failed(client)
+			f.router.dispatcher.keepNews(question.GetLoadShare())
 			f.router.log.Debug("following a control process failed", zap.String("control", client.Address()), zap.Error(err))
 		} else {
 			f.router.controls.answered(client)
@@ -109,7 +110,7 @@
 }
 
 func (f *follower) placeAfter(reply *wire.FollowReply) place {
-	return place{table: reply.GetTable(), position: reply.GetPosition(), load: reply.GetLoadPosition()}
+	return place{table: reply.GetTable(), position: reply.GetPosition(), loads: reply.GetLoadPosition(), held: reply.GetHeldPosition()}
 }
 
 // question asks for what is new. The first control process followed is also
@@ -128,7 +129,7 @@
 	if rank == 0 {
 		question.LoadShare = f.router.dispatcher.loadShare()
 		if f.router.dispatcher.fleetFrom(at.table) {
-			question.LoadPosition = at.load
+			question.LoadPosition, question.HeldPosition = at.loads, at.held
 		}
 		if len(question.GetLoadShare().GetLoads()) > 0 {
 			question.WaitMillis = busyWait.Milliseconds()
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -112,7 +112,9 @@
 		if _, known := d.fleet.others(now, g.upstream.ID); known {
 			g.choice.loadAge = ageOf(now, d.fleet.at)
 		}
-		d.placer.Placed(now, *t.order.prompt, g.upstream.ID)
+		if h, shared := d.placer.Placed(now, *t.order.prompt, g.upstream.ID); shared {
+			d.fleet.began(now, h)
+		}
 		g.alone = g.track.pending == 0
 		g.track.pending += g.unread
 		g.track.begun += g.unread
--- a/pkg/picker/homes.go
+++ b/pkg/picker/homes.go
@@ -18,18 +18,25 @@
 	if shared <= 0 {
 		return fresh
 	}
-	at, found := p.read[partAt{part: lastShared(r.Parts), upstream: id}]
-	if found && now-at < memoryLifetime {
+	if p.holds(now, lastShared(r.Parts), id) {
 		expected = hitShare
 	}
 	return fresh + shared*(1-expected)
 }
 
-// Placed remembers that an upstream reads a request's parts.
-func (p *Placer) Placed(now time.Duration, r PromptRequest, id registrar.UpstreamID) {
-	if len(r.Parts) == 0 {
-		return
+// Placed remembers that an upstream reads a request's parts, and returns what
+// others should know of it; false if the request shares nothing.
+func (p *Placer) Placed(now time.Duration, r PromptRequest, id registrar.UpstreamID) (Holding, bool) {
+	if len(r.Parts) < 2 {
+		return Holding{}, false
 	}
+	h := Holding{Part: lastShared(r.Parts), Upstream: id}
+	p.Learn(now, h)
+	return h, true
+}
+
+// Learn remembers that an upstream has read a part, for this process or another.
+func (p *Placer) Learn(now time.Duration, h Holding) {
 	if len(p.read) >= rememberedParts {
 		for key, at := range p.read {
 			if now-at > memoryLifetime {
@@ -38,40 +45,48 @@
 		}
 	}
 	if len(p.read) < rememberedParts {
-		p.read[partAt{part: lastShared(r.Parts), upstream: id}] = now
+		p.read[h] = now
+	}
+}
+
+// Forget drops what an upstream has read: it has ended or begun anew.
+func (p *Placer) Forget(id registrar.UpstreamID) {
+	for key := range p.read {
+		if key.Upstream == id {
+			delete(p.read, key)
+		}
 	}
 }
 
+func (p *Placer) holds(now time.Duration, part PrefixID, id registrar.UpstreamID) bool {
+	at, found := p.read[Holding{Part: part, Upstream: id}]
+	return found && now-at < memoryLifetime
+}
+
 // expected returns the share of the request's shared parts that each engine is
-// expected to have read, as far as their hashes tell.
+// expected to have read, as far as their hashes tell. If some engine is known
+// to hold them, the homes are only those that read them next.
 func (p *Placer) expected(now time.Duration, r PromptRequest, engines []Engine, light []bool, wanted bool) map[int]float64 {
 	out := map[int]float64{}
 	share := hitShare
-	for rank, i := range homesOf(r, engines, light, wanted) {
-		if rank > 0 || !p.heldElsewhere(now, r, engines, i) {
-			out[i] = share
-		}
+	if p.held(now, r, engines) {
+		share = nextReader
+	}
+	for _, i := range homesOf(r, engines, light, wanted) {
+		out[i] = share
 		share *= nextHome
 	}
 	return out
 }
 
-// heldElsewhere reports that this process has placed the request's shared
-// parts lately, but not at their home: a home that is new has not read them.
-func (p *Placer) heldElsewhere(now time.Duration, r PromptRequest, engines []Engine, home int) bool {
-	part := lastShared(r.Parts)
-	held := false
+// held reports that some engine is known to hold the request's shared parts.
+func (p *Placer) held(now time.Duration, r PromptRequest, engines []Engine) bool {
 	for i := range engines {
-		at, found := p.read[partAt{part: part, upstream: engines[i].ID}]
-		if !found || now-at >= memoryLifetime {
-			continue
-		}
-		if i == home {
-			return false
+		if p.holds(now, lastShared(r.Parts), engines[i].ID) {
+			return true
 		}
-		held = true
 	}
-	return held
+	return false
 }
 
 // homesOf returns the positions of the engines in the request's group with the
--- a/pkg/picker/pace.go
+++ b/pkg/picker/pace.go
@@ -7,8 +7,8 @@
 	// engine's requests may take, and leastReading that for the least urgent
 	// ones. The rest is for their answers, and for what other processes begin
 	// before it is known here.
-	mostReading  = 0.45
-	leastReading = 0.35
+	mostReading  = 0.4
+	leastReading = 0.3
 	// idleWeight is the weight of reading a prompt, which delays every request
 	// beside it, against waiting for others to be read, and fullWeight the same
 	// while the engines have begun all that they may: what is read again then
--- a/pkg/picker/placer.go
+++ b/pkg/picker/placer.go
@@ -50,6 +50,9 @@
 	// what is expected there in part of what is expected at the one before.
 	homes    = 3
 	nextHome = 0.6
+	// nextReader makes all processes choose the same engine to read parts that
+	// others hold already.
+	nextReader = 0.15
 	// stepGrowth is what one running request adds to the time of each generated token.
 	stepGrowth = 150 * time.Microsecond
 	// remotePenalty stands for the traffic between failure domains.
@@ -125,7 +128,7 @@
 	Placer struct {
 		rate    float64
 		classes map[Class]*classWork
-		read    map[partAt]time.Duration
+		read    map[Holding]time.Duration
 		// reading is the rate of tokens that the requests ask to be read, in tokens a second, as of readingAt.
 		reading float64
 		// lightSize is the number of engines for light classes.
@@ -147,15 +150,16 @@
 		updated time.Duration
 	}
 
-	partAt struct {
-		part     PrefixID
-		upstream registrar.UpstreamID
+	// Holding tells that an upstream has a part of prompts in its memory.
+	Holding struct {
+		Part     PrefixID
+		Upstream registrar.UpstreamID
 	}
 )
 
 // NewPlacer returns a placer that has learnt nothing.
 func NewPlacer() *Placer {
-	return &Placer{rate: initialReadRate, classes: map[Class]*classWork{}, read: map[partAt]time.Duration{}}
+	return &Placer{rate: initialReadRate, classes: map[Class]*classWork{}, read: map[Holding]time.Duration{}}
 }
 
 // Pick returns the position of the chosen engine and the tokens that it is
