gatherer, router, controller: tell less about load and parts held

Every reply looked through all holdings, short parts of 350 tokens on dozens of engines among them, and a host that changed its control host was sent them all; 88 hosts asked five times a second. Ruled out: the sums of the load (a row for each engine). Change: holdings stand in the order in which they were told, the oldest are forgotten; parts under 1,000 tokens are not told; the time between messages is 4 ms for each entry host, from 200 to 400 ms. The tests of the fleet pass at the longer time as they stand.

--- a/internal/announcer/loads.go
+++ b/internal/announcer/loads.go
@@ -1,12 +1,29 @@
 package announcer
 
 import (
+	"time"
+
 	"github.com/comfreybend/comfreybend/pkg/gatherer"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
+const (
+	// hostPace is the time between two messages about the load for each entry
+	// host that there is, so that control processes have no more to do the more
+	// there are, within shortestPace and longestPace: the latter is less than the
+	// engines of the platform's pages take to read four long prompts.
+	hostPace     = 4 * time.Millisecond
+	shortestPace = 200 * time.Millisecond
+	longestPace  = 400 * time.Millisecond
+)
+
+// LoadPace returns the time between two messages about the load.
+func LoadPace(entryHosts int) time.Duration {
+	return min(max(time.Duration(entryHosts)*hostPace, shortestPace), longestPace)
+}
+
 // LoadsFromWire decodes the load that is put on upstreams.
 func LoadsFromWire(loads []*wire.UpstreamLoad) map[registrar.UpstreamID]gatherer.Load {
 	out := make(map[registrar.UpstreamID]gatherer.Load, len(loads))
--- a/internal/controller/follow.go
+++ b/internal/controller/follow.go
@@ -18,9 +18,6 @@
 const (
 	// spreadInterval is the time between looks at what the other control processes have to be told.
 	spreadInterval = 50 * time.Millisecond
-	// loadInterval is the time between shares of the load that others are told:
-	// about as often as entry processes tell theirs.
-	loadInterval = 200 * time.Millisecond
 	// beaconInterval is the time between messages that carry nothing but the time of day and the followers.
 	beaconInterval = time.Second
 	// followerLifetime is the time after which a silent entry process is not counted any more.
@@ -195,7 +192,7 @@
 			beacon = now
 		}
 		var share *wire.LoadShare
-		if now-shared >= loadInterval {
+		if now-shared >= announcer.LoadPace(c.followers.count()) {
 			shared = now
 			share = c.loads.outgoing()
 		}
--- a/internal/router/budget.go
+++ b/internal/router/budget.go
@@ -51,4 +51,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.budget.divide(max(1, n))
+	d.fleet.hosts = n
+}
+
+// entryHosts returns how many entry processes there are, as far as known.
+func (d *dispatcher) entryHosts() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.fleet.hosts
 }
--- a/internal/router/fleet.go
+++ b/internal/router/fleet.go
@@ -32,6 +32,8 @@
 		// own is this process's part of the sums.
 		own map[registrar.UpstreamID]gatherer.Load
 		at  time.Duration
+		// hosts is the number of entry processes.
+		hosts int
 		// told are the holdings that were told or heard lately, news those still to be told.
 		told *gatherer.Recents[picker.Holding]
 		news []picker.Holding
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -32,7 +32,6 @@
 	fleetTarget    = 3 * time.Second
 	fleetLimit     = 12 * time.Second
 	fleetTick      = 5 * time.Millisecond
-	fleetTold      = 200 * time.Millisecond
 	fleetLength    = 20 * time.Second
 
 	// The engines' figures are those of the platform's pages.
@@ -200,7 +199,7 @@
 
 func (f *fleetRun) step() {
 	f.now += fleetTick
-	if f.now%fleetTold == 0 {
+	if f.now%announcer.LoadPace(len(f.entries)) == 0 {
 		f.exchange()
 	}
 	if f.replaceEvery > 0 && f.now%f.replaceEvery == 0 {
--- a/internal/router/follower.go
+++ b/internal/router/follower.go
@@ -26,10 +26,6 @@
 	followed = 2
 	// followPause is the least time between two exchanges; what is new in it comes with the next.
 	followPause = 100 * time.Millisecond
-	// busyWait takes the place of followWait while this process has requests in
-	// progress, so that all know each other's load before an engine has read a
-	// few prompts more.
-	busyWait = 100 * time.Millisecond
 	// unconfirmedAfter is the time without a configuration after which one is
 	// taken that no quorum has confirmed.
 	unconfirmedAfter = 200 * time.Millisecond
@@ -132,7 +128,9 @@
 			question.LoadPosition, question.HeldPosition = at.loads, at.held
 		}
 		if len(question.GetLoadShare().GetLoads()) > 0 {
-			question.WaitMillis = busyWait.Milliseconds()
+			// All know each other's load before an engine has read a few prompts more.
+			pace := announcer.LoadPace(f.router.dispatcher.entryHosts())
+			question.WaitMillis = (pace - followPause).Milliseconds()
 		}
 	}
 	return question
--- a/pkg/gatherer/recents.go
+++ b/pkg/gatherer/recents.go
@@ -12,7 +12,9 @@
 		lifetime time.Duration
 		most     int
 		noted    map[K]recent
-		position Position
+		// order holds what was told at each position after base.
+		order []K
+		base  Position
 	}
 
 	recent struct {
@@ -31,39 +33,48 @@
 // Note notes a thing and reports that readers are told of it: it is new, or a
 // good part of its lifetime has passed.
 func (r *Recents[K]) Note(now time.Duration, key K) bool {
+	r.expire(now)
 	before, found := r.noted[key]
 	if found && now-before.told < r.lifetime/renewals {
 		return false
 	}
 	if !found && len(r.noted) >= r.most {
-		r.expire(now)
-		if len(r.noted) >= r.most {
-			return false
-		}
+		return false
 	}
-	r.position++
-	r.noted[key] = recent{told: now, position: r.position}
+	r.order = append(r.order, key)
+	r.noted[key] = recent{told: now, position: r.position()}
 	return true
 }
 
 // Since returns the things that were noted anew after a position, and the position reached.
 func (r *Recents[K]) Since(now time.Duration, after Position) ([]K, Position) {
+	r.expire(now)
 	var out []K
-	if after == r.position {
-		return out, after
-	}
-	for key, n := range r.noted {
-		if n.position > after && now-n.told <= r.lifetime {
+	for at := max(after, r.base); at < r.position(); at++ {
+		key := r.order[at-r.base]
+		if r.noted[key].position == at+1 {
 			out = append(out, key)
 		}
 	}
-	return out, r.position
+	return out, r.position()
 }
 
+func (r *Recents[K]) position() Position { return r.base + Position(len(r.order)) }
+
+// expire forgets the oldest positions: what was told again since, and what
+// was not noted for a lifetime.
 func (r *Recents[K]) expire(now time.Duration) {
-	for key, n := range r.noted {
-		if now-n.told > r.lifetime {
+	gone := 0
+	for _, key := range r.order {
+		n := r.noted[key]
+		if n.position == r.base+Position(gone)+1 {
+			if now-n.told <= r.lifetime {
+				break
+			}
 			delete(r.noted, key)
 		}
+		gone++
 	}
+	r.order = r.order[gone:]
+	r.base += Position(gone)
 }
--- a/pkg/picker/homes.go
+++ b/pkg/picker/homes.go
@@ -25,14 +25,14 @@
 }
 
 // Placed remembers that an upstream reads a request's parts, and returns what
-// others should know of it; false if the request shares nothing.
+// others should know of it; false if they need not.
 func (p *Placer) Placed(now time.Duration, r PromptRequest, id registrar.UpstreamID) (Holding, bool) {
 	if len(r.Parts) < 2 {
 		return Holding{}, false
 	}
 	h := Holding{Part: lastShared(r.Parts), Upstream: id}
 	p.Learn(now, h)
-	return h, true
+	return h, r.In-own(r.Parts, r.In) >= worthTelling
 }
 
 // Learn remembers that an upstream has read a part, for this process or another.
--- a/pkg/picker/placer.go
+++ b/pkg/picker/placer.go
@@ -61,6 +61,9 @@
 	coldPenalty = 500 * time.Millisecond
 	// longestSettling is the age from which every engine is a home of parts.
 	longestSettling = time.Minute
+	// worthTelling is the number of shared tokens from which other processes are
+	// told who has read them; fewer are read in less than the message takes.
+	worthTelling = 1000
 	// memoryLifetime is how long a dispatch makes an upstream one that has read the parts.
 	memoryLifetime = time.Minute
 	// rememberedParts bounds the parts remembered over all upstreams.
