router: tell the load at its own pace

An answer comes as soon as there is news of some upstream, ten times a second among 144, and each carried the load. Ruled out: the second look at the engines for each request, the spread between control processes, the holdings. Change: the load goes along only when its pace has passed. TestLoadIsToldAtItsOwnPace failed without it.

--- a/internal/router/fleet.go
+++ b/internal/router/fleet.go
@@ -72,6 +72,18 @@
 	return table != 0 && d.fleet.table == table
 }
 
+// busyUpstreams reports that this process has requests in progress.
+func (d *dispatcher) busyUpstreams() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range d.pools {
+		if p.running > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // loadShare returns what this process has in progress at upstreams.
 func (d *dispatcher) loadShare() *wire.LoadShare {
 	d.mu.Lock()
--- a/internal/router/follower.go
+++ b/internal/router/follower.go
@@ -38,6 +38,8 @@
 	follower struct {
 		router *Router
 		begun  time.Duration
+		// shared is when the load was told last, by the loop of the first rank.
+		shared time.Duration
 	}
 
 	// place is how far this process has come in a control process's table.
@@ -92,7 +94,7 @@
 			f.router.log.Debug("following a control process failed", zap.String("control", client.Address()), zap.Error(err))
 		} else {
 			f.router.controls.answered(client)
-			places[client.Address()] = f.placeAfter(reply.GetFollow())
+			places[client.Address()] = placeAfter(question, reply.GetFollow())
 			f.take(question, reply.GetFollow())
 		}
 		timer.Sleep(ctx, followPause)
@@ -105,12 +107,22 @@
 	return client.Exchange(ctx, &wire.Request{Kind: &wire.Request_Follow{Follow: question}})
 }
 
-func (f *follower) placeAfter(reply *wire.FollowReply) place {
-	return place{table: reply.GetTable(), position: reply.GetPosition(), loads: reply.GetLoadPosition(), held: reply.GetHeldPosition()}
+// placeAfter returns how far this process has come with an answer, which tells
+// of the load only if the question did.
+func placeAfter(question *wire.Follow, reply *wire.FollowReply) place {
+	at := place{table: reply.GetTable(), position: reply.GetPosition()}
+	switch {
+	case question.GetLoadShare() != nil:
+		at.loads, at.held = reply.GetLoadPosition(), reply.GetHeldPosition()
+	case question.GetTable() == reply.GetTable():
+		at.loads, at.held = question.GetLoadPosition(), question.GetHeldPosition()
+	}
+	return at
 }
 
 // question asks for what is new. The first control process followed is also
-// told this process's share of the load.
+// told this process's share of the load, at a pace of its own: most answers
+// come at once, since there is news of some upstream.
 func (f *follower) question(at place, rank int) *wire.Follow {
 	host := f.router.settings.GetHost()
 	question := &wire.Follow{
@@ -123,19 +135,30 @@
 		WantUnconfirmed: !f.router.authority.configured() && timer.Now()-f.begun > unconfirmedAfter,
 	}
 	if rank == 0 {
-		question.LoadShare = f.router.dispatcher.loadShare()
-		if f.router.dispatcher.fleetFrom(at.table) {
-			question.LoadPosition, question.HeldPosition = at.loads, at.held
-		}
-		if len(question.GetLoadShare().GetLoads()) > 0 {
-			// All know each other's load before an engine has read a few prompts more.
-			pace := announcer.LoadPace(f.router.dispatcher.entryHosts())
-			question.WaitMillis = (pace - followPause).Milliseconds()
-		}
+		f.share(question, at)
 	}
 	return question
 }
 
+// share adds this process's share of the load to a question if it is due, and
+// shortens the wait for the answer so that the next one comes in time.
+func (f *follower) share(question *wire.Follow, at place) {
+	d := f.router.dispatcher
+	if d.fleetFrom(at.table) {
+		question.LoadPosition, question.HeldPosition = at.loads, at.held
+	}
+	now := timer.Now()
+	pace := announcer.LoadPace(d.entryHosts())
+	if now-f.shared >= pace {
+		f.shared = now
+		question.LoadShare = d.loadShare()
+	}
+	if d.busyUpstreams() {
+		wait := max(0, pace-(now-f.shared)-followPause)
+		question.WaitMillis = min(followWait, wait).Milliseconds()
+	}
+}
+
 func (f *follower) take(question *wire.Follow, reply *wire.FollowReply) {
 	r := f.router
 	now := timer.Now()
