--- a/internal/logger/fields_test.go
+++ b/internal/logger/fields_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"go/ast"
-	"go/parser"
 	"go/token"
-	"io/fs"
 	"maps"
 	"os"
 	"path/filepath"
@@ -104,42 +102,30 @@
 func parsePackages(t *testing.T) map[string]*packageSource {
 	t.Helper()
 	out := map[string]*packageSource{}
-	err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
-		switch {
-		case err != nil:
-			return err
-		case entry.IsDir() && strings.HasPrefix(entry.Name(), ".") && path != root:
-			return fs.SkipDir
-		case !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go"):
-			return nil
-		}
-		file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.SkipObjectResolution)
-		if err != nil {
-			return err
-		}
+	eachSource(t, func(path string, _ *token.FileSet, file *ast.File) {
 		source := out[filepath.Dir(path)]
 		if source == nil {
 			source = &packageSource{functions: map[string]*ast.FuncDecl{}, calls: map[string][]*ast.CallExpr{}}
 			out[filepath.Dir(path)] = source
 		}
-		ast.Inspect(file, func(n ast.Node) bool {
-			if function, ok := n.(*ast.FuncDecl); ok {
-				source.functions[function.Name.Name] = function
-			}
-			if message, ok := messageOf(n); ok {
-				call, _ := n.(*ast.CallExpr)
-				source.calls[message] = append(source.calls[message], call)
-			}
-			return true
-		})
-		return nil
+		source.add(file)
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
 	return out
 }
 
+func (p *packageSource) add(file *ast.File) {
+	ast.Inspect(file, func(n ast.Node) bool {
+		if function, ok := n.(*ast.FuncDecl); ok {
+			p.functions[function.Name.Name] = function
+		}
+		if message, ok := messageOf(n); ok {
+			call, _ := n.(*ast.CallExpr)
+			p.calls[message] = append(p.calls[message], call)
+		}
+		return true
+	})
+}
+
 // collect adds the keys of the fields that an expression makes, those of
 // functions of the package that it calls for fields included.
 func (p *packageSource) collect(n ast.Node, to fieldSet, within []string) {
--- a/internal/logger/lines_test.go
+++ b/internal/logger/lines_test.go
@@ -20,10 +20,9 @@
 	heading = "msg"
 )
 
-// linesOfSource returns the messages that the daemons log, with one place each.
-func linesOfSource(t *testing.T) map[string]string {
+// eachSource parses the sources of the daemons, tests excepted, one file after the other.
+func eachSource(t *testing.T, visit func(path string, set *token.FileSet, file *ast.File)) {
 	t.Helper()
-	lines := map[string]string{}
 	err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
 		switch {
 		case err != nil:
@@ -35,20 +34,28 @@
 		}
 		set := token.NewFileSet()
 		file, err := parser.ParseFile(set, path, nil, parser.SkipObjectResolution)
-		if err != nil {
-			return err
+		if err == nil {
+			visit(path, set, file)
 		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// linesOfSource returns the messages that the daemons log, with one place each.
+func linesOfSource(t *testing.T) map[string]string {
+	t.Helper()
+	lines := map[string]string{}
+	eachSource(t, func(_ string, set *token.FileSet, file *ast.File) {
 		ast.Inspect(file, func(n ast.Node) bool {
 			if message, ok := messageOf(n); ok {
 				lines[message] = set.Position(n.Pos()).String()
 			}
 			return true
 		})
-		return nil
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
 	return lines
 }
 
