picker: leave a failure domain that has failed a request twice

The upstream of the other domain was idle. Ruled out: the load of the machine alone; it only stretched the kills, which come as far apart when a domain is taken away. Change: a request that has failed at two upstreams of one failure domain goes to another domain if there is one. TestEligibility has the two cases; the first failed before.

--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -235,6 +235,7 @@
 		upstreams = append(upstreams, u)
 		candidates = append(candidates, picker.Candidate{
 			ID:          u.ID,
+			Domain:      u.FailureDomain,
 			Local:       u.FailureDomain == domain,
 			Preemptible: u.Preemptible,
 			Free:        tr.free(now),
--- a/pkg/picker/picker.go
+++ b/pkg/picker/picker.go
@@ -24,6 +24,11 @@
 	PolicyLeastReported Policy = "leastReported"
 )
 
+// domainFailures is the number of upstreams of one failure domain at which a
+// request fails before it avoids the domain: one may fail alone, two point to a
+// domain that is taken away.
+const domainFailures = 2
+
 type (
 	// Part is one part of a prompt; upstreams remember parts that follow each other.
 	Part struct {
@@ -37,6 +42,7 @@
 	// Candidate is an upstream that could take the request.
 	Candidate struct {
 		ID          registrar.UpstreamID
+		Domain      registrar.FailureDomain
 		Local       bool
 		Preemptible bool
 		// Free reports a free slot at this process.
@@ -102,8 +108,8 @@
 }
 
 // eligibleFor narrows the free candidates step by step, skipping each step
-// that would leave none: not tried before, lasting if the request cannot move,
-// own failure domain.
+// that would leave none: not tried before, not in a failure domain that has
+// failed it, lasting if the request cannot move, own failure domain.
 func eligibleFor(r Request, candidates []Candidate) []int {
 	var free []int
 	for i := range candidates {
@@ -112,12 +118,28 @@
 		}
 	}
 	free = narrow(free, func(i int) bool { return !contains(r.Avoid, candidates[i].ID) })
+	failed := failedDomains(r, candidates)
+	free = narrow(free, func(i int) bool { return failed[candidates[i].Domain] < domainFailures })
 	if !r.Movable {
 		free = narrow(free, func(i int) bool { return !candidates[i].Preemptible })
 	}
 	return narrow(free, func(i int) bool { return candidates[i].Local })
 }
 
+// failedDomains counts the upstreams that the request has failed at, by failure domain.
+func failedDomains(r Request, candidates []Candidate) map[registrar.FailureDomain]int {
+	if len(r.Avoid) < domainFailures {
+		return nil
+	}
+	failed := map[registrar.FailureDomain]int{}
+	for i := range candidates {
+		if contains(r.Avoid, candidates[i].ID) {
+			failed[candidates[i].Domain]++
+		}
+	}
+	return failed
+}
+
 func narrow(positions []int, keep func(int) bool) []int {
 	var kept []int
 	for _, i := range positions {
--- a/pkg/picker/picker_test.go
+++ b/pkg/picker/picker_test.go
@@ -28,6 +28,25 @@
 		"not where it failed before": {
 			request: Request{Avoid: []registrar.UpstreamID{"local"}}, candidates: []Candidate{remote, local}, want: "remote",
 		},
+		"not in a domain where it failed twice": {
+			request: Request{Movable: true, Avoid: []registrar.UpstreamID{"gone-1", "gone-2"}},
+			candidates: []Candidate{
+				{ID: "gone-1", Domain: "a", Local: true, Slots: 8},
+				{ID: "gone-2", Domain: "a", Local: true, Slots: 8},
+				{ID: "going", Domain: "a", Local: true, Free: true, Slots: 8},
+				{ID: "far", Domain: "b", Free: true, Slots: 8},
+			},
+			want: "far",
+		},
+		"in a domain where it failed once": {
+			request: Request{Movable: true, Avoid: []registrar.UpstreamID{"gone"}},
+			candidates: []Candidate{
+				{ID: "gone", Domain: "a", Local: true, Slots: 8},
+				{ID: "near", Domain: "a", Local: true, Free: true, Slots: 8},
+				{ID: "far", Domain: "b", Free: true, Slots: 8},
+			},
+			want: "near",
+		},
 		"where it failed before rather than nowhere": {
 			request: Request{Avoid: []registrar.UpstreamID{"local"}}, candidates: []Candidate{full, local}, want: "local",
 		},
