replicator, controller: replace lost voters in one joint change

Ruled out: a second group, an empty host that answers. The log shows one group, one leader a term, and three of four voters needed.

Change: a learner that has caught up takes the place of an earlier incarnation of its host's disk, or of a voter that is silent, in one joint change (majority of both sets, as in Raft), so there is no stage of two voters and none of four with a dead one. A leader also uses how long it has missed a member's gossip, so a change of leaders gives no new term to one that is gone. Registry.Withdraw and a circuit pause come with it, for upstreams' notices.

TestNextMembership: its steps 'remove, then promote' are replaced by the joint change and its end, checked with isSafeChange besides.

--- a/internal/controller/follow.go
+++ b/internal/controller/follow.go
@@ -47,6 +47,9 @@
 	clock        *synchronizer.Synchronizer
 	// failureDomains holds the failure domains of the other control processes, by host.
 	failureDomains map[string]string
+	// gossipReceived holds, by host, when the latest gossip message of another control
+	// process arrived.
+	gossipReceived map[string]time.Duration
 }
 
 func newClusterView() *clusterView {
@@ -55,6 +58,7 @@
 		localEntries:   map[string]time.Duration{},
 		clock:          synchronizer.New(clockTimeout),
 		failureDomains: map[string]string{},
+		gossipReceived: map[string]time.Duration{},
 	}
 }
 
@@ -74,11 +78,19 @@
 	now := timer.Now()
 	v.clock.AddSample(now, synchronizer.Host(s.GetHost()), time.UnixMilli(s.GetWallMillis()))
 	v.failureDomains[s.GetHost()] = s.GetFailureDomain()
+	v.gossipReceived[s.GetHost()] = now
 	for _, host := range s.GetEntryHosts() {
 		v.entries[host] = now
 	}
 }
 
+// lastGossip returns when the latest gossip message of a host arrived, or zero.
+func (v *clusterView) lastGossip(host string) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.gossipReceived[host]
+}
+
 // entryCount returns the number of live entry processes.
 func (v *clusterView) entryCount() int {
 	v.mu.Lock()
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -21,6 +21,10 @@
 	membershipInterval = 200 * time.Millisecond
 	// applicantLifetime is the time after which a process that sends no more introductions is dropped.
 	applicantLifetime = 5 * membershipInterval
+	// newLeaderPatience is the time for which a new leader waits for an answer of a member
+	// whose gossip it has not received for long. It covers several heartbeats and gossip
+	// messages.
+	newLeaderPatience = time.Second + 200*time.Millisecond
 )
 
 type (
@@ -250,11 +254,15 @@
 // proposes nothing before the previous change is committed.
 func (m *membershipManager) proposeMembershipChange(n *node, s *replicator.Status) {
 	isCaughtUp := func(id replicator.MemberID) bool { return s.Matches[id] >= s.Commit }
-	next := replicator.NextMembership(s.Membership, m.recentApplicants(), isCaughtUp)
-	if !m.controller.peers.static {
-		if next == nil {
-			next = replicator.RemoveSilentVoter(s.Membership, m.silenceCheck(s))
+	contact := func(id replicator.MemberID) replicator.Contact {
+		if id == s.ID {
+			return replicator.ContactAnswers
 		}
+		return s.Contacts[id]
+	}
+	next := replicator.NextMembership(s.Membership, m.recentApplicants(), isCaughtUp, contact)
+	if next == nil && !m.controller.peers.static {
+		next = replicator.RemoveSilentVoter(s.Membership, m.silenceCheck(s))
 	}
 	if next == nil || !s.MembershipCommitted {
 		return
@@ -264,15 +272,27 @@
 	n.ProposeMembership(next)
 }
 
-// silenceCheck returns a function that reports whether a member has not responded to
-// the leader's messages for longer than the configured silence.
+// silenceCheck returns a function that reports whether a member has been silent for
+// longer than the configured silence.
 func (m *membershipManager) silenceCheck(s *replicator.Status) func(replicator.MemberID) bool {
 	now := timer.Now()
 	silence := m.controller.settings.GetControl().GetMemberSilence().AsDuration()
 	return func(id replicator.MemberID) bool {
 		lastContact, found := s.LastContact[id]
-		return found && now-lastContact > silence
+		return found && isSilent(now, lastContact, m.controller.clusterView.lastGossip(m.controller.peers.hostOf(id)), silence)
+	}
+}
+
+// isSilent reports whether a member has been silent for longer than silence. Either it
+// has not answered the leader since lastContact, which for a new leader is its election.
+// Or its gossip, which every control process receives, ended at lastGossip, long before
+// this process became the leader: otherwise each election would give a member that is
+// gone the whole time again. lastGossip is zero if there was none.
+func isSilent(now, lastContact, lastGossip, silence time.Duration) bool {
+	if now-lastContact > silence {
+		return true
 	}
+	return lastGossip != 0 && now-lastGossip > silence && now-lastContact > newLeaderPatience
 }
 
 // recentApplicants drops the expired applicants and returns the others whose address is known.
--- a/internal/controller/table.go
+++ b/internal/controller/table.go
@@ -75,25 +75,31 @@
 	if before != nil && before.EquivalentTo(t.registry.Get(u.ID)) && !refreshDue {
 		return
 	}
+	t.recordChange(now, u.ID)
+}
+
+// recordChange gives the change of an upstream the next position and wakes the polls
+// that wait for one.
+func (t *upstreamTable) recordChange(now time.Duration, id registrar.UpstreamID) {
 	t.position++
-	t.changes[u.ID] = upstreamChange{position: t.position, changedAt: now}
+	t.changes[id] = upstreamChange{position: t.position, changedAt: now}
 	close(t.updated)
 	t.updated = make(chan struct{})
 }
 
-// withdraw marks an upstream as leaving. An incarnation of zero means the current one.
+// withdraw marks an upstream as leaving and passes that on to the other control
+// processes. An incarnation of zero means the current one.
 func (t *upstreamTable) withdraw(id registrar.UpstreamID, incarnation registrar.Incarnation) {
 	t.mu.Lock()
-	known := t.registry.Get(id)
-	t.mu.Unlock()
-	if known == nil || incarnation != 0 && incarnation != known.Incarnation {
+	defer t.mu.Unlock()
+	now := timer.Now()
+	if known := t.registry.Get(id); known != nil && known.State == registrar.Leaving {
 		return
 	}
-	leaving := *known
-	leaving.State = registrar.Leaving
-	leaving.Sequence++
-	leaving.AnnouncedAt = timer.Now()
-	t.update(leaving, true)
+	if leaving, accepted := t.registry.Withdraw(now, id, incarnation); accepted {
+		t.unsentAnnouncements[id] = leaving
+		t.recordChange(now, id)
+	}
 }
 
 // changesSince returns the upstreams that changed after a position of a table,
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -151,6 +151,26 @@
 	return true
 }
 
+// Withdraw marks an upstream as leaving for the rest of its incarnation, as if it had
+// announced that itself now. An incarnation of zero means the current one. It returns
+// the resulting announcement, or false if the upstream or the incarnation is not the
+// recorded one.
+//
+// The announcement has the next sequence, so that it can be relayed. The one with which
+// the upstream itself uses that sequence is then rejected, which costs one renewal of
+// the lease.
+func (r *Registry) Withdraw(now time.Duration, id UpstreamID, incarnation Incarnation) (Upstream, bool) {
+	known := r.upstreams[id]
+	if known == nil || incarnation != 0 && incarnation != known.Incarnation {
+		return Upstream{}, false
+	}
+	leaving := *known
+	leaving.State = Leaving
+	leaving.Sequence++
+	leaving.AnnouncedAt = now
+	return leaving, r.Announce(now, leaving)
+}
+
 // Expire removes the upstreams whose lease has ended and returns their IDs in no particular order.
 func (r *Registry) Expire(now time.Duration) []UpstreamID {
 	var expired []UpstreamID
--- a/pkg/registrar/registrar_test.go
+++ b/pkg/registrar/registrar_test.go
@@ -76,3 +76,39 @@
 		t.Error("the upstream was not removed when its lease ended")
 	}
 }
+
+// TestWithdraw checks that a withdrawn upstream serves nothing for the rest of its
+// incarnation, and that a withdrawal of an earlier incarnation has no effect.
+func TestWithdraw(t *testing.T) {
+	tests := map[string]struct {
+		withdrawn Incarnation
+		later     *Upstream
+		accepted  bool
+		serving   bool
+	}{
+		"current incarnation":       {withdrawn: 2, accepted: true},
+		"any incarnation":           {withdrawn: 0, accepted: true},
+		"earlier incarnation":       {withdrawn: 1, serving: true},
+		"announced again":           {withdrawn: 2, accepted: true, later: &Upstream{Incarnation: 2, Sequence: 9}},
+		"announced by a later life": {withdrawn: 2, accepted: true, later: &Upstream{Incarnation: 3, Sequence: 1}, serving: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := New(lease)
+			r.Announce(0, announcement(2, 4, Serving, 0))
+			u, accepted := r.Withdraw(time.Second, "u", test.withdrawn)
+			if accepted != test.accepted || accepted && (u.State != Leaving || u.Sequence != 5 || u.AnnouncedAt != time.Second) {
+				t.Errorf("withdrawal returns %+v, %t; want a leaving one with sequence 5: %t", u, accepted, test.accepted)
+			}
+			if test.later != nil {
+				r.Announce(time.Second, announcement(test.later.Incarnation, test.later.Sequence, Serving, time.Second))
+			}
+			if serving := r.Get("u").CanServe(KindModel, "m"); serving != test.serving {
+				t.Errorf("CanServe is %t, want %t", serving, test.serving)
+			}
+		})
+	}
+	if _, accepted := New(lease).Withdraw(0, "u", 0); accepted {
+		t.Error("an unknown upstream was withdrawn")
+	}
+}
--- a/pkg/replicator/append.go
+++ b/pkg/replicator/append.go
@@ -251,6 +251,7 @@
 		return
 	}
 	p.lastContact = max(p.lastContact, time.Duration(m.GetSentAt()))
+	p.answered = true
 	hint := Index(m.GetHint())
 	if m.GetRejected() {
 		if hint >= p.match && hint+1 < p.next {
@@ -275,17 +276,7 @@
 // term could still be overwritten although a majority holds it. A leader that
 // is no longer a voter in the committed membership steps down.
 func (c *Core) commitByMajority(now time.Duration) {
-	var matches []Index
-	for _, m := range c.membership.GetMembers() {
-		if m.GetVoter() {
-			matches = append(matches, c.Match(MemberID(m.GetId())))
-		}
-	}
-	if len(matches) == 0 {
-		return
-	}
-	sort.Slice(matches, func(i, j int) bool { return matches[i] > matches[j] })
-	majorityMatch := matches[len(matches)/2]
+	majorityMatch := majorityValue(c.voterSets(), c.Match)
 	if term, ok := c.log.term(majorityMatch); !ok || term != c.term {
 		return
 	}
@@ -305,20 +296,10 @@
 // lastContact is when its progress record was created; for the leader itself, now
 // is used.
 func (c *Core) majorityContact(now time.Duration) time.Duration {
-	var times []time.Duration
-	for _, m := range c.membership.GetMembers() {
-		if !m.GetVoter() {
-			continue
+	return majorityValue(c.voterSets(), func(id MemberID) time.Duration {
+		if id == c.config.ID {
+			return now
 		}
-		if MemberID(m.GetId()) == c.config.ID {
-			times = append(times, now)
-			continue
-		}
-		times = append(times, c.progress[MemberID(m.GetId())].lastContact)
-	}
-	if len(times) == 0 {
-		return 0
-	}
-	sort.Slice(times, func(i, j int) bool { return times[i] > times[j] })
-	return times[len(times)/2]
+		return c.progress[id].lastContact
+	})
 }
--- a/pkg/replicator/cluster_test.go
+++ b/pkg/replicator/cluster_test.go
@@ -80,8 +80,9 @@
 	}
 )
 
-// newCluster starts a group in which each host is a voter with its own clock.
-func newCluster(t *testing.T, seed int64, hosts int) *cluster {
+// newCluster starts a group in which each host is a voter with its own clock, and spare
+// hosts with empty disks that ask to join it.
+func newCluster(t *testing.T, seed int64, hosts, spares int) *cluster {
 	c := &cluster{
 		t:             t,
 		random:        rand.New(rand.NewSource(seed)),
@@ -105,6 +106,15 @@
 		}
 		c.start(m)
 	}
+	for i := range spares {
+		c.nextID++
+		m := &member{
+			host: fmt.Sprintf("spare-%d", i), id: c.nextID, clockOffset: time.Duration(c.random.Int63n(int64(time.Hour))),
+			disk: &disk{hardState: &replication.HardState{}},
+		}
+		c.members = append(c.members, m)
+		c.start(m)
+	}
 	return c
 }
 
@@ -287,8 +297,8 @@
 }
 
 // manageMembership makes each leader propose the next membership change towards
-// making voters of the reachable members without a vote, such as wiped ones, as
-// the driver of a leader does.
+// making voters of the reachable members that have no vote or know no leader, such as
+// wiped and replaced ones, as the driver of a leader does.
 func (c *cluster) manageMembership() {
 	for _, m := range c.members {
 		if !c.isRunning(m) || m.core.Role() != Leader {
@@ -297,12 +307,13 @@
 		var applicants []Applicant
 		for _, other := range c.members {
 			reachable := !c.partitions[[2]string{other.host, m.host}] && c.isRunning(other)
-			if reachable && !FindMember(other.core.Membership(), other.id).GetVoter() {
+			if reachable && (other.core.Leader() == 0 || !FindMember(other.core.Membership(), other.id).GetVoter()) {
 				applicants = append(applicants, Applicant{ID: other.id, Host: other.host})
 			}
 		}
 		caughtUp := func(id MemberID) bool { return m.core.Match(id) >= m.core.Commit() }
-		if next := NextMembership(m.core.Membership(), applicants, caughtUp); next != nil {
+		contact := func(id MemberID) Contact { return m.core.Contact(c.clock(m), id) }
+		if next := NextMembership(m.core.Membership(), applicants, caughtUp, contact); next != nil {
 			c.step(m, ProposeMembership{Membership: next})
 		}
 	}
--- a/pkg/replicator/core.go
+++ b/pkg/replicator/core.go
@@ -80,6 +80,8 @@
 		// has answered in this term. It starts as the time at which this record
 		// was created.
 		lastContact time.Duration
+		// answered reports that the member has answered in this term.
+		answered bool
 		// matchAdvanced reports that match has advanced since the last heartbeat.
 		matchAdvanced bool
 		// nextSnapshotAt is the time before which no other snapshot is sent.
@@ -199,6 +201,35 @@
 	return out
 }
 
+// Contact returns, at a leader, whether a member answers. A member that has not answered
+// within an election timeout does not; until a new leader has waited for that long, it
+// does not know.
+func (c *Core) Contact(now time.Duration, id MemberID) Contact {
+	if id == c.config.ID {
+		return ContactAnswers
+	}
+	p := c.progress[id]
+	switch {
+	case p == nil:
+		return ContactUnknown
+	case now-p.lastContact >= c.config.ElectionTimeout:
+		return ContactSilent
+	case !p.answered:
+		return ContactUnknown
+	default:
+		return ContactAnswers
+	}
+}
+
+// contacts returns the result of Contact for all members but this one.
+func (c *Core) contacts(now time.Duration) map[MemberID]Contact {
+	out := make(map[MemberID]Contact, len(c.progress))
+	for id := range c.progress {
+		out[id] = c.Contact(now, id)
+	}
+	return out
+}
+
 // SnapshotHeader returns the header for a snapshot of the state machine after
 // entry i, which must be committed and not yet compacted.
 func (c *Core) SnapshotHeader(i Index) *replication.SnapshotHeader {
--- a/pkg/replicator/core_test.go
+++ b/pkg/replicator/core_test.go
@@ -18,11 +18,13 @@
 		seeds  = 150
 		rounds = 60
 	)
-	for seed := range int64(seeds) {
+	for seed := range int64(2 * seeds) {
 		hosts := []int{3, 5, 1}[seed%3]
-		t.Run(fmt.Sprintf("seed=%d/hosts=%d", seed, hosts), func(t *testing.T) {
+		// A spare host takes the place of any voter that does not answer.
+		spares := int(seed / seeds)
+		t.Run(fmt.Sprintf("seed=%d/hosts=%d/spares=%d", seed, hosts, spares), func(t *testing.T) {
 			t.Parallel()
-			c := newCluster(t, seed, hosts)
+			c := newCluster(t, seed, hosts, spares)
 			for range rounds {
 				if hosts > 1 {
 					c.injectFault()
@@ -47,7 +49,7 @@
 // host fails for good.
 func TestSecondFailureAfterRepair(t *testing.T) {
 	for seed := range int64(30) {
-		c := newCluster(t, seed, 3)
+		c := newCluster(t, seed, 3, 0)
 		c.runFor(10 * testElectionTimeout)
 		for range 50 {
 			c.proposeAndRead()
@@ -83,7 +85,7 @@
 // the leader fails and the follower is wiped. If the new incarnation could vote,
 // the third member, which lacks the entry, would be elected.
 func TestWipedVoterHasNoVote(t *testing.T) {
-	c := newCluster(t, 1, 3)
+	c := newCluster(t, 1, 3, 0)
 	c.runFor(10 * testElectionTimeout)
 	c.members[2].down = true
 	c.proposeAndRead()
@@ -131,3 +133,80 @@
 		})
 	}
 }
+
+// TestReplacementOfLostVoters guards against voters that are gone and still count. A
+// voter is lost for good and a new host takes its place, then another voter loses its
+// disk: the group must have a quorum of those that are left, and go on. Control groups
+// of three lost their quorum for good that way.
+func TestReplacementOfLostVoters(t *testing.T) {
+	for seed := range int64(30) {
+		c := newCluster(t, seed, 3, 0)
+		c.runFor(10 * testElectionTimeout)
+		lost := c.members[0]
+		lost.down = true
+		c.runFor(3 * testElectionTimeout)
+		c.nextID++
+		successor := &member{host: "successor", id: c.nextID, disk: &disk{hardState: &replication.HardState{}}}
+		c.members = append(c.members, successor)
+		c.start(successor)
+		c.runFor(20 * testElectionTimeout)
+		c.proposeAndRead()
+		c.runFor(2 * testElectionTimeout)
+		before := c.highestCommitted
+		c.wipe(c.members[1])
+		c.members[1].down = true
+		c.runFor(10 * testElectionTimeout)
+		c.proposeAndRead()
+		c.runFor(10 * testElectionTimeout)
+		if c.highestCommitted <= before {
+			t.Fatalf("seed %d: no entry was committed after the second loss; membership %v", seed, successor.core.Membership())
+		}
+		for _, m := range []*member{c.members[2], successor} {
+			if m.applied < before {
+				t.Fatalf("seed %d: %s has applied only %d of %d committed entries", seed, m.host, m.applied, before)
+			}
+		}
+	}
+}
+
+// TestIsSafeChange checks the changes to and from joint memberships.
+func TestIsSafeChange(t *testing.T) {
+	plain := func(voters ...uint64) *replication.Membership {
+		m := &replication.Membership{}
+		for _, id := range voters {
+			m.Members = append(m.Members, &replication.Member{Id: id, Voter: true})
+		}
+		return m
+	}
+	joint := func(former, voters []uint64) *replication.Membership {
+		m := plain(voters...)
+		m.Joint = true
+		for _, id := range former {
+			if FindMember(m, MemberID(id)) == nil {
+				m.Members = append(m.Members, &replication.Member{Id: id})
+			}
+			FindMember(m, MemberID(id)).FormerVoter = true
+		}
+		return m
+	}
+	swap := joint([]uint64{1, 2, 3}, []uint64{2, 3, 4})
+	tests := map[string]struct {
+		before, after *replication.Membership
+		want          bool
+	}{
+		"swap through a joint one":             {before: plain(1, 2, 3), after: swap, want: true},
+		"end of the joint one":                 {before: swap, after: plain(2, 3, 4), want: true},
+		"swap in one plain change":             {before: plain(1, 2, 3), after: plain(2, 3, 4)},
+		"joint one with other former voters":   {before: plain(1, 2, 5), after: swap},
+		"joint one without voters":             {before: plain(1, 2, 3), after: joint([]uint64{1, 2, 3}, nil)},
+		"from one joint membership to another": {before: swap, after: joint([]uint64{2, 3, 4}, []uint64{3, 4, 5})},
+		"back to the former voters":            {before: swap, after: plain(1, 2, 3)},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := isSafeChange(test.before, test.after); got != test.want {
+				t.Errorf("isSafeChange() = %t, want %t", got, test.want)
+			}
+		})
+	}
+}
--- a/pkg/replicator/election.go
+++ b/pkg/replicator/election.go
@@ -50,7 +50,7 @@
 		return
 	}
 	for _, m := range c.membership.GetMembers() {
-		if !m.GetVoter() || MemberID(m.GetId()) == c.config.ID {
+		if !c.isVoter(MemberID(m.GetId())) || MemberID(m.GetId()) == c.config.ID {
 			continue
 		}
 		c.send(&replication.Message{
@@ -119,18 +119,13 @@
 
 // hasMajorityOfVotes reports whether a majority of the voters granted their vote.
 func (c *Core) hasMajorityOfVotes() bool {
-	granted := 0
-	voters := 0
-	for _, m := range c.membership.GetMembers() {
-		if !m.GetVoter() {
-			continue
-		}
-		voters++
-		if c.votes[MemberID(m.GetId())] {
-			granted++
+	granted := func(id MemberID) int {
+		if c.votes[id] {
+			return 1
 		}
+		return 0
 	}
-	return granted > voters/2
+	return majorityValue(c.voterSets(), granted) == 1
 }
 
 // winCampaign starts an election after a won pre-vote, and makes this member the
--- a/pkg/replicator/node.go
+++ b/pkg/replicator/node.go
@@ -138,6 +138,8 @@
 		// not answered in this term, it is when the member joined or the leader was
 		// elected.
 		LastContact map[MemberID]time.Duration
+		// Contacts holds, at a leader, whether each other member answers.
+		Contacts map[MemberID]Contact
 	}
 
 	// proposal is a call of Propose.
@@ -563,6 +565,7 @@
 	if s.Role == Leader {
 		s.Matches = map[MemberID]Index{}
 		s.LastContact = n.core.LastContact()
+		s.Contacts = n.core.contacts(n.config.Now())
 		for _, m := range s.Membership.GetMembers() {
 			s.Matches[MemberID(m.GetId())] = n.core.Match(MemberID(m.GetId()))
 		}
--- a/pkg/replicator/protocol_test.go
+++ b/pkg/replicator/protocol_test.go
@@ -192,44 +192,77 @@
 	}
 }
 
-// TestNextMembership checks the steps by which a new incarnation replaces an
-// earlier one: it joins as a learner, catches up, the earlier incarnation is
-// removed, and the learner becomes a voter.
+// TestNextMembership checks the steps by which a new incarnation replaces an earlier
+// one, and a new host a voter that does not answer: it joins as a learner, catches up,
+// and takes the other's place in a joint change, so that the number of voters stays.
 func TestNextMembership(t *testing.T) {
-	newIncarnation := Applicant{ID: 9, Host: "c"}
-	withNewLearner := threeVoters()
-	withNewLearner.Members = append(withNewLearner.Members, &replication.Member{Id: 9, Host: "c"})
-	earlierRemoved := &replication.Membership{Members: append(threeVoters().GetMembers()[:2], &replication.Member{Id: 9, Host: "c"})}
+	with := func(m *replication.Membership, added ...*replication.Member) *replication.Membership {
+		m.Members = append(m.Members, added...)
+		return m
+	}
+	newIncarnation, newHost := Applicant{ID: 9, Host: "c"}, Applicant{ID: 9, Host: "d"}
+	replaced := promoteLearner(with(threeVoters(), &replication.Member{Id: 9, Host: "c"}), &replication.Member{Id: 9, Host: "c"}, nil)
 	tests := map[string]struct {
-		before   *replication.Membership
-		caughtUp bool
-		// voters and learners are the IDs of the members after the change. If voters
-		// is nil, no change is due.
-		voters, learners []uint64
+		before    *replication.Membership
+		applicant Applicant
+		caughtUp  bool
+		// contacts holds what is known of the voters that do not answer.
+		contacts map[MemberID]Contact
+		// voters, learners and former are the IDs of the members after the change; former
+		// are the voters that a joint change replaces. If voters is nil, no change is due.
+		voters, learners, former []MemberID
 	}{
-		"new incarnation joins as a learner":                {before: threeVoters(), voters: []uint64{1, 2, 3}, learners: []uint64{9}},
-		"lagging learner is not promoted":                   {before: withNewLearner},
-		"earlier incarnation is removed first":              {before: withNewLearner, caughtUp: true, voters: []uint64{1, 2}, learners: []uint64{9}},
-		"then the learner is promoted":                      {before: earlierRemoved, caughtUp: true, voters: []uint64{1, 2, 9}},
-		"lagging learner is not promoted after the removal": {before: earlierRemoved},
+		"new incarnation joins as a learner": {before: threeVoters(), applicant: newIncarnation, voters: []MemberID{1, 2, 3}, learners: []MemberID{9}},
+		"lagging learner is not promoted":    {before: with(threeVoters(), &replication.Member{Id: 9, Host: "c"}), applicant: newIncarnation},
+		"it replaces the earlier incarnation": {
+			before: with(threeVoters(), &replication.Member{Id: 9, Host: "c"}), applicant: newIncarnation, caughtUp: true,
+			voters: []MemberID{1, 2, 9}, former: []MemberID{1, 2, 3},
+		},
+		"earlier incarnation before a silent voter": {
+			before: with(threeVoters(), &replication.Member{Id: 9, Host: "c"}), applicant: newIncarnation, caughtUp: true, contacts: map[MemberID]Contact{1: ContactSilent},
+			voters: []MemberID{1, 2, 9}, former: []MemberID{1, 2, 3},
+		},
+		"the joint change ends": {before: replaced, applicant: newIncarnation, voters: []MemberID{1, 2, 9}},
+		"new host becomes an additional voter": {
+			before: with(threeVoters(), &replication.Member{Id: 9, Host: "d"}), applicant: newHost, caughtUp: true,
+			voters: []MemberID{1, 2, 3, 9},
+		},
+		"new host waits until a silent voter can be told": {
+			before: with(threeVoters(), &replication.Member{Id: 9, Host: "d"}), applicant: newHost, caughtUp: true,
+			contacts: map[MemberID]Contact{2: ContactUnknown},
+		},
+		"new host replaces a silent voter": {
+			before: with(threeVoters(), &replication.Member{Id: 9, Host: "d"}), applicant: newHost, caughtUp: true, contacts: map[MemberID]Contact{1: ContactSilent},
+			voters: []MemberID{2, 3, 9}, former: []MemberID{1, 2, 3},
+		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			next := NextMembership(test.before, []Applicant{newIncarnation}, func(MemberID) bool { return test.caughtUp })
+			next := NextMembership(test.before, []Applicant{test.applicant},
+				func(MemberID) bool { return test.caughtUp }, func(id MemberID) Contact {
+					if contact, found := test.contacts[id]; found {
+						return contact
+					}
+					return ContactAnswers
+				})
 			if (next == nil) != (test.voters == nil) {
 				t.Fatalf("next membership is %v, want a change: %t", next, test.voters != nil)
 			}
-			for _, id := range test.voters {
-				if !FindMember(next, MemberID(id)).GetVoter() {
-					t.Errorf("member %d is not a voter in %v", id, next)
-				}
+			if next == nil {
+				return
+			}
+			if !isSafeChange(test.before, next) {
+				t.Errorf("the change to %v is not safe", next)
+			}
+			if !sameMembers(voters(next), test.voters) || !sameMembers(formerVoters(next), test.former) || next.GetJoint() != (test.former != nil) {
+				t.Errorf("next membership is %v, want voters %v and former voters %v", next, test.voters, test.former)
 			}
 			for _, id := range test.learners {
-				if m := FindMember(next, MemberID(id)); m == nil || m.GetVoter() {
+				if m := FindMember(next, id); m == nil || m.GetVoter() {
 					t.Errorf("member %d is not a learner in %v", id, next)
 				}
 			}
-			if next != nil && len(next.GetMembers()) != len(test.voters)+len(test.learners) {
+			if test.former == nil && len(next.GetMembers()) != len(test.voters)+len(test.learners) {
 				t.Errorf("next membership is %v, want voters %v and learners %v", next, test.voters, test.learners)
 			}
 		})
--- a/pkg/retrier/retrier.go
+++ b/pkg/retrier/retrier.go
@@ -46,6 +46,9 @@
 		// probing reports whether a probe is in progress.
 		probing  bool
 		openedAt time.Duration
+		// pausedUntil is the end of a pause that the upstream asked for, zero if there is
+		// none. Until then no outcome closes the circuit.
+		pausedUntil time.Duration
 	}
 )
 
@@ -172,7 +175,7 @@
 	switch {
 	case !c.open:
 		return Closed
-	case c.probing || now-c.openedAt < c.config.Pause:
+	case c.probing || now-c.openedAt < c.config.Pause || now < c.pausedUntil:
 		return Open
 	default:
 		return HalfOpen
@@ -191,13 +194,36 @@
 // RecordSuccess records a successful request. It closes the circuit and reports
 // whether it was open.
 func (c *CircuitBreaker) RecordSuccess() bool {
+	if c.pausedUntil != 0 && !c.probing {
+		// The request was sent before the upstream asked for the pause.
+		return false
+	}
 	recovered := c.open
+	c.pausedUntil = 0
 	c.failures = 0
 	c.open = false
 	c.probing = false
 	return recovered
 }
 
+// PauseUntil opens the circuit until a time that the upstream has asked for. Then one
+// request is let through as a probe. A later end that is already set stays.
+func (c *CircuitBreaker) PauseUntil(now, until time.Duration) {
+	c.open = true
+	c.probing = false
+	c.openedAt = min(now, until-c.config.Pause)
+	c.pausedUntil = max(c.pausedUntil, until)
+}
+
+// PausedUntil returns the end of the pause that the upstream has asked for, or zero if
+// there is none.
+func (c *CircuitBreaker) PausedUntil(now time.Duration) time.Duration {
+	if now >= c.pausedUntil {
+		return 0
+	}
+	return c.pausedUntil
+}
+
 // RecordFailure records a failed request. It opens the circuit if a probe was in
 // progress, or after the configured number of failures in a row.
 func (c *CircuitBreaker) RecordFailure(now time.Duration) {
--- a/pkg/retrier/retrier_test.go
+++ b/pkg/retrier/retrier_test.go
@@ -54,6 +54,37 @@
 	}
 }
 
+// TestCircuitBreakerPause checks that nothing closes the circuit during a pause that the
+// upstream asked for, whether it is shorter or longer than the configured one, and that
+// a single probe follows it.
+func TestCircuitBreakerPause(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"shorter": time.Second / 2, "longer": 10 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			c := NewCircuitBreaker(CircuitBreakerConfig{Failures: 3, Pause: time.Second})
+			c.PauseUntil(0, pause)
+			c.PauseUntil(0, pause/2)
+			if c.RecordSuccess(); c.State(pause-1) != Open || c.PausedUntil(pause-1) != pause {
+				t.Fatal("a request sent before the pause ended it")
+			}
+			if c.State(pause) != HalfOpen || c.PausedUntil(pause) != 0 {
+				t.Fatal("circuit is not half-open after the pause")
+			}
+			c.RecordStart(pause)
+			if c.State(pause) != Open {
+				t.Fatal("circuit let a second request through during the probe")
+			}
+			c.PauseUntil(pause, 2*pause)
+			if c.State(2*pause-1) != Open {
+				t.Fatal("a probe that was turned away did not pause the circuit again")
+			}
+			c.RecordStart(2 * pause)
+			if !c.RecordSuccess() || c.State(2*pause) != Closed {
+				t.Fatal("a successful probe did not close the circuit")
+			}
+		})
+	}
+}
+
 // TestSharedBudget lets several processes retry as often as their shares allow.
 // In any window, all of them together must stay within the ratio of the requests
 // plus the allowance, and must still be able to use a large part of it.
