router, controller: hand out committed changes without a quorum

Entry hosts got changes only from a leader that a quorum had confirmed, so they stayed on the version before and answered 401 for keys of the new one.

Ruled out: an entry host that went back to an older configuration; its revision never fell in the log.

Change: a poll carries the changes that the control host has applied. They are committed, so they are a step forward wherever they come from; the freshness still counts from a quorum only. A key or route that is not in a configuration which is not fresh gets 503 with Retry-After in place of 401 or 404. Seen failing before: TestConfigurationWithoutQuorum, TestUnknownWithoutConfirmation (three cases).

--- a/internal/controller/follow.go
+++ b/internal/controller/follow.go
@@ -170,7 +170,7 @@
 	reply.ControlAddresses = c.controlAddresses(f.GetFailureDomain())
 	reply.EntryHosts = int32(c.clusterView.entryCount())
 	reply.TrueMillis = c.clusterView.agreedTime(c.settings.GetHost().GetId()).UnixMilli()
-	if f.GetWantUnconfirmed() {
+	if f.GetWantUnconfirmed() && reply.GetRevision() > f.GetHaveRevision() {
 		reply.Unconfirmed = c.stateMachine.SyncSince(configurer.Revision(f.GetHaveRevision()))
 	}
 	return &wire.Reply{Kind: &wire.Reply_Follow{Follow: reply}}
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -136,7 +136,7 @@
 		return refusal
 	}
 	if c.route == nil {
-		return refuse(http.StatusNotFound, CodeNoRoute, "no route for "+c.path)
+		return r.controlPlane.refuseUnknown(refuse(http.StatusNotFound, CodeNoRoute, "no route for "+c.path))
 	}
 	if refusal := c.chooseClass(catalog); refusal != nil {
 		return refusal
@@ -165,7 +165,11 @@
 func (r *Router) authenticate(c *call) *RefusalError {
 	open := c.route.GetOpenToAll()
 	if c.Key == "" && !open {
-		return refuse(http.StatusUnauthorized, CodeUnauthorized, "a key is needed")
+		refusal := refuse(http.StatusUnauthorized, CodeUnauthorized, "a key is needed")
+		if c.route == nil {
+			return r.controlPlane.refuseUnknown(refusal)
+		}
+		return refusal
 	}
 	client, refusal := r.controlPlane.identify(c.Key)
 	if refusal != nil && open {
--- a/internal/router/control_poller.go
+++ b/internal/router/control_poller.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/comfreybend/comfreybend/internal/announcer"
@@ -29,7 +30,7 @@
 	// poll.
 	pollPause = 100 * time.Millisecond
 	// unconfirmedDelay is the time after the start after which a process without a
-	// configuration accepts one that no quorum has confirmed.
+	// configuration accepts one that no quorum has confirmed to be the latest.
 	unconfirmedDelay = 200 * time.Millisecond
 	// reportedWindows is the number of recent usage windows whose counts every sync request
 	// reports, so that a lost report is made up for.
@@ -143,7 +144,7 @@
 		Table:           from.tableID,
 		Position:        from.position,
 		WaitMillis:      maxPollWait.Milliseconds(),
-		WantUnconfirmed: !p.router.controlPlane.hasConfiguration() && timer.Now()-p.startedAt > unconfirmedDelay,
+		WantUnconfirmed: p.router.controlPlane.hasConfiguration() || timer.Now()-p.startedAt > unconfirmedDelay,
 	}
 	if index == 0 {
 		p.addLoadShare(request, from)
@@ -184,17 +185,29 @@
 	r.controlClients.setAddresses(reply.GetControlAddresses())
 	r.dispatcher.setEntryProcesses(int(reply.GetEntryHosts()))
 	r.windows.setAgreedTime(now, time.UnixMilli(reply.GetTrueMillis()))
-	if u := reply.GetUnconfirmed(); u != nil && u.GetRevision() > 0 {
-		r.log.Warn("applying a configuration that no quorum has confirmed", zap.Uint64("revision", u.GetRevision()))
-		if err := r.controlPlane.applyConfiguration(u); err != nil {
-			r.log.Error("unconfirmed configuration was rejected", zap.Error(err))
-		}
-	}
+	p.applyUnconfirmed(reply.GetUnconfirmed())
 	if configurer.Revision(reply.GetRevision()) > r.controlPlane.revision() {
 		r.controlPlane.requestSync()
 	}
 }
 
+// applyUnconfirmed applies a configuration that a control process has applied. It was
+// committed, but no quorum has confirmed that there is no later one. Every control process
+// can hand it out, so a change reaches the entry processes without the leader.
+func (p *controlPoller) applyUnconfirmed(u *wire.SyncReply) {
+	plane := p.router.controlPlane
+	if u == nil || configurer.Revision(u.GetRevision()) <= plane.revision() {
+		return
+	}
+	if !plane.hasConfiguration() {
+		p.router.log.Warn("applying a configuration that no quorum has confirmed", zap.Uint64("revision", u.GetRevision()))
+	}
+	var earlier *earlierRevisionError
+	if err := plane.applyConfiguration(u); err != nil && !errors.As(err, &earlier) {
+		p.router.log.Error("unconfirmed configuration was rejected", zap.Error(err))
+	}
+}
+
 func newWindowCounter(e *settings.Entry) *windowCounter {
 	length := e.GetAlignedWindow().AsDuration()
 	if length <= 0 {
--- a/internal/router/control_poller_test.go
+++ b/internal/router/control_poller_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/comfreybend/comfreybend/schema/state"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
@@ -34,3 +35,40 @@
 		t.Error("a request to the second control process contains a load share")
 	}
 }
+
+// TestConfigurationWithoutQuorum guards against a change that was acknowledged and does
+// not arrive because the group has lost its quorum meanwhile: the control processes that
+// have applied it must hand it out, and a poll must ask for it.
+func TestConfigurationWithoutQuorum(t *testing.T) {
+	r := newTestRouter(t)
+	p := newControlPoller(r)
+	whole := func(revision uint64) *wire.SyncReply {
+		return &wire.SyncReply{Revision: revision, Whole: true, Configuration: &state.Configuration{}}
+	}
+	if p.newRequest(cursor{}, 0).GetWantUnconfirmed() {
+		t.Error("a process that has just started does not wait for a confirmed configuration")
+	}
+	if err := r.controlPlane.applyConfiguration(whole(7)); err != nil {
+		t.Fatal(err)
+	}
+	request := p.newRequest(cursor{}, 0)
+	if !request.GetWantUnconfirmed() || request.GetHaveRevision() != 7 {
+		t.Errorf("request %v, want one for the changes after revision 7", request)
+	}
+	p.apply(request, &wire.FollowReply{Revision: 9, Unconfirmed: whole(9)})
+	if r.controlPlane.revision() != 9 {
+		t.Errorf("revision %d after the reply, want 9", r.controlPlane.revision())
+	}
+	if r.controlPlane.fresh() {
+		t.Error("a reply without a quorum made the configuration fresh")
+	}
+	select {
+	case <-r.controlPlane.syncRequested:
+		t.Error("a sync was requested although nothing is missing")
+	default:
+	}
+	p.apply(request, &wire.FollowReply{Revision: 8, Unconfirmed: whole(8)})
+	if r.controlPlane.revision() != 9 {
+		t.Errorf("revision %d after an earlier one, want 9", r.controlPlane.revision())
+	}
+}
--- a/internal/router/controlplane.go
+++ b/internal/router/controlplane.go
@@ -52,6 +52,8 @@
 
 		// syncMu is held while a sync request is in progress.
 		syncMu sync.Mutex
+		// applyMu is held while a configuration is applied.
+		applyMu sync.Mutex
 
 		// syncRequested makes run send the next sync request without delay.
 		syncRequested chan struct{}
@@ -220,6 +222,8 @@
 // applyConfiguration applies the configuration or the changes in a reply. It
 // rejects an earlier revision and changes that do not follow each other.
 func (p *controlPlane) applyConfiguration(reply *wire.SyncReply) error {
+	p.applyMu.Lock()
+	defer p.applyMu.Unlock()
 	current := p.catalog.Load()
 	received := configurer.Revision(reply.GetRevision())
 	if current != nil && received < current.Revision() {
@@ -299,12 +303,23 @@
 	}
 	key := p.catalog.Load().KeyByHash(id.hash)
 	if key == nil {
-		return refuse(http.StatusUnauthorized, CodeUnauthorized, "the key is unknown or withdrawn")
+		return p.refuseUnknown(refuse(http.StatusUnauthorized, CodeUnauthorized, "the key is unknown or withdrawn"))
 	}
 	id.organisation = configurer.OrganisationID(key.GetOrganisation())
 	return nil
 }
 
+// refuseUnknown returns the refusal of a call whose key or route is not in the
+// configuration. While the configuration is not fresh, a later one may have it, so the
+// call is told to come back instead.
+func (p *controlPlane) refuseUnknown(refusal *RefusalError) *RefusalError {
+	if p.fresh() {
+		return refusal
+	}
+	return refuseWithRetryAfter(http.StatusServiceUnavailable, CodeNotFresh,
+		refusal.Detail+", in a configuration that no quorum has confirmed lately", p.router.retryAfter())
+}
+
 // propose commits a command through the first control process that replies. If
 // one fails, the command is sent to the next although it may have been
 // committed, so commands must be idempotent.
--- a/internal/router/controlplane_test.go
+++ b/internal/router/controlplane_test.go
@@ -110,3 +110,56 @@
 		})
 	}
 }
+
+// TestUnknownWithoutConfirmation guards against refusals of requests that are proper: a
+// key or a route that is not in the configuration may be in a newer one as long as no
+// quorum has confirmed the configuration lately. The request must be told to come back,
+// and that it has not run.
+func TestUnknownWithoutConfirmation(t *testing.T) {
+	tests := map[string]struct {
+		confirmed bool
+		path, key string
+		status    int
+	}{
+		"unknown key, confirmed":         {confirmed: true, path: "/known/", key: "other", status: http.StatusUnauthorized},
+		"unknown key, unconfirmed":       {path: "/known/", key: "other", status: http.StatusServiceUnavailable},
+		"unknown route, confirmed":       {confirmed: true, path: "/new/", key: "secret", status: http.StatusNotFound},
+		"unknown route, unconfirmed":     {path: "/new/", key: "secret", status: http.StatusServiceUnavailable},
+		"unknown route without a key":    {path: "/new/", status: http.StatusServiceUnavailable},
+		"known route without its key":    {path: "/known/", status: http.StatusUnauthorized},
+		"known key and route":            {path: "/known/", key: "secret"},
+		"known, confirmed":               {confirmed: true, path: "/known/", key: "secret"},
+		"unknown route, no key, certain": {confirmed: true, path: "/new/", status: http.StatusUnauthorized},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newTestRouter(t)
+			r.settings.Entry.ServeStale = true
+			hash := configurer.HashKey("secret")
+			err := r.controlPlane.applyConfiguration(&wire.SyncReply{
+				Revision: 1, Whole: true,
+				Configuration: &state.Configuration{
+					Classes: []*state.Class{{Name: "c", Tier: 1}},
+					Routes:  []*state.Route{{Name: "r", PathPrefix: "/known/", Kind: configurer.KindService, Service: "s", Classes: []string{"c"}}},
+				},
+				Keys: []*state.Key{{Id: "k", Organisation: "one", Hash: hash[:]}},
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if test.confirmed {
+				r.controlPlane.freshUntil.Store(int64(r.controlPlane.now() + time.Minute))
+			}
+			refusal := r.resolve(&call{path: test.path, requestURI: test.path, header: http.Header{}, RequestInfo: RequestInfo{Key: test.key}})
+			switch {
+			case (refusal != nil) != (test.status != 0):
+				t.Fatalf("refusal %v, want status %d (0: no refusal)", refusal, test.status)
+			case refusal == nil:
+			case refusal.Status != test.status || refusal.Run != NotRun:
+				t.Errorf("refusal %v with status %d, want %d", refusal, refusal.Status, test.status)
+			case refusal.Status == http.StatusServiceUnavailable && refusal.RetryAfter <= 0:
+				t.Error("the refusal does not say when to come back")
+			}
+		})
+	}
+}
