picker: place short and urgent prompts where an engine has room

In a calm stretch tags (2,400 tokens) were taken for long prompts, whose engines held 44,000 to 105,000 tokens against a budget of 40,000, while engines of the light group held 1,500 to 13,000. Lookups were refused for the engine that had their shared part, beside others with room.

Ruled out: a wrong order of tiers (the budgets by rank were as meant) and stale load (its age was under 300 ms).

Change: requests settle for an engine that admits them if their prompt is small or they are not the least urgent, as far as the load allows to read parts again. A small prompt is refused only if it cannot be answered in time. Light engines keep half of their budget free of other classes' prompts.

Seen failing before: TestShortPromptsFindRoom. TestLongPromptsWaitForTheirDocument holds the limit of it.

--- a/pkg/picker/admission.go
+++ b/pkg/picker/admission.go
@@ -20,22 +20,105 @@
 	// such engines is then placed at another one, which computes the parts again, instead of
 	// being delayed.
 	spareUtilization = 0.5
+	// A prompt is small up to smallPromptShare of the prefill budget and smallPromptRatio of the
+	// mean prompt length of all classes, weighted by their work.
+	smallPromptShare = 0.1
+	smallPromptRatio = 0.5
+	// maxResponseShare is the share of a request's TimeLimit within which the response to a small
+	// prompt must be expected. The rest covers the requests of other processes that this process
+	// does not know of yet.
+	maxResponseShare = 0.6
+	// assumedStepTime is the time that an engine takes to generate one token without other requests.
+	assumedStepTime = 5 * time.Millisecond
 )
 
+// admission holds what decides about the admission of one request.
+type admission struct {
+	// budget is the time that an engine may spend on the prompts of its requests in flight.
+	budget time.Duration
+	// utilization is the share of the budget that is in use at the engines of the request's group.
+	utilization float64
+	// lightGroup reports for each engine whether it is reserved for light classes, nil if none is.
+	lightGroup []bool
+	lightClass bool
+	// smallPrompt is the largest number of tokens of a small prompt.
+	smallPrompt float64
+}
+
+func (p *Placer) newAdmission(now time.Duration, r PromptRequest, engines []Engine) admission {
+	a := admission{budget: p.prefillBudget(r), lightGroup: p.lightGroup(now, engines), lightClass: p.isLight(r.Class)}
+	a.utilization = p.prefillUtilization(engines, a.lightGroup, a.lightClass, a.budget)
+	a.smallPrompt = min(smallPromptShare*p.prefillRate*a.budget.Seconds(), smallPromptRatio*p.meanPrompt())
+	return a
+}
+
+// isOtherGroup reports whether an engine is meant for other classes than the request's.
+func (a *admission) isOtherGroup(engine int) bool {
+	return a.lightGroup != nil && a.lightGroup[engine] != a.lightClass
+}
+
+// prefillWeight returns the weight of the request's uncached tokens in the cost.
+func (a *admission) prefillWeight() float64 {
+	return minPrefillWeight + (maxPrefillWeight-minPrefillWeight)*a.utilization
+}
+
+// maySettle reports whether a request may be placed at an engine that admits it although another
+// one has the lower cost, where it would have to compute only leastTokens. Long prompts of the
+// least urgent requests do not: under overload they would take what room is left anywhere. The more
+// of the budget is in use, the less may be computed again.
+func (a *admission) maySettle(r PromptRequest, uncached, leastTokens float64) bool {
+	if float64(r.PromptTokens) > a.smallPrompt && r.Rank >= r.Ranks-1 {
+		return false
+	}
+	return uncached-leastTokens <= a.smallPrompt || uncached*a.utilization <= leastTokens
+}
+
+// admits reports whether an engine has room for the request: its prefill budget covers the uncached
+// tokens, or the prompt is small and the request is answered in time all the same.
+func (p *Placer) admits(a admission, r PromptRequest, engines []Engine, engine int, uncached float64) bool {
+	if float64(r.PromptTokens) <= a.smallPrompt && p.endsInTime(r, &engines[engine], uncached) {
+		return true
+	}
+	return p.excessFor(a, engines, engine, uncached) == 0
+}
+
+// excessFor returns the result of prefillExcess for an engine. An engine for light classes keeps
+// half of its budget free of the other classes' prompts.
+func (p *Placer) excessFor(a admission, engines []Engine, engine int, uncached float64) time.Duration {
+	budget := a.budget
+	if a.isOtherGroup(engine) && !a.lightClass {
+		budget /= 2
+	}
+	return p.prefillExcess(&engines[engine], uncached, budget)
+}
+
+// endsInTime reports whether an engine is expected to answer the request within a part of its
+// TimeLimit.
+func (p *Placer) endsInTime(r PromptRequest, e *Engine, uncached float64) bool {
+	prefill := time.Duration((e.PendingTokens + uncached) / p.prefillRate * float64(time.Second))
+	generation := time.Duration(r.MaxOutputTokens) * (assumedStepTime + time.Duration(e.Requests)*stepTimePerRequest)
+	return float64(prefill+generation) <= maxResponseShare*float64(r.TimeLimit)
+}
+
 // AdmissionDelay estimates how long it takes until the engine that Pick chooses can admit the
-// request. It is zero if the engine can admit it now, if no engine is free, or if the request has no
+// request. It is zero if an engine admits it now, if no engine is free, or if the request has no
 // deadline. engines must not be empty.
 //
 // It guards against overload by more prompts than the engines can compute: each prefill delays
 // all requests in flight at its engine, so that with too many prompts no response ends in time and
 // the work is wasted. An engine therefore admits only the prompts that it can compute within a
-// share of the timeout for responses.
+// share of the timeout for responses. A small prompt delays the others so little that only its own
+// response counts.
 func (p *Placer) AdmissionDelay(now time.Duration, r PromptRequest, engines []Engine) time.Duration {
 	chosen, uncached := p.Pick(now, r, engines)
 	if chosen < 0 {
 		return 0
 	}
-	return p.prefillExcess(&engines[chosen], uncached, p.prefillBudget(r))
+	a := p.newAdmission(now, r, engines)
+	if p.admits(a, r, engines, chosen, uncached) {
+		return 0
+	}
+	return p.excessFor(a, engines, chosen, uncached)
 }
 
 // prefillExcess returns by how much an engine's prefill time for its requests in flight would
--- a/pkg/picker/light.go
+++ b/pkg/picker/light.go
@@ -75,12 +75,21 @@
 	if c == nil || len(p.classes) < 2 {
 		return false
 	}
+	return c.meanPrompt < lightPromptRatio*p.meanPrompt()
+}
+
+// meanPrompt returns the mean prompt length of all classes in tokens, weighted by their work, or
+// zero if there is no work.
+func (p *Placer) meanPrompt() float64 {
 	weighted, totalWork := 0.0, 0.0
-	for _, other := range p.classes {
-		weighted += other.workRate * other.meanPrompt
-		totalWork += other.workRate
+	for _, c := range p.classes {
+		weighted += c.workRate * c.meanPrompt
+		totalWork += c.workRate
+	}
+	if totalWork == 0 {
+		return 0
 	}
-	return totalWork > 0 && c.meanPrompt < lightPromptRatio*weighted/totalWork
+	return weighted / totalWork
 }
 
 // Work returns the rates of work of the light classes and of all classes in tokens per second, as
--- a/pkg/picker/placer.go
+++ b/pkg/picker/placer.go
@@ -1,6 +1,7 @@
 package picker
 
 import (
+	"math"
 	"time"
 
 	"github.com/comfreybend/comfreybend/pkg/registrar"
@@ -200,40 +201,67 @@
 
 // Pick returns the index of the chosen engine, or -1 if none is free, and the number of prompt
 // tokens that the engine is expected to compute. engines must not be empty.
+//
+// The engine with the lowest cost is chosen among those that admit the request, if there are any
+// that it may settle for, and otherwise among all.
 func (p *Placer) Pick(now time.Duration, r PromptRequest, engines []Engine) (index int, uncachedTokens float64) {
-	group := p.lightGroup(now, engines)
-	lightClass := p.isLight(r.Class)
-	hitRatios := p.expectedHitRatios(now, r, engines, group, lightClass)
-	budget := p.prefillBudget(r)
-	utilization := p.prefillUtilization(engines, group, lightClass, budget)
-	weight := minPrefillWeight + (maxPrefillWeight-minPrefillWeight)*utilization
-	best, bestCost, bestUncached := -1, time.Duration(0), 0.0
+	a := p.newAdmission(now, r, engines)
+	hitRatios := p.expectedHitRatios(now, r, engines, a.lightGroup, a.lightClass)
+	tokens := make([]float64, len(engines))
+	leastTokens := math.Inf(1)
+	for i := range engines {
+		tokens[i] = p.uncachedTokens(now, r, engines[i].ID, hitRatios[i])
+		if engines[i].Free {
+			leastTokens = min(leastTokens, tokens[i])
+		}
+	}
+	var any, admitting choice
 	for i := range engines {
 		e := &engines[i]
 		if !e.Free {
 			continue
 		}
-		tokens := p.uncachedTokens(now, r, e.ID, hitRatios[i])
-		cost := p.cost(r, e, tokens, weight)
-		if group != nil && group[i] != lightClass {
+		cost := p.cost(r, e, tokens[i], a.prefillWeight())
+		if a.isOtherGroup(i) {
 			cost += r.FirstTokenTarget
 		}
-		if over := p.prefillExcess(e, tokens, budget); over > 0 {
+		if over := p.excessFor(a, engines, i, tokens[i]); over > 0 {
 			cost += over
-			if utilization < spareUtilization {
+			if a.utilization < spareUtilization {
 				// Other engines have prefill budget left: prefer them even though they compute the
 				// shared parts again.
-				cost += budget
+				cost += a.budget
 			}
 		}
 		if contains(r.Avoid, e.ID) {
 			cost += time.Hour
 		}
-		if best < 0 || cost < bestCost {
-			best, bestCost, bestUncached = i, cost, tokens
+		any.consider(i, cost)
+		if p.admits(a, r, engines, i, tokens[i]) && a.maySettle(r, tokens[i], leastTokens) {
+			admitting.consider(i, cost)
 		}
 	}
-	return best, bestUncached
+	switch {
+	case admitting.found:
+		return admitting.index, tokens[admitting.index]
+	case any.found:
+		return any.index, tokens[any.index]
+	default:
+		return -1, 0
+	}
+}
+
+// choice is the engine with the lowest cost so far.
+type choice struct {
+	found bool
+	index int
+	cost  time.Duration
+}
+
+func (c *choice) consider(index int, cost time.Duration) {
+	if !c.found || cost < c.cost {
+		*c = choice{found: true, index: index, cost: cost}
+	}
 }
 
 // cost predicts the time to the first token and adds the engine's penalties and a quarter of the
