--- a/internal/controller/follow.go
+++ b/internal/controller/follow.go
@@ -10,6 +10,7 @@
 	"github.com/comfreybend/comfreybend/internal/announcer"
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/messenger"
+	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/synchronizer"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/wire"
@@ -137,6 +138,9 @@
 func (c *Controller) servePoll(ctx context.Context, f *wire.Follow) *wire.Reply {
 	c.clusterView.recordEntry(f.GetHost())
 	c.loads.recordEntryLoad(f.GetHost(), f.GetLoadShare())
+	for _, u := range f.GetLeaving() {
+		c.upstreamTable.withdraw(registrar.UpstreamID(u.GetId()), registrar.Incarnation(u.GetIncarnation()))
+	}
 	wait := min(time.Duration(f.GetWaitMillis())*time.Millisecond, maxPollWait)
 	until := timer.Now() + wait
 	var (
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -62,6 +62,8 @@
 		// singleUse. If it is false, only those with a method that net/http resends
 		// on its own (see isResentByTransport) use singleUse.
 		nonRetryableSingleUse bool
+		// onResponse is called with the headers of every response before it is used.
+		onResponse func(*grant, ResponseInfo)
 	}
 
 	// attempt is one try of a call at one upstream.
@@ -160,9 +162,11 @@
 			MaxIdleConnsPerHost: maxIdleConnsPerUpstream,
 			IdleConnTimeout:     upstreamIdleTimeout,
 			DisableCompression:  true,
+			// The bound also ends heads that come without end.
+			MaxResponseHeaderBytes: int64(l.GetHeaderBytes()),
 		}
 	}
-	u := &upstreamClient{limits: l, dialect: dialect, now: timer.Now, keepAlive: transport(), singleUse: transport(), nonRetryableSingleUse: !e.GetFollowControl()}
+	u := &upstreamClient{limits: l, dialect: dialect, now: timer.Now, keepAlive: transport(), singleUse: transport(), nonRetryableSingleUse: !e.GetFollowControl(), onResponse: func(*grant, ResponseInfo) {}}
 	u.singleUse.DisableKeepAlives = true
 	probe := transport()
 	probe.DisableKeepAlives = true
@@ -220,6 +224,7 @@
 func (u *upstreamClient) checkResponse(at *attempt) error {
 	info := u.dialect.ParseResponse(at.response)
 	at.load = info.Load
+	u.onResponse(at.grant, info)
 	status := at.response.StatusCode
 	switch {
 	case info.EchoedAttempt != "" && info.EchoedAttempt != at.id:
--- a/internal/router/control_poller.go
+++ b/internal/router/control_poller.go
@@ -11,6 +11,7 @@
 	"github.com/comfreybend/comfreybend/internal/announcer"
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/messenger"
+	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/reporter"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/settings"
@@ -146,6 +147,9 @@
 		WaitMillis:      maxPollWait.Milliseconds(),
 		WantUnconfirmed: p.router.controlPlane.hasConfiguration() || timer.Now()-p.startedAt > unconfirmedDelay,
 	}
+	for _, u := range p.router.dispatcher.unreportedWithdrawals() {
+		request.Leaving = append(request.Leaving, &wire.UpstreamRun{Id: string(u.ID), Incarnation: uint64(u.Incarnation)})
+	}
 	if index == 0 {
 		p.addLoadShare(request, from)
 	}
@@ -176,6 +180,9 @@
 func (p *controlPoller) apply(request *wire.Follow, reply *wire.FollowReply) {
 	r := p.router
 	now := timer.Now()
+	for _, u := range request.GetLeaving() {
+		r.dispatcher.withdrawalReported(registrar.UpstreamID(u.GetId()), registrar.Incarnation(u.GetIncarnation()))
+	}
 	for _, u := range reply.GetUpstreams() {
 		r.dispatcher.applyAnnouncement(announcer.FromWire(u, now))
 	}
--- a/internal/router/dialect.go
+++ b/internal/router/dialect.go
@@ -104,6 +104,12 @@
 		FromIntermediary bool
 		// Load is the upstream's load; nil if not reported.
 		Load *registrar.Load
+		// Leaving reports that the upstream is about to shut down and wants no further
+		// requests.
+		Leaving bool
+		// RetryAfter is the text of the pause that the upstream asks for: a number of
+		// seconds; empty if there is none.
+		RetryAfter string
 	}
 )
 
@@ -152,5 +158,12 @@
 }
 
 func parseNativeResponse(response *http.Response) ResponseInfo {
-	return ResponseInfo{EchoedAttempt: AttemptID(response.Header.Get(HeaderAttempt))}
+	info := ResponseInfo{
+		EchoedAttempt: AttemptID(response.Header.Get(HeaderAttempt)),
+		Leaving:       response.Header.Get(HeaderState) == string(registrar.Leaving),
+	}
+	if response.StatusCode == http.StatusServiceUnavailable {
+		info.RetryAfter = response.Header.Get(headerRetryAfter)
+	}
+	return info
 }
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -141,6 +141,11 @@
 		// draining holds the upstreams that are about to be stopped, as reported by a
 		// control process. They get no new requests.
 		draining map[registrar.UpstreamID]bool
+		// withdrawn holds the upstreams that have said in a response that they are leaving,
+		// until a control process knows.
+		withdrawn map[registrar.UpstreamID]registrar.Upstream
+		// onWithdrawn is called, with the mutex held, for each such upstream.
+		onWithdrawn func(registrar.Upstream)
 		// meanPendingTokens is the moving average of the pending prompt tokens of a
 		// request in progress.
 		meanPendingTokens float64
@@ -186,6 +191,8 @@
 		budget:         newRetryBudget(e),
 		peerDemands:    newDemandTable(len(e.GetPeerAddresses())),
 		clusterLoad:    newClusterLoad(),
+		withdrawn:      map[registrar.UpstreamID]registrar.Upstream{},
+		onWithdrawn:    func(registrar.Upstream) {},
 	}
 }
 
@@ -219,6 +226,7 @@
 		delete(d.upstreamStates, id)
 		d.cacheIndex.Forget(id)
 		d.placer.Forget(id)
+		delete(d.withdrawn, id)
 	}
 	for key, p := range d.pools {
 		if p.scheduler.Waiting() > 0 && !d.hasUpstream(key) {
@@ -303,6 +311,9 @@
 	if !d.hasUpstream(r.pool) {
 		return nil, d.noUpstreamRefusal(r.pool)
 	}
+	if refusal := d.pausedRefusal(r); refusal != nil {
+		return nil, refusal
+	}
 	p := d.pool(r.pool)
 	if refusal := d.refuseOvercommitted(r, p); refusal != nil {
 		return nil, refusal
--- /dev/null
+++ b/internal/router/notice.go
@@ -0,0 +1,141 @@
+package router
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/comfreybend/comfreybend/pkg/registrar"
+)
+
+// defaultRetryAfter is the pause that is kept if an upstream asks for one whose length
+// cannot be read.
+const defaultRetryAfter = time.Second
+
+// handleNotices passes on what the headers of a response say of the upstream besides its
+// load: that it is leaving, and that it wants no requests of this process for a time.
+func (r *Router) handleNotices(g *grant, info ResponseInfo) {
+	if info.Leaving && r.dispatcher.withdraw(g.upstream) {
+		r.log.Info("upstream says that it is leaving", zap.String("upstream", string(g.upstream.ID)))
+	}
+	if info.RetryAfter == "" {
+		return
+	}
+	longest := r.settings.GetEntry().GetUpstreamLimits().GetRetryAfter().AsDuration()
+	pause, ok := parseRetryAfter(info.RetryAfter, longest)
+	if !ok {
+		r.log.Warn("upstream asks for a pause that is no usable number of seconds", zap.String("upstream", string(g.upstream.ID)),
+			zap.String("retryAfter", strconv.Quote(info.RetryAfter[:min(len(info.RetryAfter), maxLoggedBytes)])), zap.Duration("pause", pause))
+	}
+	if pause > 0 {
+		r.dispatcher.pauseUpstream(g, pause)
+	}
+}
+
+// maxLoggedBytes bounds what is logged of a header of an upstream.
+const maxLoggedBytes = 64
+
+// parseRetryAfter returns the pause that a Retry-After value asks for, at most longest.
+// The second result is false if the value is not a number of seconds from zero to
+// longest. No pause is kept for a negative one, and defaultRetryAfter for a value that is
+// no number.
+func parseRetryAfter(text string, longest time.Duration) (time.Duration, bool) {
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	switch {
+	case err != nil && math.IsInf(seconds, 1), seconds > longest.Seconds():
+		return longest, false
+	case err != nil && !math.IsInf(seconds, -1), math.IsNaN(seconds):
+		return defaultRetryAfter, false
+	case seconds < 0:
+		return 0, false
+	default:
+		return time.Duration(seconds * float64(time.Second)), true
+	}
+}
+
+// withdraw marks an upstream as leaving for the rest of its incarnation, and queues that
+// for the control processes. It reports whether the upstream was not leaving before.
+func (d *dispatcher) withdraw(u *registrar.Upstream) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if known := d.registry.Get(u.ID); known == nil || known.State == registrar.Leaving {
+		return false
+	}
+	leaving, accepted := d.registry.Withdraw(d.now(), u.ID, u.Incarnation)
+	if accepted {
+		d.withdrawn[u.ID] = leaving
+		d.onWithdrawn(leaving)
+	}
+	return accepted
+}
+
+// unreportedWithdrawals returns the upstreams whose withdrawal no control process has
+// acknowledged yet.
+func (d *dispatcher) unreportedWithdrawals() []registrar.Upstream {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make([]registrar.Upstream, 0, len(d.withdrawn))
+	for _, u := range d.withdrawn {
+		out = append(out, u)
+	}
+	return out
+}
+
+// withdrawalReported records that a control process has acknowledged a withdrawal.
+func (d *dispatcher) withdrawalReported(id registrar.UpstreamID, incarnation registrar.Incarnation) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.withdrawn[id].Incarnation == incarnation {
+		delete(d.withdrawn, id)
+	}
+}
+
+// pauseUpstream keeps this process's requests away from an upstream for a time that it has
+// asked for. Then one request is sent as a probe. Waiting requests for which this leaves no
+// upstream until their deadline are refused.
+func (d *dispatcher) pauseUpstream(g *grant, pause time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now()
+	g.state.circuit.PauseUntil(now, now+pause)
+	p := d.pools[g.pool]
+	if p == nil {
+		return
+	}
+	for id, w := range d.waiters {
+		if w.request.pool != g.pool {
+			continue
+		}
+		if refusal := d.pausedRefusal(w.request); refusal != nil && p.scheduler.Remove(id) {
+			d.refuseWaiter(id, refusal)
+		}
+	}
+}
+
+// pausedRefusal returns the refusal of a request whose deadline passes before any upstream
+// of its pool wants requests again, or nil.
+func (d *dispatcher) pausedRefusal(r dispatchRequest) *RefusalError {
+	now := d.now()
+	var earliest time.Duration
+	for _, u := range d.registry.Serving(r.pool.kind, r.pool.name) {
+		if d.draining[u.ID] {
+			continue
+		}
+		until := d.upstreamStates[u.ID].circuit.PausedUntil(now)
+		if until < r.deadline {
+			return nil
+		}
+		if earliest == 0 || until < earliest {
+			earliest = until
+		}
+	}
+	if earliest == 0 {
+		return nil
+	}
+	return refuseWithRetryAfter(http.StatusServiceUnavailable, CodeOverloaded,
+		"all upstreams have asked for a pause beyond the deadline", jitterRetryAfter(earliest-now))
+}
--- /dev/null
+++ b/internal/router/notice_test.go
@@ -0,0 +1,210 @@
+package router
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/comfreybend/comfreybend/internal/configurer"
+	"github.com/comfreybend/comfreybend/pkg/registrar"
+	"github.com/comfreybend/comfreybend/pkg/retrier"
+	"github.com/comfreybend/comfreybend/schema/state"
+	"github.com/comfreybend/comfreybend/schema/wire"
+)
+
+const noticeService = "orders"
+
+// noticeUpstream is an upstream whose responses can be changed.
+type noticeUpstream struct {
+	id      registrar.UpstreamID
+	calls   atomic.Int64
+	respond atomic.Pointer[http.HandlerFunc]
+}
+
+func (u *noticeUpstream) set(respond http.HandlerFunc) { u.respond.Store(&respond) }
+
+// newNoticeRouter returns an entry process and its server with the given upstreams of one
+// service.
+func newNoticeRouter(t *testing.T, ids ...registrar.UpstreamID) (*Router, *httptest.Server, map[registrar.UpstreamID]*noticeUpstream) {
+	t.Helper()
+	r := newTestRouter(t)
+	upstreams := map[registrar.UpstreamID]*noticeUpstream{}
+	for _, id := range ids {
+		u := &noticeUpstream{id: id}
+		u.set(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "done") })
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+			u.calls.Add(1)
+			(*u.respond.Load())(w, request)
+		}))
+		t.Cleanup(server.Close)
+		upstreams[id] = u
+		r.dispatcher.applyAnnouncement(noticeAnnouncement(id, server.URL, 1, 1, r.dispatcher.now()))
+	}
+	err := r.controlPlane.applyConfiguration(&wire.SyncReply{Revision: 1, Whole: true, Configuration: &state.Configuration{
+		Classes: []*state.Class{{Name: "c", Tier: 1}},
+		Routes: []*state.Route{{
+			Name: "r", PathPrefix: "/", Kind: configurer.KindService, Service: noticeService, Classes: []string{"c"},
+			OpenToAll: true, Timeout: durationpb.New(2 * time.Second),
+		}},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewServer(r.clientHandler())
+	t.Cleanup(server.Close)
+	return r, server, upstreams
+}
+
+func noticeAnnouncement(id registrar.UpstreamID, url string, incarnation registrar.Incarnation, sequence registrar.Sequence, now time.Duration) registrar.Upstream {
+	return registrar.Upstream{
+		ID: id, Incarnation: incarnation, Sequence: sequence, URL: url, FailureDomain: "a", Kind: registrar.KindService,
+		Serves: []string{noticeService}, State: registrar.Serving, AnnouncedAt: now, Load: registrar.Load{Slots: 8},
+	}
+}
+
+// get sends one call and returns the status and the Retry-After header.
+func get(t *testing.T, url string) (status int, retryAfter string) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, url+"/order", http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, response.Header.Get(headerRetryAfter)
+}
+
+// TestLeavingResponses guards against requests to an upstream that has said in a response,
+// successful or not, that it is leaving. From that response on it gets no further request,
+// also if it announces itself as serving again, until its next incarnation; and the control
+// processes are told until one has acknowledged it.
+func TestLeavingResponses(t *testing.T) {
+	for name, status := range map[string]int{"success": http.StatusOK, "failure": http.StatusInternalServerError, "refusal": http.StatusServiceUnavailable} {
+		t.Run(name, func(t *testing.T) {
+			r, server, upstreams := newNoticeRouter(t, "one")
+			u := upstreams["one"]
+			url := r.dispatcher.registry.Get("one").URL
+			u.set(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(HeaderState, string(registrar.Leaving))
+				w.WriteHeader(status)
+			})
+			get(t, server.URL)
+			before := u.calls.Load()
+			if got, _ := get(t, server.URL); got != http.StatusServiceUnavailable || u.calls.Load() != before {
+				t.Errorf("status %d and %d further requests, want 503 and none", got, u.calls.Load()-before)
+			}
+			r.dispatcher.applyAnnouncement(noticeAnnouncement("one", url, 1, 9, r.dispatcher.now()))
+			if get(t, server.URL); u.calls.Load() != before {
+				t.Error("an announcement of the same incarnation brought the upstream back")
+			}
+			p := newControlPoller(r)
+			request := p.newRequest(cursor{}, 1)
+			if len(request.GetLeaving()) != 1 || request.GetLeaving()[0].GetId() != "one" || request.GetLeaving()[0].GetIncarnation() != 1 {
+				t.Fatalf("request %v, want one that names the upstream as leaving", request)
+			}
+			if len(p.newRequest(cursor{}, 0).GetLeaving()) != 1 {
+				t.Error("the withdrawal is not sent again although no control process has acknowledged it")
+			}
+			p.apply(request, &wire.FollowReply{})
+			if len(p.newRequest(cursor{}, 0).GetLeaving()) != 0 {
+				t.Error("the withdrawal is sent again after it was acknowledged")
+			}
+			u.set(func(http.ResponseWriter, *http.Request) {})
+			r.dispatcher.applyAnnouncement(noticeAnnouncement("one", url, 2, 1, r.dispatcher.now()))
+			if got, _ := get(t, server.URL); got != http.StatusOK {
+				t.Errorf("status %d of the next incarnation, want 200", got)
+			}
+		})
+	}
+}
+
+// TestRequestedPause guards against requests to an upstream that has asked for a pause with
+// a 503: the other upstream gets them; with both pausing beyond the deadline they are
+// refused at once, as not run and with the time to come back. A single request is let
+// through at the end of the pause.
+func TestRequestedPause(t *testing.T) {
+	r, server, upstreams := newNoticeRouter(t, "one", "two")
+	now := r.dispatcher.now()
+	r.dispatcher.now = func() time.Duration { return now }
+	pause := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(headerRetryAfter, "30")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	one, two := upstreams["one"], upstreams["two"]
+	one.set(pause)
+	for one.calls.Load() == 0 {
+		if status, _ := get(t, server.URL); status != http.StatusOK {
+			t.Fatalf("status %d, want 200 from the other upstream", status)
+		}
+	}
+	for range 20 {
+		get(t, server.URL)
+	}
+	if one.calls.Load() != 1 {
+		t.Errorf("%d requests reached the upstream that asked for a pause, want only the one before it", one.calls.Load())
+	}
+	two.set(pause)
+	get(t, server.URL)
+	for range 5 {
+		status, retryAfter := get(t, server.URL)
+		if status != http.StatusServiceUnavailable || len(retryAfter) < 2 {
+			t.Errorf("status %d, Retry-After %q; want 503 and at least 30 s", status, retryAfter)
+		}
+	}
+	if one.calls.Load()+two.calls.Load() > 23 {
+		t.Errorf("%d and %d requests during the pauses", one.calls.Load(), two.calls.Load())
+	}
+	now += 31 * time.Second
+	r.dispatcher.mu.Lock()
+	state := r.dispatcher.upstreamStates["one"]
+	if state.circuit.State(now) != retrier.HalfOpen {
+		t.Errorf("circuit is in state %d after the pause, want half-open", state.circuit.State(now))
+	}
+	state.requestStarted(now)
+	if state.free(now) {
+		t.Error("a second request is let through beside the probe")
+	}
+	r.dispatcher.mu.Unlock()
+}
+
+// TestParseRetryAfter checks that absurd pauses are bounded.
+func TestParseRetryAfter(t *testing.T) {
+	const longest = 5 * time.Minute
+	tests := map[string]struct {
+		want time.Duration
+		ok   bool
+	}{
+		"0":                             {ok: true},
+		"2":                             {want: 2 * time.Second, ok: true},
+		" 0.25 ":                        {want: time.Second / 4, ok: true},
+		"300":                           {want: longest, ok: true},
+		"301":                           {want: longest},
+		"1e9":                           {want: longest},
+		"1e999":                         {want: longest},
+		"Inf":                           {want: longest},
+		"-1":                            {},
+		"-1e999":                        {},
+		"NaN":                           {want: defaultRetryAfter},
+		"soon":                          {want: defaultRetryAfter},
+		"Fri, 04 Dec 2026 12:00:00 GMT": {want: defaultRetryAfter},
+		strings.Repeat("9", 10_000):     {want: longest},
+	}
+	for text, test := range tests {
+		t.Run(text[:min(len(text), 40)], func(t *testing.T) {
+			if got, ok := parseRetryAfter(text, longest); got != test.want || ok != test.ok {
+				t.Errorf("parseRetryAfter() = %v, %t; want %v, %t", got, ok, test.want, test.ok)
+			}
+		})
+	}
+}
--- a/internal/router/refusal.go
+++ b/internal/router/refusal.go
@@ -29,6 +29,9 @@
 	HeaderPriority     = "Comfreybend-Priority"
 	HeaderPrefix       = "Comfreybend-Prefix"
 	HeaderLastEventID  = "Last-Event-ID"
+	// HeaderState is set to "leaving" in the responses of an upstream that wants no further
+	// requests.
+	HeaderState = "Comfreybend-State"
 
 	// headerLastEventIDCanonical is HeaderLastEventID as canonicalized by net/http.
 	headerLastEventIDCanonical = "Last-Event-Id"
--- a/internal/router/response.go
+++ b/internal/router/response.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// maxBufferedBytes is the size up to which a response is buffered before its
-	// first byte is sent to the client, so that a truncated one can be retried.
+	// maxBufferedBytes is the size up to which a response is buffered, if there is room,
+	// before its first byte is sent to the client, so that a truncated one can be retried.
 	maxBufferedBytes = 1 << 20
 	copyBufferBytes  = 32 << 10
 	// deadlineRenewalDivisor sets how often the write deadline is renewed: once
@@ -35,6 +35,18 @@
 	deadlineSetAt time.Time
 }
 
+// oversizedResponseError reports a response that is larger than the limit, such as one
+// without end.
+type oversizedResponseError struct {
+	// Limit is in bytes.
+	Limit int64
+}
+
+// Error implements error.
+func (e *oversizedResponseError) Error() string {
+	return "the answer is larger than the limit of " + strconv.FormatInt(e.Limit, 10) + " bytes"
+}
+
 // encodeResponse writes a *clientResponse: it relays the upstream's response or
 // replays the stored one.
 func (r *Router) encodeResponse(ctx context.Context, w http.ResponseWriter, response any) error {
@@ -117,30 +129,42 @@
 	}
 }
 
-// relayCurrent relays the current attempt's response, which it buffers up to
-// maxBufferedBytes. It returns an error only if nothing has been sent to the
-// client; a later failure aborts the client's connection.
+// relayCurrent relays the current attempt's response, the first part of which it buffers. It
+// returns an error only if nothing has been sent to the client; a later failure aborts the
+// client's connection.
 func (h *callHandler) relayCurrent(w *clientWriter) error {
 	at := h.current
 	if !hasDelimitedBody(at.response) && !h.router.dialect.AcceptUndelimited {
 		return errors.New("the end of the answer is not marked")
 	}
-	body, err := io.ReadAll(io.LimitReader(at.response.Body, maxBufferedBytes+1))
+	limit := h.router.settings.GetEntry().GetUpstreamLimits().GetResponseBytes()
+	if at.response.ContentLength > limit {
+		return &oversizedResponseError{Limit: limit}
+	}
+	body := h.router.buffers.newBuffer(maxBufferedBytes)
+	defer body.release()
+	complete, err := body.fill(at.response.Body)
 	if err != nil {
 		return errors.Wrap(err, "reading the answer")
 	}
-	h.readResponseUsage(body)
-	h.storeResponse(body, len(body) <= maxBufferedBytes)
+	h.readResponseUsage(body.data)
+	h.storeResponse(body.data, complete)
 	h.copyResponseHeader(w.w.Header(), at.response.Header)
 	if at.response.ContentLength >= 0 {
 		w.w.Header().Set("Content-Length", strconv.FormatInt(at.response.ContentLength, 10))
 	}
 	w.w.WriteHeader(at.response.StatusCode)
-	if err = w.write(body); err == nil && len(body) > maxBufferedBytes {
-		err = w.copyRemaining(at)
+	var upstreamErr error
+	clientErr := w.write(body.data)
+	if clientErr == nil && !complete {
+		upstreamErr, clientErr = w.copyRemaining(at, int64(len(body.data)), limit)
 	}
+	err = clientErr
 	outcome := outcomeAnswered
-	if err != nil {
+	switch {
+	case upstreamErr != nil:
+		outcome, err = outcomeFailed, upstreamErr
+	case clientErr != nil:
 		outcome = outcomeAbandoned
 	}
 	h.finishAttempt(outcome, err)
@@ -223,21 +247,27 @@
 	return errors.Wrap(w.control.Flush(), "flushing to the caller")
 }
 
-// copyRemaining copies the rest of a response that was too large to buffer.
-func (w *clientWriter) copyRemaining(at *attempt) error {
+// copyRemaining copies the rest of a response of which copied bytes have been sent. A
+// response may have limit bytes. It returns errors of the upstream and of the client
+// separately.
+func (w *clientWriter) copyRemaining(at *attempt, copied, limit int64) (upstreamErr, clientErr error) {
 	buffer := make([]byte, copyBufferBytes)
 	for {
 		n, err := at.response.Body.Read(buffer)
+		copied += int64(n)
+		if copied > limit {
+			return &oversizedResponseError{Limit: limit}, nil
+		}
 		if n > 0 {
-			if writeErr := w.write(buffer[:n]); writeErr != nil {
-				return writeErr
+			if clientErr = w.write(buffer[:n]); clientErr != nil {
+				return nil, clientErr
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return nil
+			return nil, nil
 		}
 		if err != nil {
-			return errors.Wrap(err, "reading the answer")
+			return errors.Wrap(err, "reading the answer"), nil
 		}
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -60,6 +60,7 @@
 	usage          *usageCounters
 	peers          *peerExchanger
 	metrics        *metrics
+	buffers        *bufferPool
 	inProgress     atomic.Int64
 	shuttingDown   atomic.Bool
 }
@@ -86,11 +87,14 @@
 	}
 	r.dispatcher = newDispatcher(s, r.metrics)
 	r.dispatcher.retryAfter = r.retryAfter
+	r.buffers = newBufferPool(s.GetEntry().GetUpstreamLimits().GetBufferedBytes())
 	r.upstreamClient = newUpstreamClient(s.GetEntry(), dialect)
 	r.controlClients = newControlClients(s.GetEntry(), security)
 	r.controlPlane = newControlPlane(r)
 	r.controlPoller = newControlPoller(r)
 	r.peers = newPeerExchanger(r, security)
+	r.dispatcher.onWithdrawn = r.peers.queueAnnouncement
+	r.upstreamClient.onResponse = r.handleNotices
 	return r, nil
 }
 
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -34,13 +34,15 @@
 		id EventID
 		// data is the content of the last data field.
 		data []byte
+		// comment reports that the event has nothing but comments.
+		comment bool
 	}
 
 	// eventReader splits a stream into events.
 	eventReader struct {
 		buffer *bufio.Reader
-		// raw is what has been read of the current event.
-		raw []byte
+		// raw holds what has been read of the current event.
+		raw *buffer
 	}
 
 	// eventGapError reports a stream in which events are missing.
@@ -50,6 +52,17 @@
 	}
 )
 
+// unnumberedEventError reports an event without a number in a stream of numbered ones.
+type unnumberedEventError struct {
+	// After is the number of the last event before it.
+	After EventID
+}
+
+// Error implements error.
+func (e *unnumberedEventError) Error() string {
+	return "an event without a number follows event " + strconv.FormatUint(uint64(e.After), 10)
+}
+
 // Error implements error.
 func (e *eventGapError) Error() string {
 	return "stream continues at event " + strconv.FormatUint(uint64(e.Got), 10) +
@@ -58,17 +71,18 @@
 
 // next returns the next complete event. Its slices are valid until the next call of next.
 func (r *eventReader) next() (event, error) {
-	r.raw = r.raw[:0]
-	e := event{}
+	r.raw.reset()
+	e := event{comment: true}
 	for {
-		start := len(r.raw)
+		start := len(r.raw.data)
 		if err := r.readLine(); err != nil {
 			return event{}, err
 		}
-		line := bytes.TrimRight(r.raw[start:], "\r\n")
+		line := bytes.TrimRight(r.raw.data[start:], "\r\n")
+		e.comment = e.comment && (len(line) == 0 || line[0] == ':')
 		switch {
 		case len(line) == 0:
-			e.raw = r.raw
+			e.raw = r.raw.data
 			return e, nil
 		case bytes.HasPrefix(line, dataField):
 			e.data = bytes.TrimSpace(line[len(dataField):])
@@ -85,9 +99,8 @@
 func (r *eventReader) readLine() error {
 	for {
 		part, err := r.buffer.ReadSlice('\n')
-		r.raw = append(r.raw, part...)
-		if len(r.raw) > maxEventBytes {
-			return errors.New("event is too large")
+		if appendErr := r.raw.append(part); appendErr != nil {
+			return errors.Wrap(appendErr, "event is too large")
 		}
 		if err == nil {
 			return nil
@@ -130,16 +143,21 @@
 // client separately.
 func (h *callHandler) copyEvents(w *clientWriter) (upstreamErr, clientErr error) {
 	at := h.current
-	reader := &eventReader{buffer: bufio.NewReaderSize(at.response.Body, streamBufferBytes)}
+	raw := h.router.buffers.newBuffer(maxEventBytes)
+	defer raw.release()
+	reader := &eventReader{buffer: bufio.NewReaderSize(at.response.Body, streamBufferBytes), raw: raw}
 	for {
 		e, err := reader.next()
-		if h.call.route.GetEventStream() && errors.Is(err, io.EOF) && len(reader.raw) == 0 {
+		if h.call.route.GetEventStream() && errors.Is(err, io.EOF) && len(raw.data) == 0 {
 			return nil, nil
 		}
 		if err != nil {
 			return err, nil
 		}
 		at.recordActivity(h.router.dispatcher.now())
+		if e.id == 0 && !e.comment && h.call.route.GetEventStream() {
+			return &unnumberedEventError{After: h.lastEventID}, nil
+		}
 		if e.id != 0 {
 			if e.id <= h.lastEventID {
 				continue
--- a/internal/validator/entry.go
+++ b/internal/validator/entry.go
@@ -34,11 +34,17 @@
 	defaultMaximumConcurrency = 256
 	defaultCircuitFailures    = 5
 	defaultCircuitPause       = 2 * time.Second
-	defaultQueuedRequests     = 10_000
-	defaultGuaranteedPercent  = 3
+	defaultUpstreamHeader     = 64 << 10
+	defaultResponseBytes      = 64 << 20
+	defaultLongestRetryAfter  = 5 * time.Minute
+	defaultBufferedBytes      = 64 << 20
+	// bufferedMemoryShare is the share of the memory limit for buffered responses.
+	bufferedMemoryShare      = 8
+	defaultQueuedRequests    = 10_000
+	defaultGuaranteedPercent = 3
 )
 
-func setEntryDefaults(e *settings.Entry) {
+func setEntryDefaults(e *settings.Entry, memoryBytes int64) {
 	setDefaultDuration(&e.Freshness, defaultFreshness)
 	setDefaultDuration(&e.SyncInterval, defaultSyncInterval)
 	setDefaultDuration(&e.AnnouncementLease, defaultAnnouncementLease)
@@ -49,7 +55,7 @@
 		e.Policy = defaultPolicy
 	}
 	setCallerLimitDefaults(e)
-	setUpstreamLimitDefaults(e)
+	setUpstreamLimitDefaults(e, memoryBytes)
 	if e.Queue == nil {
 		e.Queue = &settings.Queue{}
 	}
@@ -72,7 +78,7 @@
 	setDefaultDuration(&l.DefaultDeadline, defaultDeadline)
 }
 
-func setUpstreamLimitDefaults(e *settings.Entry) {
+func setUpstreamLimitDefaults(e *settings.Entry, memoryBytes int64) {
 	if e.UpstreamLimits == nil {
 		e.UpstreamLimits = &settings.UpstreamLimits{}
 	}
@@ -86,6 +92,14 @@
 	setDefaultNumber(&l.MaximumConcurrency, defaultMaximumConcurrency)
 	setDefaultNumber(&l.CircuitFailures, defaultCircuitFailures)
 	setDefaultDuration(&l.CircuitPause, defaultCircuitPause)
+	setDefaultNumber(&l.HeaderBytes, defaultUpstreamHeader)
+	setDefaultNumber(&l.ResponseBytes, defaultResponseBytes)
+	setDefaultDuration(&l.RetryAfter, defaultLongestRetryAfter)
+	buffered := int64(defaultBufferedBytes)
+	if memoryBytes > 0 {
+		buffered = max(1<<20, memoryBytes/bufferedMemoryShare)
+	}
+	setDefaultNumber(&l.BufferedBytes, buffered)
 }
 
 func checkEntry(c *collector, e *settings.Entry) {
@@ -147,4 +161,8 @@
 	c.checkNumber(path+"maximumConcurrency", int64(l.GetMaximumConcurrency()), int64(l.GetInitialConcurrency()), 10_000)
 	c.checkNumber(path+"circuitFailures", int64(l.GetCircuitFailures()), 1, 1000)
 	c.checkDuration(path+"circuitPause", l.GetCircuitPause(), 10*time.Millisecond, time.Minute)
+	c.checkNumber(path+"headerBytes", int64(l.GetHeaderBytes()), 1<<10, 1<<20)
+	c.checkNumber(path+"responseBytes", l.GetResponseBytes(), 1<<10, 1<<34)
+	c.checkDuration(path+"retryAfter", l.GetRetryAfter(), time.Second, 24*time.Hour)
+	c.checkNumber(path+"bufferedBytes", l.GetBufferedBytes(), 1<<20, 1<<34)
 }
--- a/internal/validator/validator.go
+++ b/internal/validator/validator.go
@@ -63,7 +63,7 @@
 		s.Logging.Level = defaultLogLevel
 	}
 	if s.Entry != nil {
-		setEntryDefaults(s.Entry)
+		setEntryDefaults(s.Entry, s.GetResources().GetMemoryBytes())
 	}
 	if s.Control != nil {
 		setControlDefaults(s.Control)
