controller, router: send renewals in place of unchanged announcements

Change: an entry host gets the rows that changed and were removed, and a few times within a lease one line that renews all others but those overdue. Control hosts pass unchanged announcements on as renewals with a fingerprint; one that does not match makes the receiver ask for all, so a lost message heals as before. A leave counts within its incarnation whatever its sequence, since renewals trail.

Ruled out: longer leases (a lost upstream would stay longer). Seen failing before: TestExclusiveURLs (moved, started again elsewhere).

--- a/internal/controller/follow.go
+++ b/internal/controller/follow.go
@@ -51,6 +51,9 @@
 	// gossipReceived holds, by host, when the latest gossip message of another control
 	// process arrived.
 	gossipReceived map[string]time.Duration
+	// lacking holds the hosts whose announcements this process lacks, lackedBy those that
+	// lack announcements of this process.
+	lacking, lackedBy map[string]bool
 }
 
 func newClusterView() *clusterView {
@@ -60,9 +63,41 @@
 		clock:          synchronizer.New(clockTimeout),
 		failureDomains: map[string]string{},
 		gossipReceived: map[string]time.Duration{},
+		lacking:        map[string]bool{},
+		lackedBy:       map[string]bool{},
 	}
 }
 
+// requestAll makes the next gossip message to a host ask for all its upstreams.
+func (v *clusterView) requestAll(host string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.lacking[host] = true
+}
+
+func (v *clusterView) takeRequestOfAll(host string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	lacking := v.lacking[host]
+	delete(v.lacking, host)
+	return lacking
+}
+
+// recordRequestForAll records that a host wants all upstreams of this process.
+func (v *clusterView) recordRequestForAll(host string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.lackedBy[host] = true
+}
+
+func (v *clusterView) takeRequestForAll(host string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	lacked := v.lackedBy[host]
+	delete(v.lackedBy, host)
+	return lacked
+}
+
 // recordEntry records a poll of an entry process.
 func (v *clusterView) recordEntry(host string) {
 	v.mu.Lock()
@@ -147,12 +182,16 @@
 		reply        *wire.FollowReply
 		tableUpdated <-chan struct{}
 	)
+	table := f.GetTable()
+	if !f.GetAcceptsRenewals() && c.upstreamTable.wholeTableDue(f.GetHost()) {
+		table = 0
+	}
 	for {
 		configurationChanged := c.stateMachine.Changed()
-		reply, tableUpdated = c.upstreamTable.changesSince(f.GetTable(), f.GetPosition())
+		reply, tableUpdated = c.upstreamTable.changesSince(table, f.GetPosition())
 		reply.Revision = uint64(c.stateMachine.Revision())
 		remaining := until - timer.Now()
-		if len(reply.GetUpstreams()) > 0 || reply.GetRevision() > f.GetHaveRevision() || remaining <= 0 {
+		if len(reply.GetUpstreams())+len(reply.GetRemoved()) > 0 || reply.GetRevision() > f.GetHaveRevision() || remaining <= 0 {
 			break
 		}
 		select {
@@ -163,6 +202,9 @@
 		case <-time.After(remaining):
 		}
 	}
+	if f.GetWantRenewals() {
+		reply.Renewals = c.upstreamTable.renewalsAt(timer.Now())
+	}
 	if f.GetLoadShare() != nil {
 		loadPosition, cachedPartsPosition := f.GetLoadPosition(), f.GetHeldPosition()
 		if f.GetTable() != reply.GetTable() {
@@ -207,6 +249,14 @@
 	for _, u := range s.GetUpstreams() {
 		c.upstreamTable.update(announcer.FromWire(u, now), false)
 	}
+	for _, r := range s.GetRenewals() {
+		if !c.upstreamTable.renew(r) {
+			c.clusterView.requestAll(s.GetHost())
+		}
+	}
+	if s.GetWantAll() {
+		c.clusterView.recordRequestForAll(s.GetHost())
+	}
 }
 
 // runGossip sends the changes of this process's upstream and load tables to the
@@ -218,7 +268,7 @@
 	for ctx.Err() == nil {
 		timer.Sleep(ctx, gossipInterval)
 		now := timer.Now()
-		updates := c.upstreamTable.takeUnsent()
+		updates, renewals := c.upstreamTable.takeUnsent()
 		periodicDue := now-lastPeriodic >= maxGossipInterval
 		if periodicDue {
 			lastPeriodic = now
@@ -229,13 +279,13 @@
 			load = c.loads.takeOutgoing()
 		}
 		for host, client := range c.peers.clientsByHost() {
-			message := &wire.Spread{Upstreams: updates, LoadShare: load}
-			added := sentTo[host] != client
+			message := &wire.Spread{Upstreams: updates, Renewals: renewals, LoadShare: load, WantAll: c.clusterView.takeRequestOfAll(host)}
+			added := sentTo[host] != client || c.clusterView.takeRequestForAll(host)
 			if added {
 				sentTo[host] = client
 				message.Upstreams = c.upstreamTable.all()
 			}
-			if len(message.GetUpstreams()) == 0 && load == nil && !periodicDue && !added {
+			if len(message.GetUpstreams())+len(renewals) == 0 && load == nil && !periodicDue && !added && !message.GetWantAll() {
 				continue
 			}
 			go c.sendGossip(ctx, client, message)
@@ -245,8 +295,8 @@
 }
 
 // sendGossip sends a message to one control process. A lost message is not sent
-// again: later messages carry newer announcements and loads, and lost cached parts
-// only cost cache hits.
+// again: later messages carry newer loads and renewals, by which the other process notices
+// an announcement that it lacks and asks for all; lost cached parts only cost cache hits.
 func (c *Controller) sendGossip(ctx context.Context, client *messenger.Client, s *wire.Spread) {
 	ctx, cancel := context.WithTimeout(ctx, maxGossipInterval)
 	defer cancel()
--- a/internal/controller/table.go
+++ b/internal/controller/table.go
@@ -11,13 +11,21 @@
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
-// refreshesPerLease is how often within a lease an unchanged upstream is sent to the entry
-// processes that poll this process.
-const refreshesPerLease = 4
+const (
+	// renewalsPerLease is how often within a lease the renewals of unchanged upstreams are
+	// passed on.
+	renewalsPerLease = 4
+	// removalRetention is the time for which the removal of an upstream is kept for the
+	// entry processes that poll.
+	removalRetention = time.Minute
+	// renewalCacheTime is the time for which the renewals for entry processes are computed once.
+	renewalCacheTime = 200 * time.Millisecond
+)
 
 // upstreamTable holds the upstreams that announce themselves to the control
 // processes. It numbers their changes, so that entry processes that poll it get
-// only what has changed since their last request. It is kept in memory only: a
+// only what has changed since their last request. An announcement without a change
+// is passed on as a renewal. The table is kept in memory only: a
 // restarted process begins with an empty table, and entry processes keep the
 // upstreams that they know.
 type upstreamTable struct {
@@ -31,18 +39,33 @@
 	tableID uint64
 	// position is the number of the latest change.
 	position uint64
-	// changes holds the latest change of each upstream.
-	changes map[registrar.UpstreamID]upstreamChange
+	// changes holds the position of the latest change of each upstream.
+	changes map[registrar.UpstreamID]uint64
+	// removals holds the upstreams that were removed lately.
+	removals map[registrar.UpstreamID]upstreamRemoval
+	// forgottenPosition is the greatest position of a removal that is not kept any more.
+	// Who has not got further needs the whole table.
+	forgottenPosition uint64
 	// updated is closed and replaced at each change.
 	updated chan struct{}
-	// unsentAnnouncements holds the announcements to send to the other control processes.
-	unsentAnnouncements map[registrar.UpstreamID]registrar.Upstream
+	// unsent holds the changed announcements to send to the other control processes.
+	unsent map[registrar.UpstreamID]bool
+	// renewable holds the unchanged announcements received since the last renewal that was
+	// sent to the other control processes, renewalSentAt the time of that by upstream.
+	renewable     map[registrar.UpstreamID]bool
+	renewalSentAt map[registrar.UpstreamID]time.Duration
+	// renewals is the cached result of renewalsAt, computed at renewalsAtTime.
+	renewals       *wire.Renewals
+	renewalsAtTime time.Duration
+	// wholeSentAt holds, by host, when an entry process that does not accept renewals last
+	// got the whole table.
+	wholeSentAt map[string]time.Duration
 }
 
-// upstreamChange is the position and time of the latest change or refresh of an upstream.
-type upstreamChange struct {
+// upstreamRemoval is the position and time of the removal of an upstream.
+type upstreamRemoval struct {
 	position  uint64
-	changedAt time.Duration
+	removedAt time.Duration
 }
 
 func newUpstreamTable(lease time.Duration) *upstreamTable {
@@ -51,10 +74,14 @@
 		createdAt: timer.Now(),
 		registry:  registrar.NewExclusive(lease),
 		// Never zero, the value in a request that names no table.
-		tableID:             rand.Uint64() | 1,
-		changes:             map[registrar.UpstreamID]upstreamChange{},
-		updated:             make(chan struct{}),
-		unsentAnnouncements: map[registrar.UpstreamID]registrar.Upstream{},
+		tableID:       rand.Uint64() | 1,
+		changes:       map[registrar.UpstreamID]uint64{},
+		removals:      map[registrar.UpstreamID]upstreamRemoval{},
+		updated:       make(chan struct{}),
+		unsent:        map[registrar.UpstreamID]bool{},
+		renewable:     map[registrar.UpstreamID]bool{},
+		renewalSentAt: map[registrar.UpstreamID]time.Duration{},
+		wholeSentAt:   map[string]time.Duration{},
 	}
 }
 
@@ -68,21 +95,51 @@
 	if !t.registry.Announce(now, u) {
 		return
 	}
+	after := t.registry.Get(u.ID)
+	changed := before == nil || !before.EquivalentTo(after)
 	if direct {
-		t.unsentAnnouncements[u.ID] = *t.registry.Get(u.ID)
+		// Leaving upstreams are few, and each lost message about them matters.
+		if changed || after.State == registrar.Leaving {
+			t.unsent[u.ID] = true
+		} else {
+			t.renewable[u.ID] = true
+		}
 	}
-	refreshDue := now-t.changes[u.ID].changedAt > t.lease/refreshesPerLease
-	if before != nil && before.EquivalentTo(t.registry.Get(u.ID)) && !refreshDue {
-		return
+	if changed {
+		t.recordChange(u.ID)
 	}
-	t.recordChange(now, u.ID)
+}
+
+// renew applies the renewal of an announcement by another control process. It returns
+// false if this process does not hold the same announcement.
+func (t *upstreamTable) renew(r *wire.Renewal) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.registry.Get(registrar.UpstreamID(r.GetId()))
+	if known == nil || known.Incarnation < registrar.Incarnation(r.GetIncarnation()) {
+		return false
+	}
+	if known.Incarnation > registrar.Incarnation(r.GetIncarnation()) || known.Sequence >= registrar.Sequence(r.GetSequence()) {
+		// This process knows a later announcement.
+		return true
+	}
+	now := timer.Now()
+	renewed := *known
+	renewed.Sequence = registrar.Sequence(r.GetSequence())
+	renewed.AnnouncedAt = max(known.AnnouncedAt, now-time.Duration(r.GetAgeMillis())*time.Millisecond)
+	same := known.Fingerprint() == r.GetFingerprint()
+	if same || known.State == registrar.Leaving {
+		t.registry.Announce(now, renewed)
+	}
+	return same || known.State == registrar.Leaving
 }
 
 // recordChange gives the change of an upstream the next position and wakes the polls
 // that wait for one.
-func (t *upstreamTable) recordChange(now time.Duration, id registrar.UpstreamID) {
+func (t *upstreamTable) recordChange(id registrar.UpstreamID) {
 	t.position++
-	t.changes[id] = upstreamChange{position: t.position, changedAt: now}
+	t.changes[id] = t.position
+	delete(t.removals, id)
 	close(t.updated)
 	t.updated = make(chan struct{})
 }
@@ -92,55 +149,125 @@
 func (t *upstreamTable) withdraw(id registrar.UpstreamID, incarnation registrar.Incarnation) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := timer.Now()
 	if known := t.registry.Get(id); known != nil && known.State == registrar.Leaving {
 		return
 	}
-	if leaving, accepted := t.registry.Withdraw(now, id, incarnation); accepted {
-		t.unsentAnnouncements[id] = leaving
-		t.recordChange(now, id)
+	if _, accepted := t.registry.Withdraw(timer.Now(), id, incarnation); accepted {
+		t.unsent[id] = true
+		t.recordChange(id)
 	}
 }
 
-// changesSince returns the upstreams that changed after a position of a table,
-// and a channel that is closed at the next change. A position of another table
-// counts as zero.
+// changesSince returns the upstreams that changed after a position of a table and those
+// that were removed, and a channel that is closed at the next change. A position of
+// another table, or one whose removals are not known any more, counts as zero; the reply
+// then holds the whole table.
 func (t *upstreamTable) changesSince(table, position uint64) (reply *wire.FollowReply, updated <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := timer.Now()
 	t.expire(now)
-	if table != t.tableID {
+	reply = &wire.FollowReply{Table: t.tableID, Position: t.position}
+	if table != t.tableID || position < t.forgottenPosition || position == 0 {
 		position = 0
+		reply.WholeTable = true
 	}
-	reply = &wire.FollowReply{Table: t.tableID, Position: t.position}
-	for id, c := range t.changes {
-		if c.position > position {
+	if position == t.position {
+		return reply, t.updated
+	}
+	for id, changed := range t.changes {
+		if changed > position {
 			reply.Upstreams = append(reply.Upstreams, announcer.ToWire(t.registry.Get(id), now))
 		}
 	}
+	if !reply.WholeTable {
+		for id, r := range t.removals {
+			if r.position > position {
+				reply.Removed = append(reply.Removed, string(id))
+			}
+		}
+	}
 	return reply, t.updated
 }
 
-// expire removes the upstreams whose lease has expired.
+// renewalsAt returns the renewals of the leases of all upstreams in the table. The result
+// must not be modified.
+func (t *upstreamTable) renewalsAt(now time.Duration) *wire.Renewals {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.renewals != nil && now-t.renewalsAtTime < renewalCacheTime {
+		return &wire.Renewals{AgeMillis: t.renewals.GetAgeMillis() + (now - t.renewalsAtTime).Milliseconds(), Overdue: t.renewals.GetOverdue()}
+	}
+	t.renewals, t.renewalsAtTime = &wire.Renewals{}, now
+	for _, u := range t.registry.All() {
+		age := now - u.AnnouncedAt
+		if age > t.lease/renewalsPerLease {
+			t.renewals.Overdue = append(t.renewals.Overdue, string(u.ID))
+			continue
+		}
+		t.renewals.AgeMillis = max(t.renewals.AgeMillis, age.Milliseconds())
+	}
+	return t.renewals
+}
+
+// wholeTableDue reports whether the whole table has to be sent to an entry process that
+// does not accept renewals.
+func (t *upstreamTable) wholeTableDue(host string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := timer.Now()
+	if now-t.wholeSentAt[host] < t.lease/renewalsPerLease {
+		return false
+	}
+	t.wholeSentAt[host] = now
+	return true
+}
+
+// expire removes the upstreams whose lease has expired, and forgets old removals.
 func (t *upstreamTable) expire(now time.Duration) {
 	for _, id := range t.registry.Expire(now) {
+		t.position++
+		t.removals[id] = upstreamRemoval{position: t.position, removedAt: now}
 		delete(t.changes, id)
-		delete(t.unsentAnnouncements, id)
+		delete(t.unsent, id)
+		delete(t.renewable, id)
+		delete(t.renewalSentAt, id)
+	}
+	for id, r := range t.removals {
+		if now-r.removedAt > removalRetention {
+			t.forgottenPosition = max(t.forgottenPosition, r.position)
+			delete(t.removals, id)
+		}
 	}
 }
 
-// takeUnsent returns the announcements to send to the other control processes and clears them.
-func (t *upstreamTable) takeUnsent() []*wire.Upstream {
+// takeUnsent returns what to send to the other control processes, and clears it: the
+// changed announcements, and renewals of the others a few times within a lease.
+func (t *upstreamTable) takeUnsent() ([]*wire.Upstream, []*wire.Renewal) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := timer.Now()
-	var out []*wire.Upstream
-	for id, u := range t.unsentAnnouncements {
-		out = append(out, announcer.ToWire(&u, now))
-		delete(t.unsentAnnouncements, id)
+	var changed []*wire.Upstream
+	for id := range t.unsent {
+		changed = append(changed, announcer.ToWire(t.registry.Get(id), now))
+		t.renewalSentAt[id] = now
+		delete(t.renewable, id)
 	}
-	return out
+	clear(t.unsent)
+	var renewals []*wire.Renewal
+	for id := range t.renewable {
+		if now-t.renewalSentAt[id] < t.lease/renewalsPerLease {
+			continue
+		}
+		u := t.registry.Get(id)
+		renewals = append(renewals, &wire.Renewal{
+			Id: string(id), Incarnation: uint64(u.Incarnation), Sequence: uint64(u.Sequence),
+			AgeMillis: (now - u.AnnouncedAt).Milliseconds(), Fingerprint: u.Fingerprint(),
+		})
+		t.renewalSentAt[id] = now
+		delete(t.renewable, id)
+	}
+	return changed, renewals
 }
 
 // isEmpty reports whether the table holds no upstream.
--- a/internal/controller/table_test.go
+++ b/internal/controller/table_test.go
@@ -1,11 +1,16 @@
 package controller
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
+	"github.com/comfreybend/comfreybend/internal/announcer"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/timer"
+	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
 const tableLease = 50 * time.Millisecond
@@ -98,3 +103,123 @@
 		})
 	}
 }
+
+// gossip passes what one table has to send on to another one, and returns whether that has
+// all it needs.
+func gossip(from, to *upstreamTable) bool {
+	complete := true
+	changed, renewals := from.takeUnsent()
+	for _, u := range changed {
+		to.update(announcer.FromWire(u, timer.Now()), false)
+	}
+	for _, r := range renewals {
+		complete = to.renew(r) && complete
+	}
+	return complete
+}
+
+// TestRenewalsAreCompact guards against control traffic that grows with upstreams times
+// hosts: announcements without a change must reach neither the entry processes nor the
+// other control processes as whole rows.
+func TestRenewalsAreCompact(t *testing.T) {
+	const upstreams = 3000
+	near, far := newUpstreamTable(time.Minute), newUpstreamTable(time.Minute)
+	announce := func(sequence registrar.Sequence) {
+		for i := range upstreams {
+			u := announcement(fmt.Sprint("engine-", i), 1, registrar.Serving)
+			u.Sequence = sequence
+			near.update(u, true)
+		}
+	}
+	announce(1)
+	gossip(near, far)
+	first, _ := near.changesSince(0, 0)
+	if len(first.GetUpstreams()) != upstreams || !first.GetWholeTable() || len(far.all()) != upstreams {
+		t.Fatalf("%d upstreams in the first reply and %d at the other process, want %d", len(first.GetUpstreams()), len(far.all()), upstreams)
+	}
+	announce(2)
+	reply, _ := near.changesSince(first.GetTable(), first.GetPosition())
+	reply.Renewals = near.renewalsAt(timer.Now())
+	if size := proto.Size(reply); size > 100 {
+		t.Errorf("a reply without changes has %d bytes, want at most 100", size)
+	}
+	changed, renewals := near.takeUnsent()
+	if len(changed) != 0 || len(renewals) != 0 {
+		t.Errorf("%d changes and %d renewals are sent before a renewal is due", len(changed), len(renewals))
+	}
+}
+
+// TestRenewalsFindLostChanges guards against announcements that stay unknown or out of date
+// at another control process because one gossip message was lost.
+func TestRenewalsFindLostChanges(t *testing.T) {
+	tests := map[string]struct {
+		// lost is the change that the other process has missed.
+		lost     registrar.Upstream
+		complete bool
+	}{
+		"nothing":             {lost: announcement("a", 1, registrar.Serving), complete: true},
+		"a new upstream":      {lost: announcement("b", 1, registrar.Serving)},
+		"a new incarnation":   {lost: announcement("a", 2, registrar.Serving)},
+		"a change of the URL": {lost: movedAnnouncement()},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			// A lease so short that every renewal is due.
+			near, far := newUpstreamTable(renewalsPerLease*time.Millisecond), newUpstreamTable(time.Minute)
+			near.lease, near.registry = 0, registrar.NewExclusive(time.Minute)
+			near.update(announcement("a", 1, registrar.Serving), true)
+			gossip(near, far)
+			test.lost.Sequence = 2
+			near.update(test.lost, true)
+			near.takeUnsent()
+			test.lost.Sequence = 3
+			near.update(test.lost, true)
+			if complete := gossip(near, far); complete != test.complete {
+				t.Errorf("the other process has all it needs: %t, want %t", complete, test.complete)
+			}
+		})
+	}
+}
+
+func movedAnnouncement() registrar.Upstream {
+	u := announcement("a", 1, registrar.Serving)
+	u.URL = "http://elsewhere"
+	return u
+}
+
+// TestRemovalsReachPollers checks that an entry process learns which upstreams were removed
+// from the table, and gets the whole table if that is not known any more.
+func TestRemovalsReachPollers(t *testing.T) {
+	table := newUpstreamTable(tableLease)
+	table.update(announcement("a", 1, registrar.Serving), true)
+	first, _ := table.changesSince(0, 0)
+	var reply *wire.FollowReply
+	for end := timer.Now() + time.Minute; timer.Now() < end && len(reply.GetRemoved()) == 0; {
+		reply, _ = table.changesSince(first.GetTable(), first.GetPosition())
+	}
+	if len(reply.GetRemoved()) != 1 || reply.GetRemoved()[0] != "a" || reply.GetWholeTable() {
+		t.Fatalf("reply %v, want the removal of one upstream", reply)
+	}
+	table.expire(timer.Now() + 2*removalRetention)
+	if reply, _ = table.changesSince(first.GetTable(), first.GetPosition()); !reply.GetWholeTable() {
+		t.Errorf("reply %v to a position from before the removal, want the whole table", reply)
+	}
+	if reply, _ = table.changesSince(reply.GetTable(), reply.GetPosition()); reply.GetWholeTable() {
+		t.Errorf("reply %v to the latest position, want no whole table", reply)
+	}
+}
+
+// TestOverdueUpstreamsAreNotRenewed checks that an upstream that has stopped announcing
+// itself gets no renewal from the others.
+func TestOverdueUpstreamsAreNotRenewed(t *testing.T) {
+	const lease = time.Minute
+	table := newUpstreamTable(lease)
+	silent := announcement("silent", 1, registrar.Serving)
+	silent.AnnouncedAt -= lease / 2
+	table.update(silent, true)
+	table.update(announcement("a", 1, registrar.Serving), true)
+	renewals := table.renewalsAt(timer.Now())
+	if len(renewals.GetOverdue()) != 1 || renewals.GetOverdue()[0] != "silent" || renewals.GetAgeMillis() > (lease/renewalsPerLease).Milliseconds() {
+		t.Errorf("renewals %v, want the silent upstream overdue and a small age", renewals)
+	}
+}
--- a/internal/router/cluster_load.go
+++ b/internal/router/cluster_load.go
@@ -97,6 +97,20 @@
 	return false
 }
 
+// renewLeases renews the leases of upstreams, except the overdue ones, as of a time. It
+// returns false if one of them is not known.
+func (d *dispatcher) renewLeases(ids, overdue map[registrar.UpstreamID]bool, announcedAt time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	allKnown := true
+	for id := range ids {
+		if !overdue[id] && !d.registry.Renew(id, announcedAt) {
+			allKnown = false
+		}
+	}
+	return allKnown
+}
+
 // loadShare returns this process's load on the upstreams, and the cached parts not sent
 // yet, which it removes from the queue.
 func (d *dispatcher) loadShare() *wire.LoadShare {
--- a/internal/router/control_poller.go
+++ b/internal/router/control_poller.go
@@ -30,6 +30,8 @@
 	// pollPause is the pause between two polls. Updates in that time arrive with the next
 	// poll.
 	pollPause = 100 * time.Millisecond
+	// renewalsPerLease is how often within a lease the leases are renewed.
+	renewalsPerLease = 4
 	// unconfirmedDelay is the time after the start after which a process without a
 	// configuration accepts one that no quorum has confirmed to be the latest.
 	unconfirmedDelay = 200 * time.Millisecond
@@ -47,6 +49,16 @@
 		loadSentAt time.Duration
 	}
 
+	// tableView is what this process holds of the table of a control process.
+	tableView struct {
+		// tableID identifies the table.
+		tableID uint64
+		// members are the upstreams in the table.
+		members map[registrar.UpstreamID]bool
+		// renewedAt is when the leases of the upstreams were last renewed.
+		renewedAt time.Duration
+	}
+
 	// cursor is how far this process has read the updates of a control process.
 	cursor struct {
 		// tableID identifies the control process's table that the positions refer to.
@@ -91,13 +103,20 @@
 // process in the order of preference.
 func (p *controlPoller) poll(ctx context.Context, index int) {
 	cursors := map[string]cursor{}
+	views := map[string]*tableView{}
 	for ctx.Err() == nil {
 		client := p.router.controlClients.at(index)
 		if client == nil {
 			timer.Sleep(ctx, pollPause)
 			continue
 		}
+		view := views[client.Address()]
+		if view == nil {
+			view = &tableView{}
+			views[client.Address()] = view
+		}
 		request := p.newRequest(cursors[client.Address()], index)
+		request.WantRenewals = timer.Now()-view.renewedAt > p.router.settings.GetEntry().GetAnnouncementLease().AsDuration()/renewalsPerLease
 		reply, err := p.send(ctx, client, request)
 		if err != nil {
 			p.router.controlClients.markFailed(client)
@@ -107,6 +126,9 @@
 			p.router.controlClients.markSucceeded(client)
 			cursors[client.Address()] = cursorAfter(request, reply.GetFollow())
 			p.apply(request, reply.GetFollow())
+			if !p.renewLeases(view, reply.GetFollow()) {
+				delete(cursors, client.Address())
+			}
 		}
 		timer.Sleep(ctx, pollPause)
 	}
@@ -118,6 +140,32 @@
 	return client.Call(ctx, &wire.Request{Kind: &wire.Request_Follow{Follow: request}})
 }
 
+// renewLeases updates what is held of a control process's table by a reply, and renews the
+// leases of the upstreams in it. It returns false if the registry lacks one of them, which
+// its lease may have ended; the whole table is needed then.
+func (p *controlPoller) renewLeases(view *tableView, reply *wire.FollowReply) bool {
+	now := timer.Now()
+	if reply.GetWholeTable() || view.tableID != reply.GetTable() {
+		view.tableID, view.members = reply.GetTable(), map[registrar.UpstreamID]bool{}
+	}
+	for _, u := range reply.GetUpstreams() {
+		view.members[registrar.UpstreamID(u.GetId())] = true
+	}
+	for _, id := range reply.GetRemoved() {
+		delete(view.members, registrar.UpstreamID(id))
+	}
+	if reply.GetRenewals() == nil {
+		return true
+	}
+	overdue := map[registrar.UpstreamID]bool{}
+	for _, id := range reply.GetRenewals().GetOverdue() {
+		overdue[registrar.UpstreamID(id)] = true
+	}
+	view.renewedAt = now
+	announcedAt := now - time.Duration(reply.GetRenewals().GetAgeMillis())*time.Millisecond
+	return p.router.dispatcher.renewLeases(view.members, overdue, announcedAt)
+}
+
 // cursorAfter returns the cursor after a reply. A reply contains the cluster load only if
 // the request contained the load of this process. Otherwise the positions in the cluster
 // load are kept as long as the table is the same.
@@ -145,6 +193,7 @@
 		Table:           from.tableID,
 		Position:        from.position,
 		WaitMillis:      maxPollWait.Milliseconds(),
+		AcceptsRenewals: true,
 		WantUnconfirmed: p.router.controlPlane.hasConfiguration() || timer.Now()-p.startedAt > unconfirmedDelay,
 	}
 	for _, u := range p.router.dispatcher.unreportedWithdrawals() {
--- a/internal/router/control_poller_test.go
+++ b/internal/router/control_poller_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"testing"
+	"time"
 
+	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/state"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
@@ -72,3 +74,38 @@
 		t.Errorf("revision %d after an earlier one, want 9", r.controlPlane.revision())
 	}
 }
+
+// TestLeasesAreRenewed checks that a renewal extends the leases of the upstreams in the
+// table and of no others, and that the whole table is asked for if one of them is lacking.
+func TestLeasesAreRenewed(t *testing.T) {
+	r := newTestRouter(t)
+	p := newControlPoller(r)
+	now := r.dispatcher.now()
+	row := func(id string, age time.Duration) *wire.Upstream {
+		return &wire.Upstream{
+			Id: id, Incarnation: 1, Sequence: 1, Url: "http://" + id, Kind: string(registrar.KindService), Serves: []string{"s"},
+			State: string(registrar.Serving), AgeMillis: age.Milliseconds(),
+		}
+	}
+	view := &tableView{}
+	first := &wire.FollowReply{Table: 7, Position: 3, WholeTable: true, Upstreams: []*wire.Upstream{
+		row("renewed", 3*time.Second), row("overdue", 3*time.Second), row("removed", 3*time.Second),
+	}}
+	p.apply(&wire.Follow{}, first)
+	if !p.renewLeases(view, first) {
+		t.Error("the whole table is asked for right after it came")
+	}
+	renewal := &wire.FollowReply{Table: 7, Position: 4, Removed: []string{"removed"}, Renewals: &wire.Renewals{AgeMillis: 500, Overdue: []string{"overdue"}}}
+	if !p.renewLeases(view, renewal) {
+		t.Error("the whole table is asked for although nothing is lacking")
+	}
+	for id, renewed := range map[registrar.UpstreamID]bool{"renewed": true, "overdue": false, "removed": false} {
+		if got := r.dispatcher.registry.Get(id).AnnouncedAt > now-time.Second; got != renewed {
+			t.Errorf("lease of %s renewed: %t, want %t", id, got, renewed)
+		}
+	}
+	r.dispatcher.registry.Expire(now + time.Hour)
+	if p.renewLeases(view, &wire.FollowReply{Table: 7, Renewals: &wire.Renewals{}}) {
+		t.Error("an upstream is lacking, but the whole table is not asked for")
+	}
+}
--- a/internal/router/notice_test.go
+++ b/internal/router/notice_test.go
@@ -156,14 +156,15 @@
 	}
 	two.set(pause)
 	get(t, server.URL)
+	before := one.calls.Load() + two.calls.Load()
 	for range 5 {
 		status, retryAfter := get(t, server.URL)
 		if status != http.StatusServiceUnavailable || len(retryAfter) < 2 {
 			t.Errorf("status %d, Retry-After %q; want 503 and at least 30 s", status, retryAfter)
 		}
 	}
-	if one.calls.Load()+two.calls.Load() > 23 {
-		t.Errorf("%d and %d requests during the pauses", one.calls.Load(), two.calls.Load())
+	if after := one.calls.Load() + two.calls.Load(); after != before {
+		t.Errorf("%d requests during the pauses, want none", after-before)
 	}
 	now += 31 * time.Second
 	r.dispatcher.mu.Lock()
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -6,9 +6,15 @@
 
 import (
 	"sort"
+	"strconv"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
+// maxWarmUpDrift is the difference of two announced ends of the warm-up that is ignored.
+const maxWarmUpDrift = time.Second
+
 type (
 	// UpstreamID identifies an upstream across its incarnations.
 	UpstreamID string
@@ -73,9 +79,8 @@
 		upstreams map[UpstreamID]*Upstream
 		// serving caches the results of Serving until an announcement changes them.
 		serving map[servingKey][]*Upstream
-		// byURL holds the announcement of the upstream that last announced each URL,
-		// also if that upstream has announced another URL since. It is nil unless URLs
-		// are exclusive.
+		// byURL holds the announcement with which each URL was last announced. It is nil
+		// unless URLs are exclusive.
 		byURL map[string]*Upstream
 	}
 
@@ -114,10 +119,8 @@
 // incarnation. Incarnations must be comparable across upstreams, for example start
 // times.
 //
-// An upstream that moves to another URL keeps the previous one as well. If another
-// upstream then takes over the previous URL, the registry restores the last
-// announcement of that URL by the upstream that has moved, and marks this upstream
-// as leaving for the rest of the announcement's incarnation.
+// An upstream whose URL another one takes over is marked as leaving, unless it has
+// announced itself with another URL since.
 func NewExclusive(lease time.Duration) *Registry {
 	r := New(lease)
 	r.byURL = map[string]*Upstream{}
@@ -128,14 +131,19 @@
 // rejected if its lease has ended, if it is not newer than the recorded one of the
 // same upstream, or if its URL belongs to another upstream with a greater
 // incarnation. An upstream that is leaving remains so for the rest of its
-// incarnation.
+// incarnation, and an announcement that says so is accepted even if it is not newer.
 func (r *Registry) Announce(now time.Duration, u Upstream) bool {
 	if now-u.AnnouncedAt >= r.lease {
 		return false
 	}
 	before := r.upstreams[u.ID]
 	if before != nil && !isNewer(before, &u) {
-		return false
+		if before.Incarnation != u.Incarnation || u.State != Leaving || before.State == Leaving {
+			return false
+		}
+		// Whoever says that the upstream leaves may have missed its latest announcements.
+		u = *before
+		u.State = Leaving
 	}
 	if before != nil && before.Incarnation == u.Incarnation && before.State == Leaving {
 		u.State = Leaving
@@ -242,9 +250,8 @@
 	return false
 }
 
-// assignURL assigns the URL of u to u. If another upstream had it before, that
-// upstream is recorded as leaving, with its announcement for this URL, even if it
-// has announced another URL since. assignURL returns false if the other upstream's
+// assignURL assigns the URL of u to u. If that is the URL of another upstream, that
+// upstream is recorded as leaving. assignURL returns false if the other upstream's
 // announcement has a greater incarnation.
 func (r *Registry) assignURL(u *Upstream) bool {
 	if r.byURL == nil {
@@ -255,29 +262,47 @@
 		if previous.Incarnation > u.Incarnation {
 			return false
 		}
-		replaced := *previous
-		replaced.State = Leaving
-		r.invalidateServing(previous)
-		r.upstreams[previous.ID] = &replaced
+		if current := r.upstreams[previous.ID]; current != nil && current.URL == u.URL {
+			replaced := *current
+			replaced.State = Leaving
+			r.invalidateServing(current)
+			r.upstreams[previous.ID] = &replaced
+		}
 	}
 	r.byURL[u.URL] = u
 	return true
 }
 
-// EquivalentTo reports whether two announcements of an upstream have the same
-// incarnation, URL, state, kind, failure domain, preemptibility and served names.
-// Sequences, times and load may differ.
-func (u *Upstream) EquivalentTo(other *Upstream) bool {
-	if len(u.Serves) != len(other.Serves) {
+// Renew extends the lease of an upstream as if it had made its latest announcement again
+// at a time. An earlier time has no effect. It returns false if the upstream is not known.
+func (r *Registry) Renew(id UpstreamID, announcedAt time.Duration) bool {
+	u := r.upstreams[id]
+	if u == nil {
 		return false
 	}
-	for i := range u.Serves {
-		if u.Serves[i] != other.Serves[i] {
-			return false
-		}
+	u.AnnouncedAt = max(u.AnnouncedAt, announcedAt)
+	return true
+}
+
+// EquivalentTo reports whether two announcements of an upstream have the same
+// fingerprint and about the same end of the warm-up. Sequences, other times and load may
+// differ.
+func (u *Upstream) EquivalentTo(other *Upstream) bool {
+	warmUpChange := max(u.WarmUpEndsAt, u.AnnouncedAt) - max(other.WarmUpEndsAt, u.AnnouncedAt)
+	return u.Fingerprint() == other.Fingerprint() && max(warmUpChange, -warmUpChange) < maxWarmUpDrift
+}
+
+// Fingerprint returns a hash of an announcement's incarnation, URL, state, kind, failure
+// domain, preemptibility, slots and served names. It is the same in all processes.
+func (u *Upstream) Fingerprint() uint64 {
+	digest := xxhash.New()
+	for _, text := range append([]string{
+		string(u.ID), u.URL, string(u.State), string(u.Kind), string(u.FailureDomain), strconv.FormatBool(u.Preemptible),
+		strconv.FormatUint(uint64(u.Incarnation), 10), strconv.Itoa(u.Load.Slots),
+	}, u.Serves...) {
+		_, _ = digest.WriteString(text + "\x00")
 	}
-	return u.Incarnation == other.Incarnation && u.URL == other.URL && u.State == other.State && u.Kind == other.Kind &&
-		u.FailureDomain == other.FailureDomain && u.Preemptible == other.Preemptible
+	return digest.Sum64()
 }
 
 // isNewer reports whether after is a later announcement than before of the same
--- a/pkg/registrar/registrar_test.go
+++ b/pkg/registrar/registrar_test.go
@@ -19,11 +19,13 @@
 		announcements []Upstream
 		serving       bool
 	}{
-		"serving":                          {announcements: []Upstream{announcement(1, 1, Serving, 0)}, serving: true},
-		"leaving":                          {announcements: []Upstream{announcement(1, 1, Serving, 0), announcement(1, 2, Leaving, 0)}},
-		"older announcement after leaving": {announcements: []Upstream{announcement(1, 2, Leaving, 0), announcement(1, 1, Serving, 0)}},
-		"later announcement after leaving": {announcements: []Upstream{announcement(1, 2, Leaving, 0), announcement(1, 3, Serving, 0)}},
-		"new incarnation after leaving":    {announcements: []Upstream{announcement(1, 2, Leaving, 0), announcement(2, 1, Serving, 0)}, serving: true},
+		"serving":                                             {announcements: []Upstream{announcement(1, 1, Serving, 0)}, serving: true},
+		"leaving":                                             {announcements: []Upstream{announcement(1, 1, Serving, 0), announcement(1, 2, Leaving, 0)}},
+		"leaving after a later announcement":                  {announcements: []Upstream{announcement(1, 9, Serving, 0), announcement(1, 2, Leaving, 0)}},
+		"leaving of an earlier incarnation":                   {announcements: []Upstream{announcement(2, 1, Serving, 0), announcement(1, 9, Leaving, 0)}, serving: true},
+		"older announcement after leaving":                    {announcements: []Upstream{announcement(1, 2, Leaving, 0), announcement(1, 1, Serving, 0)}},
+		"later announcement after leaving":                    {announcements: []Upstream{announcement(1, 2, Leaving, 0), announcement(1, 3, Serving, 0)}},
+		"new incarnation after leaving":                       {announcements: []Upstream{announcement(1, 2, Leaving, 0), announcement(2, 1, Serving, 0)}, serving: true},
 		"announcement of an earlier incarnation arrives late": {announcements: []Upstream{announcement(2, 1, Leaving, 0), announcement(1, 9, Serving, 0)}},
 		"announced too long ago":                              {announcements: []Upstream{announcement(1, 1, Serving, -lease)}},
 	}
@@ -112,3 +114,40 @@
 		t.Error("an unknown upstream was withdrawn")
 	}
 }
+
+// TestExclusiveURLs checks what happens to an upstream whose URL another one announces.
+// One that has moved to another URL before, in the same or in a later incarnation, must
+// keep serving there.
+func TestExclusiveURLs(t *testing.T) {
+	at := func(incarnation Incarnation, sequence Sequence, url string) Upstream {
+		a := announcement(incarnation, sequence, Serving, 0)
+		a.URL = url
+		return a
+	}
+	tests := map[string]struct {
+		announcements []Upstream
+		serving       bool
+	}{
+		"still there":                      {announcements: []Upstream{at(1, 1, "x")}},
+		"moved":                            {announcements: []Upstream{at(1, 1, "x"), at(1, 2, "y")}, serving: true},
+		"started again elsewhere":          {announcements: []Upstream{at(1, 1, "x"), at(2, 1, "y")}, serving: true},
+		"moved and came back":              {announcements: []Upstream{at(1, 1, "x"), at(1, 2, "y"), at(1, 3, "x")}},
+		"later incarnation than the taker": {announcements: []Upstream{at(9, 1, "x")}, serving: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := NewExclusive(lease)
+			for _, a := range test.announcements {
+				r.Announce(0, a)
+			}
+			taker := at(5, 1, "x")
+			taker.ID = "taker"
+			if accepted := r.Announce(0, taker); accepted != (name != "later incarnation than the taker") {
+				t.Errorf("the announcement of the taker is accepted: %t", accepted)
+			}
+			if serving := r.Get("u").CanServe(KindModel, "m"); serving != test.serving {
+				t.Errorf("CanServe is %t, want %t", serving, test.serving)
+			}
+		})
+	}
+}
