controller, router: send the load by domain where upstreams are many

Change: beyond 256 upstreams a load reply has the rows and cached parts of the entry host's own failure domain and one sum for each other domain and service; there the load of others on an upstream is the mean without the host's own. TestLoadOfManyUpstreams, TestMeanLoadOfOtherDomains.

--- a/internal/controller/follow.go
+++ b/internal/controller/follow.go
@@ -211,7 +211,7 @@
 			// The positions were given by another process, so everything is sent.
 			loadPosition, cachedPartsPosition = 0, 0
 		}
-		c.loads.fillReply(reply, loadPosition, cachedPartsPosition)
+		c.loads.fillReply(reply, loadPosition, cachedPartsPosition, registrar.FailureDomain(f.GetFailureDomain()), c.upstreamTable.places())
 	}
 	reply.ControlAddresses = c.controlAddresses(f.GetFailureDomain())
 	reply.EntryHosts = int32(c.clusterView.entryCount())
--- a/internal/controller/loads.go
+++ b/internal/controller/loads.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,11 @@
 	cachedPartLifetime = time.Minute
 	// maxCachedParts bounds the cached parts of all upstreams, at about 100 bytes each.
 	maxCachedParts = 50_000
+	// maxDetailedUpstreams is the number of upstreams up to which entry processes get the
+	// load of each. A row takes about 40 bytes, and most change within a load interval.
+	maxDetailedUpstreams = 256
+	// domainLoadCacheTime is the time for which the load by failure domain is computed once.
+	domainLoadCacheTime = 200 * time.Millisecond
 )
 
 type (
@@ -40,7 +46,19 @@
 		cachedParts      *gatherer.RecentSet[picker.CachedPart]
 		// unsentCachedParts are to be sent to the other control processes.
 		unsentCachedParts []picker.CachedPart
+		// domainLoads is the result of sumByPlace at domainLoadsAt.
+		domainLoads   map[upstreamPlace]*wire.DomainLoad
+		domainLoadsAt time.Duration
 	}
+
+	// upstreamPlace is a failure domain and what is served there.
+	upstreamPlace struct {
+		domain registrar.FailureDomain
+		serves string
+	}
+
+	// upstreamPlaces holds the place of each upstream.
+	upstreamPlaces map[registrar.UpstreamID]upstreamPlace
 )
 
 func newLoadTable() *loadTable {
@@ -87,15 +105,54 @@
 	}
 }
 
-// fillReply adds to a reply the load sums and cached parts that changed after the given positions.
-func (t *loadTable) fillReply(reply *wire.FollowReply, loadsAfter, cachedPartsAfter uint64) {
+// fillReply adds to a reply the load sums and cached parts that changed after the given
+// positions. If there are too many upstreams, it adds them only for those in the failure
+// domain of the entry process, and the sums by domain for the others.
+func (t *loadTable) fillReply(reply *wire.FollowReply, loadsAfter, cachedPartsAfter uint64, domain registrar.FailureDomain, places upstreamPlaces) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := timer.Now()
 	sums, position := t.total.Since(now, gatherer.Position(loadsAfter))
-	reply.Loads, reply.LoadPosition = announcer.LoadsToWire(sums), uint64(position)
+	reply.LoadPosition = uint64(position)
 	parts, position := t.cachedParts.Since(now, gatherer.Position(cachedPartsAfter))
-	reply.Held, reply.HeldPosition = announcer.CachedPartsToWire(parts), uint64(position)
+	reply.HeldPosition = uint64(position)
+	if len(places) > maxDetailedUpstreams {
+		for id := range sums {
+			if places[id].domain != domain {
+				delete(sums, id)
+			}
+		}
+		parts = slices.DeleteFunc(parts, func(p picker.CachedPart) bool { return places[p.Upstream].domain != domain })
+		for place, load := range t.sumByPlace(now, places) {
+			if place.domain != domain {
+				reply.DomainLoads = append(reply.DomainLoads, load)
+			}
+		}
+	}
+	reply.Loads = announcer.LoadsToWire(sums)
+	reply.Held = announcer.CachedPartsToWire(parts)
+}
+
+// sumByPlace returns the load of all entry processes by failure domain and service. The
+// result is kept for domainLoadCacheTime.
+func (t *loadTable) sumByPlace(now time.Duration, places upstreamPlaces) map[upstreamPlace]*wire.DomainLoad {
+	if t.domainLoads != nil && now-t.domainLoadsAt < domainLoadCacheTime {
+		return t.domainLoads
+	}
+	t.domainLoads, t.domainLoadsAt = map[upstreamPlace]*wire.DomainLoad{}, now
+	sums, _ := t.total.Since(now, 0)
+	for id, place := range places {
+		load := t.domainLoads[place]
+		if load == nil {
+			load = &wire.DomainLoad{FailureDomain: string(place.domain), Serves: place.serves}
+			t.domainLoads[place] = load
+		}
+		load.Upstreams++
+		load.Requests += int32(sums[id].Requests)
+		load.Tokens += int64(sums[id].PendingTokens)
+		load.BegunTokens += int64(sums[id].UncachedTokens)
+	}
+	return t.domainLoads
 }
 
 // takeOutgoing returns the load of the entry processes that poll this process,
--- a/internal/controller/loads_test.go
+++ b/internal/controller/loads_test.go
@@ -1,8 +1,10 @@
 package controller
 
 import (
+	"fmt"
 	"testing"
 
+	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
@@ -27,7 +29,7 @@
 	}
 	for name, table := range map[string]*loadTable{"near": control1, "far": control2} {
 		first := &wire.FollowReply{}
-		table.fillReply(first, 0, 0)
+		table.fillReply(first, 0, 0, "", nil)
 		if changed := first.GetLoads(); len(changed) != 1 || changed[0].GetRequests() != 7 || changed[0].GetTokens() != 13000 {
 			t.Errorf("%s: the sums are %v, want 7 requests and 13000 tokens", name, changed)
 		}
@@ -35,7 +37,7 @@
 			t.Errorf("%s: cached parts are %v, want one part at one upstream", name, held)
 		}
 		second := &wire.FollowReply{}
-		table.fillReply(second, first.GetLoadPosition(), first.GetHeldPosition())
+		table.fillReply(second, first.GetLoadPosition(), first.GetHeldPosition(), "", nil)
 		if len(second.GetLoads()) != 0 || len(second.GetHeld()) != 0 {
 			t.Errorf("%s: reply without changes repeats %v", name, second)
 		}
@@ -61,3 +63,36 @@
 		t.Error("empty load is sent a second time")
 	}
 }
+
+// TestLoadOfManyUpstreams guards against load messages that grow with all upstreams: beyond
+// a number of them an entry process gets the rows and cached parts of its own failure domain
+// and one sum for each of the others.
+func TestLoadOfManyUpstreams(t *testing.T) {
+	const (
+		upstreams = 3000
+		domains   = 6
+	)
+	table, places := newLoadTable(), upstreamPlaces{}
+	share := &wire.LoadShare{}
+	for i := range upstreams {
+		id := fmt.Sprint("engine-", i)
+		places[registrar.UpstreamID(id)] = upstreamPlace{domain: registrar.FailureDomain(fmt.Sprint(i % domains)), serves: "m"}
+		share.Loads = append(share.Loads, &wire.UpstreamLoad{Upstream: id, Requests: 2, Tokens: 3000, BegunTokens: 4000})
+		share.Held = append(share.Held, &wire.HeldPart{Part: "part", Upstream: id})
+	}
+	table.recordEntryLoad("entry", share)
+	reply := &wire.FollowReply{}
+	table.fillReply(reply, 0, 0, "0", places)
+	if len(reply.GetLoads()) != upstreams/domains || len(reply.GetHeld()) != upstreams/domains {
+		t.Errorf("%d rows and %d cached parts, want %d of each", len(reply.GetLoads()), len(reply.GetHeld()), upstreams/domains)
+	}
+	if len(reply.GetDomainLoads()) != domains-1 {
+		t.Fatalf("%d sums, want %d", len(reply.GetDomainLoads()), domains-1)
+	}
+	for _, load := range reply.GetDomainLoads() {
+		const count = upstreams / domains
+		if load.GetUpstreams() != count || load.GetRequests() != 2*count || load.GetTokens() != 3000*count || load.GetBegunTokens() != 4000*count {
+			t.Errorf("sum %v, want that of %d upstreams", load, count)
+		}
+	}
+}
--- a/internal/controller/table.go
+++ b/internal/controller/table.go
@@ -57,6 +57,9 @@
 	// renewals is the cached result of renewalsAt, computed at renewalsAtTime.
 	renewals       *wire.Renewals
 	renewalsAtTime time.Duration
+	// placesCache is the result of places at placesPosition.
+	placesCache    upstreamPlaces
+	placesPosition uint64
 	// wholeSentAt holds, by host, when an entry process that does not accept renewals last
 	// got the whole table.
 	wholeSentAt map[string]time.Duration
@@ -270,6 +273,25 @@
 	return changed, renewals
 }
 
+// places returns the place of each upstream. The result must not be modified.
+func (t *upstreamTable) places() upstreamPlaces {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.placesCache != nil && t.placesPosition == t.position {
+		return t.placesCache
+	}
+	t.placesCache, t.placesPosition = upstreamPlaces{}, t.position
+	for id := range t.changes {
+		u := t.registry.Get(id)
+		place := upstreamPlace{domain: u.FailureDomain}
+		if len(u.Serves) > 0 {
+			place.serves = u.Serves[0]
+		}
+		t.placesCache[id] = place
+	}
+	return t.placesCache
+}
+
 // isEmpty reports whether the table holds no upstream.
 func (t *upstreamTable) isEmpty() bool {
 	t.mu.Lock()
--- a/internal/router/cluster_load.go
+++ b/internal/router/cluster_load.go
@@ -40,6 +40,10 @@
 		sums map[registrar.UpstreamID]gatherer.Load
 		// own is the load of this process that sums include.
 		own map[registrar.UpstreamID]gatherer.Load
+		// means holds, by failure domain and service, the mean load of the other entry
+		// processes on an upstream. It is set for the other domains if there are too many
+		// upstreams for a sum for each.
+		means map[poolPlace]gatherer.Load
 		// updatedAt is when the latest report arrived.
 		updatedAt time.Duration
 		// entryProcesses is the number of entry processes.
@@ -51,6 +55,20 @@
 	}
 )
 
+// poolPlace is a failure domain and the name of what is served there.
+type poolPlace struct {
+	domain registrar.FailureDomain
+	name   string
+}
+
+func placeOf(u *registrar.Upstream) poolPlace {
+	p := poolPlace{domain: u.FailureDomain}
+	if len(u.Serves) > 0 {
+		p.name = u.Serves[0]
+	}
+	return p
+}
+
 func newClusterLoad() clusterLoad {
 	return clusterLoad{recentCachedParts: gatherer.NewRecentSet[picker.CachedPart](cachedPartLifetime, maxCachedParts)}
 }
@@ -66,16 +84,54 @@
 
 // loadOfOthers returns the load of the other entry processes on an upstream, or false if
 // no report arrived recently.
-func (c *clusterLoad) loadOfOthers(now time.Duration, id registrar.UpstreamID) (gatherer.Load, bool) {
+func (c *clusterLoad) loadOfOthers(now time.Duration, u *registrar.Upstream) (gatherer.Load, bool) {
 	if c.tableID == 0 || now-c.updatedAt > clusterLoadLifetime {
 		return gatherer.Load{}, false
 	}
-	sum, own := c.sums[id], c.own[id]
+	if mean, found := c.means[placeOf(u)]; found {
+		return mean, true
+	}
+	return withoutLoad(c.sums[u.ID], c.own[u.ID]), true
+}
+
+// withoutLoad returns the part of a sum that is not own.
+func withoutLoad(sum, own gatherer.Load) gatherer.Load {
 	return gatherer.Load{
 		Requests:       max(0, sum.Requests-own.Requests),
 		PendingTokens:  max(0, sum.PendingTokens-own.PendingTokens),
 		UncachedTokens: max(0, sum.UncachedTokens-own.UncachedTokens),
-	}, true
+	}
+}
+
+// setMeans sets the means from the load of all entry processes by domain. placeOf returns
+// the place of an upstream.
+func (c *clusterLoad) setMeans(loads []*wire.DomainLoad, placeOf func(registrar.UpstreamID) poolPlace) {
+	c.means = nil
+	if len(loads) == 0 {
+		return
+	}
+	own := map[poolPlace]gatherer.Load{}
+	for id, load := range c.own {
+		place := placeOf(id)
+		sum := own[place]
+		own[place] = gatherer.Load{
+			Requests:       sum.Requests + load.Requests,
+			PendingTokens:  sum.PendingTokens + load.PendingTokens,
+			UncachedTokens: sum.UncachedTokens + load.UncachedTokens,
+		}
+	}
+	c.means = make(map[poolPlace]gatherer.Load, len(loads))
+	for _, l := range loads {
+		place, upstreams := poolPlace{domain: registrar.FailureDomain(l.GetFailureDomain()), name: l.GetServes()}, max(1, int(l.GetUpstreams()))
+		others := withoutLoad(gatherer.Load{
+			Requests: int(l.GetRequests()), PendingTokens: int(l.GetTokens()), UncachedTokens: int(l.GetBegunTokens()),
+		}, own[place])
+		c.means[place] = gatherer.Load{
+			Requests:       others.Requests / upstreams,
+			PendingTokens:  others.PendingTokens / upstreams,
+			UncachedTokens: others.UncachedTokens / upstreams,
+		}
+	}
 }
 
 // hasClusterLoadOf reports whether the cluster load comes from the given table.
@@ -157,4 +213,10 @@
 		}
 		c.sums[id] = load
 	}
+	c.setMeans(reply.GetDomainLoads(), func(id registrar.UpstreamID) poolPlace {
+		if u := d.registry.Get(id); u != nil {
+			return placeOf(u)
+		}
+		return poolPlace{}
+	})
 }
--- a/internal/router/control_poller_test.go
+++ b/internal/router/control_poller_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/comfreybend/comfreybend/pkg/gatherer"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/state"
 	"github.com/comfreybend/comfreybend/schema/wire"
@@ -109,3 +110,37 @@
 		t.Error("an upstream is lacking, but the whole table is not asked for")
 	}
 }
+
+// TestMeanLoadOfOtherDomains checks that the load of an upstream in another failure domain
+// is the mean there without this process's own load, if only the sum is known, and that of
+// an upstream in the own domain its row.
+func TestMeanLoadOfOtherDomains(t *testing.T) {
+	r := newTestRouter(t)
+	d := r.dispatcher
+	for id, domain := range map[registrar.UpstreamID]registrar.FailureDomain{"near": "a", "far-1": "b", "far-2": "b"} {
+		d.applyAnnouncement(registrar.Upstream{
+			ID: id, Incarnation: 1, Sequence: 1, URL: "http://" + string(id), FailureDomain: domain, Kind: registrar.KindService,
+			Serves: []string{"s"}, State: registrar.Serving, AnnouncedAt: d.now(),
+		})
+	}
+	share := &wire.LoadShare{Loads: []*wire.UpstreamLoad{{Upstream: "far-1", Requests: 4, Tokens: 8000, BegunTokens: 8000}}}
+	reply := &wire.FollowReply{
+		Table:       7,
+		Loads:       []*wire.UpstreamLoad{{Upstream: "near", Requests: 3, Tokens: 100, BegunTokens: 200}},
+		DomainLoads: []*wire.DomainLoad{{FailureDomain: "b", Serves: "s", Upstreams: 2, Requests: 14, Tokens: 28_000, BegunTokens: 48_000}},
+	}
+	d.applyClusterLoad(share, reply)
+	mean := gatherer.Load{Requests: 5, PendingTokens: 10_000, UncachedTokens: 20_000}
+	for id, want := range map[registrar.UpstreamID]gatherer.Load{
+		"near": {Requests: 3, PendingTokens: 100, UncachedTokens: 200}, "far-1": mean, "far-2": mean,
+	} {
+		if got, known := d.clusterLoad.loadOfOthers(d.now(), d.registry.Get(id)); !known || got != want {
+			t.Errorf("load of the others on %s is %+v, want %+v", id, got, want)
+		}
+	}
+	reply.DomainLoads = nil
+	d.applyClusterLoad(share, reply)
+	if got, _ := d.clusterLoad.loadOfOthers(d.now(), d.registry.Get("far-2")); got != (gatherer.Load{}) {
+		t.Errorf("load of the others on far-2 is %+v after rows came in place of sums, want none", got)
+	}
+}
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -113,7 +113,7 @@
 	g.placement.candidates = len(candidates)
 	g.placement.loadAge = measurementAge(now, max(g.state.reportedLoad.MeasuredAt, g.upstream.Load.MeasuredAt))
 	if w.request.prompt != nil {
-		if _, known := d.clusterLoad.loadOfOthers(now, g.upstream.ID); known {
+		if _, known := d.clusterLoad.loadOfOthers(now, g.upstream); known {
 			g.placement.loadAge = measurementAge(now, d.clusterLoad.updatedAt)
 		}
 		if part, report := d.placer.RecordPlacement(now, *w.request.prompt, g.upstream.ID); report {
@@ -170,7 +170,7 @@
 		c := &candidates[i]
 		running, uncached := c.Load(), d.upstreamStates[u.ID].uncachedTokens
 		othersPending := d.meanPendingTokens * float64(max(0, c.ReportedLoad-c.InFlightAtReport))
-		if others, known := d.clusterLoad.loadOfOthers(now, u.ID); known {
+		if others, known := d.clusterLoad.loadOfOthers(now, u); known {
 			running = c.InFlight + others.Requests
 			othersPending = float64(others.PendingTokens)
 			uncached += float64(others.UncachedTokens)
