controller, keeper: encode changes once; gossip renewals once a second

Each gossip message, up to 20 a second to each peer, named all entry hosts of the sender.

Change: the encoded changes are kept for the entry hosts that ask for the same ones; the second control host hands out changes only if the first has not within 300 ms; renewals and entry hosts go once a second.

--- a/internal/controller/follow.go
+++ b/internal/controller/follow.go
@@ -19,10 +19,9 @@
 const (
 	// gossipInterval is the time between two checks for changes to send to the other control processes.
 	gossipInterval = 50 * time.Millisecond
-	// maxGossipInterval is the longest time between two gossip messages. Without
-	// changes a message carries only the sender's identity, its time of day and the
-	// entry processes that poll it. The constant also bounds the time to send one
-	// message.
+	// maxGossipInterval is the longest time between two gossip messages, and the time
+	// between two that carry renewals and the entry processes that poll the sender. It
+	// also bounds the time to send one message.
 	maxGossipInterval = time.Second
 	// entryPollTimeout is the time after which an entry process is no longer considered
 	// live if it has not polled and no gossip message has named it.
@@ -217,7 +216,11 @@
 	reply.EntryHosts = int32(c.clusterView.entryCount())
 	reply.TrueMillis = c.clusterView.agreedTime(c.settings.GetHost().GetId()).UnixMilli()
 	if f.GetWantUnconfirmed() && reply.GetRevision() > f.GetHaveRevision() {
-		reply.Unconfirmed = c.stateMachine.SyncSince(configurer.Revision(f.GetHaveRevision()))
+		encoded, err := c.stateMachine.EncodedSince(configurer.Revision(f.GetHaveRevision()))
+		if err != nil {
+			return failureReply(ReasonInvalid, err.Error())
+		}
+		reply.Unconfirmed = encoded
 	}
 	return &wire.Reply{Kind: &wire.Reply_Follow{Follow: reply}}
 }
@@ -268,10 +271,16 @@
 	for ctx.Err() == nil {
 		timer.Sleep(ctx, gossipInterval)
 		now := timer.Now()
-		updates, renewals := c.upstreamTable.takeUnsent()
+		updates := c.upstreamTable.takeUnsent()
 		periodicDue := now-lastPeriodic >= maxGossipInterval
+		var (
+			renewals   []*wire.Renewal
+			entryHosts []string
+		)
 		if periodicDue {
 			lastPeriodic = now
+			renewals = c.upstreamTable.takeRenewals()
+			entryHosts = c.clusterView.localEntryHosts()
 		}
 		var load *wire.LoadShare
 		if now-lastLoad >= announcer.LoadInterval(c.clusterView.entryCount()) {
@@ -279,7 +288,9 @@
 			load = c.loads.takeOutgoing()
 		}
 		for host, client := range c.peers.clientsByHost() {
-			message := &wire.Spread{Upstreams: updates, Renewals: renewals, LoadShare: load, WantAll: c.clusterView.takeRequestOfAll(host)}
+			message := &wire.Spread{
+				Upstreams: updates, Renewals: renewals, LoadShare: load, EntryHosts: entryHosts, WantAll: c.clusterView.takeRequestOfAll(host),
+			}
 			added := sentTo[host] != client || c.clusterView.takeRequestForAll(host)
 			if added {
 				sentTo[host] = client
@@ -303,7 +314,6 @@
 	s.Host = c.settings.GetHost().GetId()
 	s.FailureDomain = c.settings.GetHost().GetFailureDomain()
 	s.WallMillis = time.Now().UnixMilli()
-	s.EntryHosts = c.clusterView.localEntryHosts()
 	err := client.Notify(ctx, &wire.Request{Kind: &wire.Request_Spread{Spread: s}})
 	if err != nil {
 		c.log.Debug("gossip message was not delivered", zap.String("peer", client.Address()), zap.Error(err))
--- a/internal/controller/table.go
+++ b/internal/controller/table.go
@@ -244,9 +244,9 @@
 	}
 }
 
-// takeUnsent returns what to send to the other control processes, and clears it: the
-// changed announcements, and renewals of the others a few times within a lease.
-func (t *upstreamTable) takeUnsent() ([]*wire.Upstream, []*wire.Renewal) {
+// takeUnsent returns the changed announcements to send to the other control processes and
+// clears them.
+func (t *upstreamTable) takeUnsent() []*wire.Upstream {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := timer.Now()
@@ -257,6 +257,15 @@
 		delete(t.renewable, id)
 	}
 	clear(t.unsent)
+	return changed
+}
+
+// takeRenewals returns the renewals of unchanged announcements that are due for the other
+// control processes, a few within each lease.
+func (t *upstreamTable) takeRenewals() []*wire.Renewal {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := timer.Now()
 	var renewals []*wire.Renewal
 	for id := range t.renewable {
 		if now-t.renewalSentAt[id] < t.lease/renewalsPerLease {
@@ -270,7 +279,7 @@
 		t.renewalSentAt[id] = now
 		delete(t.renewable, id)
 	}
-	return changed, renewals
+	return renewals
 }
 
 // places returns the place of each upstream. The result must not be modified.
--- a/internal/controller/table_test.go
+++ b/internal/controller/table_test.go
@@ -108,11 +108,10 @@
 // all it needs.
 func gossip(from, to *upstreamTable) bool {
 	complete := true
-	changed, renewals := from.takeUnsent()
-	for _, u := range changed {
+	for _, u := range from.takeUnsent() {
 		to.update(announcer.FromWire(u, timer.Now()), false)
 	}
-	for _, r := range renewals {
+	for _, r := range from.takeRenewals() {
 		complete = to.renew(r) && complete
 	}
 	return complete
@@ -143,7 +142,7 @@
 	if size := proto.Size(reply); size > 100 {
 		t.Errorf("a reply without changes has %d bytes, want at most 100", size)
 	}
-	changed, renewals := near.takeUnsent()
+	changed, renewals := near.takeUnsent(), near.takeRenewals()
 	if len(changed) != 0 || len(renewals) != 0 {
 		t.Errorf("%d changes and %d renewals are sent before a renewal is due", len(changed), len(renewals))
 	}
--- a/internal/keeper/change.go
+++ b/internal/keeper/change.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 
+	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/comfreybend/comfreybend/internal/configurer"
@@ -178,6 +179,23 @@
 	return reply
 }
 
+// EncodedSince returns the encoded result of SyncSince. Many entry processes ask for the
+// same changes at a time, so the latest result is kept. The caller must not modify it.
+func (m *StateMachine) EncodedSince(from configurer.Revision) ([]byte, error) {
+	m.encodeMu.Lock()
+	defer m.encodeMu.Unlock()
+	if m.encoded != nil && m.encodedFrom == from && m.encodedTo == m.Revision() {
+		return m.encoded, nil
+	}
+	reply := m.SyncSince(from)
+	encoded, err := proto.Marshal(reply)
+	if err != nil {
+		return nil, errors.Wrap(err, "encoding the configuration")
+	}
+	m.encoded, m.encodedFrom, m.encodedTo = encoded, from, configurer.Revision(reply.GetRevision())
+	return encoded, nil
+}
+
 // MarshalDeterministic encodes equal operations as equal bytes. Callers hash the
 // result as the operation's fingerprint.
 func MarshalDeterministic(op *state.Operation) ([]byte, error) {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -80,6 +80,12 @@
 	alignedWindow uint64
 	// expectedHosts is the number of entry hosts that are expected to report the next aligned window.
 	expectedHosts int
+
+	// encodeMu guards the result of EncodedSince, with the revisions that it starts after
+	// and ends at.
+	encodeMu               sync.Mutex
+	encoded                []byte
+	encodedFrom, encodedTo configurer.Revision
 }
 
 // New returns a state machine with an empty state.
--- a/internal/router/control_poller.go
+++ b/internal/router/control_poller.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/comfreybend/comfreybend/internal/announcer"
 	"github.com/comfreybend/comfreybend/internal/configurer"
@@ -30,6 +31,9 @@
 	// pollPause is the pause between two polls. Updates in that time arrive with the next
 	// poll.
 	pollPause = 100 * time.Millisecond
+	// changeDelay is the time after which the configuration changes that another control
+	// process has are taken from it, if the preferred one has not sent them.
+	changeDelay = 300 * time.Millisecond
 	// renewalsPerLease is how often within a lease the leases are renewed.
 	renewalsPerLease = 4
 	// unconfirmedDelay is the time after the start after which a process without a
@@ -68,6 +72,9 @@
 		// loadPosition and cachedPartsPosition are the positions reached in the cluster
 		// load and in the cached parts.
 		loadPosition, cachedPartsPosition uint64
+		// behindSince is the time since which the control process has a later configuration
+		// than this process, zero if it has not.
+		behindSince time.Duration
 	}
 
 	// windowCounter counts requests in usage windows that are aligned to multiples of
@@ -124,8 +131,15 @@
 			p.router.log.Debug("polling a control process failed", zap.String("control", client.Address()), zap.Error(err))
 		} else {
 			p.router.controlClients.markSucceeded(client)
-			cursors[client.Address()] = cursorAfter(request, reply.GetFollow())
+			next := cursorAfter(request, reply.GetFollow())
 			p.apply(request, reply.GetFollow())
+			if configurer.Revision(reply.GetFollow().GetRevision()) > p.router.controlPlane.revision() {
+				next.behindSince = cursors[client.Address()].behindSince
+				if next.behindSince == 0 {
+					next.behindSince = timer.Now()
+				}
+			}
+			cursors[client.Address()] = next
 			if !p.renewLeases(view, reply.GetFollow()) {
 				delete(cursors, client.Address())
 			}
@@ -196,6 +210,10 @@
 		AcceptsRenewals: true,
 		WantUnconfirmed: p.router.controlPlane.hasConfiguration() || timer.Now()-p.startedAt > unconfirmedDelay,
 	}
+	if index > 0 && p.router.controlPlane.hasConfiguration() {
+		// Changes come from the control process at index 0, unless that does not answer.
+		request.WantUnconfirmed = from.behindSince != 0 && timer.Now()-from.behindSince > changeDelay
+	}
 	for _, u := range p.router.dispatcher.unreportedWithdrawals() {
 		request.Leaving = append(request.Leaving, &wire.UpstreamRun{Id: string(u.ID), Incarnation: uint64(u.Incarnation)})
 	}
@@ -241,8 +259,8 @@
 	r.controlClients.setAddresses(reply.GetControlAddresses())
 	r.dispatcher.setEntryProcesses(int(reply.GetEntryHosts()))
 	r.windows.setAgreedTime(now, time.UnixMilli(reply.GetTrueMillis()))
-	p.applyUnconfirmed(reply.GetUnconfirmed())
-	if configurer.Revision(reply.GetRevision()) > r.controlPlane.revision() {
+	p.applyUnconfirmed(reply)
+	if configurer.Revision(reply.GetRevision()) > r.controlPlane.revision() && request.GetWantUnconfirmed() {
 		r.controlPlane.requestSync()
 	}
 }
@@ -250,7 +268,15 @@
 // applyUnconfirmed applies a configuration that a control process has applied. It was
 // committed, but no quorum has confirmed that there is no later one. Every control process
 // can hand it out, so a change reaches the entry processes without the leader.
-func (p *controlPoller) applyUnconfirmed(u *wire.SyncReply) {
+func (p *controlPoller) applyUnconfirmed(reply *wire.FollowReply) {
+	u := reply.GetUnconfirmedMessage()
+	if len(reply.GetUnconfirmed()) > 0 {
+		u = &wire.SyncReply{}
+		if err := proto.Unmarshal(reply.GetUnconfirmed(), u); err != nil {
+			p.router.log.Error("unconfirmed configuration was rejected", zap.Error(err))
+			return
+		}
+	}
 	plane := p.router.controlPlane
 	if u == nil || configurer.Revision(u.GetRevision()) <= plane.revision() {
 		return
--- a/internal/router/control_poller_test.go
+++ b/internal/router/control_poller_test.go
@@ -4,8 +4,11 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/comfreybend/comfreybend/pkg/gatherer"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
+	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/state"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
@@ -58,7 +61,11 @@
 	if !request.GetWantUnconfirmed() || request.GetHaveRevision() != 7 {
 		t.Errorf("request %v, want one for the changes after revision 7", request)
 	}
-	p.apply(request, &wire.FollowReply{Revision: 9, Unconfirmed: whole(9)})
+	encoded, err := proto.Marshal(whole(9))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.apply(request, &wire.FollowReply{Revision: 9, Unconfirmed: encoded})
 	if r.controlPlane.revision() != 9 {
 		t.Errorf("revision %d after the reply, want 9", r.controlPlane.revision())
 	}
@@ -70,10 +77,16 @@
 		t.Error("a sync was requested although nothing is missing")
 	default:
 	}
-	p.apply(request, &wire.FollowReply{Revision: 8, Unconfirmed: whole(8)})
+	p.apply(request, &wire.FollowReply{Revision: 8, UnconfirmedMessage: whole(8)})
 	if r.controlPlane.revision() != 9 {
 		t.Errorf("revision %d after an earlier one, want 9", r.controlPlane.revision())
 	}
+	if p.newRequest(cursor{}, 1).GetWantUnconfirmed() {
+		t.Error("the second control process is asked for changes although the first one answers")
+	}
+	if behind := (cursor{behindSince: timer.Now() - 2*changeDelay}); !p.newRequest(behind, 1).GetWantUnconfirmed() {
+		t.Error("the second control process is not asked for changes that the first one has not sent")
+	}
 }
 
 // TestLeasesAreRenewed checks that a renewal extends the leases of the upstreams in the
