--- a/internal/controller/follow.go
+++ b/internal/controller/follow.go
@@ -202,7 +202,7 @@
 		}
 	}
 	if f.GetWantRenewals() {
-		reply.Renewals = c.upstreamTable.renewalsAt(timer.Now())
+		reply.Renewals = c.upstreamTable.renewalsNow()
 	}
 	if f.GetLoadShare() != nil {
 		loadPosition, cachedPartsPosition := f.GetLoadPosition(), f.GetHeldPosition()
--- a/internal/controller/table.go
+++ b/internal/controller/table.go
@@ -12,9 +12,15 @@
 )
 
 const (
-	// renewalsPerLease is how often within a lease the renewals of unchanged upstreams are
-	// passed on.
-	renewalsPerLease = 4
+	// gossipedRenewalsPerLease is how often within a lease the renewals of unchanged upstreams
+	// are passed on to the other control processes.
+	gossipedRenewalsPerLease = 6
+	// wholeTablesPerLease is how often within a lease entry processes that do not accept
+	// renewals get the whole table.
+	wholeTablesPerLease = 4
+	// overdueDivisor sets when an announcement is overdue: at 1/overdueDivisor of the lease.
+	// That leaves time for a heartbeat, a gossiped renewal and a gossip interval.
+	overdueDivisor = 2
 	// removalRetention is the time for which the removal of an upstream is kept for the
 	// entry processes that poll.
 	removalRetention = time.Minute
@@ -30,6 +36,7 @@
 // upstreams that they know.
 type upstreamTable struct {
 	lease time.Duration
+	now   func() time.Duration
 	// createdAt is the time at which the empty table was created.
 	createdAt time.Duration
 
@@ -54,7 +61,7 @@
 	// sent to the other control processes, renewalSentAt the time of that by upstream.
 	renewable     map[registrar.UpstreamID]bool
 	renewalSentAt map[registrar.UpstreamID]time.Duration
-	// renewals is the cached result of renewalsAt, computed at renewalsAtTime.
+	// renewals is the cached result of renewalsNow, computed at renewalsAtTime.
 	renewals       *wire.Renewals
 	renewalsAtTime time.Duration
 	// placesCache is the result of places at placesPosition.
@@ -74,6 +81,7 @@
 func newUpstreamTable(lease time.Duration) *upstreamTable {
 	return &upstreamTable{
 		lease:     lease,
+		now:       timer.Now,
 		createdAt: timer.Now(),
 		registry:  registrar.NewExclusive(lease),
 		// Never zero, the value in a request that names no table.
@@ -93,7 +101,7 @@
 func (t *upstreamTable) update(u registrar.Upstream, direct bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := timer.Now()
+	now := t.now()
 	before := t.registry.Get(u.ID)
 	if !t.registry.Announce(now, u) {
 		return
@@ -126,7 +134,7 @@
 		// This process knows a later announcement.
 		return true
 	}
-	now := timer.Now()
+	now := t.now()
 	renewed := *known
 	renewed.Sequence = registrar.Sequence(r.GetSequence())
 	renewed.AnnouncedAt = max(known.AnnouncedAt, now-time.Duration(r.GetAgeMillis())*time.Millisecond)
@@ -155,7 +163,7 @@
 	if known := t.registry.Get(id); known != nil && known.State == registrar.Leaving {
 		return
 	}
-	if _, accepted := t.registry.Withdraw(timer.Now(), id, incarnation); accepted {
+	if _, accepted := t.registry.Withdraw(t.now(), id, incarnation); accepted {
 		t.unsent[id] = true
 		t.recordChange(id)
 	}
@@ -168,7 +176,7 @@
 func (t *upstreamTable) changesSince(table, position uint64) (reply *wire.FollowReply, updated <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := timer.Now()
+	now := t.now()
 	t.expire(now)
 	reply = &wire.FollowReply{Table: t.tableID, Position: t.position}
 	if table != t.tableID || position < t.forgottenPosition || position == 0 {
@@ -193,18 +201,19 @@
 	return reply, t.updated
 }
 
-// renewalsAt returns the renewals of the leases of all upstreams in the table. The result
+// renewalsNow returns the renewals of the leases of all upstreams in the table. The result
 // must not be modified.
-func (t *upstreamTable) renewalsAt(now time.Duration) *wire.Renewals {
+func (t *upstreamTable) renewalsNow() *wire.Renewals {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := t.now()
 	if t.renewals != nil && now-t.renewalsAtTime < renewalCacheTime {
 		return &wire.Renewals{AgeMillis: t.renewals.GetAgeMillis() + (now - t.renewalsAtTime).Milliseconds(), Overdue: t.renewals.GetOverdue()}
 	}
 	t.renewals, t.renewalsAtTime = &wire.Renewals{}, now
 	for _, u := range t.registry.All() {
 		age := now - u.AnnouncedAt
-		if age > t.lease/renewalsPerLease {
+		if age > t.lease/overdueDivisor {
 			t.renewals.Overdue = append(t.renewals.Overdue, string(u.ID))
 			continue
 		}
@@ -218,8 +227,8 @@
 func (t *upstreamTable) wholeTableDue(host string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := timer.Now()
-	if now-t.wholeSentAt[host] < t.lease/renewalsPerLease {
+	now := t.now()
+	if now-t.wholeSentAt[host] < t.lease/wholeTablesPerLease {
 		return false
 	}
 	t.wholeSentAt[host] = now
@@ -249,7 +258,7 @@
 func (t *upstreamTable) takeUnsent() []*wire.Upstream {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := timer.Now()
+	now := t.now()
 	var changed []*wire.Upstream
 	for id := range t.unsent {
 		changed = append(changed, announcer.ToWire(t.registry.Get(id), now))
@@ -265,10 +274,10 @@
 func (t *upstreamTable) takeRenewals() []*wire.Renewal {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := timer.Now()
+	now := t.now()
 	var renewals []*wire.Renewal
 	for id := range t.renewable {
-		if now-t.renewalSentAt[id] < t.lease/renewalsPerLease {
+		if now-t.renewalSentAt[id] < t.lease/gossipedRenewalsPerLease {
 			continue
 		}
 		u := t.registry.Get(id)
@@ -312,7 +321,7 @@
 func (t *upstreamTable) all() []*wire.Upstream {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := timer.Now()
+	now := t.now()
 	t.expire(now)
 	var out []*wire.Upstream
 	for _, u := range t.registry.All() {
