--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -288,7 +288,9 @@
 // fingerprint and about the same end of the warm-up. Sequences, other times and load may
 // differ.
 func (u *Upstream) EquivalentTo(other *Upstream) bool {
-	warmUpChange := max(u.WarmUpEndsAt, u.AnnouncedAt) - max(other.WarmUpEndsAt, u.AnnouncedAt)
+	// A warm-up that has ended by the later announcement does not count.
+	latest := max(u.AnnouncedAt, other.AnnouncedAt)
+	warmUpChange := max(u.WarmUpEndsAt, latest) - max(other.WarmUpEndsAt, latest)
 	return u.Fingerprint() == other.Fingerprint() && max(warmUpChange, -warmUpChange) < maxWarmUpDrift
 }
 
--- a/pkg/registrar/registrar_test.go
+++ b/pkg/registrar/registrar_test.go
@@ -151,3 +151,34 @@
 		})
 	}
 }
+
+// TestEquivalence checks which announcements count as a change for other processes.
+func TestEquivalence(t *testing.T) {
+	const now = time.Minute
+	first := announcement(1, 1, Serving, now)
+	first.WarmUpEndsAt = now // as of an upstream that is not warming up
+	tests := map[string]struct {
+		change     func(*Upstream)
+		equivalent bool
+	}{
+		"announced again":          {change: func(u *Upstream) { u.AnnouncedAt += 2 * time.Second; u.WarmUpEndsAt = u.AnnouncedAt }, equivalent: true},
+		"without a warm-up":        {change: func(u *Upstream) { u.AnnouncedAt += 2 * time.Second; u.WarmUpEndsAt = 0 }, equivalent: true},
+		"load":                     {change: func(u *Upstream) { u.Load.Running = 9 }, equivalent: true},
+		"warm-up ends a bit later": {change: func(u *Upstream) { u.WarmUpEndsAt += maxWarmUpDrift / 2 }, equivalent: true},
+		"warming up":               {change: func(u *Upstream) { u.WarmUpEndsAt += 10 * time.Second }},
+		"slots":                    {change: func(u *Upstream) { u.Load.Slots = 9 }},
+		"leaving":                  {change: func(u *Upstream) { u.State = Leaving }},
+		"moved":                    {change: func(u *Upstream) { u.URL = "http://elsewhere" }},
+		"serves another model":     {change: func(u *Upstream) { u.Serves = []string{"other"} }},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			next := first
+			next.Sequence++
+			test.change(&next)
+			if first.EquivalentTo(&next) != test.equivalent || next.EquivalentTo(&first) != test.equivalent {
+				t.Errorf("equivalent: %t and %t, want %t", first.EquivalentTo(&next), next.EquivalentTo(&first), test.equivalent)
+			}
+		})
+	}
+}
