picker: keep light classes apart by pauses; count slots

And engines of 12 slots were chosen as if they had 64: nothing counted a queue for a slot.

Ruled out: too few engines (40 % of the slots and 20 % of the prefill in use).

Change: a class is light only if its mean prompt takes at most 0.15 of the shortest pause that any class allows, or allows it itself. A full engine costs the wait for a slot, and the light group grows when 0.6 of its slots are in use.

--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -184,6 +184,7 @@
 		PromptTokens:     int(c.Prompt.InputTokens),
 		MaxOutputTokens:  int(c.Prompt.MaxOutputTokens),
 		FirstTokenTarget: c.class.GetTarget().GetFirstToken().AsDuration(),
+		PauseTarget:      c.class.GetTarget().GetBetweenTokens().AsDuration(),
 		TimeLimit:        c.deadline - c.arrived,
 		Rank:             int(c.rank) - 1, // picker counts ranks from 0.
 		Ranks:            int(c.ranks),
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -186,6 +186,7 @@
 			WarmingUp:      now < u.WarmUpEndsAt,
 			Age:            now - startTime(u, d.upstreamStates[u.ID]),
 			Requests:       running,
+			Slots:          u.Load.Slots,
 			PendingTokens:  d.upstreamStates[u.ID].pendingTokens + othersPending,
 			UncachedTokens: uncached,
 			Penalty:        d.upstreamStates[u.ID].failures.penalty(now) + d.failuresIn(u.FailureDomain).penalty(now)/domainPenaltyDivisor,
--- a/pkg/picker/admission.go
+++ b/pkg/picker/admission.go
@@ -97,7 +97,7 @@
 func (p *Placer) endsInTime(r PromptRequest, e *Engine, uncached float64) bool {
 	prefill := time.Duration((e.PendingTokens + uncached) / p.prefillRate * float64(time.Second))
 	generation := time.Duration(r.MaxOutputTokens) * (assumedStepTime + time.Duration(e.Requests)*stepTimePerRequest)
-	return float64(prefill+generation) <= maxResponseShare*float64(r.TimeLimit)
+	return float64(e.slotWait(r)+prefill+generation) <= maxResponseShare*float64(r.TimeLimit)
 }
 
 // AdmissionDelay estimates how long it takes until the engine that Pick chooses can admit the
--- a/pkg/picker/light.go
+++ b/pkg/picker/light.go
@@ -21,6 +21,9 @@
 	c.decay(now)
 	c.samples = min(c.samples+1, meanSamples)
 	c.meanPrompt += (float64(r.PromptTokens) - c.meanPrompt) / c.samples
+	if r.PauseTarget > 0 {
+		c.pauseTarget = r.PauseTarget
+	}
 	c.meanTimeLimit += time.Duration(float64(r.TimeLimit-c.meanTimeLimit) / c.samples)
 	if p.firstArrival == 0 {
 		p.firstArrival = now
@@ -69,13 +72,30 @@
 	return p.currentPrefillLoad(now) / p.prefillRate / biasCorrection
 }
 
-// isLight reports whether a class has short prompts compared with the pool's mean.
+// isLight reports whether a class has short prompts, compared with the pool's mean and with the
+// shortest pause that any class allows. The class that allows it needs only the former.
 func (p *Placer) isLight(class Class) bool {
 	c := p.classes[class]
 	if c == nil || len(p.classes) < 2 {
 		return false
 	}
-	return c.meanPrompt < lightPromptRatio*p.meanPrompt()
+	if c.meanPrompt >= lightPromptRatio*p.meanPrompt() {
+		return false
+	}
+	shortest := p.shortestPause()
+	prefill := c.meanPrompt / p.prefillRate
+	return shortest == 0 || c.pauseTarget == shortest || prefill <= maxPauseShare*shortest.Seconds()
+}
+
+// shortestPause returns the shortest pause target of any class, zero if there is none.
+func (p *Placer) shortestPause() time.Duration {
+	var shortest time.Duration
+	for _, c := range p.classes {
+		if c.pauseTarget > 0 && (shortest == 0 || c.pauseTarget < shortest) {
+			shortest = c.pauseTarget
+		}
+	}
+	return shortest
 }
 
 // meanPrompt returns the mean prompt length of all classes in tokens, weighted by their work, or
@@ -130,13 +150,15 @@
 	case now-p.firstArrival < workKnownAfter:
 		wantedSize = initialLightShare * float64(n)
 	}
+	order := interleaveDomains(engines)
+	wantedSize = max(wantedSize, lightSlotsSize(engines, order, settled, p.boundedLightSize(engines, n)))
 	if math.Abs(wantedSize-p.lightGroupSize) > max(minLightGroupDeviation, lightGroupDeviationShare*float64(n)) {
 		p.lightGroupSize = math.Round(wantedSize)
 	}
-	size := min(n-1, max(1, int(p.lightGroupSize), minLightEngines(engines, n)))
+	size := p.boundedLightSize(engines, n)
 	group := make([]bool, len(engines))
 	chosen := 0
-	for _, i := range interleaveDomains(engines) {
+	for _, i := range order {
 		if chosen < size && settled[i] {
 			group[i] = true
 			chosen++
@@ -145,6 +167,31 @@
 	return group
 }
 
+// boundedLightSize returns the number of engines in the light group out of the given number of
+// settled ones.
+func (p *Placer) boundedLightSize(engines []Engine, settled int) int {
+	return min(settled-1, max(1, int(p.lightGroupSize), minLightEngines(engines, settled)))
+}
+
+// lightSlotsSize returns the number of engines whose slots, up to maxSlotUtilization, hold the
+// requests that are in flight at a light group of the given size; zero if slots are not known.
+func lightSlotsSize(engines []Engine, order []int, settled map[int]bool, groupSize int) float64 {
+	size, counted := 0.0, 0
+	for _, i := range order {
+		if !settled[i] {
+			continue
+		}
+		if counted >= groupSize {
+			break
+		}
+		counted++
+		if engines[i].Slots > 0 {
+			size += float64(engines[i].Requests) / (maxSlotUtilization * float64(engines[i].Slots))
+		}
+	}
+	return size
+}
+
 // minLightEngines returns the least size of the light group: one engine per failure domain if
 // there are at least enginesPerDomainForLight settled engines per domain on average, otherwise
 // one engine.
--- a/pkg/picker/placer.go
+++ b/pkg/picker/placer.go
@@ -28,6 +28,13 @@
 	// lightPromptRatio is the ratio of a class's mean prompt length to that of all classes,
 	// weighted by their work, below which the class is light.
 	lightPromptRatio = 0.35
+	// maxPauseShare is the share of the shortest pause target that the prefill of a light class's
+	// mean prompt may take. A class with longer prompts would break the pauses of the class with that
+	// target, since several of its prompts often come at a time.
+	maxPauseShare = 0.15
+	// maxSlotUtilization is the share of the slots of the light group that may be in use before it
+	// grows.
+	maxSlotUtilization = 0.6
 	// The light group is resized only if its size differs from the wanted size by more than
 	// minLightGroupDeviation engines and by more than lightGroupDeviationShare of the settled
 	// engines: what an engine has cached for one group is of no use to the other.
@@ -100,6 +107,9 @@
 		// FirstTokenTarget is the target for the time from the request's arrival to the first
 		// token, zero if there is none.
 		FirstTokenTarget time.Duration
+		// PauseTarget is the target for the time between two events of the response, zero if there
+		// is none.
+		PauseTarget time.Duration
 		// TimeLimit is the time from the request's arrival within which the whole response is
 		// due. Zero means no limit; AdmissionDelay is then zero.
 		TimeLimit time.Duration
@@ -127,6 +137,9 @@
 		Age time.Duration
 		// Requests is the estimated number of requests in flight, of all processes.
 		Requests int
+		// Slots is the number of requests that the engine runs at a time, zero if not known. It
+		// queues others.
+		Slots int
 		// PendingTokens is the estimated number of prompt tokens that the engine still has to
 		// compute for its requests.
 		PendingTokens float64
@@ -183,7 +196,9 @@
 		samples float64
 		// meanTimeLimit is the mean time within which responses are due.
 		meanTimeLimit time.Duration
-		updatedAt     time.Duration
+		// pauseTarget is that of the latest request that has one.
+		pauseTarget time.Duration
+		updatedAt   time.Duration
 	}
 
 	// CachedPart states that an upstream has cached the prompt up to the end of the part with
@@ -251,6 +266,16 @@
 	}
 }
 
+// slotWait estimates how long the engine queues a request before it runs, as if its requests in
+// flight had responses of the same length.
+func (e *Engine) slotWait(r PromptRequest) time.Duration {
+	if e.Slots == 0 || e.Requests < e.Slots {
+		return 0
+	}
+	response := time.Duration(r.MaxOutputTokens) * (assumedStepTime + time.Duration(e.Slots)*stepTimePerRequest)
+	return response * time.Duration(e.Requests-e.Slots+1) / time.Duration(e.Slots)
+}
+
 // choice is the engine with the lowest cost so far.
 type choice struct {
 	found bool
@@ -271,6 +296,7 @@
 	seconds := (e.PendingTokens + weight*uncached) / p.prefillRate
 	cost := time.Duration(seconds*float64(time.Second)) + e.Penalty
 	cost += time.Duration(e.Requests*max(1, r.MaxOutputTokens)) * stepTimePerRequest / 4
+	cost += e.slotWait(r)
 	if !e.Local {
 		cost += crossDomainPenalty
 	}
--- a/pkg/picker/placer_test.go
+++ b/pkg/picker/placer_test.go
@@ -225,3 +225,87 @@
 		place(p, time.Duration(i)*time.Millisecond, longRequest(random.Intn(documents)), engines)
 	}
 }
+
+// TestPlacerKeepsPauses guards against a class of short responses whose prompts, though short
+// beside the mean, come often enough to break the pauses of a class that allows only short ones:
+// the pattern "labels beside a live answer". The two must not share engines while there are
+// enough of them.
+func TestPlacerKeepsPauses(t *testing.T) {
+	p := NewPlacer()
+	engines := testEngines()
+	served := map[registrar.UpstreamID]map[Class]int{}
+	for i := range placerArrivals {
+		now := time.Second + time.Duration(i)*25*time.Millisecond
+		requests := []PromptRequest{inspectionRequest(), tagRequest(2_400), lookupRequest()}
+		for _, r := range requests {
+			r.PauseTarget = map[Class]time.Duration{
+				inspectionClass: 600 * time.Millisecond, tagClass: 250 * time.Millisecond, lookupClass: 150 * time.Millisecond,
+			}[r.Class]
+			id := place(p, now, r, engines)
+			if now < 2*workKnownAfter {
+				continue
+			}
+			if served[id] == nil {
+				served[id] = map[Class]int{}
+			}
+			served[id][r.Class]++
+		}
+	}
+	for id, classes := range served {
+		if classes[lookupClass] > 0 && classes[tagClass]+classes[inspectionClass] > 0 {
+			t.Errorf("engine %s served %v, want lookups or the others", id, classes)
+		}
+	}
+}
+
+// TestPlacerFewSlots guards against requests that queue at engines without a free slot while
+// others have some: the pattern "many engines of few slots". The preferred engine is full; and
+// the light group must grow when its slots are in use although its share of the work is small.
+func TestPlacerFewSlots(t *testing.T) {
+	const slots = 12
+	engines := testEngines()
+	for i := range engines {
+		engines[i].Slots = slots
+	}
+	p := NewPlacer()
+	preferred, _ := p.Pick(0, longRequest(1), engines)
+	engines[preferred].Requests = slots - 1
+	if chosen, _ := p.Pick(0, longRequest(1), engines); chosen != preferred {
+		t.Errorf("placed at engine %d, want the preferred one, which has a free slot", chosen)
+	}
+	engines[preferred].Requests = slots + 6
+	if chosen, _ := p.Pick(0, longRequest(1), engines); chosen == preferred {
+		t.Error("placed at the preferred engine, which has no free slot")
+	}
+	engines[preferred].Requests = 0
+
+	for i := range 1000 {
+		now := time.Second + time.Duration(i)*20*time.Millisecond
+		p.RequestArrived(now, longRequest(i%documents))
+		if i%4 == 0 {
+			p.RequestArrived(now, shortRequest())
+		}
+	}
+	now := 22 * time.Second
+	count := func() int {
+		n := 0
+		for _, light := range p.lightGroup(now, engines) {
+			if light {
+				n++
+			}
+		}
+		return n
+	}
+	before := count()
+	if before >= placerEngines/2 {
+		t.Fatalf("the light group has %d of %d engines before, want fewer than half", before, placerEngines)
+	}
+	for i, light := range p.lightGroup(now, engines) {
+		if light {
+			engines[i].Requests = slots
+		}
+	}
+	if after := count(); after <= before {
+		t.Errorf("the light group has %d engines while all slots of its %d are in use, want more", after, before)
+	}
+}
