picker: compare prompts in flight with the time of responses

Change: the budget is at least 0.7 of the time that responses take on the engine (0.525 for the least urgent), estimated from their lengths and the requests in flight. Where responses are short beside the time limits nothing changes.

Seen failing before: TestLongResponsesAllowMorePrompts.

--- a/pkg/picker/admission.go
+++ b/pkg/picker/admission.go
@@ -20,6 +20,9 @@
 	// such engines is then placed at another one, which computes the parts again, instead of
 	// being delayed.
 	spareUtilization = 0.5
+	// maxResponsePrefill is the share of the time of a response that an engine may spend on the
+	// prompts of its requests in flight, for the most urgent requests.
+	maxResponsePrefill = 0.7
 	// A prompt is small up to smallPromptShare of the prefill budget and smallPromptRatio of the
 	// mean prompt length of all classes, weighted by their work.
 	smallPromptShare = 0.1
@@ -36,6 +39,9 @@
 type admission struct {
 	// budget is the time that an engine may spend on the prompts of its requests in flight.
 	budget time.Duration
+	// responseShare is the share of the time of a response that an engine may spend on them if
+	// that is more.
+	responseShare float64
 	// utilization is the share of the budget that is in use at the engines of the request's group.
 	utilization float64
 	// lightGroup reports for each engine whether it is reserved for light classes, nil if none is.
@@ -46,7 +52,11 @@
 }
 
 func (p *Placer) newAdmission(now time.Duration, r PromptRequest, engines []Engine) admission {
-	a := admission{budget: p.prefillBudget(r), lightGroup: p.lightGroup(now, engines), lightClass: p.isLight(r.Class)}
+	share := prefillShare(r)
+	a := admission{
+		budget: p.prefillBudget(r, share), responseShare: maxResponsePrefill * share / maxPrefillShare,
+		lightGroup: p.lightGroup(now, engines), lightClass: p.isLight(r.Class),
+	}
 	a.utilization = p.prefillUtilization(engines, a.lightGroup, a.lightClass, a.budget)
 	a.smallPrompt = min(smallPromptShare*p.prefillRate*a.budget.Seconds(), smallPromptRatio*p.meanPrompt())
 	return a
@@ -85,11 +95,15 @@
 // excessFor returns the result of prefillExcess for an engine. An engine for light classes keeps
 // half of its budget free of the other classes' prompts.
 func (p *Placer) excessFor(a admission, engines []Engine, engine int, uncached float64) time.Duration {
+	e := &engines[engine]
 	budget := a.budget
+	if budget > 0 {
+		budget = max(budget, time.Duration(a.responseShare*float64(p.meanResponse(e))))
+	}
 	if a.isOtherGroup(engine) && !a.lightClass {
 		budget /= 2
 	}
-	return p.prefillExcess(&engines[engine], uncached, budget)
+	return p.prefillExcess(e, uncached, budget)
 }
 
 // endsInTime reports whether an engine is expected to answer the request within a part of its
@@ -133,23 +147,44 @@
 	return max(0, time.Duration(seconds*float64(time.Second))-budget)
 }
 
+// prefillShare returns the share of the time of responses that may be spent on prompts by the rank
+// of a request.
+func prefillShare(r PromptRequest) float64 {
+	if r.Ranks <= 1 {
+		return maxPrefillShare
+	}
+	return maxPrefillShare - (maxPrefillShare-minPrefillShare)*float64(min(r.Rank, r.Ranks-1))/float64(r.Ranks-1)
+}
+
 // prefillBudget returns the time that an engine may spend on the prompts of its requests in
-// flight if a request of r's rank is added. It is a share of the request's own TimeLimit or of
-// the mean TimeLimit of any class, whichever is shortest.
-func (p *Placer) prefillBudget(r PromptRequest) time.Duration {
+// flight if a request is added. It is a share of the request's own TimeLimit or of the mean
+// TimeLimit of any class, whichever is shortest.
+func (p *Placer) prefillBudget(r PromptRequest, share float64) time.Duration {
 	shortest := r.TimeLimit
 	for _, c := range p.classes {
 		if c.meanTimeLimit > 0 {
 			shortest = min(shortest, c.meanTimeLimit)
 		}
 	}
-	share := maxPrefillShare
-	if r.Ranks > 1 {
-		share -= (maxPrefillShare - minPrefillShare) * float64(min(r.Rank, r.Ranks-1)) / float64(r.Ranks-1)
-	}
 	return time.Duration(share * float64(shortest))
 }
 
+// meanResponse estimates how long an engine generates a response, from the mean lengths of the
+// classes weighted by their work. Requests are in flight for that long, and with them the prompts
+// that the budget is compared with.
+func (p *Placer) meanResponse(e *Engine) time.Duration {
+	tokens, totalWork := 0.0, 0.0
+	for _, c := range p.classes {
+		tokens += c.workRate * c.meanOutput
+		totalWork += c.workRate
+	}
+	if totalWork == 0 {
+		return 0
+	}
+	step := assumedStepTime + time.Duration(e.Requests)*stepTimePerRequest
+	return time.Duration(tokens / totalWork * float64(step))
+}
+
 // prefillUtilization returns the mean share of the prefill budget that is in use at the engines
 // of the request's group, from 0 to 1.
 func (p *Placer) prefillUtilization(engines []Engine, lightGroup []bool, lightClass bool, budget time.Duration) float64 {
--- a/pkg/picker/light.go
+++ b/pkg/picker/light.go
@@ -21,6 +21,7 @@
 	c.decay(now)
 	c.samples = min(c.samples+1, meanSamples)
 	c.meanPrompt += (float64(r.PromptTokens) - c.meanPrompt) / c.samples
+	c.meanOutput += (float64(r.MaxOutputTokens) - c.meanOutput) / c.samples
 	if r.PauseTarget > 0 {
 		c.pauseTarget = r.PauseTarget
 	}
--- a/pkg/picker/placer.go
+++ b/pkg/picker/placer.go
@@ -192,6 +192,8 @@
 		// second.
 		meanPrompt float64
 		workRate   float64
+		// meanOutput is the mean largest length of the response in tokens.
+		meanOutput float64
 		// samples is the number of requests in the means, at most meanSamples.
 		samples float64
 		// meanTimeLimit is the mean time within which responses are due.
