controller, router: ask for single rows; encode the table once

Change: a host asks for the rows that it lacks by their ids; the whole table is encoded once a second at most and after changes.

--- a/internal/controller/follow.go
+++ b/internal/controller/follow.go
@@ -187,10 +187,11 @@
 	}
 	for {
 		configurationChanged := c.stateMachine.Changed()
-		reply, tableUpdated = c.upstreamTable.changesSince(table, f.GetPosition())
+		reply, tableUpdated = c.upstreamTable.changesSince(table, f.GetPosition(), !f.GetAcceptsRenewals())
+		c.upstreamTable.addLacking(reply, f.GetLacking())
 		reply.Revision = uint64(c.stateMachine.Revision())
 		remaining := until - timer.Now()
-		if len(reply.GetUpstreams())+len(reply.GetRemoved()) > 0 || reply.GetRevision() > f.GetHaveRevision() || remaining <= 0 {
+		if reply.GetWholeTable() || len(reply.GetUpstreams())+len(reply.GetRemoved()) > 0 || reply.GetRevision() > f.GetHaveRevision() || remaining <= 0 {
 			break
 		}
 		select {
@@ -201,6 +202,13 @@
 		case <-time.After(remaining):
 		}
 	}
+	if reply.GetWholeTable() && f.GetAcceptsRenewals() {
+		encoded, age, err := c.upstreamTable.encodedUpstreams()
+		if err != nil {
+			return failureReply(ReasonInvalid, err.Error())
+		}
+		reply.EncodedUpstreams, reply.EncodedAgeMillis = encoded, age.Milliseconds()
+	}
 	if f.GetWantRenewals() {
 		reply.Renewals = c.upstreamTable.renewalsNow()
 	}
--- a/internal/controller/table.go
+++ b/internal/controller/table.go
@@ -5,6 +5,9 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
 	"github.com/comfreybend/comfreybend/internal/announcer"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/timer"
@@ -26,6 +29,8 @@
 	removalRetention = time.Minute
 	// renewalCacheTime is the time for which the renewals for entry processes are computed once.
 	renewalCacheTime = 200 * time.Millisecond
+	// encodedCacheTime is the time for which the encoded table is used if nothing changes.
+	encodedCacheTime = time.Second
 )
 
 // upstreamTable holds the upstreams that announce themselves to the control
@@ -64,6 +69,11 @@
 	// renewals is the cached result of renewalsNow, computed at renewalsAtTime.
 	renewals       *wire.Renewals
 	renewalsAtTime time.Duration
+	// encoded holds all upstreams as an encoded wire.Upstreams, as of encodedPosition and
+	// encodedAt.
+	encoded         []byte
+	encodedPosition uint64
+	encodedAt       time.Duration
 	// placesCache is the result of places at placesPosition.
 	placesCache    upstreamPlaces
 	placesPosition uint64
@@ -172,8 +182,9 @@
 // changesSince returns the upstreams that changed after a position of a table and those
 // that were removed, and a channel that is closed at the next change. A position of
 // another table, or one whose removals are not known any more, counts as zero; the reply
-// then holds the whole table.
-func (t *upstreamTable) changesSince(table, position uint64) (reply *wire.FollowReply, updated <-chan struct{}) {
+// is then for the whole table, which holds its rows only if withRows is set; see
+// encodedUpstreams.
+func (t *upstreamTable) changesSince(table, position uint64, withRows bool) (reply *wire.FollowReply, updated <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
@@ -183,7 +194,7 @@
 		position = 0
 		reply.WholeTable = true
 	}
-	if position == t.position {
+	if position == t.position || reply.WholeTable && !withRows {
 		return reply, t.updated
 	}
 	for id, changed := range t.changes {
@@ -310,6 +321,38 @@
 	return t.placesCache
 }
 
+// encodedUpstreams returns all upstreams as an encoded wire.Upstreams, and how long ago it
+// was encoded. Hundreds of entry processes that start at a time need the same bytes.
+func (t *upstreamTable) encodedUpstreams() ([]byte, time.Duration, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	if t.encoded != nil && t.encodedPosition == t.position && now-t.encodedAt < encodedCacheTime {
+		return t.encoded, now - t.encodedAt, nil
+	}
+	all := &wire.Upstreams{}
+	for _, u := range t.registry.All() {
+		all.Upstreams = append(all.Upstreams, announcer.ToWire(u, now))
+	}
+	encoded, err := proto.Marshal(all)
+	if err != nil {
+		return nil, 0, errors.Wrap(err, "encoding the upstreams")
+	}
+	t.encoded, t.encodedPosition, t.encodedAt = encoded, t.position, now
+	return encoded, 0, nil
+}
+
+// addLacking adds the upstreams with the given ids to a reply, as far as they are in the table.
+func (t *upstreamTable) addLacking(reply *wire.FollowReply, ids []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, id := range ids {
+		if u := t.registry.Get(registrar.UpstreamID(id)); u != nil {
+			reply.Upstreams = append(reply.Upstreams, announcer.ToWire(u, t.now()))
+		}
+	}
+}
+
 // isEmpty reports whether the table holds no upstream.
 func (t *upstreamTable) isEmpty() bool {
 	t.mu.Lock()
--- a/internal/router/cluster_load.go
+++ b/internal/router/cluster_load.go
@@ -154,17 +154,17 @@
 }
 
 // renewLeases renews the leases of upstreams, except the overdue ones, as of a time. It
-// returns false if one of them is not known.
-func (d *dispatcher) renewLeases(ids, overdue map[registrar.UpstreamID]bool, announcedAt time.Duration) bool {
+// returns the ids of those that are not known.
+func (d *dispatcher) renewLeases(ids, overdue map[registrar.UpstreamID]bool, announcedAt time.Duration) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	allKnown := true
+	var unknown []string
 	for id := range ids {
 		if !overdue[id] && !d.registry.Renew(id, announcedAt) {
-			allKnown = false
+			unknown = append(unknown, string(id))
 		}
 	}
-	return allKnown
+	return unknown
 }
 
 // loadShare returns this process's load on the upstreams, and the cached parts not sent
--- a/internal/router/control_poller.go
+++ b/internal/router/control_poller.go
@@ -61,6 +61,8 @@
 		members map[registrar.UpstreamID]bool
 		// renewedAt is when the leases of the upstreams were last renewed.
 		renewedAt time.Duration
+		// lacking are upstreams in the table that the registry lacks.
+		lacking []string
 	}
 
 	// cursor is how far this process has read the updates of a control process.
@@ -123,6 +125,7 @@
 			views[client.Address()] = view
 		}
 		request := p.newRequest(cursors[client.Address()], index)
+		request.Lacking = view.lacking
 		request.WantRenewals = timer.Now()-view.renewedAt > p.router.settings.GetEntry().GetAnnouncementLease().AsDuration()/renewalsPerLease
 		reply, err := p.send(ctx, client, request)
 		if err != nil {
@@ -131,6 +134,11 @@
 			p.router.log.Debug("polling a control process failed", zap.String("control", client.Address()), zap.Error(err))
 		} else {
 			p.router.controlClients.markSucceeded(client)
+			if err = decodeUpstreams(reply.GetFollow()); err != nil {
+				p.router.log.Error("upstreams of a control process cannot be read", zap.String("control", client.Address()), zap.Error(err))
+				timer.Sleep(ctx, pollPause)
+				continue
+			}
 			next := cursorAfter(request, reply.GetFollow())
 			p.apply(request, reply.GetFollow())
 			if configurer.Revision(reply.GetFollow().GetRevision()) > p.router.controlPlane.revision() {
@@ -140,9 +148,7 @@
 				}
 			}
 			cursors[client.Address()] = next
-			if !p.renewLeases(view, reply.GetFollow()) {
-				delete(cursors, client.Address())
-			}
+			p.renewLeases(view, reply.GetFollow())
 		}
 		timer.Sleep(ctx, pollPause)
 	}
@@ -154,10 +160,27 @@
 	return client.Call(ctx, &wire.Request{Kind: &wire.Request_Follow{Follow: request}})
 }
 
+// decodeUpstreams moves the encoded upstreams of a reply to its list of upstreams.
+func decodeUpstreams(reply *wire.FollowReply) error {
+	if len(reply.GetEncodedUpstreams()) == 0 {
+		return nil
+	}
+	all := &wire.Upstreams{}
+	if err := proto.Unmarshal(reply.GetEncodedUpstreams(), all); err != nil {
+		return errors.Wrap(err, "decoding the upstreams")
+	}
+	for _, u := range all.GetUpstreams() {
+		u.AgeMillis += reply.GetEncodedAgeMillis()
+	}
+	reply.Upstreams = append(reply.GetUpstreams(), all.GetUpstreams()...)
+	reply.EncodedUpstreams = nil
+	return nil
+}
+
 // renewLeases updates what is held of a control process's table by a reply, and renews the
-// leases of the upstreams in it. It returns false if the registry lacks one of them, which
-// its lease may have ended; the whole table is needed then.
-func (p *controlPoller) renewLeases(view *tableView, reply *wire.FollowReply) bool {
+// leases of the upstreams in it. Those that the registry lacks, since their leases have
+// ended here, are asked for with the next poll.
+func (p *controlPoller) renewLeases(view *tableView, reply *wire.FollowReply) {
 	now := timer.Now()
 	if reply.GetWholeTable() || view.tableID != reply.GetTable() {
 		view.tableID, view.members = reply.GetTable(), map[registrar.UpstreamID]bool{}
@@ -168,8 +191,9 @@
 	for _, id := range reply.GetRemoved() {
 		delete(view.members, registrar.UpstreamID(id))
 	}
+	view.lacking = nil
 	if reply.GetRenewals() == nil {
-		return true
+		return
 	}
 	overdue := map[registrar.UpstreamID]bool{}
 	for _, id := range reply.GetRenewals().GetOverdue() {
@@ -177,7 +201,7 @@
 	}
 	view.renewedAt = now
 	announcedAt := now - time.Duration(reply.GetRenewals().GetAgeMillis())*time.Millisecond
-	return p.router.dispatcher.renewLeases(view.members, overdue, announcedAt)
+	view.lacking = p.router.dispatcher.renewLeases(view.members, overdue, announcedAt)
 }
 
 // cursorAfter returns the cursor after a reply. A reply contains the cluster load only if
