router: count a large unfinished event at the deadline as a failure

Ruled out: a lost count; with the limit reached it is always counted. Change: an event of more than 64 KiB that is not complete when its attempt ends counts as the upstream's failure, whatever ended the attempt. Events of the served systems have some hundred bytes. Seen failing before: TestUnfinishedEventAtTheDeadline, which needs no load.

--- a/internal/router/endless_test.go
+++ b/internal/router/endless_test.go
@@ -36,8 +36,8 @@
 	responseLimit   = 4 << 20
 )
 
-// endlessUpstream is an upstream that sends prologue and then filler without end, until the
-// connection is closed.
+// endlessUpstream is an upstream that sends prologue and then filler without end, or nothing
+// more if that is empty, until the connection is closed.
 type endlessUpstream struct {
 	listener         net.Listener
 	prologue, filler string
@@ -53,7 +53,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	u := &endlessUpstream{listener: l, prologue: prologue, filler: strings.Repeat(filler, 1+16<<10/len(filler))}
+	u := &endlessUpstream{listener: l, prologue: prologue}
+	if filler != "" {
+		u.filler = strings.Repeat(filler, 1+16<<10/len(filler))
+	}
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
 		for {
@@ -78,9 +81,12 @@
 	u.opened.Add(1)
 	defer u.closed.Add(1)
 	_, err = io.WriteString(connection, u.prologue)
-	for err == nil {
+	for err == nil && u.filler != "" {
 		_, err = io.WriteString(connection, u.filler)
 	}
+	if err == nil {
+		_, _ = connection.Read(make([]byte, 1)) // until the caller closes
+	}
 }
 
 // endlessUpstreams returns an upstream for each way of answering without end.
@@ -195,6 +201,39 @@
 	}
 }
 
+// TestUnfinishedEventAtTheDeadline guards against junk that comes so slowly that the deadline
+// ends it and not a limit: an upstream that has sent far more of one event than any event
+// has must be counted as failing.
+func TestUnfinishedEventAtTheDeadline(t *testing.T) {
+	const prologue = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n"
+	for name, test := range map[string]struct {
+		unfinished int
+		failed     bool
+	}{
+		"stream, much of an event":   {unfinished: 2 * maxUnfinishedBytes, failed: true},
+		"stream, half an event":      {unfinished: 20},
+		"stream, between two events": {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			upstream := startEndlessUpstream(t, prologue+strings.Repeat("x", test.unfinished), "")
+			r := newEndlessRouter(t, map[string]*endlessUpstream{name: upstream})
+			server := httptest.NewServer(r.clientHandler())
+			defer server.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), endlessTimeout+endlessPatience)
+			defer cancel()
+			if _, complete := callEndless(ctx, server.URL+pathOf(name)); complete || ctx.Err() != nil {
+				t.Errorf("the response looks complete: %t; the call has not ended: %t", complete, ctx.Err() != nil)
+			}
+			awaitCondition(t, "the connection is not closed", func() bool { return upstream.closed.Load() == upstream.opened.Load() })
+			r.dispatcher.mu.Lock()
+			defer r.dispatcher.mu.Unlock()
+			if failed := r.dispatcher.upstreamStates[registrar.UpstreamID(name)].failures.weight > 0; failed != test.failed {
+				t.Errorf("failure counted: %t, want %t", failed, test.failed)
+			}
+		})
+	}
+}
+
 // TestManyEndlessResponses guards against an entry host that runs out of memory: 200 such
 // responses arrive at once.
 func TestManyEndlessResponses(t *testing.T) {
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -17,6 +17,9 @@
 	streamBufferBytes = 16 << 10
 	// maxEventBytes bounds the size of one event.
 	maxEventBytes = 1 << 20
+	// maxUnfinishedBytes is the size from which an event that is not complete when its
+	// attempt ends counts as a failure of the upstream, whatever ended the attempt.
+	maxUnfinishedBytes = 64 << 10
 )
 
 var (
@@ -63,6 +66,21 @@
 	return "an event without a number follows event " + strconv.FormatUint(uint64(e.After), 10)
 }
 
+// unfinishedEventError reports an attempt that ended in the middle of a large event.
+type unfinishedEventError struct {
+	// Bytes is the number of bytes received of the event.
+	Bytes int
+	Cause error
+}
+
+// Error implements error.
+func (e *unfinishedEventError) Error() string {
+	return "the stream ended after " + strconv.Itoa(e.Bytes) + " bytes of an event: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *unfinishedEventError) Unwrap() error { return e.Cause }
+
 // Error implements error.
 func (e *eventGapError) Error() string {
 	return "stream continues at event " + strconv.FormatUint(uint64(e.Got), 10) +
@@ -152,6 +170,9 @@
 			return nil, nil
 		}
 		if err != nil {
+			if len(raw.data) > maxUnfinishedBytes {
+				err = &unfinishedEventError{Bytes: len(raw.data), Cause: err}
+			}
 			return err, nil
 		}
 		at.recordActivity(h.router.dispatcher.now())
@@ -202,6 +223,8 @@
 // the stream cannot be continued.
 func (h *callHandler) resume(ctx context.Context, cause error) *RefusalError {
 	at := h.current
+	var unfinished *unfinishedEventError
+	upstreamFailed := errors.As(cause, &unfinished)
 	if at.response.Request.Context().Err() != nil {
 		cause = context.Cause(at.response.Request.Context())
 	}
@@ -212,7 +235,7 @@
 	}
 	h.failedUpstreams = append(h.failedUpstreams, at.grant.upstream.ID)
 	var expired *deadlineError
-	if errors.As(cause, &expired) {
+	if errors.As(cause, &expired) && !upstreamFailed {
 		h.finishAttempt(outcomeAbandoned, failure)
 	} else {
 		h.finishAttempt(failureOutcome(cause), failure)
