--- a/internal/router/cluster_load.go
+++ b/internal/router/cluster_load.go
@@ -53,13 +53,13 @@
 		// unsentCachedParts holds the cached parts to send with the next wire.LoadShare.
 		unsentCachedParts []picker.CachedPart
 	}
-)
 
-// poolPlace is a failure domain and the name of what is served there.
-type poolPlace struct {
-	domain registrar.FailureDomain
-	name   string
-}
+	// poolPlace is a failure domain and the name of what is served there.
+	poolPlace struct {
+		domain registrar.FailureDomain
+		name   string
+	}
+)
 
 func placeOf(u *registrar.Upstream) poolPlace {
 	p := poolPlace{domain: u.FailureDomain}
--- a/internal/router/notice.go
+++ b/internal/router/notice.go
@@ -12,9 +12,13 @@
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 )
 
-// defaultRetryAfter is the pause that is kept if an upstream asks for one whose length
-// cannot be read.
-const defaultRetryAfter = time.Second
+const (
+	// defaultRetryAfter is the pause that is kept if an upstream asks for one whose length
+	// cannot be read.
+	defaultRetryAfter = time.Second
+	// maxLoggedBytes bounds what is logged of a header of an upstream.
+	maxLoggedBytes = 64
+)
 
 // handleNotices passes on what the headers of a response say of the upstream besides its
 // load: that it is leaving, and that it wants no requests of this process for a time.
@@ -36,9 +40,6 @@
 	}
 }
 
-// maxLoggedBytes bounds what is logged of a header of an upstream.
-const maxLoggedBytes = 64
-
 // parseRetryAfter returns the pause that a Retry-After value asks for, at most longest.
 // The second result is false if the value is not a number of seconds from zero to
 // longest. No pause is kept for a negative one, and defaultRetryAfter for a value that is
--- a/internal/router/response.go
+++ b/internal/router/response.go
@@ -26,21 +26,23 @@
 	deadlineRenewalDivisor = 8
 )
 
-// clientWriter writes to the client and bounds the time that a write may block.
-type clientWriter struct {
-	w       http.ResponseWriter
-	control *http.ResponseController
-	timeout time.Duration
-	// deadlineSetAt is when the write deadline was last set.
-	deadlineSetAt time.Time
-}
+type (
+	// clientWriter writes to the client and bounds the time that a write may block.
+	clientWriter struct {
+		w       http.ResponseWriter
+		control *http.ResponseController
+		timeout time.Duration
+		// deadlineSetAt is when the write deadline was last set.
+		deadlineSetAt time.Time
+	}
 
-// oversizedResponseError reports a response that is larger than the limit, such as one
-// without end.
-type oversizedResponseError struct {
-	// Limit is in bytes.
-	Limit int64
-}
+	// oversizedResponseError reports a response that is larger than the limit, such as one
+	// without end.
+	oversizedResponseError struct {
+		// Limit is in bytes.
+		Limit int64
+	}
+)
 
 // Error implements error.
 func (e *oversizedResponseError) Error() string {
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -53,26 +53,26 @@
 		Expected EventID
 		Got      EventID
 	}
-)
 
-// unnumberedEventError reports an event without a number in a stream of numbered ones.
-type unnumberedEventError struct {
-	// After is the number of the last event before it.
-	After EventID
-}
+	// unnumberedEventError reports an event without a number in a stream of numbered ones.
+	unnumberedEventError struct {
+		// After is the number of the last event before it.
+		After EventID
+	}
+
+	// unfinishedEventError reports an attempt that ended in the middle of a large event.
+	unfinishedEventError struct {
+		// Bytes is the number of bytes received of the event.
+		Bytes int
+		Cause error
+	}
+)
 
 // Error implements error.
 func (e *unnumberedEventError) Error() string {
 	return "an event without a number follows event " + strconv.FormatUint(uint64(e.After), 10)
 }
 
-// unfinishedEventError reports an attempt that ended in the middle of a large event.
-type unfinishedEventError struct {
-	// Bytes is the number of bytes received of the event.
-	Bytes int
-	Cause error
-}
-
 // Error implements error.
 func (e *unfinishedEventError) Error() string {
 	return "the stream ended after " + strconv.Itoa(e.Bytes) + " bytes of an event: " + e.Cause.Error()
--- a/pkg/picker/placer.go
+++ b/pkg/picker/placer.go
@@ -209,6 +209,13 @@
 		Part     PrefixID
 		Upstream registrar.UpstreamID
 	}
+
+	// choice is the engine with the lowest cost so far.
+	choice struct {
+		found bool
+		index int
+		cost  time.Duration
+	}
 )
 
 // NewPlacer returns a placer without any observations.
@@ -278,13 +285,7 @@
 	return response * time.Duration(e.Requests-e.Slots+1) / time.Duration(e.Slots)
 }
 
-// choice is the engine with the lowest cost so far.
-type choice struct {
-	found bool
-	index int
-	cost  time.Duration
-}
-
+// consider replaces the choice if the cost is lower.
 func (c *choice) consider(index int, cost time.Duration) {
 	if !c.found || cost < c.cost {
 		*c = choice{found: true, index: index, cost: cost}
