--- a/pkg/picker/admission_test.go
+++ b/pkg/picker/admission_test.go
@@ -17,7 +17,7 @@
 	admissionRate = 45_000
 )
 
-// tagRequest is a short, urgent request with a short time limit. Its prompt is near the
+// tagRequest is a short, urgent request with a short deadline. Its prompt is near the
 // limit between light and other classes.
 func tagRequest(tokens int) PromptRequest {
 	return PromptRequest{
