router, controller: log how a configuration and a leave arrived

configuration in force: whole, bytes, request, control, age. upstream is leaving: on control hosts with its source. Metric configuration_bytes counts the bytes of all replies with a configuration. No change of logic.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -22,10 +22,12 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/comfreybend/comfreybend/internal/certifier"
+	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/instrumenter"
 	"github.com/comfreybend/comfreybend/internal/keeper"
 	"github.com/comfreybend/comfreybend/internal/messenger"
 	"github.com/comfreybend/comfreybend/pkg/journaler"
+	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/replicator"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/replication"
@@ -80,6 +82,9 @@
 		// autoscaler is nil until runPlatformAgent starts.
 		autoscaler atomic.Pointer[autoscaler]
 
+		// revisionAt is when this member applied the latest revision, in nanoseconds of the
+		// monotonic clock.
+		revisionAt atomic.Int64
 		// appliedCommands counts the commands applied by this member, leader or not.
 		appliedCommands tally.Counter
 		// failedProposals counts the requests whose command failed to commit.
@@ -112,6 +117,10 @@
 		failedProposals: instruments.Scope.Counter("commands_refused"),
 	}
 	c.peers = newPeers(s, security, log)
+	c.upstreamTable.onLeaving = func(u *registrar.Upstream, source leaveSource) {
+		log.Info("upstream is leaving", zap.String("upstream", string(u.ID)), zap.Uint64("incarnation", uint64(u.Incarnation)),
+			zap.String("source", string(source)), zap.Duration("age", timer.Now()-u.AnnouncedAt))
+	}
 	return c, nil
 }
 
@@ -258,15 +267,31 @@
 		Send:         c.peers.enqueue,
 		Apply: func(_ replicator.Index, data []byte) *wire.ProposeReply {
 			c.appliedCommands.Inc(1)
+			defer c.recordRevision(c.stateMachine.Revision())
 			return c.stateMachine.Apply(data)
 		},
-		Snapshot:        c.stateMachine.Snapshot,
-		Restore:         c.stateMachine.Restore,
+		Snapshot: c.stateMachine.Snapshot,
+		Restore: func(data []byte) error {
+			defer c.recordRevision(c.stateMachine.Revision())
+			return c.stateMachine.Restore(data)
+		},
 		SnapshotEntries: int(s.GetSnapshotEntries()),
 		SnapshotBytes:   snapshotBytes,
 	}, recovered.Snapshot)
 }
 
+// recordRevision records the time if the revision differs from an earlier one.
+func (c *Controller) recordRevision(before configurer.Revision) {
+	if c.stateMachine.Revision() != before {
+		c.revisionAt.Store(int64(timer.Now()))
+	}
+}
+
+// revisionAge returns the time since this member applied the latest revision.
+func (c *Controller) revisionAge() time.Duration {
+	return timer.Now() - time.Duration(c.revisionAt.Load())
+}
+
 // notReady returns why the process is not ready, or an empty string if it is.
 func (c *Controller) notReady() string {
 	n := c.membership.currentNode()
--- a/internal/controller/follow.go
+++ b/internal/controller/follow.go
@@ -220,6 +220,7 @@
 		}
 		c.loads.fillReply(reply, loadPosition, cachedPartsPosition, registrar.FailureDomain(f.GetFailureDomain()), c.upstreamTable.places())
 	}
+	reply.RevisionAgeMillis = c.revisionAge().Milliseconds()
 	reply.ControlAddresses = c.controlAddresses(f.GetFailureDomain())
 	reply.EntryHosts = int32(c.clusterView.entryCount())
 	reply.TrueMillis = c.clusterView.agreedTime(c.settings.GetHost().GetId()).UnixMilli()
--- a/internal/controller/requests.go
+++ b/internal/controller/requests.go
@@ -135,6 +135,7 @@
 	c.entries.record(s)
 	c.windows.record(c.clusterView.agreedTime(c.settings.GetHost().GetId()), s)
 	reply := c.stateMachine.SyncSince(configurer.Revision(s.GetHaveRevision()))
+	reply.RevisionAgeMillis = c.revisionAge().Milliseconds()
 	reply.LightParts = c.entries.lightShares()
 	if a := c.autoscaler.Load(); a != nil {
 		reply.Draining = a.drainingUpstreams()
--- a/internal/controller/table.go
+++ b/internal/controller/table.go
@@ -80,8 +80,21 @@
 	// wholeSentAt holds, by host, when an entry process that does not accept renewals last
 	// got the whole table.
 	wholeSentAt map[string]time.Duration
+	// onLeaving is called, with the mutex held, when an upstream is found to be leaving, with
+	// how that was learnt.
+	onLeaving func(u *registrar.Upstream, source leaveSource)
 }
 
+// leaveSource is how a control process has learnt that an upstream is leaving.
+type leaveSource string
+
+// The values of leaveSource.
+const (
+	leaveAnnounced leaveSource = "announcement"
+	leaveWithdrawn leaveSource = "withdrawal"
+	leaveGossiped  leaveSource = "gossip"
+)
+
 // upstreamRemoval is the position and time of the removal of an upstream.
 type upstreamRemoval struct {
 	position  uint64
@@ -103,6 +116,7 @@
 		renewable:     map[registrar.UpstreamID]bool{},
 		renewalSentAt: map[registrar.UpstreamID]time.Duration{},
 		wholeSentAt:   map[string]time.Duration{},
+		onLeaving:     func(*registrar.Upstream, leaveSource) {},
 	}
 }
 
@@ -118,6 +132,13 @@
 	}
 	after := t.registry.Get(u.ID)
 	changed := before == nil || !before.EquivalentTo(after)
+	if after.State == registrar.Leaving && (before == nil || before.State != after.State || before.Incarnation != after.Incarnation) {
+		source := leaveGossiped
+		if direct {
+			source = leaveAnnounced
+		}
+		t.onLeaving(after, source)
+	}
 	if direct {
 		// Leaving upstreams are few, and each lost message about them matters.
 		if changed || after.State == registrar.Leaving {
@@ -173,7 +194,8 @@
 	if known := t.registry.Get(id); known != nil && known.State == registrar.Leaving {
 		return
 	}
-	if _, accepted := t.registry.Withdraw(t.now(), id, incarnation); accepted {
+	if u, accepted := t.registry.Withdraw(t.now(), id, incarnation); accepted {
+		t.onLeaving(&u, leaveWithdrawn)
 		t.unsent[id] = true
 		t.recordChange(id)
 	}
--- a/internal/router/control_poller.go
+++ b/internal/router/control_poller.go
@@ -140,7 +140,7 @@
 				continue
 			}
 			next := cursorAfter(request, reply.GetFollow())
-			p.apply(request, reply.GetFollow())
+			p.apply(client.Address(), request, reply.GetFollow())
 			if configurer.Revision(reply.GetFollow().GetRevision()) > p.router.controlPlane.revision() {
 				next.behindSince = cursors[client.Address()].behindSince
 				if next.behindSince == 0 {
@@ -267,8 +267,8 @@
 	}
 }
 
-// apply applies the updates in a reply.
-func (p *controlPoller) apply(request *wire.Follow, reply *wire.FollowReply) {
+// apply applies the updates in the reply of a control process.
+func (p *controlPoller) apply(control string, request *wire.Follow, reply *wire.FollowReply) {
 	r := p.router
 	now := timer.Now()
 	for _, u := range request.GetLeaving() {
@@ -283,7 +283,7 @@
 	r.controlClients.setAddresses(reply.GetControlAddresses())
 	r.dispatcher.setEntryProcesses(int(reply.GetEntryHosts()))
 	r.windows.setAgreedTime(now, time.UnixMilli(reply.GetTrueMillis()))
-	p.applyUnconfirmed(reply)
+	p.applyUnconfirmed(control, reply)
 	if configurer.Revision(reply.GetRevision()) > r.controlPlane.revision() && request.GetWantUnconfirmed() {
 		r.controlPlane.requestSync()
 	}
@@ -292,7 +292,7 @@
 // applyUnconfirmed applies a configuration that a control process has applied. It was
 // committed, but no quorum has confirmed that there is no later one. Every control process
 // can hand it out, so a change reaches the entry processes without the leader.
-func (p *controlPoller) applyUnconfirmed(reply *wire.FollowReply) {
+func (p *controlPoller) applyUnconfirmed(control string, reply *wire.FollowReply) {
 	u := reply.GetUnconfirmedMessage()
 	if len(reply.GetUnconfirmed()) > 0 {
 		u = &wire.SyncReply{}
@@ -309,7 +309,8 @@
 		p.router.log.Warn("applying a configuration that no quorum has confirmed", zap.Uint64("revision", u.GetRevision()))
 	}
 	var earlier *earlierRevisionError
-	if err := plane.applyConfiguration(u); err != nil && !errors.As(err, &earlier) {
+	d := delivery{control: control, request: "poll", bytes: len(reply.GetUnconfirmed()), age: millis(reply.GetRevisionAgeMillis())}
+	if err := plane.applyConfiguration(u, d); err != nil && !errors.As(err, &earlier) {
 		p.router.log.Error("unconfirmed configuration was rejected", zap.Error(err))
 	}
 }
--- a/internal/router/control_poller_test.go
+++ b/internal/router/control_poller_test.go
@@ -54,7 +54,7 @@
 	if p.newRequest(cursor{}, 0).GetWantUnconfirmed() {
 		t.Error("a process that has just started does not wait for a confirmed configuration")
 	}
-	if err := r.controlPlane.applyConfiguration(whole(7)); err != nil {
+	if err := r.controlPlane.applyConfiguration(whole(7), delivery{}); err != nil {
 		t.Fatal(err)
 	}
 	request := p.newRequest(cursor{}, 0)
@@ -65,7 +65,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p.apply(request, &wire.FollowReply{Revision: 9, Unconfirmed: encoded})
+	p.apply("", request, &wire.FollowReply{Revision: 9, Unconfirmed: encoded})
 	if r.controlPlane.revision() != 9 {
 		t.Errorf("revision %d after the reply, want 9", r.controlPlane.revision())
 	}
@@ -77,7 +77,7 @@
 		t.Error("a sync was requested although nothing is missing")
 	default:
 	}
-	p.apply(request, &wire.FollowReply{Revision: 8, UnconfirmedMessage: whole(8)})
+	p.apply("", request, &wire.FollowReply{Revision: 8, UnconfirmedMessage: whole(8)})
 	if r.controlPlane.revision() != 9 {
 		t.Errorf("revision %d after an earlier one, want 9", r.controlPlane.revision())
 	}
@@ -106,7 +106,7 @@
 	first := &wire.FollowReply{Table: 7, Position: 3, WholeTable: true, Upstreams: []*wire.Upstream{
 		row("renewed", 3*time.Second), row("overdue", 3*time.Second), row("removed", 3*time.Second),
 	}}
-	p.apply(&wire.Follow{}, first)
+	p.apply("", &wire.Follow{}, first)
 	if p.renewLeases(view, first); len(view.lacking) > 0 {
 		t.Errorf("%v are asked for right after the whole table came", view.lacking)
 	}
@@ -124,7 +124,7 @@
 		t.Errorf("%v are asked for, want the one upstream whose lease has ended here", view.lacking)
 	}
 	found := &wire.FollowReply{Table: 7, Upstreams: []*wire.Upstream{row("renewed", 0)}}
-	p.apply(&wire.Follow{}, found)
+	p.apply("", &wire.Follow{}, found)
 	if p.renewLeases(view, found); len(view.lacking) != 0 || r.dispatcher.registry.Get("renewed") == nil {
 		t.Errorf("%v are asked for after the row came", view.lacking)
 	}
--- a/internal/router/controlplane.go
+++ b/internal/router/controlplane.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/messenger"
@@ -69,6 +70,19 @@
 		err    error
 	}
 
+	// delivery is how a configuration has arrived. It is logged.
+	delivery struct {
+		// control is the address of the control process.
+		control string
+		// request is the kind of request that the configuration is the reply to.
+		request string
+		// bytes is the encoded size.
+		bytes int
+		// age is the time from the control process's application of the revision until it
+		// replied.
+		age time.Duration
+	}
+
 	// identity is the organisation that a call runs for and the key that
 	// authenticates it; the zero value is anonymous.
 	identity struct {
@@ -149,7 +163,7 @@
 		case <-next:
 		case result := <-results:
 			if result.err == nil {
-				result.err = p.applyReply(sentAt, result.reply)
+				result.err = p.applyReply(sentAt, result)
 			}
 			if result.err == nil {
 				return
@@ -208,8 +222,12 @@
 
 // applyReply applies the reply to a sync request that was sent at sentAt. The
 // freshness counts from then, not from the arrival of the reply.
-func (p *controlPlane) applyReply(sentAt time.Duration, reply *wire.SyncReply) error {
-	if err := p.applyConfiguration(reply); err != nil {
+func (p *controlPlane) applyReply(sentAt time.Duration, result syncResult) error {
+	reply := result.reply
+	err := p.applyConfiguration(reply, delivery{
+		control: result.client.Address(), request: "sync", bytes: proto.Size(reply), age: millis(reply.GetRevisionAgeMillis()),
+	})
+	if err != nil {
 		return err
 	}
 	p.router.dispatcher.setDraining(reply.GetDraining())
@@ -221,7 +239,10 @@
 
 // applyConfiguration applies the configuration or the changes in a reply. It
 // rejects an earlier revision and changes that do not follow each other.
-func (p *controlPlane) applyConfiguration(reply *wire.SyncReply) error {
+func (p *controlPlane) applyConfiguration(reply *wire.SyncReply, d delivery) error {
+	if reply.GetWhole() || len(reply.GetChanges()) > 0 {
+		p.router.metrics.configurationBytes.Inc(int64(d.bytes))
+	}
 	p.applyMu.Lock()
 	defer p.applyMu.Unlock()
 	current := p.catalog.Load()
@@ -252,11 +273,14 @@
 	p.catalog.Store(next)
 	if current == nil || current.Revision() != received {
 		p.router.metrics.revision.Update(float64(received))
-		p.router.log.Info("configuration in force", zap.Uint64("revision", uint64(received)))
+		p.router.log.Info("configuration in force", zap.Uint64("revision", uint64(received)), zap.Bool("whole", reply.GetWhole()),
+			zap.Int("bytes", d.bytes), zap.String("request", d.request), zap.String("control", d.control), zap.Duration("age", d.age))
 	}
 	return nil
 }
 
+func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
 // revision returns the revision in use, or 0 before the first configuration.
 func (p *controlPlane) revision() configurer.Revision {
 	if c := p.catalog.Load(); c != nil {
--- a/internal/router/controlplane_test.go
+++ b/internal/router/controlplane_test.go
@@ -39,17 +39,17 @@
 	whole := func(revision uint64) *wire.SyncReply {
 		return &wire.SyncReply{Revision: revision, Whole: true, Configuration: &state.Configuration{}}
 	}
-	if err := p.applyConfiguration(whole(7)); err != nil {
+	if err := p.applyConfiguration(whole(7), delivery{}); err != nil {
 		t.Fatal(err)
 	}
 	var earlier *earlierRevisionError
-	if err := p.applyConfiguration(whole(6)); !errors.As(err, &earlier) || p.revision() != 7 {
+	if err := p.applyConfiguration(whole(6), delivery{}); !errors.As(err, &earlier) || p.revision() != 7 {
 		t.Errorf("earlier revision: error %v, revision %d; want an earlierRevisionError and revision 7", err, p.revision())
 	}
 	gap := &wire.SyncReply{Revision: 9, Changes: []*state.Revised{{Revision: 9, Operation: &state.Operation{
 		Kind: &state.Operation_PutOrganisation{PutOrganisation: &state.Organisation{Id: "o"}},
 	}}}}
-	if err := p.applyConfiguration(gap); err == nil || p.revision() != 7 {
+	if err := p.applyConfiguration(gap, delivery{}); err == nil || p.revision() != 7 {
 		t.Errorf("changes with a gap were applied: revision %d, want 7", p.revision())
 	}
 }
@@ -67,7 +67,7 @@
 			}},
 		})
 	}
-	if err := p.applyConfiguration(reply); err != nil || p.revision() != 2 {
+	if err := p.applyConfiguration(reply, delivery{}); err != nil || p.revision() != 2 {
 		t.Errorf("error %v, revision %d; want no error and revision 2", err, p.revision())
 	}
 }
@@ -82,7 +82,7 @@
 	err := p.applyConfiguration(&wire.SyncReply{
 		Revision: 1, Whole: true, Configuration: &state.Configuration{},
 		Keys: []*state.Key{{Id: "k", Organisation: "one", Hash: hash[:]}},
-	})
+	}, delivery{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -143,7 +143,7 @@
 					Routes:  []*state.Route{{Name: "r", PathPrefix: "/known/", Kind: configurer.KindService, Service: "s", Classes: []string{"c"}}},
 				},
 				Keys: []*state.Key{{Id: "k", Organisation: "one", Hash: hash[:]}},
-			})
+			}, delivery{})
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/router/endless_test.go
+++ b/internal/router/endless_test.go
@@ -145,7 +145,7 @@
 			Load: registrar.Load{Slots: 10_000},
 		})
 	}
-	if err = r.controlPlane.applyConfiguration(&wire.SyncReply{Revision: 1, Whole: true, Configuration: configuration}); err != nil {
+	if err = r.controlPlane.applyConfiguration(&wire.SyncReply{Revision: 1, Whole: true, Configuration: configuration}, delivery{}); err != nil {
 		t.Fatal(err)
 	}
 	return r
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -10,11 +10,14 @@
 
 // metrics holds the metrics of an entry process.
 type metrics struct {
-	scope          tally.Scope
-	revision       tally.Gauge
-	syncFailures   tally.Counter
-	retries        tally.Counter
-	resumedStreams tally.Counter
+	scope        tally.Scope
+	revision     tally.Gauge
+	syncFailures tally.Counter
+	// configurationBytes counts the bytes of all replies with a configuration, also of those
+	// that arrive a second time.
+	configurationBytes tally.Counter
+	retries            tally.Counter
+	resumedStreams     tally.Counter
 	// silentConnections counts the connections that watchSilence abandoned.
 	silentConnections tally.Counter
 	// mismatchedResponses counts responses that carry the id of another attempt.
@@ -26,6 +29,7 @@
 		scope:               scope,
 		revision:            scope.Gauge("configuration_revision"),
 		syncFailures:        scope.Counter("configuration_sync_failures"),
+		configurationBytes:  scope.Counter("configuration_bytes"),
 		retries:             scope.Counter("attempts_retried"),
 		resumedStreams:      scope.Counter("streams_resumed"),
 		silentConnections:   scope.Counter("connections_silent"),
--- a/internal/router/notice_test.go
+++ b/internal/router/notice_test.go
@@ -53,7 +53,7 @@
 			Name: "r", PathPrefix: "/", Kind: configurer.KindService, Service: noticeService, Classes: []string{"c"},
 			OpenToAll: true, Timeout: durationpb.New(2 * time.Second),
 		}},
-	}})
+	}}, delivery{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -116,7 +116,7 @@
 			if len(p.newRequest(cursor{}, 0).GetLeaving()) != 1 {
 				t.Error("the withdrawal is not sent again although no control process has acknowledged it")
 			}
-			p.apply(request, &wire.FollowReply{})
+			p.apply("", request, &wire.FollowReply{})
 			if len(p.newRequest(cursor{}, 0).GetLeaving()) != 0 {
 				t.Error("the withdrawal is sent again after it was acknowledged")
 			}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -20,6 +20,7 @@
 	"github.com/comfreybend/comfreybend/internal/instrumenter"
 	"github.com/comfreybend/comfreybend/internal/messenger"
 	"github.com/comfreybend/comfreybend/internal/server"
+	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/settings"
 )
@@ -94,6 +95,10 @@
 	r.controlPoller = newControlPoller(r)
 	r.peers = newPeerExchanger(r, security)
 	r.dispatcher.onWithdrawn = r.peers.queueAnnouncement
+	r.dispatcher.onLeaving = func(u registrar.Upstream) {
+		r.log.Info("upstream is leaving", zap.String("upstream", string(u.ID)), zap.Uint64("incarnation", uint64(u.Incarnation)),
+			zap.Duration("age", timer.Now()-u.AnnouncedAt))
+	}
 	r.upstreamClient.onResponse = r.handleNotices
 	return r, nil
 }
