--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -21,6 +21,9 @@
 	// Client sends requests to the process at one address. It connects when needed and
 	// is safe for concurrent use.
 	Client struct {
+		// Dial opens a connection. It may be replaced before the first request.
+		Dial func(ctx context.Context, address string) (net.Conn, error)
+
 		address        string
 		security       Security
 		connectTimeout time.Duration
@@ -61,7 +64,11 @@
 
 // NewClient returns a client for address. connectTimeout includes the TLS handshake.
 func NewClient(address string, security Security, connectTimeout time.Duration) *Client {
-	return &Client{address: address, security: security, connectTimeout: connectTimeout}
+	return &Client{Dial: dial, address: address, security: security, connectTimeout: connectTimeout}
+}
+
+func dial(ctx context.Context, address string) (net.Conn, error) {
+	return (&net.Dialer{Control: dialer.UserTimeout(writeTimeout)}).DialContext(ctx, "tcp", address)
 }
 
 // Address returns the address of the other process.
@@ -141,7 +148,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.connectTimeout)
 	defer cancel()
-	conn, err := (&net.Dialer{Control: dialer.UserTimeout(writeTimeout)}).DialContext(ctx, "tcp", c.address)
+	conn, err := c.Dial(ctx, c.address)
 	if err != nil {
 		return nil, errors.Wrap(err, "dialling")
 	}
--- a/internal/router/control_clients.go
+++ b/internal/router/control_clients.go
@@ -24,9 +24,10 @@
 // controlClients holds a client for each address of a control process: the addresses in
 // the settings (the seeds) and those reported by control processes.
 type controlClients struct {
-	security messenger.Security
 	seeds    []string
 	settings *settings.Entry
+	// newClient returns a client for an address. The timeout bounds connecting.
+	newClient func(address string, timeout time.Duration) *messenger.Client
 
 	mu sync.Mutex
 	// order holds the clients in the order in which to try them.
@@ -39,7 +40,10 @@
 }
 
 func newControlClients(e *settings.Entry, security messenger.Security) *controlClients {
-	c := &controlClients{security: security, seeds: e.GetControlAddresses(), settings: e, backoffUntil: map[string]time.Duration{}, backoff: map[string]time.Duration{}}
+	c := &controlClients{seeds: e.GetControlAddresses(), settings: e, backoffUntil: map[string]time.Duration{}, backoff: map[string]time.Duration{}}
+	c.newClient = func(address string, timeout time.Duration) *messenger.Client {
+		return messenger.NewClient(address, security, timeout)
+	}
 	c.setAddresses(nil)
 	return c
 }
@@ -64,7 +68,7 @@
 		added[address] = true
 		client := known[address]
 		if client == nil {
-			client = messenger.NewClient(address, c.security, timeout)
+			client = c.newClient(address, timeout)
 		}
 		delete(known, address)
 		order = append(order, client)
