--- /dev/null
+++ b/internal/router/configuration_test.go
@@ -0,0 +1,240 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/comfreybend/comfreybend/internal/configurer"
+	"github.com/comfreybend/comfreybend/internal/controller"
+	"github.com/comfreybend/comfreybend/internal/instrumenter"
+	"github.com/comfreybend/comfreybend/internal/messenger"
+	"github.com/comfreybend/comfreybend/internal/validator"
+	"github.com/comfreybend/comfreybend/pkg/timer"
+	"github.com/comfreybend/comfreybend/schema/settings"
+	"github.com/comfreybend/comfreybend/schema/state"
+	"github.com/comfreybend/comfreybend/schema/wire"
+)
+
+const (
+	// slowLinkRate is what client traffic leaves of a link of 10 Mbit/s, in bytes per second.
+	slowLinkRate = 250_000
+	// packetBytes is the payload of a packet.
+	packetBytes = 1460
+	// inForceTimeout is the time after its acknowledgement within which a change is in force
+	// at every entry process.
+	inForceTimeout = 2500 * time.Millisecond
+	// setupTimeout bounds the waits for what the test does not measure.
+	setupTimeout = 60 * time.Second
+)
+
+type (
+	// slowLink is the network link of a host, which all its connections share.
+	slowLink struct {
+		// received counts the bytes received on all connections.
+		received atomic.Int64
+
+		mu     sync.Mutex
+		freeAt time.Duration
+	}
+
+	slowConn struct {
+		net.Conn
+		link *slowLink
+	}
+
+	// controlGroup is a group of control processes that run in the test.
+	controlGroup struct {
+		t       *testing.T
+		clients []*messenger.Client
+	}
+)
+
+func (l *slowLink) dial(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &slowConn{Conn: conn, link: l}, nil
+}
+
+// Read receives at most one packet and takes as long as the link needs for it.
+func (c *slowConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p[:min(len(p), packetBytes)])
+	c.link.received.Add(int64(n))
+	c.link.mu.Lock()
+	c.link.freeAt = max(c.link.freeAt, timer.Now()) + time.Duration(n)*time.Second/slowLinkRate
+	wait := c.link.freeAt - timer.Now()
+	c.link.mu.Unlock()
+	timer.Sleep(context.Background(), wait)
+	return n, err
+}
+
+// portOffset is the offset of the port that reserveAddress tried last.
+var portOffset atomic.Int64
+
+// reserveAddress returns a loopback address whose port is free and below the ephemeral range.
+func reserveAddress(t *testing.T) string {
+	t.Helper()
+	const firstPort, portCount = 10_000, 2000
+	portOffset.CompareAndSwap(0, int64(os.Getpid()*31%portCount))
+	for range portCount {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+portOffset.Add(1)%portCount)
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
+			return address
+		}
+	}
+	t.Fatal("no free port")
+	return ""
+}
+
+// startControlGroup starts three control processes, which stop at the end of the test.
+func startControlGroup(t *testing.T) *controlGroup {
+	t.Helper()
+	g := &controlGroup{t: t}
+	var members []*settings.ControlPeer
+	for i := range 3 {
+		members = append(members, &settings.ControlPeer{Id: fmt.Sprint("control-", i), Address: reserveAddress(t)})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	for _, m := range members {
+		s := &settings.Settings{
+			Host: &settings.Host{Id: m.GetId(), FailureDomain: "a"},
+			Control: &settings.Control{
+				PeerListen: m.GetAddress(), OperatorListen: reserveAddress(t), StatusListen: reserveAddress(t),
+				DataFolder: filepath.Join(t.TempDir(), m.GetId()), Peers: members,
+			},
+		}
+		validator.FillDefaults(s)
+		c, err := controller.New(s, controller.Dialect{}, zap.NewNop(), instrumenter.New("control"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		running.Go(func() {
+			if err := c.Run(ctx); err != nil {
+				t.Error(err)
+			}
+		})
+		client := messenger.NewClient(m.GetAddress(), messenger.Security{}, time.Second)
+		t.Cleanup(client.Close)
+		g.clients = append(g.clients, client)
+	}
+	return g
+}
+
+func (g *controlGroup) addresses() []string {
+	var out []string
+	for _, c := range g.clients {
+		out = append(out, c.Address())
+	}
+	return out
+}
+
+// put commits a document and returns the revision that it leads to.
+func (g *controlGroup) put(d *state.Document) configurer.Revision {
+	g.t.Helper()
+	request := &wire.Request{Kind: &wire.Request_Propose{Propose: &state.Command{Kind: &state.Command_Document{Document: d}}}}
+	for end := timer.Now() + setupTimeout; timer.Now() < end; timer.Sleep(g.t.Context(), 20*time.Millisecond) {
+		for _, client := range g.clients {
+			ctx, cancel := context.WithTimeout(g.t.Context(), 5*time.Second)
+			reply, err := client.Call(ctx, request)
+			cancel()
+			if outcome := reply.GetPropose().GetOutcome(); err == nil && outcome.GetAccepted() {
+				return configurer.Revision(outcome.GetRevision())
+			}
+		}
+	}
+	g.t.Fatal("the group does not commit the document")
+	return 0
+}
+
+// documentWithRoutes returns a document with routes of a class each.
+func documentWithRoutes(version uint64, routes int) *state.Document {
+	c := &state.Configuration{Organisations: []*state.Organisation{{Id: "one"}}}
+	for i := range routes {
+		name := fmt.Sprintf("route-%06d", i)
+		c.Classes = append(c.Classes, &state.Class{Name: name, Tier: 2, Target: &state.Target{FirstToken: durationpb.New(time.Second)}})
+		c.Routes = append(c.Routes, &state.Route{
+			Name: name, Host: "host.example", PathPrefix: "/" + name + "/", Kind: configurer.KindService, Service: "service",
+			Classes: []string{name}, Attempts: 2, Timeout: durationpb.New(8 * time.Second),
+		})
+	}
+	return &state.Document{Version: version, Configuration: c}
+}
+
+// startEntryBehind returns an entry process that gets its configuration over a link, and
+// runs that part of it until the end of the test.
+func startEntryBehind(t *testing.T, link *slowLink, control []string) *Router {
+	t.Helper()
+	s := &settings.Settings{
+		Host: &settings.Host{Id: "e", FailureDomain: "a"},
+		Entry: &settings.Entry{
+			FollowControl: true, ServeStale: true, AnnouncementLease: durationpb.New(12 * time.Second),
+			SyncInterval: durationpb.New(time.Second), Freshness: durationpb.New(5 * time.Second),
+		},
+	}
+	validator.FillDefaults(s)
+	r, err := New(s, NativeDialect(), zap.NewNop(), instrumenter.New("entry"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.controlClients.newClient = func(address string, timeout time.Duration) *messenger.Client {
+		client := messenger.NewClient(address, messenger.Security{}, timeout)
+		client.Dial = link.dial
+		return client
+	}
+	r.controlClients.setSeeds(control)
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = r.controlPlane.run(ctx) })
+	running.Go(func() { _ = r.controlPoller.run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	return r
+}
+
+// awaitRevision waits until a revision is in force.
+func (r *Router) awaitRevision(t *testing.T, revision configurer.Revision, timeout time.Duration) {
+	t.Helper()
+	for end := timer.Now() + timeout; r.controlPlane.revision() < revision; timer.Sleep(t.Context(), 5*time.Millisecond) {
+		if timer.Now() > end {
+			t.Fatalf("revision %d is in force, not %d, %v after the acknowledgement", r.controlPlane.revision(), revision, timeout)
+		}
+	}
+}
+
+// TestGrownConfigurationOnSlowLink guards against acknowledged changes that are not in
+// force in time because an entry process fetches the whole configuration over and over.
+func TestGrownConfigurationOnSlowLink(t *testing.T) {
+	group := startControlGroup(t)
+	link := &slowLink{}
+	base := group.put(documentWithRoutes(1, 1400))
+	r := startEntryBehind(t, link, group.addresses())
+	r.awaitRevision(t, base, setupTimeout)
+
+	before := link.received.Load()
+	grown := group.put(documentWithRoutes(2, 2800))
+	grownAt := timer.Now()
+	next := group.put(documentWithRoutes(3, 2801))
+	nextAt := timer.Now()
+	r.awaitRevision(t, grown, inForceTimeout-(timer.Now()-grownAt))
+	r.awaitRevision(t, next, inForceTimeout-(timer.Now()-nextAt))
+	t.Logf("in force after %v and %d bytes", timer.Now()-grownAt, link.received.Load()-before)
+}
