keeper, router: send configuration changes as differences, fetch large ones once

Cause: every accepted document made the control processes forget the earlier changes, so that each revision travelled as the whole configuration, and an entry process fetched it on up to five ways at once: two polls, and sync requests hedged to every control process. The copies shared a link of 10 Mbit/s, and each fetch had a fixed deadline (1 s, 1.25 s) whatever its size: what had not arrived by then was thrown away and asked for again. The class: a deadline and a retry that do not depend on the size of what is fetched, so that beyond some size there is no progress at all. Ruled out: slow control hosts (replies leave at most 0.19 s after the revision was applied), slow entry hosts (6 % of a core of 19).

Polls wait while the revision they would report is being fetched. A confirmation counts once its revision is in use. Replies that overlap are not errors any more.

TestOverlappingReplies and TestFreshOnceFetched were seen failing with their protection removed.

--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -222,20 +222,13 @@
 func (c *Catalog) setConfiguration(configuration *state.Configuration) {
 	c.classes = map[ClassName]*state.Class{}
 	c.organisations = map[OrganisationID]*state.Organisation{}
-	c.routes = append([]*state.Route(nil), configuration.GetRoutes()...)
 	for _, class := range configuration.GetClasses() {
 		c.classes[ClassName(class.GetName())] = class
 	}
 	for _, o := range configuration.GetOrganisations() {
 		c.organisations[OrganisationID(o.GetId())] = o
 	}
-	sort.SliceStable(c.routes, func(i, j int) bool {
-		return len(c.routes[i].GetPathPrefix()) > len(c.routes[j].GetPathPrefix())
-	})
-	c.routesByHost = map[string][]*state.Route{}
-	for _, r := range c.routes {
-		c.routesByHost[r.GetHost()] = append(c.routesByHost[r.GetHost()], r)
-	}
+	c.setRoutes(append([]*state.Route(nil), configuration.GetRoutes()...))
 	c.priorities = c.allPriorities()
 	c.pools = map[string]*state.Pool{}
 	for _, p := range configuration.GetPools() {
@@ -243,6 +236,18 @@
 	}
 }
 
+// setRoutes replaces the routes. No two of them have the same host and path prefix.
+func (c *Catalog) setRoutes(routes []*state.Route) {
+	sort.SliceStable(routes, func(i, j int) bool {
+		return len(routes[i].GetPathPrefix()) > len(routes[j].GetPathPrefix())
+	})
+	c.routes = routes
+	c.routesByHost = map[string][]*state.Route{}
+	for _, r := range routes {
+		c.routesByHost[r.GetHost()] = append(c.routesByHost[r.GetHost()], r)
+	}
+}
+
 func (c *Catalog) putOrganisation(o *state.Organisation) error {
 	if o.GetId() == "" {
 		return &ValidationError{Path: "$.id", Problem: "an organisation needs an id"}
--- a/internal/controller/follow.go
+++ b/internal/controller/follow.go
@@ -8,7 +8,6 @@
 	"go.uber.org/zap"
 
 	"github.com/comfreybend/comfreybend/internal/announcer"
-	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/messenger"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/synchronizer"
@@ -185,13 +184,14 @@
 	if !f.GetAcceptsRenewals() && c.upstreamTable.wholeTableDue(f.GetHost()) {
 		table = 0
 	}
+	knownRevision := max(f.GetHaveRevision(), f.GetFetchedRevision())
 	for {
 		configurationChanged := c.stateMachine.Changed()
 		reply, tableUpdated = c.upstreamTable.changesSince(table, f.GetPosition(), !f.GetAcceptsRenewals())
 		c.upstreamTable.addLacking(reply, f.GetLacking())
 		reply.Revision = uint64(c.stateMachine.Revision())
 		remaining := until - timer.Now()
-		if reply.GetWholeTable() || len(reply.GetUpstreams())+len(reply.GetRemoved()) > 0 || reply.GetRevision() > f.GetHaveRevision() || remaining <= 0 {
+		if reply.GetWholeTable() || len(reply.GetUpstreams())+len(reply.GetRemoved()) > 0 || reply.GetRevision() > knownRevision || remaining <= 0 {
 			break
 		}
 		select {
@@ -224,12 +224,10 @@
 	reply.ControlAddresses = c.controlAddresses(f.GetFailureDomain())
 	reply.EntryHosts = int32(c.clusterView.entryCount())
 	reply.TrueMillis = c.clusterView.agreedTime(c.settings.GetHost().GetId()).UnixMilli()
-	if f.GetWantUnconfirmed() && reply.GetRevision() > f.GetHaveRevision() {
-		encoded, err := c.stateMachine.EncodedSince(configurer.Revision(f.GetHaveRevision()))
-		if err != nil {
+	if f.GetWantUnconfirmed() && reply.GetRevision() > knownRevision {
+		if err := c.addChanges(reply, f); err != nil {
 			return failureReply(ReasonInvalid, err.Error())
 		}
-		reply.Unconfirmed = encoded
 	}
 	return &wire.Reply{Kind: &wire.Reply_Follow{Follow: reply}}
 }
--- a/internal/controller/requests.go
+++ b/internal/controller/requests.go
@@ -5,7 +5,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/messenger"
 	"github.com/comfreybend/comfreybend/pkg/replicator"
 	"github.com/comfreybend/comfreybend/schema/state"
@@ -45,6 +44,8 @@
 		return &wire.Reply{Kind: &wire.Reply_Introduction{Introduction: own}}
 	case *wire.Request_Follow:
 		return c.servePoll(ctx, kind.Follow)
+	case *wire.Request_Fetch:
+		return c.serveFetch(kind.Fetch)
 	case *wire.Request_Spread:
 		c.receiveGossip(kind.Spread)
 		return nil
@@ -134,7 +135,10 @@
 	c.usage.record(s.GetUsage())
 	c.entries.record(s)
 	c.windows.record(c.clusterView.agreedTime(c.settings.GetHost().GetId()), s)
-	reply := c.stateMachine.SyncSince(configurer.Revision(s.GetHaveRevision()))
+	reply, err := c.syncChanges(s)
+	if err != nil {
+		return failureReply(ReasonInvalid, err.Error())
+	}
 	reply.RevisionAgeMillis = c.revisionAge().Milliseconds()
 	reply.LightParts = c.entries.lightShares()
 	if a := c.autoscaler.Load(); a != nil {
--- a/internal/keeper/change.go
+++ b/internal/keeper/change.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 
-	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/comfreybend/comfreybend/internal/configurer"
@@ -65,14 +64,27 @@
 	if err != nil {
 		return &state.Outcome{Revision: revision, Reason: ReasonInvalid, Detail: err.Error()}
 	}
+	before := m.catalog
 	m.catalog = next
 	m.notifyChanged()
-	revised := &state.Revised{Revision: uint64(next.Revision()), Operation: change.GetOperation()}
-	m.recentChanges = append(m.recentChanges, revised)
+	m.recentChanges = append(m.recentChanges, revisedBy(change.GetOperation(), before, next))
 	m.trimRecentChanges()
 	return &state.Outcome{Accepted: true, Revision: uint64(next.Revision())}
 }
 
+// revisedBy returns an accepted operation with its revision. An operation that replaces the
+// configuration becomes the difference that it makes, if that is smaller.
+func revisedBy(op *state.Operation, before, after *configurer.Catalog) *state.Revised {
+	revised := &state.Revised{Revision: uint64(after.Revision()), Operation: op}
+	if op.GetReplace() == nil && op.GetApplyConfiguration() == nil {
+		return revised
+	}
+	if patch := before.PatchTo(after); proto.Size(patch) < proto.Size(op) {
+		revised.Operation, revised.Patch = nil, patch
+	}
+	return revised
+}
+
 // trimRecentChanges drops the oldest changes beyond maxRecentChanges and maxRecentBytes.
 func (m *StateMachine) trimRecentChanges() {
 	size := 0
@@ -158,44 +170,6 @@
 	return append([]*state.AuditRecord(nil), m.audit...)
 }
 
-// SyncSince returns the changes after the revision from, or the whole configuration
-// if some of these changes are not kept or from is higher than the current revision.
-func (m *StateMachine) SyncSince(from configurer.Revision) *wire.SyncReply {
-	m.mu.RLock()
-	defer m.mu.RUnlock()
-	current := m.catalog.Revision()
-	reply := &wire.SyncReply{Revision: uint64(current)}
-	missing := int(current) - int(from)
-	if missing == 0 {
-		return reply
-	}
-	if missing > 0 && missing <= len(m.recentChanges) {
-		reply.Changes = append(reply.Changes, m.recentChanges[len(m.recentChanges)-missing:]...)
-		return reply
-	}
-	reply.Whole = true
-	reply.Configuration = m.catalog.Configuration()
-	reply.Keys = m.catalog.Keys()
-	return reply
-}
-
-// EncodedSince returns the encoded result of SyncSince. Many entry processes ask for the
-// same changes at a time, so the latest result is kept. The caller must not modify it.
-func (m *StateMachine) EncodedSince(from configurer.Revision) ([]byte, error) {
-	m.encodeMu.Lock()
-	defer m.encodeMu.Unlock()
-	if m.encoded != nil && m.encodedFrom == from && m.encodedTo == m.Revision() {
-		return m.encoded, nil
-	}
-	reply := m.SyncSince(from)
-	encoded, err := proto.Marshal(reply)
-	if err != nil {
-		return nil, errors.Wrap(err, "encoding the configuration")
-	}
-	m.encoded, m.encodedFrom, m.encodedTo = encoded, from, configurer.Revision(reply.GetRevision())
-	return encoded, nil
-}
-
 // MarshalDeterministic encodes equal operations as equal bytes. Callers hash the
 // result as the operation's fingerprint.
 func MarshalDeterministic(op *state.Operation) ([]byte, error) {
--- a/internal/keeper/document.go
+++ b/internal/keeper/document.go
@@ -32,8 +32,6 @@
 	})
 	if outcome.GetAccepted() {
 		m.document = &state.Document{Version: d.GetVersion(), Content: d.GetContent()}
-		// A document replaces everything, so entry processes fetch the whole configuration.
-		m.recentChanges = nil
 	}
 	m.auditSequence++
 	record := &state.AuditRecord{
--- a/internal/keeper/document_test.go
+++ b/internal/keeper/document_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"strings"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -95,13 +96,17 @@
 	if restored.Document().GetVersion() != 5 || string(restored.Document().GetContent()) != "a" {
 		t.Errorf("restored document %v, want version 5 with content %q", restored.Document(), "a")
 	}
-	reply := restored.SyncSince(0)
+	reply := changesBetween(t, restored, 0, 0, false)
 	if !reply.GetWhole() || len(reply.GetKeys()) != 1 || len(reply.GetChanges()) != 0 {
-		t.Errorf("SyncSince(0) = %v, want the whole configuration and one key", reply)
+		t.Errorf("without patches: %v, want the whole configuration and one key", reply)
 	}
 	applyDocumentCommand(t, restored, documentOf(6, "b", "secret"))
-	if reply = restored.SyncSince(1); !reply.GetWhole() || reply.GetRevision() != 2 {
-		t.Errorf("after another document SyncSince(1) returns revision %d, whole %t, want revision 2, whole true", reply.GetRevision(), reply.GetWhole())
+	if reply = changesBetween(t, restored, 1, 0, false); !reply.GetWhole() || reply.GetRevision() != 2 {
+		t.Errorf("after another document, without patches: revision %d, whole %t; want revision 2, whole true", reply.GetRevision(), reply.GetWhole())
+	}
+	reply = changesBetween(t, restored, 0, 0, true)
+	if reply.GetWhole() || len(reply.GetChanges()) != 2 || strings.Contains(reply.String(), "content") {
+		t.Errorf("with patches: %v, want two changes without the content of the documents", reply)
 	}
 }
 
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -81,11 +81,9 @@
 	// expectedHosts is the number of entry hosts that are expected to report the next aligned window.
 	expectedHosts int
 
-	// encodeMu guards the result of EncodedSince, with the revisions that it starts after
-	// and ends at.
-	encodeMu               sync.Mutex
-	encoded                []byte
-	encodedFrom, encodedTo configurer.Revision
+	contentMu sync.Mutex
+	// contents holds the latest results of ContentBetween, oldest first. contentMu guards it.
+	contents []cachedContent
 }
 
 // New returns a state machine with an empty state.
@@ -147,7 +145,7 @@
 		FencingNumber:     m.fencingNumber,
 		Holder:            m.leaseHolder,
 		OpenIntents:       m.openIntents,
-		Recent:            m.recentChanges,
+		RecentChanges:     m.recentChanges,
 		ClockMillis:       m.latestMillis,
 		Document:          m.document,
 		AlignedWindow:     m.alignedWindow,
@@ -174,7 +172,7 @@
 	m.reset()
 	m.latestMillis = s.GetClockMillis()
 	m.catalog = configurer.Restore(configurer.Revision(s.GetRevision()), s.GetConfiguration(), s.GetKeys())
-	m.recentChanges = s.GetRecent()
+	m.recentChanges = s.GetRecentChanges()
 	m.audit = s.GetAudit()
 	m.auditSequence = s.GetAuditSequence()
 	for _, r := range m.audit {
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -78,17 +78,18 @@
 	}
 }
 
-// TestRecentChangesAreBounded applies large configurations until old changes are
-// dropped: an entry process at an older revision gets the whole configuration.
+// TestRecentChangesAreBounded applies large configurations, of which nothing stays the same,
+// until old changes are dropped: an entry process at an older revision gets the whole
+// configuration.
 func TestRecentChangesAreBounded(t *testing.T) {
 	m := New()
-	large := &state.Configuration{}
-	for i := range 2000 {
-		large.Organisations = append(large.Organisations, &state.Organisation{
-			Id: fmt.Sprint(i), Name: strings.Repeat("n", 1000),
-		})
-	}
 	for revision := range uint64(10) {
+		large := &state.Configuration{}
+		for i := range 2000 {
+			large.Organisations = append(large.Organisations, &state.Organisation{
+				Id: fmt.Sprint(i), Name: strings.Repeat(fmt.Sprint(revision), 1000),
+			})
+		}
 		op := &state.Operation{Kind: &state.Operation_ApplyConfiguration{ApplyConfiguration: large}}
 		apply(t, m, 1, change(fmt.Sprint("c", revision), revision, op))
 	}
@@ -99,11 +100,11 @@
 	if size > maxRecentBytes || len(m.recentChanges) == 0 {
 		t.Errorf("kept %d recent changes of %d bytes in total, want at least 1 and at most %d bytes", len(m.recentChanges), size, maxRecentBytes)
 	}
-	if reply := m.SyncSince(1); !reply.GetWhole() || reply.GetRevision() != 10 {
-		t.Errorf("SyncSince(1) returns revision %d, whole %t, want revision 10, whole true", reply.GetRevision(), reply.GetWhole())
+	if reply := changesBetween(t, m, 1, 0, true); !reply.GetWhole() || reply.GetRevision() != 10 {
+		t.Errorf("after revision 1: revision %d, whole %t; want revision 10, whole true", reply.GetRevision(), reply.GetWhole())
 	}
-	if reply := m.SyncSince(9); reply.GetWhole() || len(reply.GetChanges()) != 1 {
-		t.Errorf("SyncSince(9) returns whole %t and %d changes, want one change", reply.GetWhole(), len(reply.GetChanges()))
+	if reply := changesBetween(t, m, 9, 0, true); reply.GetWhole() || len(reply.GetChanges()) != 1 {
+		t.Errorf("after revision 9: whole %t and %d changes; want one change", reply.GetWhole(), len(reply.GetChanges()))
 	}
 }
 
--- a/internal/router/control_poller.go
+++ b/internal/router/control_poller.go
@@ -233,7 +233,10 @@
 		WaitMillis:      maxPollWait.Milliseconds(),
 		AcceptsRenewals: true,
 		WantUnconfirmed: p.router.controlPlane.hasConfiguration() || timer.Now()-p.startedAt > unconfirmedDelay,
+		FetchesChanges:  true,
 	}
+	fetched, _ := p.router.fetcher.wanted()
+	request.FetchedRevision = uint64(fetched)
 	if index > 0 && p.router.controlPlane.hasConfiguration() {
 		// Changes come from the control process at index 0, unless that does not answer.
 		request.WantUnconfirmed = from.behindSince != 0 && timer.Now()-from.behindSince > changeDelay
@@ -284,7 +287,12 @@
 	r.dispatcher.setEntryProcesses(int(reply.GetEntryHosts()))
 	r.windows.setAgreedTime(now, time.UnixMilli(reply.GetTrueMillis()))
 	p.applyUnconfirmed(control, reply)
-	if configurer.Revision(reply.GetRevision()) > r.controlPlane.revision() && request.GetWantUnconfirmed() {
+	revision := configurer.Revision(reply.GetRevision())
+	switch {
+	case revision <= r.controlPlane.revision() || !request.GetWantUnconfirmed():
+	case reply.GetFetchable():
+		r.fetcher.request(revision, control)
+	case request.GetFetchedRevision() < reply.GetRevision():
 		r.controlPlane.requestSync()
 	}
 }
@@ -305,9 +313,6 @@
 	if u == nil || configurer.Revision(u.GetRevision()) <= plane.revision() {
 		return
 	}
-	if !plane.hasConfiguration() {
-		p.router.log.Warn("applying a configuration that no quorum has confirmed", zap.Uint64("revision", u.GetRevision()))
-	}
 	var earlier *earlierRevisionError
 	d := delivery{control: control, request: "poll", bytes: len(reply.GetUnconfirmed()), age: millis(reply.GetRevisionAgeMillis())}
 	if err := plane.applyConfiguration(u, d); err != nil && !errors.As(err, &earlier) {
--- a/internal/router/controlplane.go
+++ b/internal/router/controlplane.go
@@ -55,6 +55,10 @@
 		syncMu sync.Mutex
 		// applyMu is held while a configuration is applied.
 		applyMu sync.Mutex
+		// confirmed is the revision that a quorum has confirmed to be the latest one at
+		// confirmedAt, zero before the first time. applyMu guards them.
+		confirmed   configurer.Revision
+		confirmedAt time.Duration
 
 		// syncRequested makes run send the next sync request without delay.
 		syncRequested chan struct{}
@@ -163,7 +167,7 @@
 		case <-next:
 		case result := <-results:
 			if result.err == nil {
-				result.err = p.applyReply(sentAt, result)
+				result.err = p.applyReply(sentAt, configurer.Revision(request.GetSync().GetHaveRevision()), result)
 			}
 			if result.err == nil {
 				return
@@ -212,6 +216,8 @@
 		Upstreams:     p.router.dispatcher.announcedUpstreams(),
 		Demands:       p.router.dispatcher.poolDemands(),
 		Windows:       p.router.windows.recent(),
+
+		FetchesChanges: true,
 	}
 	if p.router.settings.GetEntry().GetFollowControl() {
 		s.Upstreams = nil
@@ -220,23 +226,47 @@
 	return s
 }
 
-// applyReply applies the reply to a sync request that was sent at sentAt. The
-// freshness counts from then, not from the arrival of the reply.
-func (p *controlPlane) applyReply(sentAt time.Duration, result syncResult) error {
-	reply := result.reply
-	err := p.applyConfiguration(reply, delivery{
-		control: result.client.Address(), request: "sync", bytes: proto.Size(reply), age: millis(reply.GetRevisionAgeMillis()),
-	})
-	if err != nil {
-		return err
+// applyReply applies the reply to a sync request that was sent at sentAt, when the
+// revision held was in use. The freshness counts from then, not from the arrival of the reply.
+func (p *controlPlane) applyReply(sentAt time.Duration, held configurer.Revision, result syncResult) error {
+	reply, revision := result.reply, configurer.Revision(result.reply.GetRevision())
+	if revision < held {
+		return &earlierRevisionError{Held: held, Received: revision}
+	}
+	p.confirm(revision, sentAt)
+	switch {
+	case revision <= p.revision():
+	case reply.GetFetchable():
+		p.router.fetcher.request(revision, result.client.Address())
+	default:
+		d := delivery{control: result.client.Address(), request: "sync", bytes: proto.Size(reply), age: millis(reply.GetRevisionAgeMillis())}
+		if err := p.applyConfiguration(reply, d); err != nil {
+			return err
+		}
 	}
 	p.router.dispatcher.setDraining(reply.GetDraining())
 	p.router.dispatcher.setLightShares(reply.GetLightParts())
 	p.usagePushedAt = sentAt
-	p.freshUntil.Store(int64(sentAt + p.freshness))
 	return nil
 }
 
+// confirm records that a revision was the latest one at a time, as a quorum has confirmed.
+// The configuration is fresh from then on if that revision or a later one is in use, or
+// else once it is.
+func (p *controlPlane) confirm(revision configurer.Revision, at time.Duration) {
+	p.applyMu.Lock()
+	defer p.applyMu.Unlock()
+	p.confirmed, p.confirmedAt = revision, at
+	p.refresh()
+}
+
+// refresh extends the freshness if the confirmed revision or a later one is in use.
+func (p *controlPlane) refresh() {
+	if p.confirmedAt > 0 && p.revision() >= p.confirmed {
+		p.freshUntil.Store(int64(p.confirmedAt + p.freshness))
+	}
+}
+
 // applyConfiguration applies the configuration or the changes in a reply. It
 // rejects an earlier revision and changes that do not follow each other.
 func (p *controlPlane) applyConfiguration(reply *wire.SyncReply, d delivery) error {
@@ -258,9 +288,17 @@
 		next = configurer.Restore(received, reply.GetConfiguration(), reply.GetKeys())
 	}
 	for _, change := range reply.GetChanges() {
+		if configurer.Revision(change.GetRevision()) <= next.Revision() {
+			// Another reply has brought it meanwhile.
+			continue
+		}
 		if configurer.Revision(change.GetRevision()) != next.Revision()+1 {
 			return errors.Errorf("change to revision %d does not follow revision %d", change.GetRevision(), next.Revision())
 		}
+		if change.GetPatch() != nil {
+			next = next.ApplyPatch(change.GetPatch())
+			continue
+		}
 		applied, err := next.Apply(change.GetOperation())
 		if err != nil {
 			return errors.Wrap(err, "applying a committed change")
@@ -270,7 +308,11 @@
 	if next.Revision() != received {
 		return errors.Errorf("changes end at revision %d, not %d", next.Revision(), received)
 	}
+	if current == nil && p.confirmedAt == 0 {
+		p.router.log.Warn("applying a configuration that no quorum has confirmed", zap.Uint64("revision", uint64(received)))
+	}
 	p.catalog.Store(next)
+	p.refresh()
 	if current == nil || current.Revision() != received {
 		p.router.metrics.revision.Update(float64(received))
 		p.router.log.Info("configuration in force", zap.Uint64("revision", uint64(received)), zap.Bool("whole", reply.GetWhole()),
--- /dev/null
+++ b/internal/router/fetcher_test.go
@@ -0,0 +1,188 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/comfreybend/comfreybend/internal/configurer"
+	"github.com/comfreybend/comfreybend/internal/instrumenter"
+	"github.com/comfreybend/comfreybend/internal/validator"
+	"github.com/comfreybend/comfreybend/schema/settings"
+	"github.com/comfreybend/comfreybend/schema/state"
+	"github.com/comfreybend/comfreybend/schema/wire"
+)
+
+// partServer stands for a control process that hands out parts of one content.
+type partServer struct {
+	revision uint64
+	data     []byte
+	// failAt is the offset from which parts do not come; zero for none.
+	failAt int64
+	// sent counts the bytes of all parts.
+	sent atomic.Int64
+}
+
+func (s *partServer) handle(ctx context.Context, r *wire.Request) *wire.Reply {
+	f := r.GetFetch()
+	if f == nil {
+		return &wire.Reply{Failure: &wire.Failure{Reason: "noLeader"}}
+	}
+	digest := uint64(len(s.data)) + s.revision
+	reply := &wire.FetchReply{Revision: s.revision, Digest: digest, Size: int64(len(s.data))}
+	if f.GetDigest() == digest {
+		reply.Offset = f.GetOffset()
+	}
+	if s.failAt > 0 && reply.GetOffset() >= s.failAt {
+		<-ctx.Done()
+		return nil
+	}
+	reply.Data = s.data[reply.GetOffset():min(reply.GetOffset()+f.GetMaxBytes(), int64(len(s.data)))]
+	s.sent.Add(int64(len(reply.GetData())))
+	return &wire.Reply{Kind: &wire.Reply_Fetch{Fetch: reply}}
+}
+
+// encodedConfiguration returns a whole configuration of some hundred kilobytes.
+func encodedConfiguration(t *testing.T, revision uint64, routes int) []byte {
+	t.Helper()
+	d := documentWithRoutes(1, routes)
+	data, err := proto.Marshal(&wire.SyncReply{Revision: revision, Whole: true, Configuration: d.GetConfiguration()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// newRouterOf returns an entry process that is not running, and knows control processes.
+func newRouterOf(t *testing.T, servers ...*partServer) *Router {
+	t.Helper()
+	s := &settings.Settings{
+		Host:  &settings.Host{Id: "e", FailureDomain: "a"},
+		Entry: &settings.Entry{Freshness: durationpb.New(20 * time.Second)},
+	}
+	for _, server := range servers {
+		s.Entry.ControlAddresses = append(s.Entry.ControlAddresses, startControl(t, server.handle))
+	}
+	validator.FillDefaults(s)
+	r, err := New(s, NativeDialect(), zap.NewNop(), instrumenter.New("entry"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.controlClients.close)
+	return r
+}
+
+// TestInterruptedFetchContinues guards against a fetch that begins again whenever a control
+// process fails, so that a large configuration never arrives over a slow link.
+func TestInterruptedFetchContinues(t *testing.T) {
+	data := encodedConfiguration(t, 7, 2000)
+	if len(data) < 4*fetchPartBytes {
+		t.Fatalf("the configuration has %d bytes, want several parts", len(data))
+	}
+	tests := map[string]struct {
+		servers []*partServer
+		// most is the number of bytes that may be sent in all.
+		most int
+	}{
+		"nothing fails": {servers: []*partServer{{revision: 7, data: data}}, most: len(data)},
+		"the first control process hangs": {
+			servers: []*partServer{{revision: 7, data: data, failAt: 2 * fetchPartBytes}, {revision: 7, data: data}}, most: len(data),
+		},
+		"the first one lags behind": {
+			servers: []*partServer{{revision: 0, data: data[:1]}, {revision: 7, data: data}}, most: len(data) + 1,
+		},
+		"the second one has other changes": {
+			servers: []*partServer{
+				{revision: 6, data: encodedConfiguration(t, 6, 1000), failAt: 2 * fetchPartBytes}, {revision: 7, data: data},
+			},
+			most: len(data) + 2*fetchPartBytes,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRouterOf(t, test.servers...)
+			r.fetcher.request(7, r.controlClients.preferred().Address())
+			current := &fetch{}
+			for r.controlPlane.revision() < 7 && t.Context().Err() == nil {
+				current = r.fetcher.fetchFromAny(t.Context(), current)
+			}
+			sent := 0
+			for _, server := range test.servers {
+				sent += int(server.sent.Load())
+			}
+			if sent > test.most {
+				t.Errorf("%d bytes were sent, want at most %d", sent, test.most)
+			}
+			if route := r.controlPlane.catalog.Load().Route("host.example", "/route-001999/"); route == nil {
+				t.Error("the last route is missing")
+			}
+			if target, _ := r.fetcher.wanted(); target != 0 {
+				t.Errorf("revision %d is still wanted", target)
+			}
+		})
+	}
+}
+
+// TestFreshOnceFetched guards against keys that are accepted by a configuration that is known
+// to be outdated: the confirmation of a revision counts only once that is in use.
+func TestFreshOnceFetched(t *testing.T) {
+	server := &partServer{revision: 7, data: encodedConfiguration(t, 7, 2000)}
+	r := newRouterOf(t, server)
+	p := r.controlPlane
+	if err := p.applyConfiguration(&wire.SyncReply{Revision: 6, Whole: true}, delivery{}); err != nil {
+		t.Fatal(err)
+	}
+	sentAt := p.now()
+	result := syncResult{client: r.controlClients.preferred(), reply: &wire.SyncReply{Revision: 7, Fetchable: true}}
+	if err := p.applyReply(sentAt, 6, result); err != nil || p.fresh() {
+		t.Fatalf("error %v, fresh %t before the fetch; want neither", err, p.fresh())
+	}
+	r.fetcher.fetchFromAny(t.Context(), &fetch{})
+	if p.revision() != 7 || time.Duration(p.freshUntil.Load()) != sentAt+p.freshness {
+		t.Errorf("revision %d, fresh for %v after the request; want 7 and %v", p.revision(), time.Duration(p.freshUntil.Load())-sentAt, p.freshness)
+	}
+}
+
+// revisedOrganisation returns a change that adds an organisation.
+func revisedOrganisation(revision uint64) *state.Revised {
+	return &state.Revised{Revision: revision, Operation: &state.Operation{
+		Kind: &state.Operation_PutOrganisation{PutOrganisation: &state.Organisation{Id: fmt.Sprint(revision)}},
+	}}
+}
+
+// TestOverlappingReplies guards against replies that are rejected since another one has
+// brought a part of their changes meanwhile.
+func TestOverlappingReplies(t *testing.T) {
+	group := func(first, last uint64) *wire.SyncReply {
+		reply := &wire.SyncReply{Revision: last}
+		for revision := first; revision <= last; revision++ {
+			reply.Changes = append(reply.Changes, revisedOrganisation(revision))
+		}
+		return reply
+	}
+	r := newRouterOf(t, &partServer{})
+	client := r.controlClients.preferred()
+	for _, step := range []struct {
+		held  configurer.Revision
+		reply *wire.SyncReply
+		want  configurer.Revision
+	}{
+		{held: 0, reply: group(1, 3), want: 3},
+		{held: 1, reply: group(2, 5), want: 5},
+		{held: 2, reply: group(3, 4), want: 5},
+		{held: 5, reply: group(6, 6), want: 6},
+	} {
+		if err := r.controlPlane.applyReply(1, step.held, syncResult{client: client, reply: step.reply}); err != nil || r.controlPlane.revision() != step.want {
+			t.Errorf("changes up to %d after %d: error %v, revision %d, want %d", step.reply.GetRevision(), step.held, err, r.controlPlane.revision(), step.want)
+		}
+	}
+	if err := r.controlPlane.applyReply(1, 6, syncResult{client: client, reply: group(5, 5)}); err == nil {
+		t.Error("a control process that has lost a revision is not noticed")
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -56,6 +56,7 @@
 	incarnation    string
 
 	controlPlane   *controlPlane
+	fetcher        *configurationFetcher
 	dispatcher     *dispatcher
 	upstreamClient *upstreamClient
 	usage          *usageCounters
@@ -92,6 +93,7 @@
 	r.upstreamClient = newUpstreamClient(s.GetEntry(), dialect)
 	r.controlClients = newControlClients(s.GetEntry(), security)
 	r.controlPlane = newControlPlane(r)
+	r.fetcher = newConfigurationFetcher(r)
 	r.controlPoller = newControlPoller(r)
 	r.peers = newPeerExchanger(r, security)
 	r.dispatcher.onWithdrawn = r.peers.queueAnnouncement
@@ -119,6 +121,7 @@
 	clients := r.clientServer()
 	group.Go(func() error { return peerServer.Run(running) })
 	group.Go(func() error { return r.controlPlane.run(running) })
+	group.Go(func() error { return r.fetcher.run(running) })
 	group.Go(func() error { return r.peers.run(running) })
 	group.Go(func() error { return r.controlPoller.run(running) })
 	group.Go(func() error { return r.dispatcher.run(running) })
