controller: commit the leave of an upstream before it is acknowledged

Cause: announcements are kept in memory and gossiped, and a leave was acknowledged before any other process had it. The class: an acknowledgement of something that only one process knows. The replicated log's own acknowledgements were checked: changes, claims, fencing numbers and windows are committed first; usage pushes are bounded losses by design; the reports of leaves by entry processes had the same fault and take the same way now.

Gossip goes out at once and still tells of it first.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -79,6 +79,8 @@
 		clusterView   *clusterView
 		loads         *loadTable
 		windows       *windowCollector
+		// gossipWanted makes runGossip send without delay.
+		gossipWanted chan struct{}
 		// autoscaler is nil until runPlatformAgent starts.
 		autoscaler atomic.Pointer[autoscaler]
 
@@ -113,6 +115,7 @@
 		clusterView:     newClusterView(),
 		loads:           newLoadTable(),
 		windows:         newWindowCollector(s.GetControl()),
+		gossipWanted:    make(chan struct{}, 1),
 		appliedCommands: instruments.Scope.Counter("commands_committed"),
 		failedProposals: instruments.Scope.Counter("commands_refused"),
 	}
@@ -121,6 +124,7 @@
 		log.Info("upstream is leaving", zap.String("upstream", string(u.ID)), zap.Uint64("incarnation", uint64(u.Incarnation)),
 			zap.String("source", string(source)), zap.Duration("age", timer.Now()-u.AnnouncedAt))
 	}
+	c.stateMachine.OnDeparture = c.upstreamTable.depart
 	return c, nil
 }
 
--- a/internal/controller/dialect.go
+++ b/internal/controller/dialect.go
@@ -31,10 +31,13 @@
 	// Backend holds the functions of the controller that a Handler may call. They
 	// are safe for concurrent use.
 	Backend struct {
-		// Announce applies an announcement of an upstream. AnnouncedAt must be set.
-		Announce func(registrar.Upstream)
+		// Announce applies an announcement of an upstream. AnnouncedAt must be set. A leave
+		// may be acknowledged only if the error is nil; it is a *RequestFailedError.
+		Announce func(context.Context, registrar.Upstream) error
 		// Withdraw marks an upstream as leaving. An incarnation of zero means the current one.
-		Withdraw func(registrar.UpstreamID, registrar.Incarnation)
+		// The leave may be acknowledged only if the error is nil; it is an
+		// *UnknownUpstreamError or a *RequestFailedError.
+		Withdraw func(context.Context, registrar.UpstreamID, registrar.Incarnation) error
 		// PutDocument commits a document. The error is an *InvalidDocumentError or a
 		// *RequestFailedError.
 		PutDocument func(context.Context, *state.Document) error
@@ -83,8 +86,8 @@
 		return c.operatorHandler()
 	}
 	return c.dialect.Handler(Backend{
-		Announce:    func(u registrar.Upstream) { c.upstreamTable.update(u, true) },
-		Withdraw:    c.upstreamTable.withdraw,
+		Announce:    c.announce,
+		Withdraw:    c.withdraw,
 		PutDocument: c.putDocument,
 		Document:    c.readDocument,
 	})
--- a/internal/controller/follow.go
+++ b/internal/controller/follow.go
@@ -172,7 +172,7 @@
 	c.clusterView.recordEntry(f.GetHost())
 	c.loads.recordEntryLoad(f.GetHost(), f.GetLoadShare())
 	for _, u := range f.GetLeaving() {
-		c.upstreamTable.withdraw(registrar.UpstreamID(u.GetId()), registrar.Incarnation(u.GetIncarnation()))
+		c.recordReportedLeave(ctx, registrar.Departure{ID: registrar.UpstreamID(u.GetId()), Incarnation: registrar.Incarnation(u.GetIncarnation())})
 	}
 	wait := min(time.Duration(f.GetWaitMillis())*time.Millisecond, maxPollWait)
 	until := timer.Now() + wait
@@ -276,7 +276,12 @@
 	sentTo := map[string]*messenger.Client{}
 	lastPeriodic, lastLoad := time.Duration(0), time.Duration(0)
 	for ctx.Err() == nil {
-		timer.Sleep(ctx, gossipInterval)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-c.gossipWanted:
+		case <-time.After(gossipInterval):
+		}
 		now := timer.Now()
 		updates := c.upstreamTable.takeUnsent()
 		periodicDue := now-lastPeriodic >= maxGossipInterval
--- a/internal/controller/table.go
+++ b/internal/controller/table.go
@@ -93,6 +93,7 @@
 	leaveAnnounced leaveSource = "announcement"
 	leaveWithdrawn leaveSource = "withdrawal"
 	leaveGossiped  leaveSource = "gossip"
+	leaveCommitted leaveSource = "log"
 )
 
 // upstreamRemoval is the position and time of the removal of an upstream.
@@ -187,18 +188,35 @@
 }
 
 // withdraw marks an upstream as leaving and passes that on to the other control
-// processes. An incarnation of zero means the current one.
-func (t *upstreamTable) withdraw(id registrar.UpstreamID, incarnation registrar.Incarnation) {
+// processes. An incarnation of zero means the current one. It returns the departure, or
+// false if the upstream or its incarnation is not known.
+func (t *upstreamTable) withdraw(id registrar.UpstreamID, incarnation registrar.Incarnation) (registrar.Departure, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if known := t.registry.Get(id); known != nil && known.State == registrar.Leaving {
-		return
+	known := t.registry.Get(id)
+	if known == nil || incarnation != 0 && incarnation != known.Incarnation {
+		return registrar.Departure{ID: id, Incarnation: incarnation}, false
+	}
+	departure := registrar.Departure{ID: id, Incarnation: known.Incarnation}
+	if known.State == registrar.Leaving {
+		return departure, true
 	}
 	if u, accepted := t.registry.Withdraw(t.now(), id, incarnation); accepted {
 		t.onLeaving(&u, leaveWithdrawn)
 		t.unsent[id] = true
 		t.recordChange(id)
 	}
+	return departure, true
+}
+
+// depart records a committed departure.
+func (t *upstreamTable) depart(d registrar.Departure) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.registry.Depart(t.now(), d) {
+		t.onLeaving(t.registry.Get(d.ID), leaveCommitted)
+		t.recordChange(d.ID)
+	}
 }
 
 // changesSince returns the upstreams that changed after a position of a table and those
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/comfreybend/comfreybend/internal/configurer"
+	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/state"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
@@ -35,6 +36,10 @@
 
 // StateMachine holds the durable state. It is safe for concurrent use.
 type StateMachine struct {
+	// OnDeparture is called for each departure that is applied or restored. It is set before
+	// the first use.
+	OnDeparture func(registrar.Departure)
+
 	mu sync.RWMutex
 
 	// latestMillis is the latest time of any command, in Unix milliseconds.
@@ -81,6 +86,9 @@
 	// expectedHosts is the number of entry hosts that are expected to report the next aligned window.
 	expectedHosts int
 
+	// departures holds the runs of upstreams that leave.
+	departures *registrar.Departures
+
 	contentMu sync.Mutex
 	// contents holds the latest results of ContentBetween, oldest first. contentMu guards it.
 	contents []cachedContent
@@ -88,7 +96,7 @@
 
 // New returns a state machine with an empty state.
 func New() *StateMachine {
-	m := &StateMachine{changed: make(chan struct{})}
+	m := &StateMachine{changed: make(chan struct{}), OnDeparture: func(registrar.Departure) {}}
 	m.reset()
 	return m
 }
@@ -99,6 +107,14 @@
 	if err := proto.Unmarshal(data, command); err != nil {
 		return refused("invalid", err.Error())
 	}
+	reply := m.apply(command)
+	if d := command.GetDeparture(); d != nil {
+		m.OnDeparture(departureOf(d))
+	}
+	return reply
+}
+
+func (m *StateMachine) apply(command *state.Command) *wire.ProposeReply {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.latestMillis = max(m.latestMillis, command.GetAtMillis())
@@ -123,6 +139,8 @@
 		return m.applyFence(kind.Fence)
 	case *state.Command_Document:
 		return m.applyDocument(kind.Document, command.GetLimits())
+	case *state.Command_Departure:
+		return m.applyDeparture(kind.Departure)
 	default:
 		return refused("invalid", "unknown command")
 	}
@@ -150,6 +168,7 @@
 		Document:          m.document,
 		AlignedWindow:     m.alignedWindow,
 		AlignedHosts:      int32(m.expectedHosts),
+		Departures:        departuresToState(m.departures),
 	}
 	for _, u := range m.latestPushes {
 		s.Usage = append(s.Usage, u)
@@ -167,6 +186,14 @@
 	if err := proto.Unmarshal(data, s); err != nil {
 		return errors.Wrap(err, "decoding the state")
 	}
+	m.restore(s)
+	for _, d := range s.GetDepartures() {
+		m.OnDeparture(departureOf(d))
+	}
+	return nil
+}
+
+func (m *StateMachine) restore(s *state.Snapshot) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.reset()
@@ -197,7 +224,9 @@
 	m.document = s.GetDocument()
 	m.alignedWindow = s.GetAlignedWindow()
 	m.expectedHosts = int(s.GetAlignedHosts())
-	return nil
+	for _, d := range s.GetDepartures() {
+		m.departures.Add(departureOf(d))
+	}
 }
 
 func (m *StateMachine) reset() {
@@ -211,6 +240,7 @@
 	m.latestPushes = map[string]*state.Usage{}
 	m.pendingRows = map[usageRowKey]*state.UsageRow{}
 	m.document = nil
+	m.departures = registrar.NewDepartures(maxDepartures)
 }
 
 func refused(reason, detail string) *wire.ProposeReply {
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -12,8 +12,12 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// maxWarmUpDrift is the difference of two announced ends of the warm-up that is ignored.
-const maxWarmUpDrift = time.Second
+const (
+	// maxWarmUpDrift is the difference of two announced ends of the warm-up that is ignored.
+	maxWarmUpDrift = time.Second
+	// maxDepartures is the number of departures that a registry remembers.
+	maxDepartures = 4096
+)
 
 type (
 	// UpstreamID identifies an upstream across its incarnations.
@@ -82,6 +86,8 @@
 		// byURL holds the announcement with which each URL was last announced. It is nil
 		// unless URLs are exclusive.
 		byURL map[string]*Upstream
+		// departures holds the runs that have left for good.
+		departures *Departures
 	}
 
 	// servingKey identifies a model or service.
@@ -111,6 +117,8 @@
 		lease:     lease,
 		upstreams: map[UpstreamID]*Upstream{},
 		serving:   map[servingKey][]*Upstream{},
+
+		departures: NewDepartures(maxDepartures),
 	}
 }
 
@@ -145,7 +153,7 @@
 		u = *before
 		u.State = Leaving
 	}
-	if before != nil && before.Incarnation == u.Incarnation && before.State == Leaving {
+	if before != nil && before.Incarnation == u.Incarnation && before.State == Leaving || r.departures.Has(u.ID, u.Incarnation) {
 		u.State = Leaving
 	}
 	if !r.assignURL(&u) {
@@ -179,6 +187,24 @@
 	return leaving, r.Announce(now, leaving)
 }
 
+// Depart records that a run of an upstream has left for good, also if it is not known here:
+// its announcements then say that it is leaving, even after its lease has ended. It reports
+// whether that marks the recorded upstream as leaving.
+func (r *Registry) Depart(now time.Duration, d Departure) bool {
+	r.departures.Add(d)
+	known := r.upstreams[d.ID]
+	if known == nil || known.State == Leaving || !r.departures.Has(known.ID, known.Incarnation) {
+		return false
+	}
+	_, accepted := r.Withdraw(now, known.ID, known.Incarnation)
+	return accepted
+}
+
+// HasDeparted reports whether Depart was called for a run of an upstream or a later one.
+func (r *Registry) HasDeparted(id UpstreamID, incarnation Incarnation) bool {
+	return r.departures.Has(id, incarnation)
+}
+
 // Expire removes the upstreams whose lease has ended and returns their IDs in no particular order.
 func (r *Registry) Expire(now time.Duration) []UpstreamID {
 	var expired []UpstreamID
