--- a/internal/router/configuration_test.go
+++ b/internal/router/configuration_test.go
@@ -19,6 +19,7 @@
 	"github.com/comfreybend/comfreybend/internal/instrumenter"
 	"github.com/comfreybend/comfreybend/internal/messenger"
 	"github.com/comfreybend/comfreybend/internal/validator"
+	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/settings"
 	"github.com/comfreybend/comfreybend/schema/state"
@@ -163,6 +164,30 @@
 	return 0
 }
 
+// announce makes upstreams known to all control processes, as their gossip does.
+func (g *controlGroup) announce(upstreams int) {
+	g.t.Helper()
+	message := &wire.Spread{Host: "other"}
+	for i := range upstreams {
+		message.Upstreams = append(message.Upstreams, &wire.Upstream{
+			Id: fmt.Sprintf("i-%08x", i), Incarnation: 1_700_000_000_000, Sequence: 1, Url: fmt.Sprintf("http://10.0.%d.%d:8000", i/256, i%256),
+			FailureDomain: "a", Kind: string(registrar.KindService), Serves: []string{"service"}, State: string(registrar.Serving),
+			Load: &wire.Load{Slots: 64}, UpMillis: 60_000,
+		})
+	}
+	for _, client := range g.clients {
+		for end := timer.Now() + setupTimeout; ; timer.Sleep(g.t.Context(), 20*time.Millisecond) {
+			err := client.Notify(g.t.Context(), &wire.Request{Kind: &wire.Request_Spread{Spread: message}})
+			if err == nil {
+				break
+			}
+			if timer.Now() > end {
+				g.t.Fatal(err)
+			}
+		}
+	}
+}
+
 // documentWithRoutes returns a document with routes of a class each.
 func documentWithRoutes(version uint64, routes int) *state.Document {
 	c := &state.Configuration{Organisations: []*state.Organisation{{Id: "one"}}}
@@ -239,3 +264,28 @@
 	r.awaitRevision(t, next, inForceTimeout-(timer.Now()-nextAt))
 	t.Logf("in force after %v and %d bytes", timer.Now()-grownAt, link.received.Load()-before)
 }
+
+// TestManyUpstreamsOnSlowLink guards against an entry process that never learns the upstreams
+// after its start because all of them do not arrive within the timeout of a poll.
+func TestManyUpstreamsOnSlowLink(t *testing.T) {
+	const (
+		upstreams = 12_000
+		// recoveryTime is the time within which processes that were restarted serve again.
+		recoveryTime = 12 * time.Second
+	)
+	group := startControlGroup(t)
+	revision := group.put(documentWithRoutes(1, 10))
+	group.announce(upstreams)
+	r := startEntryBehind(t, &slowLink{}, group.addresses())
+	startedAt := timer.Now()
+	r.awaitRevision(t, revision, setupTimeout)
+	for known := 0; known < upstreams; timer.Sleep(t.Context(), 5*time.Millisecond) {
+		r.dispatcher.mu.Lock()
+		known = len(r.dispatcher.registry.All())
+		r.dispatcher.mu.Unlock()
+		if timer.Now() > startedAt+recoveryTime {
+			t.Fatalf("%d of %d upstreams are known %v after the start", known, upstreams, recoveryTime)
+		}
+	}
+	t.Logf("all are known after %v", timer.Now()-startedAt)
+}
