controller, router: fetch the whole table of upstreams in parts

Change: a table of more than 32 KiB is fetched in parts of 32 KiB like configuration changes, by one poll at a time. It is encoded at most once a second, whatever changes, and the last 16 encodings are kept, so that a slow entry process does not begin again; what has changed since comes with the next poll, as the reply's position is that of the encoding.

--- a/internal/controller/fetch.go
+++ b/internal/controller/fetch.go
@@ -13,28 +13,67 @@
 	// maxInlineBytes is the size up to which configuration changes are part of the reply to a
 	// poll or sync request. Entry processes fetch larger ones.
 	maxInlineBytes = 8 << 10
+	// maxInlineTableBytes is the size up to which the whole table of upstreams is part of the
+	// reply to a poll.
+	maxInlineTableBytes = 32 << 10
 	// maxFetchBytes bounds the data in the reply to a fetch.
 	maxFetchBytes = 64 << 10
 )
 
-// serveFetch serves a part of the changes of the configuration. It needs no confirmation by
-// a majority, since what this process has applied is committed.
+// serveFetch serves a part of the changes of the configuration or of the table of upstreams.
+// It needs no confirmation by a majority, since the changes that this process has applied are
+// committed.
 func (c *Controller) serveFetch(f *wire.Fetch) *wire.Reply {
+	if f.GetUpstreams() {
+		return c.serveTableFetch(f)
+	}
 	content, err := c.stateMachine.ContentBetween(configurer.Revision(f.GetHaveRevision()), configurer.Revision(f.GetRevision()), true)
 	if err != nil {
 		return failureReply(ReasonInvalid, err.Error())
 	}
-	size := int64(len(content.Data))
-	reply := &wire.FetchReply{
-		Revision: uint64(content.Revision), Digest: content.Digest, Size: size,
-		RevisionAgeMillis: c.revisionAge().Milliseconds(),
+	reply := partOf(f, content.Data, content.Digest)
+	reply.Revision = uint64(content.Revision)
+	reply.RevisionAgeMillis = c.revisionAge().Milliseconds()
+	return &wire.Reply{Kind: &wire.Reply_Fetch{Fetch: reply}}
+}
+
+func (c *Controller) serveTableFetch(f *wire.Fetch) *wire.Reply {
+	table, age, err := c.upstreamTable.encodedUpstreams(f.GetDigest())
+	if err != nil {
+		return failureReply(ReasonInvalid, err.Error())
 	}
-	if f.GetDigest() == content.Digest {
+	reply := partOf(f, table.data, table.digest)
+	reply.TablePosition, reply.TableAgeMillis = table.position, age.Milliseconds()
+	return &wire.Reply{Kind: &wire.Reply_Fetch{Fetch: reply}}
+}
+
+// partOf returns the part of a content that is asked for, or its start if the entry process
+// has the start of another one.
+func partOf(f *wire.Fetch, data []byte, digest uint64) *wire.FetchReply {
+	size := int64(len(data))
+	reply := &wire.FetchReply{Digest: digest, Size: size}
+	if f.GetDigest() == digest {
 		reply.Offset = min(max(f.GetOffset(), 0), size)
 	}
 	length := min(max(f.GetMaxBytes(), 1), maxFetchBytes, size-reply.GetOffset())
-	reply.Data = content.Data[reply.GetOffset() : reply.GetOffset()+length]
-	return &wire.Reply{Kind: &wire.Reply_Fetch{Fetch: reply}}
+	reply.Data = data[reply.GetOffset() : reply.GetOffset()+length]
+	return reply
+}
+
+// addWholeTable adds the whole table of upstreams to the reply to a poll, or says that it is
+// to be fetched.
+func (c *Controller) addWholeTable(reply *wire.FollowReply, f *wire.Follow) error {
+	table, age, err := c.upstreamTable.encodedUpstreams(0)
+	if err != nil {
+		return err
+	}
+	if f.GetFetchesChanges() && len(table.data) > maxInlineTableBytes {
+		reply.TableFetchable = true
+		return nil
+	}
+	reply.Position = table.position
+	reply.EncodedUpstreams, reply.EncodedAgeMillis = table.data, age.Milliseconds()
+	return nil
 }
 
 // addChanges adds the changes of the configuration to the reply to a poll, or says that they
--- a/internal/controller/follow.go
+++ b/internal/controller/follow.go
@@ -203,11 +203,9 @@
 		}
 	}
 	if reply.GetWholeTable() && f.GetAcceptsRenewals() {
-		encoded, age, err := c.upstreamTable.encodedUpstreams()
-		if err != nil {
+		if err := c.addWholeTable(reply, f); err != nil {
 			return failureReply(ReasonInvalid, err.Error())
 		}
-		reply.EncodedUpstreams, reply.EncodedAgeMillis = encoded, age.Milliseconds()
 	}
 	if f.GetWantRenewals() {
 		reply.Renewals = c.upstreamTable.renewalsNow()
--- a/internal/controller/table.go
+++ b/internal/controller/table.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
@@ -29,8 +30,11 @@
 	removalRetention = time.Minute
 	// renewalCacheTime is the time for which the renewals for entry processes are computed once.
 	renewalCacheTime = 200 * time.Millisecond
-	// encodedCacheTime is the time for which the encoded table is used if nothing changes.
+	// encodedCacheTime is the time for which the encoded table is used.
 	encodedCacheTime = time.Second
+	// maxEncodedTables is the number of encoded tables that are kept for entry processes that
+	// are fetching them.
+	maxEncodedTables = 16
 )
 
 // upstreamTable holds the upstreams that announce themselves to the control
@@ -69,11 +73,8 @@
 	// renewals is the cached result of renewalsNow, computed at renewalsAtTime.
 	renewals       *wire.Renewals
 	renewalsAtTime time.Duration
-	// encoded holds all upstreams as an encoded wire.Upstreams, as of encodedPosition and
-	// encodedAt.
-	encoded         []byte
-	encodedPosition uint64
-	encodedAt       time.Duration
+	// encoded holds the latest encoded tables, oldest first.
+	encoded []*encodedTable
 	// placesCache is the result of places at placesPosition.
 	placesCache    upstreamPlaces
 	placesPosition uint64
@@ -85,6 +86,15 @@
 	onLeaving func(u *registrar.Upstream, source leaveSource)
 }
 
+// encodedTable holds all upstreams as an encoded wire.Upstreams.
+type encodedTable struct {
+	data   []byte
+	digest uint64
+	// position and at are the position and the time of the encoding.
+	position uint64
+	at       time.Duration
+}
+
 // leaveSource is how a control process has learnt that an upstream is leaving.
 type leaveSource string
 
@@ -361,25 +371,40 @@
 	return t.placesCache
 }
 
-// encodedUpstreams returns all upstreams as an encoded wire.Upstreams, and how long ago it
-// was encoded. Hundreds of entry processes that start at a time need the same bytes.
-func (t *upstreamTable) encodedUpstreams() ([]byte, time.Duration, error) {
+// encodedUpstreams returns all upstreams in their encoded form, and how long ago they were
+// encoded: the one with a digest if that is still kept, or else the latest. Changes after its
+// position have to be sent as well. It is encoded at most once within encodedCacheTime:
+// hundreds of entry processes that start at a time need the same bytes, and a slow one has
+// time to fetch them all.
+func (t *upstreamTable) encodedUpstreams(digest uint64) (*encodedTable, time.Duration, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	if t.encoded != nil && t.encodedPosition == t.position && now-t.encodedAt < encodedCacheTime {
-		return t.encoded, now - t.encodedAt, nil
+	for _, e := range t.encoded {
+		if e.digest == digest {
+			return e, now - e.at, nil
+		}
+	}
+	if n := len(t.encoded); n > 0 && now-t.encoded[n-1].at < encodedCacheTime {
+		return t.encoded[n-1], now - t.encoded[n-1].at, nil
 	}
 	all := &wire.Upstreams{}
 	for _, u := range t.registry.All() {
 		all.Upstreams = append(all.Upstreams, announcer.ToWire(u, now))
 	}
-	encoded, err := proto.Marshal(all)
+	data, err := proto.Marshal(all)
 	if err != nil {
 		return nil, 0, errors.Wrap(err, "encoding the upstreams")
 	}
-	t.encoded, t.encodedPosition, t.encodedAt = encoded, t.position, now
-	return encoded, 0, nil
+	e := &encodedTable{data: data, digest: xxhash.Sum64(data), position: t.position, at: now}
+	if len(data) == 0 {
+		return e, 0, nil
+	}
+	t.encoded = append(t.encoded, e)
+	if len(t.encoded) > maxEncodedTables {
+		t.encoded = append([]*encodedTable(nil), t.encoded[1:]...)
+	}
+	return e, 0, nil
 }
 
 // addLacking adds the upstreams with the given ids to a reply, as far as they are in the table.
--- a/internal/router/control_poller.go
+++ b/internal/router/control_poller.go
@@ -51,6 +51,8 @@
 		startedAt time.Duration
 		// loadSentAt is when the load was last sent. Only poll with index 0 uses it.
 		loadSentAt time.Duration
+		// tableMu is held while a table is fetched.
+		tableMu sync.Mutex
 	}
 
 	// tableView is what this process holds of the table of a control process.
@@ -128,6 +130,9 @@
 		request.Lacking = view.lacking
 		request.WantRenewals = timer.Now()-view.renewedAt > p.router.settings.GetEntry().GetAnnouncementLease().AsDuration()/renewalsPerLease
 		reply, err := p.send(ctx, client, request)
+		if err == nil && reply.GetFollow().GetTableFetchable() {
+			err = p.fetchTable(ctx, client, reply.GetFollow())
+		}
 		if err != nil {
 			p.router.controlClients.markFailed(client)
 			p.router.dispatcher.requeueCachedParts(request.GetLoadShare())
@@ -160,6 +165,26 @@
 	return client.Call(ctx, &wire.Request{Kind: &wire.Request_Follow{Follow: request}})
 }
 
+// fetchTable fetches the whole table of a control process and adds it to a reply. Only one
+// poll at a time does so, since both share the link.
+func (p *controlPoller) fetchTable(ctx context.Context, client *messenger.Client, reply *wire.FollowReply) error {
+	p.tableMu.Lock()
+	defer p.tableMu.Unlock()
+	table := &transfer{}
+	for !table.complete() {
+		part, err := table.fetchPart(ctx, client, &wire.Fetch{Upstreams: true})
+		if err != nil {
+			return err
+		}
+		if err = table.add(part); err != nil {
+			return err
+		}
+		reply.Position, reply.EncodedAgeMillis = part.GetTablePosition(), part.GetTableAgeMillis()
+	}
+	reply.EncodedUpstreams = table.data
+	return nil
+}
+
 // decodeUpstreams moves the encoded upstreams of a reply to its list of upstreams.
 func decodeUpstreams(reply *wire.FollowReply) error {
 	if len(reply.GetEncodedUpstreams()) == 0 {
--- a/internal/router/fetcher.go
+++ b/internal/router/fetcher.go
@@ -16,14 +16,14 @@
 )
 
 const (
-	// fetchPartBytes is the size of the parts in which changes are fetched. On a slow link a
+	// fetchPartBytes is the size of the parts in which a content is fetched. On a slow link a
 	// part delays other messages of the control processes by little.
 	fetchPartBytes = 32 << 10
 	// fetchPartTimeout bounds the fetch of one part.
 	fetchPartTimeout = time.Second
 	// fetchPause is the pause after no control process has sent a part.
 	fetchPause = 100 * time.Millisecond
-	// maxFetchedBytes bounds the size of changes.
+	// maxFetchedBytes bounds the size of a content.
 	maxFetchedBytes = 256 << 20
 )
 
@@ -44,13 +44,18 @@
 		source string
 	}
 
-	// fetch is a fetch in progress. Only run uses it.
+	// fetch is a fetch of configuration changes in progress.
 	fetch struct {
 		from     configurer.Revision
 		revision configurer.Revision
-		digest   uint64
-		size     int64
-		data     []byte
+		transfer
+	}
+
+	// transfer collects the parts of a content.
+	transfer struct {
+		digest uint64
+		size   int64
+		data   []byte
 	}
 
 	// noLaterRevisionError reports a control process that has no later revision than this
@@ -155,43 +160,60 @@
 		if err != nil {
 			return 0, err
 		}
-		if err = current.add(reply); err != nil {
+		if err = current.addChanges(reply); err != nil {
 			return 0, err
 		}
-		if int64(len(current.data)) == current.size {
+		if current.complete() {
 			return millis(reply.GetRevisionAgeMillis()), nil
 		}
 	}
 }
 
 func (f *configurationFetcher) fetchPart(ctx context.Context, client *messenger.Client, current *fetch) (*wire.FetchReply, error) {
+	return current.fetchPart(ctx, client, &wire.Fetch{HaveRevision: uint64(current.from), Revision: uint64(current.revision)})
+}
+
+// addChanges adds a part of configuration changes.
+func (f *fetch) addChanges(part *wire.FetchReply) error {
+	revision := configurer.Revision(part.GetRevision())
+	if revision <= f.from {
+		return &noLaterRevisionError{Revision: revision}
+	}
+	if err := f.add(part); err != nil {
+		return err
+	}
+	f.revision = revision
+	return nil
+}
+
+// fetchPart sends a request for the next part.
+func (t *transfer) fetchPart(ctx context.Context, client *messenger.Client, request *wire.Fetch) (*wire.FetchReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchPartTimeout)
 	defer cancel()
-	reply, err := client.Call(ctx, &wire.Request{Kind: &wire.Request_Fetch{Fetch: &wire.Fetch{
-		HaveRevision: uint64(current.from), Revision: uint64(current.revision), Digest: current.digest,
-		Offset: int64(len(current.data)), MaxBytes: fetchPartBytes,
-	}}})
+	request.Digest, request.Offset, request.MaxBytes = t.digest, int64(len(t.data)), fetchPartBytes
+	reply, err := client.Call(ctx, &wire.Request{Kind: &wire.Request_Fetch{Fetch: request}})
 	return reply.GetFetch(), err
 }
 
-// add adds a part. If it belongs to other changes than the parts before, for example because
-// the control process does not keep these any more, the fetch begins again with it.
-func (f *fetch) add(part *wire.FetchReply) error {
-	switch {
-	case configurer.Revision(part.GetRevision()) <= f.from:
-		return &noLaterRevisionError{Revision: configurer.Revision(part.GetRevision())}
-	case part.GetSize() > maxFetchedBytes || len(part.GetData()) == 0:
-		return errors.Errorf("a part of %d bytes of changes of %d bytes", len(part.GetData()), part.GetSize())
-	case part.GetDigest() != f.digest || f.size != part.GetSize():
-		*f = fetch{from: f.from, revision: configurer.Revision(part.GetRevision()), digest: part.GetDigest(), size: part.GetSize()}
-	}
-	if part.GetOffset() != int64(len(f.data)) || part.GetOffset()+int64(len(part.GetData())) > f.size {
-		return errors.Errorf("a part at %d of changes of %d bytes follows %d bytes", part.GetOffset(), f.size, len(f.data))
-	}
-	f.data = append(f.data, part.GetData()...)
+// add adds a part. If it belongs to another content than the parts before, for example
+// because the control process does not keep that any more, the transfer begins again with it.
+func (t *transfer) add(part *wire.FetchReply) error {
+	if part.GetSize() > maxFetchedBytes || len(part.GetData()) == 0 {
+		return errors.Errorf("a part of %d bytes of a content of %d bytes", len(part.GetData()), part.GetSize())
+	}
+	if part.GetDigest() != t.digest || part.GetSize() != t.size {
+		*t = transfer{digest: part.GetDigest(), size: part.GetSize()}
+	}
+	if part.GetOffset() != int64(len(t.data)) || part.GetOffset()+int64(len(part.GetData())) > t.size {
+		return errors.Errorf("a part at %d of a content of %d bytes follows %d bytes", part.GetOffset(), t.size, len(t.data))
+	}
+	t.data = append(t.data, part.GetData()...)
 	return nil
 }
 
+// complete reports whether all parts have been added.
+func (t *transfer) complete() bool { return t.size > 0 && int64(len(t.data)) == t.size }
+
 // apply applies complete changes.
 func (f *configurationFetcher) apply(control string, current *fetch, age time.Duration) {
 	reply := &wire.SyncReply{}
