controller: acknowledge a held document at once, give large ones more time

Change: a version that is not later than the applied one is acknowledged without a commit: what is applied is committed, and versions never go back. Timeouts of requests grow by a second for each MiB.

--- a/internal/controller/dialect.go
+++ b/internal/controller/dialect.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/comfreybend/comfreybend/internal/keeper"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
@@ -13,7 +14,8 @@
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
-// documentCallTimeout bounds a write or read of the document, including the wait for a majority.
+// documentCallTimeout bounds a write or read of a small document, including the wait for a
+// majority.
 const documentCallTimeout = 900 * time.Millisecond
 
 type (
@@ -93,8 +95,13 @@
 	})
 }
 
+// putDocument commits a document. One that is not later than the current one is acknowledged
+// at once: what this process has applied is committed, and versions never go back.
 func (c *Controller) putDocument(ctx context.Context, d *state.Document) error {
-	ctx, cancel := context.WithTimeout(ctx, documentCallTimeout)
+	if current := c.stateMachine.Document(); current != nil && d.GetVersion() <= current.GetVersion() {
+		return nil
+	}
+	ctx, cancel := withTimeoutFor(ctx, documentCallTimeout, proto.Size(d))
 	defer cancel()
 	command := &state.Command{Kind: &state.Command_Document{Document: d}}
 	reply := c.execute(ctx, &wire.Request{Kind: &wire.Request_Propose{Propose: command}})
@@ -112,7 +119,7 @@
 }
 
 func (c *Controller) readDocument(ctx context.Context) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, documentCallTimeout)
+	ctx, cancel := withTimeoutFor(ctx, documentCallTimeout, len(c.stateMachine.Document().GetContent()))
 	defer cancel()
 	reply := c.execute(ctx, &wire.Request{Kind: &wire.Request_Read{Read: &wire.Read{What: ReadDocument}}})
 	if f := reply.GetFailure(); f != nil {
--- a/internal/controller/requests.go
+++ b/internal/controller/requests.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/comfreybend/comfreybend/internal/messenger"
 	"github.com/comfreybend/comfreybend/pkg/replicator"
@@ -33,6 +35,10 @@
 	ReadDocument      = "document"
 )
 
+// leastBytesPerSecond is the rate at which a large request is expected to be committed at
+// least: it is decoded, written and sent to the other members on a small host.
+const leastBytesPerSecond = 1 << 20
+
 // handle serves one request of another process. It returns nil for messages without a reply.
 func (c *Controller) handle(ctx context.Context, r *wire.Request) *wire.Reply {
 	switch kind := r.GetKind().(type) {
@@ -71,7 +77,11 @@
 // it to the leader. A request is forwarded only once: one that was forwarded to a
 // process that is not the leader any more fails there.
 func (c *Controller) execute(ctx context.Context, r *wire.Request) *wire.Reply {
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	bytes := proto.Size(r)
+	if r.GetRead().GetWhat() == ReadDocument {
+		bytes += len(c.stateMachine.Document().GetContent())
+	}
+	ctx, cancel := withTimeoutFor(ctx, requestTimeout, bytes)
 	defer cancel()
 	n := c.membership.currentNode()
 	if n == nil {
@@ -116,6 +126,12 @@
 	return failureReply(ReasonInDoubt, err.Error())
 }
 
+// withTimeoutFor returns a context with a timeout for a small request that is prolonged by
+// the time that a number of bytes may take.
+func withTimeoutFor(ctx context.Context, timeout time.Duration, bytes int) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, timeout+time.Duration(bytes)*time.Second/leastBytesPerSecond)
+}
+
 func (c *Controller) serveProposal(ctx context.Context, command *state.Command) *wire.Reply {
 	reply, err := c.propose(ctx, command)
 	if err != nil {
