--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -341,6 +341,12 @@
 	return picker.PrefixID(strconv.FormatUint(digest.Sum64(), hexBase))
 }
 
+// sharedParts returns the parts of the prompt that other requests may share: all but the
+// last one.
+func (c *call) sharedParts() []picker.PromptPart {
+	return c.Prompt.Parts[:max(0, len(c.Prompt.Parts)-1)]
+}
+
 // fingerprint returns a hash of the call's content. It detects an idempotency
 // key that is reused for a different call.
 func (c *call) fingerprint() []byte {
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -209,7 +209,7 @@
 	}
 	if h.call.retryable && h.router.dialect.IsRetryableStatus(at.response.StatusCode) {
 		err = &attemptError{Attempt: at.id, Cause: errors.Errorf("upstream answered %d", at.response.StatusCode)}
-		h.log.Info("attempt failed", append(h.placementFields(g), zap.Int("attempts", h.attempts), zap.Error(err))...)
+		h.log.Info("attempt failed", append(h.placementFields(g), h.partsField(), zap.Int("attempts", h.attempts), zap.Error(err))...)
 		at.close(err)
 		h.failedUpstreams = append(h.failedUpstreams, g.upstream.ID)
 		h.router.dispatcher.release(g, outcomeOverloaded, 0)
@@ -249,7 +249,7 @@
 	}
 	h.failedUpstreams = append(h.failedUpstreams, g.upstream.ID)
 	h.router.dispatcher.release(g, outcome, 0)
-	h.log.Info("attempt failed", append(h.placementFields(g), zap.Int("attempts", h.attempts), zap.Error(err))...)
+	h.log.Info("attempt failed", append(h.placementFields(g), h.partsField(), zap.Int("attempts", h.attempts), zap.Error(err))...)
 }
 
 // failureOutcome returns outcomeTimedOut for a connection whose upstream stopped
--- a/internal/router/request_log.go
+++ b/internal/router/request_log.go
@@ -8,6 +8,9 @@
 	"github.com/comfreybend/comfreybend/internal/logger"
 )
 
+// maxLoggedParts bounds the prompt parts in a log line.
+const maxLoggedParts = 8
+
 // requestIDField returns the log field with the id of the request, which all its log lines carry.
 func (h *callHandler) requestIDField() zap.Field { return zap.String("requestId", string(h.requestID)) }
 
@@ -39,6 +42,16 @@
 	}
 }
 
+// partsField returns the log field with the ids of the prompt's shared parts.
+func (h *callHandler) partsField() zap.Field {
+	parts := h.call.sharedParts()
+	ids := make([]string, 0, min(len(parts), maxLoggedParts))
+	for _, part := range parts[:min(len(parts), maxLoggedParts)] {
+		ids = append(ids, string(part.ID)[:min(len(part.ID), maxLoggedBytes)])
+	}
+	return zap.Strings("parts", ids)
+}
+
 // logServed logs a request whose response was relayed; there is one such line per served
 // request.
 func (h *callHandler) logServed(g *grant, status int, timeToHeaders time.Duration) {
