router: deliver whole events before a broken stream is ended

The client saw a connection closed without an answer.

Change: what is complete is flushed when the upstream's stream has broken. TestUnframedResponses covers responses that end with their connection: whole, inside an event, reset, resumed elsewhere; three of its nine cases failed before, the others passed.

--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -143,6 +143,10 @@
 			h.recordUsage()
 			return
 		}
+		if clientErr == nil {
+			// Half of the next event may have kept whole ones from being flushed.
+			clientErr = w.flush()
+		}
 		if clientErr != nil || ctx.Err() != nil {
 			h.finishAttempt(outcomeAbandoned, context.Canceled)
 			h.recordUsage()
