router: answer when a stream breaks before its first event

Cause: the headers of a stream were written before its first event arrived.

Change: the headers are written with the first event, so that such a request gets a refusal (502 upstreamFailed, may have run), and a resumed one the headers of the attempt that began to respond. Headers were not flushed earlier before either, so the time to the first byte is the same.

--- a/internal/router/response.go
+++ b/internal/router/response.go
@@ -34,6 +34,8 @@
 		timeout time.Duration
 		// deadlineSetAt is when the write deadline was last set.
 		deadlineSetAt time.Time
+		// started reports that the headers of a stream have been written.
+		started bool
 	}
 
 	// oversizedResponseError reports a response that is larger than the limit, such as one
@@ -64,11 +66,11 @@
 		control: http.NewResponseController(w),
 		timeout: r.settings.GetEntry().GetCallerLimits().GetWriteTimeout().AsDuration(),
 	}
+	relay := h.relayResponse
 	if isEventStream(h.current.response) {
-		h.relayStream(ctx, writer)
-		return nil
+		relay = h.relayStream
 	}
-	if refusal := h.relayResponse(ctx, writer); refusal != nil {
+	if refusal := relay(ctx, writer); refusal != nil {
 		r.encodeRefusal(ctx, h.recordRefusal(refusal), w)
 	}
 	return nil
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -131,19 +131,19 @@
 
 // relayStream relays an event stream. If it breaks, it is resumed at another
 // upstream after the last event that the client has received. An incomplete
-// stream ends with a reset of the client's connection.
-func (h *callHandler) relayStream(ctx context.Context, w *clientWriter) {
-	h.copyResponseHeader(w.w.Header(), h.current.response.Header)
-	w.w.WriteHeader(h.current.response.StatusCode)
+// stream ends with a reset of the client's connection, or with a refusal if nothing
+// has been sent to the client.
+func (h *callHandler) relayStream(ctx context.Context, w *clientWriter) *RefusalError {
 	h.inputTokens = h.call.estimatedInputTokens()
 	for {
 		upstreamErr, clientErr := h.copyEvents(w)
 		if upstreamErr == nil && clientErr == nil {
+			h.startStream(w)
 			h.finishAttempt(outcomeAnswered, nil)
 			h.recordUsage()
-			return
+			return nil
 		}
-		if clientErr == nil {
+		if clientErr == nil && w.started {
 			// Half of the next event may have kept whole ones from being flushed.
 			clientErr = w.flush()
 		}
@@ -154,11 +154,25 @@
 		}
 		if refusal := h.resume(ctx, upstreamErr); refusal != nil {
 			h.recordUsage()
+			if !w.started {
+				return refusal
+			}
 			h.endStream(w, refusal)
 		}
 	}
 }
 
+// startStream writes the headers of the current attempt's response to the client. It has no
+// effect the second time.
+func (h *callHandler) startStream(w *clientWriter) {
+	if w.started {
+		return
+	}
+	w.started = true
+	h.copyResponseHeader(w.w.Header(), h.current.response.Header)
+	w.w.WriteHeader(h.current.response.StatusCode)
+}
+
 // copyEvents relays events until the stream is complete: at the done marker, or
 // on routes with eventStream set also at the end of the body. It skips events
 // that the client already has, and returns errors of the upstream and of the
@@ -192,6 +206,7 @@
 			}
 		}
 		done := bytes.Equal(e.data, doneMarker)
+		h.startStream(w)
 		at.writingToClient.Store(true)
 		err = w.write(e.raw)
 		if err == nil && (done || reader.buffer.Buffered() == 0) {
