router: become ready before the operator's first change

Cause: since configuration is fetched once and replies may overlap, a reply is skipped if its revision is not later than the one in use. Without any configuration that is revision 0, so in a new system, whose revision is 0 too, no entry process became ready.

Change: a reply is skipped only if a configuration is in use.

Measured: TestReadyBeforeFirstChange and TestEndToEnd failed before (60 s without readiness) and pass now.

--- a/internal/router/controlplane.go
+++ b/internal/router/controlplane.go
@@ -237,7 +237,7 @@
 	}
 	p.confirm(revision, sentAt)
 	switch {
-	case revision <= p.revision():
+	case p.hasConfiguration() && revision <= p.revision():
 	case reply.GetFetchable():
 		p.router.fetcher.request(revision, result.client.Address())
 	default:
--- a/internal/router/controlplane_test.go
+++ b/internal/router/controlplane_test.go
@@ -72,6 +72,19 @@
 	}
 }
 
+// TestReadyBeforeFirstChange guards against processes that never become ready in a system
+// whose operator has not changed anything yet.
+func TestReadyBeforeFirstChange(t *testing.T) {
+	r := newRouterOf(t, &partServer{})
+	reply := syncResult{client: r.controlClients.preferred(), reply: &wire.SyncReply{}}
+	if err := r.controlPlane.applyReply(r.controlPlane.now(), 0, reply); err != nil {
+		t.Fatal(err)
+	}
+	if reason := r.notReadyReason(); reason != "" || !r.controlPlane.fresh() {
+		t.Errorf("not ready: %q, fresh: %t", reason, r.controlPlane.fresh())
+	}
+}
+
 // TestFreshnessExpires checks that keys are accepted only while the
 // configuration is fresh, and that calls without a key do not depend on it.
 func TestFreshnessExpires(t *testing.T) {
