--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -50,6 +50,9 @@
 		Tokens int
 		// ReportLag is the age of the announced load.
 		ReportLag time.Duration
+		// CrashOnText makes a model engine end without a shutdown when it begins a response to
+		// a request whose body holds this text. An empty text has no effect.
+		CrashOnText string
 	}
 
 	// InjectedFaults selects the faults that the upstream injects.
@@ -96,6 +99,9 @@
 		url         string
 		incarnation uint64
 		batch       *batch
+		// crash ends Run, with all connections.
+		crash     chan struct{}
+		crashOnce sync.Once
 
 		mu          sync.Mutex
 		faults      InjectedFaults
@@ -115,14 +121,24 @@
 		state  string
 		events uint64
 	}
+
+	// CrashError reports that an upstream has crashed on a prompt.
+	CrashError struct {
+		// Text is the one that the prompt holds.
+		Text string
+	}
 )
 
+// Error implements error.
+func (e *CrashError) Error() string { return fmt.Sprintf("crashed on a prompt with %q", e.Text) }
+
 // New returns an upstream that has not started.
 func New(config Config) *Upstream {
 	return &Upstream{
 		config:         config,
 		incarnation:    uint64(time.Now().UnixNano()),
 		batch:          newBatch(config.Slots),
+		crash:          make(chan struct{}),
 		stats:          Stats{Orders: map[string]int{}},
 		seenHeaders:    map[string]bool{},
 		attempts:       map[string]*attemptState{},
@@ -130,7 +146,8 @@
 	}
 }
 
-// Run serves and sends announcements until ctx is done, then shuts down gracefully.
+// Run serves and sends announcements until ctx is done, then shuts down gracefully. It returns
+// a CrashError if the upstream crashes.
 func (u *Upstream) Run(ctx context.Context) error {
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", u.config.Listen)
 	if err != nil {
@@ -147,7 +164,12 @@
 	group.Go(func() error { return u.announceLoop(announcing) })
 	group.Go(func() error {
 		defer stopAnnouncing()
-		<-ctx.Done()
+		select {
+		case <-u.crash:
+			_ = server.Close()
+			return &CrashError{Text: u.config.CrashOnText}
+		case <-ctx.Done():
+		}
 		u.announceLeaving(announcing)
 		return errors.Wrap(server.Shutdown(context.WithoutCancel(ctx)), "shutting down")
 	})
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -1,8 +1,10 @@
 package emulator
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -28,16 +30,23 @@
 		faults       InjectedFaults
 		tokens       int
 		promptTokens int
+		// crashes reports that the engine ends when the response begins.
+		crashes bool
 	}
 )
 
 // serveCompletion serves a chat completion. A stream resumes after Last-Event-ID.
 func (u *Upstream) serveCompletion(w http.ResponseWriter, r *http.Request) {
 	c := &completion{upstream: u, w: w, r: r, faults: u.currentFaults(), tokens: u.config.Tokens}
-	if err := json.NewDecoder(r.Body).Decode(&c.request); err != nil {
+	body, err := io.ReadAll(r.Body)
+	if err == nil {
+		err = json.Unmarshal(body, &c.request)
+	}
+	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	c.crashes = u.config.CrashOnText != "" && bytes.Contains(body, []byte(u.config.CrashOnText))
 	if c.request.MaxTokens > 0 {
 		c.tokens = c.request.MaxTokens
 	}
@@ -117,6 +126,10 @@
 	}
 	c.w.Header().Set("Content-Type", "text/event-stream")
 	c.w.WriteHeader(http.StatusOK)
+	if c.crashes {
+		_ = http.NewResponseController(c.w).Flush()
+		return c.crash()
+	}
 	for n := lastID + 1; n <= c.tokens+2; n++ {
 		c.faults = u.currentFaults()
 		if n > lastID+1 && n <= c.tokens && !c.sleep(u.config.TokenInterval) {
@@ -142,6 +155,13 @@
 	return true
 }
 
+// crash ends the upstream, and returns false once the connection is closed.
+func (c *completion) crash() bool {
+	c.upstream.crashOnce.Do(func() { close(c.upstream.crash) })
+	<-c.r.Context().Done()
+	return false
+}
+
 func (c *completion) recordEvent() {
 	c.upstream.mu.Lock()
 	defer c.upstream.mu.Unlock()
@@ -169,6 +189,9 @@
 
 // sendWhole sends the response as one JSON document and reports whether it completed.
 func (c *completion) sendWhole() bool {
+	if c.crashes {
+		return c.crash()
+	}
 	total := c.upstream.config.FirstToken + time.Duration(c.tokens)*c.upstream.config.TokenInterval
 	if !c.sleep(total) {
 		return false
