--- a/internal/router/fetcher_test.go
+++ b/internal/router/fetcher_test.go
@@ -186,3 +186,37 @@
 		t.Error("a control process that has lost a revision is not noticed")
 	}
 }
+
+// TestRestartKeepsConfirmedRevision guards against a restarted process that goes back to an
+// earlier configuration: whatever a control process that lags behind hands out, nothing
+// before the revision that a quorum has confirmed is applied.
+func TestRestartKeepsConfirmedRevision(t *testing.T) {
+	lagging := func() *partServer { return &partServer{revision: 6, data: encodedConfiguration(t, 6, 100)} }
+	latest := func() *partServer { return &partServer{revision: 7, data: encodedConfiguration(t, 7, 100)} }
+	tests := map[string]struct {
+		servers []*partServer
+		want    configurer.Revision
+	}{
+		"only a control process that lags behind": {servers: []*partServer{lagging()}},
+		"one that lags behind comes first":        {servers: []*partServer{lagging(), latest()}, want: 7},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRouterOf(t, test.servers...)
+			p := r.controlPlane
+			result := syncResult{client: r.controlClients.preferred(), reply: &wire.SyncReply{Revision: 7, Fetchable: true}}
+			if err := p.applyReply(p.now(), 0, result); err != nil {
+				t.Fatal(err)
+			}
+			r.fetcher.fetchFromAny(t.Context(), &fetch{})
+			if p.revision() != test.want {
+				t.Errorf("revision %d after a fetch, want %d", p.revision(), test.want)
+			}
+			polled := &wire.SyncReply{Revision: 5, Whole: true}
+			r.controlPoller.applyUnconfirmed("control", &wire.FollowReply{UnconfirmedMessage: polled})
+			if p.revision() != test.want {
+				t.Errorf("revision %d after a poll, want %d", p.revision(), test.want)
+			}
+		})
+	}
+}
--- a/test/integration/control_test.go
+++ b/test/integration/control_test.go
@@ -229,6 +229,7 @@
 func (e *entryProcess) checkRevisions() {
 	e.t.Helper()
 	var last float64
+	var lastLine string
 	for line := range strings.Lines(string(e.log())) {
 		var entry struct {
 			Msg      string  `json:"msg"`
@@ -238,9 +239,9 @@
 			continue
 		}
 		if entry.Revision < last {
-			e.t.Errorf("%s went back from revision %.0f to %.0f", e.id, last, entry.Revision)
+			e.t.Errorf("%s went back from revision %.0f to %.0f:\n%s%s", e.id, last, entry.Revision, lastLine, line)
 		}
-		last = entry.Revision
+		last, lastLine = entry.Revision, line
 	}
 	if last == 0 {
 		e.t.Errorf("%s had no revision in force", e.id)
