router: apply nothing before the confirmed revision

Cause: a fetch takes the changes from any control process that has a later revision than the one in use. A restarted process uses none, so it took any revision, though a sync request had already told it which one a quorum confirms.

Change: the confirmed revision is the least that is applied, from whichever reply, and a fetch goes on to the next control process at the first part if that has only earlier ones.

Ruled out: a new leader that answers before its barrier (the earlier revision came by a fetch, from a process that was not the leader).

--- a/internal/router/controlplane.go
+++ b/internal/router/controlplane.go
@@ -97,7 +97,8 @@
 		hasKey bool
 	}
 
-	// earlierRevisionError reports a reply with an earlier revision than the one in use.
+	// earlierRevisionError reports a reply with an earlier revision than the one in use or
+	// confirmed.
 	earlierRevisionError struct {
 		Held     configurer.Revision
 		Received configurer.Revision
@@ -259,10 +260,17 @@
 func (p *controlPlane) confirm(revision configurer.Revision, at time.Duration) {
 	p.applyMu.Lock()
 	defer p.applyMu.Unlock()
-	p.confirmed, p.confirmedAt = revision, at
+	p.confirmed, p.confirmedAt = max(p.confirmed, revision), at
 	p.refresh()
 }
 
+// confirmedRevision returns the revision that a quorum has confirmed, or 0 before the first time.
+func (p *controlPlane) confirmedRevision() configurer.Revision {
+	p.applyMu.Lock()
+	defer p.applyMu.Unlock()
+	return p.confirmed
+}
+
 // refresh extends the freshness if the confirmed revision or a later one is in use.
 func (p *controlPlane) refresh() {
 	if p.confirmedAt > 0 && p.revision() >= p.confirmed {
@@ -270,8 +278,9 @@
 	}
 }
 
-// applyConfiguration applies the configuration or the changes in a reply. It
-// rejects an earlier revision and changes that do not follow each other.
+// applyConfiguration applies the configuration or the changes in a reply. It rejects an
+// earlier revision than the one in use or the confirmed one, and changes that do not follow
+// each other.
 func (p *controlPlane) applyConfiguration(reply *wire.SyncReply, d delivery) error {
 	if reply.GetWhole() || len(reply.GetChanges()) > 0 {
 		p.router.metrics.configurationBytes.Inc(int64(d.bytes))
@@ -280,8 +289,8 @@
 	defer p.applyMu.Unlock()
 	current := p.catalog.Load()
 	received := configurer.Revision(reply.GetRevision())
-	if current != nil && received < current.Revision() {
-		return &earlierRevisionError{Held: current.Revision(), Received: received}
+	if least := max(p.revision(), p.confirmed); received < least {
+		return &earlierRevisionError{Held: least, Received: received}
 	}
 	next := current
 	if next == nil {
--- a/internal/router/fetcher.go
+++ b/internal/router/fetcher.go
@@ -46,7 +46,9 @@
 
 	// fetch is a fetch of configuration changes in progress.
 	fetch struct {
-		from     configurer.Revision
+		from configurer.Revision
+		// least is the earliest revision that may be applied.
+		least    configurer.Revision
 		revision configurer.Revision
 		transfer
 	}
@@ -58,8 +60,7 @@
 		data   []byte
 	}
 
-	// noLaterRevisionError reports a control process that has no later revision than this
-	// process.
+	// noLaterRevisionError reports a control process that has no revision that may be applied.
 	noLaterRevisionError struct {
 		Revision configurer.Revision
 	}
@@ -123,6 +124,7 @@
 		// Another reply has brought changes meanwhile.
 		current = &fetch{from: held}
 	}
+	current.least = max(current.from+1, f.router.controlPlane.confirmedRevision())
 	for _, client := range f.clients() {
 		age, err := f.fetchFrom(ctx, client, current)
 		if err == nil {
@@ -176,7 +178,7 @@
 // addChanges adds a part of configuration changes.
 func (f *fetch) addChanges(part *wire.FetchReply) error {
 	revision := configurer.Revision(part.GetRevision())
-	if revision <= f.from {
+	if revision < f.least {
 		return &noLaterRevisionError{Revision: revision}
 	}
 	if err := f.add(part); err != nil {
