replicator: test disks that are slower than an election timeout (fails)

Ruled out: processes that do not get the processor (30 copies of the test beside 14 busy processes pass, load 32).

The test reproduces it without a disk: with writes of 2 s and an election timeout of 0.5 s no proposal is committed.

--- a/pkg/replicator/node_test.go
+++ b/pkg/replicator/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -11,7 +12,10 @@
 	"github.com/comfreybend/comfreybend/schema/replication"
 )
 
-var errDiskFull = errors.New("no space left")
+var (
+	errDiskFull = errors.New("no space left")
+	testStart   = time.Now()
+)
 
 // TestFullDisk guards against a full disk that ends the node or loses a proposal.
 // In a group with one member, nothing is acknowledged and Run goes on while the
@@ -93,3 +97,103 @@
 		t.Error(err)
 	}
 }
+
+// slowGroup is a group of nodes in one process whose writes to the journal can be slowed down.
+type slowGroup struct {
+	nodes map[MemberID]*Node[int]
+	// delay is the time that each write takes, in nanoseconds.
+	delay atomic.Int64
+}
+
+// startSlowGroup starts three voters that run until the test ends.
+func startSlowGroup(t *testing.T, electionTimeout time.Duration) *slowGroup {
+	t.Helper()
+	g := &slowGroup{nodes: map[MemberID]*Node[int]{}}
+	write := func() error {
+		time.Sleep(time.Duration(g.delay.Load()))
+		return nil
+	}
+	for _, m := range threeVoters().GetMembers() {
+		n, err := NewNode(NodeConfig[int]{
+			Core: Config{
+				ID: MemberID(m.GetId()), HeartbeatInterval: electionTimeout / 10, ElectionTimeout: electionTimeout,
+				BatchBytes: 1 << 20, Random: rand.Int64N,
+			},
+			InitialState: InitialState{
+				HardState: &replication.HardState{}, Snapshot: &replication.SnapshotHeader{Membership: threeVoters()},
+			},
+			Now:          func() time.Duration { return time.Since(testStart) },
+			Append:       func(*replication.Record) error { return write() },
+			SaveSnapshot: func(*replication.Snapshot, *replication.HardState, []*replication.Entry) error { return write() },
+			Send: func(messages []*replication.Message) {
+				for _, message := range messages {
+					g.nodes[MemberID(message.GetTo())].Deliver(message)
+				}
+			},
+			Apply:           func(_ Index, data []byte) int { return len(data) },
+			Snapshot:        func() ([]byte, error) { return nil, nil },
+			Restore:         func([]byte) error { return nil },
+			SnapshotEntries: 4,
+		}, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		g.nodes[MemberID(m.GetId())] = n
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, len(g.nodes))
+	for _, n := range g.nodes {
+		go func() { ended <- n.Run(ctx) }()
+	}
+	t.Cleanup(func() {
+		cancel()
+		for range g.nodes {
+			if err := <-ended; err != nil {
+				t.Error(err)
+			}
+		}
+	})
+	return g
+}
+
+// leader returns the node that all nodes know to be the leader, once there is one.
+func (g *slowGroup) leader(t *testing.T) *Node[int] {
+	t.Helper()
+	for deadline := time.Now().Add(time.Minute); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		leaders := map[MemberID]bool{}
+		for _, n := range g.nodes {
+			leaders[n.Status().Leader] = true
+		}
+		if len(leaders) == 1 && !leaders[0] {
+			for id := range leaders {
+				return g.nodes[id]
+			}
+		}
+	}
+	t.Fatal("no leader")
+	return nil
+}
+
+// TestSlowDisksKeepLeader guards against a group that loses its leader whenever the disks are
+// slow: the members exchange heartbeats while they write entries and snapshots.
+func TestSlowDisksKeepLeader(t *testing.T) {
+	const (
+		electionTimeout = 500 * time.Millisecond
+		writeTime       = 2 * time.Second
+		proposals       = 6
+	)
+	g := startSlowGroup(t, electionTimeout)
+	leader := g.leader(t)
+	term := leader.Status().Term
+	g.delay.Store(int64(writeTime))
+	for range proposals {
+		if _, err := leader.Propose(t.Context(), []byte("x")); err != nil {
+			t.Errorf("a proposal failed: %v", err)
+		}
+	}
+	for id, n := range g.nodes {
+		if got := n.Status().Term; got != term {
+			t.Errorf("member %d is in term %d, want %d", id, got, term)
+		}
+	}
+}
