router: spare responses that have begun when a prompt part is held

What callers saw: the first bytes of a response, then its end, although the engine went on.

Cause: an attempt counted as unanswered until its first event had been written and recorded. A part held in between cancelled it; other responses than streams were cancelled whenever it happened. The check and the cancellation were two steps.

Change: relaying and cancelling are decided once per attempt, by whichever comes first. An event that comes after the cancellation is not relayed, so that the client gets one whole refusal; a document that has arrived whole is delivered.

TestHeldPartEndsRequests also waited for the engine only, not for the router to relay the event; a part held before that ends the request rightly. It waits for both now. TestHeldPartSparesBegunResponses, new, holds the part within the first write and failed 3 of 3 times before, streams and documents. Both 200 times with -race: passed.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -92,6 +93,9 @@
 		// eventsRelayed counts the stream's events that were relayed to the client,
 		// without those skipped because the client already had them.
 		eventsRelayed atomic.Uint64
+		// settle is done once, by startRelay or cancelUnlessRelayed.
+		settle  sync.Once
+		relayed bool
 		// done is closed by close.
 		done chan struct{}
 		// deadlineTimer cancels the attempt at the call's deadline. For the stream of
@@ -292,6 +296,21 @@
 	return request, nil
 }
 
+// startRelay keeps cancelUnlessRelayed from cancelling the attempt from now on. If it already
+// has, startRelay returns its cause and the response must not be relayed to the client.
+func (at *attempt) startRelay() error {
+	at.settle.Do(func() { at.relayed = true })
+	if at.relayed {
+		return nil
+	}
+	return context.Cause(at.response.Request.Context())
+}
+
+// cancelUnlessRelayed cancels the attempt unless its response is being relayed to the client.
+func (at *attempt) cancelUnlessRelayed(cause error) {
+	at.settle.Do(func() { at.cancel(cause) })
+}
+
 // recordActivity sets the time of the last activity of the upstream.
 func (at *attempt) recordActivity(now time.Duration) {
 	at.lastActivity.Store(int64(now))
--- a/internal/router/isolation.go
+++ b/internal/router/isolation.go
@@ -288,10 +288,10 @@
 	s.mu.Lock()
 	s.accused.Store(!s.isolator.IsEmpty())
 	added := s.updateHeld()
-	cancelled := s.cancelled(added)
+	affected := s.affected(added)
 	s.mu.Unlock()
-	for at, part := range cancelled {
-		at.cancel(&heldPartError{Part: part})
+	for at, part := range affected {
+		at.cancelUnlessRelayed(&heldPartError{Part: part})
 	}
 	if len(added) > 0 {
 		s.router.dispatcher.refuseWaiting(func(r dispatchRequest) *RefusalError {
@@ -332,11 +332,11 @@
 	return added
 }
 
-// cancelled returns the attempts with parts that are held now whose engine has sent no event.
-func (s *isolation) cancelled(held []isolator.PartID) map[*attempt]isolator.PartID {
+// affected returns the attempts with parts that are held now.
+func (s *isolation) affected(held []isolator.PartID) map[*attempt]isolator.PartID {
 	out := map[*attempt]isolator.PartID{}
 	for at, c := range s.inProgress {
-		if c.probe || at.eventsRelayed.Load() > 0 {
+		if c.probe {
 			continue
 		}
 		for _, own := range c.isolatedParts() {
--- a/internal/router/isolation_test.go
+++ b/internal/router/isolation_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -167,9 +168,9 @@
 	}
 	unanswered, answered := ask("silent", "a:1,bad:1,x:1"), ask("answered", "a:1,bad:1,y:1")
 	sound := ask("silent", "a:1,good:1,z:1")
-	for end := timer.Now() + setupTimeout; started.Load() < 3; timer.Sleep(t.Context(), time.Millisecond) {
+	for end := timer.Now() + setupTimeout; started.Load() < 3 || relaying(r) < 1; timer.Sleep(t.Context(), time.Millisecond) {
 		if timer.Now() > end {
-			t.Fatalf("%d of 3 requests have reached the upstream", started.Load())
+			t.Fatalf("%d of 3 requests have reached the upstream, %d responses are being relayed", started.Load(), relaying(r))
 		}
 	}
 	r.isolation.merge(heldEvidence("bad"))
@@ -192,6 +193,81 @@
 	}
 }
 
+// relaying returns the number of attempts whose response is being relayed to the client.
+func relaying(r *Router) int {
+	r.isolation.mu.Lock()
+	defer r.isolation.mu.Unlock()
+	count := 0
+	for at := range r.isolation.inProgress {
+		if at.eventsRelayed.Load() > 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// holdingWriter holds a prompt part when the first byte of a body is written to the client.
+type holdingWriter struct {
+	http.ResponseWriter
+	hold func()
+}
+
+func (w *holdingWriter) Write(p []byte) (int, error) {
+	w.hold()
+	return w.ResponseWriter.Write(p)
+}
+
+func (w *holdingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// TestHeldPartSparesBegunResponses guards against responses that are cut after their first
+// bytes because a part of their prompt is held in the moment in which these are written.
+func TestHeldPartSparesBegunResponses(t *testing.T) {
+	// The rest exceeds what is buffered before a response is relayed.
+	rest := strings.Repeat("x", 2*maxBufferedBytes)
+	tests := map[string]struct{ contentType, first, rest string }{
+		"stream":   {contentType: "text/event-stream", first: "id: 1\ndata: x\n\n", rest: "id: 2\ndata: [DONE]\n\n"},
+		"document": {contentType: "text/plain", first: rest, rest: rest},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r, _, upstreams := newNoticeRouter(t, "one")
+			held := make(chan struct{})
+			upstreams["one"].set(func(w http.ResponseWriter, request *http.Request) {
+				w.Header().Set("Content-Type", test.contentType)
+				_, _ = io.WriteString(w, test.first)
+				_ = http.NewResponseController(w).Flush()
+				select {
+				case <-held:
+				case <-request.Context().Done():
+				}
+				_, _ = io.WriteString(w, test.rest)
+			})
+			hold := sync.OnceFunc(func() {
+				r.isolation.merge(heldEvidence("bad"))
+				close(held)
+			})
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+				r.clientHandler().ServeHTTP(&holdingWriter{ResponseWriter: w, hold: hold}, request)
+			}))
+			defer server.Close()
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL+"/x", strings.NewReader("x"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			request.Header.Set(HeaderPromptParts, "a:1,bad:1,own:1")
+			response, err := http.DefaultClient.Do(request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = response.Body.Close() }()
+			body, err := io.ReadAll(response.Body)
+			if want := test.first + test.rest; err != nil || string(body) != want {
+				t.Errorf("%d bytes, error %v, ending %q, want all %d bytes", len(body), err, body[max(0, len(body)-200):], len(want))
+			}
+		})
+	}
+}
+
 // TestHeldPartRefusesWaitingRequests guards against requests that wait for an upstream until
 // their deadline although a part of their prompt is held.
 func TestHeldPartRefusesWaitingRequests(t *testing.T) {
--- a/internal/router/response.go
+++ b/internal/router/response.go
@@ -152,6 +152,9 @@
 	if err != nil {
 		return errors.Wrap(err, "reading the answer")
 	}
+	if err = at.startRelay(); err != nil && !complete {
+		return err
+	}
 	h.readResponseUsage(body.data)
 	h.storeResponse(body.data, complete)
 	h.copyResponseHeader(w.w.Header(), at.response.Header)
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -205,6 +205,9 @@
 				return &eventGapError{Expected: h.lastEventID + 1, Got: e.id}, nil
 			}
 		}
+		if err = at.startRelay(); err != nil {
+			return err, nil
+		}
 		done := bytes.Equal(e.data, doneMarker)
 		h.startStream(w)
 		at.writingToClient.Store(true)
