--- a/pkg/replicator/append.go
+++ b/pkg/replicator/append.go
@@ -136,9 +136,14 @@
 		c.send(reply)
 		return
 	}
-	c.mergeEntries(m.GetEntries())
+	added := c.mergeEntries(m.GetEntries())
 	matched := previous + Index(len(m.GetEntries()))
 	c.advanceCommit(min(Index(m.GetCommit()), matched))
+	if !added && c.persistedTerm == c.term {
+		// The entries are acknowledged when they are durable. Meanwhile the leader learns
+		// that this member is in contact.
+		matched = min(matched, c.persistedIndex)
+	}
 	reply.Hint = uint64(matched)
 	c.send(reply)
 }
@@ -168,11 +173,11 @@
 	return max(i, c.log.baseIndex)
 }
 
-// mergeEntries appends the leader's entries that the log lacks. If an entry of
-// the log conflicts with a leader's entry, it and all entries after it are
-// removed first. mergeEntries panics if a committed entry conflicts, which the
+// mergeEntries appends the leader's entries that the log lacks, and reports whether there
+// were any. If an entry of the log conflicts with a leader's entry, it and all entries after
+// it are removed first. mergeEntries panics if a committed entry conflicts, which the
 // protocol rules out.
-func (c *Core) mergeEntries(entries []*replication.Entry) {
+func (c *Core) mergeEntries(entries []*replication.Entry) bool {
 	for i, e := range entries {
 		index := Index(e.GetIndex())
 		if index <= c.log.baseIndex {
@@ -188,6 +193,8 @@
 		if ok {
 			c.log.truncate(index)
 			c.truncateUnsaved(index)
+			c.rewrites++
+			c.persistedIndex = min(c.persistedIndex, index-1)
 			c.reloadMembership()
 		}
 		for _, added := range entries[i:] {
@@ -195,8 +202,9 @@
 			c.unsaved = append(c.unsaved, added)
 			c.adoptMembership(added)
 		}
-		return
+		return true
 	}
+	return false
 }
 
 // truncateUnsaved removes the unsaved entries from an index on, so that the next
@@ -227,6 +235,8 @@
 	default:
 		c.log.reset(index, Term(header.GetTerm()))
 		c.unsaved = nil
+		c.rewrites++
+		c.persistedIndex = 0
 		c.baseMembership = header.GetMembership()
 		c.reloadMembership()
 		c.commit = index
--- a/pkg/replicator/cluster_test.go
+++ b/pkg/replicator/cluster_test.go
@@ -37,14 +37,29 @@
 		disk    *disk
 		core    *Core
 		applied Index
+		// snapshotIndex is the last entry that the latest snapshot covers.
+		snapshotIndex Index
 		// frozenUntil is the simulated time until which the member does not run but
 		// keeps its memory.
 		frozenUntil time.Duration
 		down        bool
+		// writes are those that the disk has not finished, in their order.
+		writes []diskWrite
+		// diskSlowUntil is the simulated time until which writes take up to writeTime.
+		diskSlowUntil, writeTime time.Duration
 		// clockOffset is how far this member's clock is ahead of the simulated time.
 		clockOffset time.Duration
 	}
 
+	// diskWrite is a write to a disk and what the driver does once it is done.
+	diskWrite struct {
+		doneAt time.Duration
+		write  func(*disk)
+		// messages are sent and event is passed to the core once the write is done.
+		messages []*replication.Message
+		event    Event
+	}
+
 	// delivery is a message on its way.
 	delivery struct {
 		deliverAt time.Duration
@@ -125,6 +140,7 @@
 func (c *cluster) start(m *member) {
 	m.down = false
 	m.frozenUntil = 0
+	m.writes = nil
 	m.core = NewCore(Config{
 		ID: m.id, HeartbeatInterval: testHeartbeat, ElectionTimeout: testElectionTimeout, BatchBytes: testBatchBytes,
 		Random: c.random.Int63n,
@@ -132,6 +148,7 @@
 		HardState: m.disk.hardState, Snapshot: m.disk.snapshot.GetHeader(), Entries: m.disk.entries,
 	}, c.clock(m))
 	m.applied = Index(m.disk.snapshot.GetHeader().GetIndex())
+	m.snapshotIndex = m.applied
 	c.handleOutput(m)
 }
 
@@ -154,14 +171,24 @@
 // the results.
 func (c *cluster) handleOutput(m *member) {
 	out := m.core.TakeOutput()
-	if out.InstallSnapshot != nil {
+	switch {
+	case out.InstallSnapshot != nil:
+		for len(m.writes) > 0 {
+			c.finishWrite(m)
+		}
 		m.disk.snapshot = out.InstallSnapshot
 		m.applied = Index(out.InstallSnapshot.GetHeader().GetIndex())
+		m.snapshotIndex = m.applied
 		m.disk.entries = append([]*replication.Entry(nil), m.core.EntriesAfter(m.applied)...)
 		m.disk.hardState = m.core.HardState()
-	} else if out.Record != nil {
-		m.disk.hardState = out.Record.GetHardState()
-		m.disk.append(out.Record.GetEntries())
+		c.addWrite(m, diskWrite{messages: out.AfterRecord, event: *out.Persisted})
+	case out.Record != nil:
+		c.addWrite(m, diskWrite{messages: out.AfterRecord, event: *out.Persisted, write: func(d *disk) {
+			d.hardState = out.Record.GetHardState()
+			d.append(out.Record.GetEntries())
+		}})
+	case len(out.AfterRecord) > 0:
+		c.addWrite(m, diskWrite{messages: out.AfterRecord})
 	}
 	for _, message := range out.Messages {
 		c.send(m, message)
@@ -176,9 +203,59 @@
 		delete(c.requiredIndex, r.ID)
 	}
 	c.checkLeadership(m)
-	if m.applied >= Index(m.disk.snapshot.GetHeader().GetIndex())+testSnapshotEntries {
-		c.takeSnapshot(m)
+	c.takeSnapshot(m)
+	c.finishWrites(m)
+}
+
+// addWrite adds a write to those of a member's disk.
+func (c *cluster) addWrite(m *member, w diskWrite) {
+	w.doneAt = c.now
+	if m.diskSlowUntil > c.now {
+		w.doneAt += time.Duration(c.random.Int63n(int64(m.writeTime)))
+	}
+	if n := len(m.writes); n > 0 {
+		w.doneAt = max(w.doneAt, m.writes[n-1].doneAt)
 	}
+	m.writes = append(m.writes, w)
+}
+
+// slowDisk makes the writes of a member take up to a time.
+func (c *cluster) slowDisk(m *member, until, writeTime time.Duration) {
+	m.diskSlowUntil, m.writeTime = until, writeTime
+}
+
+// finishWrites finishes the writes of a member that are done by now.
+func (c *cluster) finishWrites(m *member) {
+	for len(m.writes) > 0 && m.writes[0].doneAt <= c.now {
+		c.finishWrite(m)
+		c.handleOutput(m)
+	}
+}
+
+// finishWrite finishes the first write of a member.
+func (c *cluster) finishWrite(m *member) {
+	w := m.writes[0]
+	m.writes = m.writes[1:]
+	if w.write != nil {
+		w.write(m.disk)
+	}
+	for _, message := range w.messages {
+		c.send(m, message)
+	}
+	if w.event != nil {
+		m.core.Step(c.clock(m), w.event)
+	}
+}
+
+// crash ends a member. Some of the writes that its disk has not finished may be on it.
+func (c *cluster) crash(m *member) {
+	m.down = true
+	for _, w := range m.writes[:c.random.Intn(len(m.writes)+1)] {
+		if w.write != nil {
+			w.write(m.disk)
+		}
+	}
+	m.writes = nil
 }
 
 // append stores entries. An entry replaces the one at its index and all after it.
@@ -192,12 +269,21 @@
 	}
 }
 
-// takeSnapshot stores a snapshot on a member's disk and compacts its log.
+// takeSnapshot stores a snapshot on a member's disk and compacts its log, if one is due.
 func (c *cluster) takeSnapshot(m *member) {
-	m.disk.snapshot = &replication.Snapshot{Header: m.core.SnapshotHeader(m.applied), Data: []byte{1}}
-	m.disk.entries = append([]*replication.Entry(nil), m.core.EntriesAfter(m.applied)...)
-	m.disk.hardState = m.core.HardState()
-	m.core.Step(c.clock(m), Compact{Index: m.applied, Keep: testKeepEntries})
+	if m.applied < m.snapshotIndex+testSnapshotEntries {
+		return
+	}
+	m.snapshotIndex = m.applied
+	taken := &disk{
+		snapshot:  &replication.Snapshot{Header: m.core.SnapshotHeader(m.applied), Data: []byte{1}},
+		entries:   append([]*replication.Entry(nil), m.core.EntriesAfter(m.applied)...),
+		hardState: m.core.HardState(),
+	}
+	c.addWrite(m, diskWrite{
+		write: func(d *disk) { *d = *taken },
+		event: Compact{Index: Index(taken.snapshot.GetHeader().GetIndex()), Keep: testKeepEntries},
+	})
 }
 
 // apply applies an entry at a member. It fails the test if the entry is out of
@@ -290,6 +376,7 @@
 	}
 	for _, m := range c.members {
 		if c.isRunning(m) {
+			c.finishWrites(m)
 			c.step(m, Tick{})
 		}
 	}
@@ -340,9 +427,9 @@
 func (c *cluster) injectFault() {
 	m := c.members[c.random.Intn(len(c.members))]
 	other := c.members[c.random.Intn(len(c.members))]
-	switch c.random.Intn(8) {
+	switch c.random.Intn(10) {
 	case 0:
-		m.down = true
+		c.crash(m)
 	case 1:
 		m.frozenUntil = c.now + time.Duration(c.random.Int63n(int64(5*testElectionTimeout)))
 	case 2:
@@ -355,6 +442,8 @@
 		if c.canWipe(m) {
 			c.wipe(m)
 		}
+	case 6, 7:
+		c.slowDisk(m, c.now+time.Duration(c.random.Int63n(int64(10*testElectionTimeout))), 3*testElectionTimeout)
 	default:
 		for _, candidate := range c.members {
 			if candidate.down {
@@ -389,6 +478,7 @@
 	c.unreliable = false
 	for _, m := range c.members {
 		m.frozenUntil = 0
+		m.diskSlowUntil = 0
 		if m.down {
 			c.start(m)
 		}
--- a/pkg/replicator/core.go
+++ b/pkg/replicator/core.go
@@ -34,6 +34,12 @@
 		// delivered is the index of the last entry added to Output.Committed or
 		// covered by a snapshot.
 		delivered Index
+		// persistedIndex is the index up to which the log is durable, and persistedTerm the
+		// term of the latest durable hard state.
+		persistedIndex Index
+		persistedTerm  Term
+		// rewrites counts the times that entries were removed from the log.
+		rewrites uint64
 		// membership is the current one: the latest in the log, committed or not.
 		membership *replication.Membership
 		// membershipIndex is the index of the entry that set the membership.
@@ -106,6 +112,7 @@
 	c.vote = MemberID(initial.HardState.GetVote())
 	c.log.reset(Index(initial.Snapshot.GetIndex()), Term(initial.Snapshot.GetTerm()))
 	c.log.entries = append(c.log.entries, initial.Entries...)
+	c.persistedTerm, c.persistedIndex = c.term, c.log.lastIndex()
 	c.baseMembership = initial.Snapshot.GetMembership()
 	c.reloadMembership()
 	c.commit = c.log.baseIndex
@@ -132,6 +139,8 @@
 		c.read(now, e.ID)
 	case Compact:
 		c.compact(e)
+	case Persisted:
+		c.recordPersisted(now, e)
 	}
 }
 
@@ -141,6 +150,9 @@
 	if c.hardStateChanged || len(c.unsaved) > 0 {
 		c.output.Record = &replication.Record{HardState: c.HardState(), Entries: c.unsaved}
 	}
+	if c.output.Record != nil || c.output.InstallSnapshot != nil {
+		c.output.Persisted = &Persisted{Term: c.term, Last: c.log.lastIndex(), rewrites: c.rewrites}
+	}
 	out := c.output
 	c.output = Output{}
 	c.hardStateChanged = false
@@ -148,8 +160,7 @@
 	return out
 }
 
-// HardState returns the term, vote and commit index. They must be durable
-// before messages are sent.
+// HardState returns the term, vote and commit index.
 func (c *Core) HardState() *replication.HardState {
 	return &replication.HardState{Term: uint64(c.term), Vote: uint64(c.vote), Commit: uint64(c.commit)}
 }
@@ -178,11 +189,11 @@
 func (c *Core) MembershipCommitted() bool { return c.membershipIndex <= c.commit }
 
 // Match returns, at a leader, the match index of a member: the highest index up
-// to which the member's log is known to be identical to the leader's. It is
+// to which the member's durable log is known to be identical to the leader's. It is
 // zero for a member that the leader does not know.
 func (c *Core) Match(id MemberID) Index {
 	if id == c.config.ID {
-		return c.log.lastIndex()
+		return c.persistedIndex
 	}
 	if p, ok := c.progress[id]; ok {
 		return p.match
@@ -383,6 +394,10 @@
 	if m.Term == 0 {
 		m.Term = uint64(c.term)
 	}
+	if c.mustFollowRecord(m) {
+		c.output.AfterRecord = append(c.output.AfterRecord, m)
+		return
+	}
 	c.output.Messages = append(c.output.Messages, m)
 }
 
@@ -404,6 +419,7 @@
 	if e.Index > c.delivered || e.Index <= c.log.baseIndex {
 		return
 	}
+	c.persistedIndex = max(c.persistedIndex, e.Index)
 	newBase := e.Index
 	if Index(e.Keep) >= newBase {
 		return
--- a/pkg/replicator/core_test.go
+++ b/pkg/replicator/core_test.go
@@ -58,7 +58,7 @@
 		c.wipe(c.members[0])
 		c.healAndConverge()
 		before := c.highestCommitted
-		c.members[1].down = true
+		c.crash(c.members[1])
 		c.runFor(10 * testElectionTimeout)
 		c.proposeAndRead()
 		c.runFor(10 * testElectionTimeout)
@@ -87,7 +87,7 @@
 func TestWipedVoterHasNoVote(t *testing.T) {
 	c := newCluster(t, 1, 3, 0)
 	c.runFor(10 * testElectionTimeout)
-	c.members[2].down = true
+	c.crash(c.members[2])
 	c.proposeAndRead()
 	c.runFor(testElectionTimeout)
 	var leader, follower *member
@@ -98,7 +98,7 @@
 			follower = m
 		}
 	}
-	leader.down = true
+	c.crash(leader)
 	c.wipe(follower)
 	c.start(c.members[2])
 	c.runFor(50 * testElectionTimeout)
@@ -143,7 +143,7 @@
 		c := newCluster(t, seed, 3, 0)
 		c.runFor(10 * testElectionTimeout)
 		lost := c.members[0]
-		lost.down = true
+		c.crash(lost)
 		c.runFor(3 * testElectionTimeout)
 		c.nextID++
 		successor := &member{host: "successor", id: c.nextID, disk: &disk{hardState: &replication.HardState{}}}
@@ -154,7 +154,7 @@
 		c.runFor(2 * testElectionTimeout)
 		before := c.highestCommitted
 		c.wipe(c.members[1])
-		c.members[1].down = true
+		c.crash(c.members[1])
 		c.runFor(10 * testElectionTimeout)
 		c.proposeAndRead()
 		c.runFor(10 * testElectionTimeout)
--- a/pkg/replicator/node.go
+++ b/pkg/replicator/node.go
@@ -27,12 +27,15 @@
 	// snapshotRetryInterval is the least time from a snapshot that failed with a
 	// retryable error to the next attempt.
 	snapshotRetryInterval = time.Second
+	// maxWaitingBytes is the size of the entries waiting to be written above which a node
+	// takes no messages and proposals.
+	maxWaitingBytes = 16 << 20
 )
 
 type (
-	// NodeConfig configures a Node whose commands have results of type R. The
-	// functions are called from Run's goroutine, one at a time; NewNode calls Now
-	// and Restore before that.
+	// NodeConfig configures a Node whose commands have results of type R. Append and
+	// SaveSnapshot are called one at a time, and so are the other functions; NewNode calls
+	// Now and Restore before Run does.
 	NodeConfig[R any] struct {
 		Core         Config
 		InitialState InitialState
@@ -68,11 +71,13 @@
 	}
 
 	// Node drives a Core: it writes the journal, sends messages, applies committed
-	// commands and completes proposals and reads. Run must be called once; the
+	// commands and completes proposals and reads. It goes on while the journal is written,
+	// so that slow disks do not interrupt the heartbeats. Run must be called once; the
 	// other methods are safe for concurrent use.
 	Node[R any] struct {
 		config NodeConfig[R]
 		core   *Core
+		writer *journalWriter
 
 		inbox               chan *replication.Message
 		proposals           chan *proposal[R]
@@ -95,11 +100,15 @@
 		applied Index
 		// snapshotIndex is the index of the last entry that the latest snapshot covers.
 		snapshotIndex Index
+		// savingSnapshot reports that a snapshot is being written.
+		savingSnapshot bool
 		// bytesSinceSnapshot is the total size, in bytes, of the commands applied
 		// since the latest snapshot.
 		bytesSinceSnapshot int
-		lastSnapshot       *replication.Snapshot
-		status             atomic.Pointer[Status]
+		// bytesInSnapshot is how much of that the snapshot being written covers.
+		bytesInSnapshot int
+		lastSnapshot    *replication.Snapshot
+		status          atomic.Pointer[Status]
 		// runContext is the context of Run. Retries of writes stop when it ends.
 		runContext context.Context //nolint:containedctx // It is Run's own.
 		// nextSnapshotAt is the time before which no snapshot is taken after a
@@ -178,6 +187,7 @@
 		pendingReads:        map[ReadID]*readRequest{},
 		lastSnapshot:        snapshot,
 	}
+	n.writer = newJournalWriter(config.Append, config.SaveSnapshot, n.isRetryable)
 	if snapshot != nil {
 		n.applied = Index(snapshot.GetHeader().GetIndex())
 		n.snapshotIndex = n.applied
@@ -199,22 +209,33 @@
 	n.runContext = ctx
 	err := n.handleOutput()
 	for err == nil {
+		inbox, proposals := n.inbox, n.proposals
+		if n.writer.waitingBytes > maxWaitingBytes {
+			inbox, proposals = nil, nil
+		}
 		select {
 		case <-ctx.Done():
 			err = ctx.Err()
 			continue
 		case <-ticker.C:
 			n.step(Tick{})
-		case m := <-n.inbox:
+		case m := <-inbox:
 			n.receive(m)
-		case p := <-n.proposals:
+		case p := <-proposals:
 			n.propose(p)
 		case m := <-n.membershipProposals:
 			n.step(ProposeMembership{Membership: m})
 		case r := <-n.readRequests:
 			n.read(r)
+		case result := <-n.writer.done:
+			err = n.finishWrites(result)
+		}
+		if err == nil {
+			err = n.handleOutput()
 		}
-		err = n.handleOutput()
+	}
+	if writeErr := n.writer.wait(); errors.Is(err, context.Canceled) && writeErr != nil && !n.isRetryable(writeErr) {
+		err = writeErr
 	}
 	n.stop(err)
 	if errors.Is(err, context.Canceled) {
@@ -352,19 +373,14 @@
 	n.step(Read{ID: n.lastReadID})
 }
 
-// handleOutput does what the core asks for until it asks for nothing more. The
-// journal comes first: messages acknowledge entries and votes, so they are sent
-// only once these are durable.
+// handleOutput does what the core asks for until it asks for nothing more.
 func (n *Node[R]) handleOutput() error {
 	for {
 		out := n.core.TakeOutput()
 		if err := n.persist(out); err != nil {
 			return err
 		}
-		n.attachSnapshots(out.Messages)
-		if len(out.Messages) > 0 {
-			n.config.Send(out.Messages)
-		}
+		n.send(out.Messages)
 		n.apply(out.Committed)
 		n.handleReadResults(out.Reads)
 		if n.core.Role() != Leader {
@@ -373,50 +389,77 @@
 		if err := n.takeSnapshot(); err != nil {
 			return err
 		}
+		n.writer.start(n.runContext)
 		n.publish()
-		if len(out.Committed) == 0 && len(out.Messages) == 0 && out.Record == nil {
+		if len(out.Committed) == 0 && len(out.Messages) == 0 && out.Persisted == nil {
 			return nil
 		}
 	}
 }
 
-// persist makes a leader's snapshot or a record durable. A snapshot is saved with
-// the current hard state and the entries after it, which include the record's.
+// persist starts to make a record durable, or waits until a leader's snapshot is. The
+// messages that acknowledge it follow.
 func (n *Node[R]) persist(out Output) error {
 	if out.InstallSnapshot != nil {
-		return n.installSnapshot(out.InstallSnapshot)
+		if err := n.installSnapshot(out.InstallSnapshot); err != nil {
+			return err
+		}
+		n.step(*out.Persisted)
 	}
-	if out.Record == nil {
-		return nil
+	switch {
+	case out.InstallSnapshot == nil && out.Record != nil:
+		n.writer.add(journalWrite{record: out.Record, persisted: out.Persisted, messages: out.AfterRecord})
+	case n.writer.isIdle():
+		n.send(out.AfterRecord)
+	case len(out.AfterRecord) > 0:
+		n.writer.add(journalWrite{messages: out.AfterRecord})
 	}
-	return n.retryWrite(func() error { return n.config.Append(out.Record) })
+	return nil
 }
 
-// retryWrite calls write until it succeeds, fails with an error that is not
-// retryable, or Run's context ends. Meanwhile the node processes no messages and
-// acknowledges nothing, so that another member is elected leader if this one was.
-func (n *Node[R]) retryWrite(write func() error) error {
-	for {
-		err := write()
-		if err == nil || !n.isRetryable(err) {
-			return err
+// finishWrites does what follows writes to the journal that have ended with a result.
+func (n *Node[R]) finishWrites(result error) error {
+	for _, write := range n.writer.takeStarted() {
+		if write.snapshot != nil {
+			if err := n.finishSnapshot(write.snapshot, result); err != nil {
+				return err
+			}
+			continue
 		}
-		select {
-		case <-n.runContext.Done():
-			return n.runContext.Err()
-		case <-time.After(diskRetryInterval):
+		if result != nil {
+			return result
+		}
+		n.send(write.messages)
+		if write.persisted != nil {
+			n.step(*write.persisted)
 		}
 	}
+	return nil
 }
 
 func (n *Node[R]) isRetryable(err error) bool {
 	return n.config.Retryable != nil && n.config.Retryable(err)
 }
 
-// installSnapshot replaces the journal and the state machine by a leader's snapshot.
+// send sends messages to other members.
+func (n *Node[R]) send(messages []*replication.Message) {
+	n.attachSnapshots(messages)
+	if len(messages) > 0 {
+		n.config.Send(messages)
+	}
+}
+
+// installSnapshot replaces the journal and the state machine by a leader's snapshot, after
+// all writes to the journal.
 func (n *Node[R]) installSnapshot(s *replication.Snapshot) error {
+	for !n.writer.isIdle() {
+		n.writer.start(n.runContext)
+		if err := n.finishWrites(<-n.writer.done); err != nil {
+			return err
+		}
+	}
 	index := Index(s.GetHeader().GetIndex())
-	err := n.retryWrite(func() error {
+	err := n.writer.retry(n.runContext, func() error {
 		return n.config.SaveSnapshot(s, n.core.HardState(), n.core.EntriesAfter(index))
 	})
 	if err != nil {
@@ -428,6 +471,7 @@
 	n.applied = index
 	n.snapshotIndex = index
 	n.bytesSinceSnapshot = 0
+	n.bytesInSnapshot = 0
 	n.lastSnapshot = s
 	return nil
 }
@@ -512,38 +556,51 @@
 	n.confirmedReads = kept
 }
 
-// takeSnapshot saves a snapshot of the state machine and compacts the log if
-// enough entries or bytes were applied since the last one. After a retryable
-// error it returns nil and tries again later.
+// takeSnapshot starts to save a snapshot of the state machine if enough entries or bytes
+// were applied since the last one.
 func (n *Node[R]) takeSnapshot() error {
-	tooManyBytes := n.config.SnapshotBytes > 0 && n.bytesSinceSnapshot > n.config.SnapshotBytes
-	if n.applied < n.snapshotIndex+Index(n.config.SnapshotEntries) && !tooManyBytes {
+	if n.applied < n.snapshotIndex+Index(n.config.SnapshotEntries) && !n.isOverSnapshotBytes() {
 		return nil
 	}
-	if n.config.Now() < n.nextSnapshotAt {
+	if n.savingSnapshot || n.config.Now() < n.nextSnapshotAt {
 		return nil
 	}
-	keep := n.config.SnapshotEntries
-	if tooManyBytes {
-		keep = 0
-	}
 	data, err := n.config.Snapshot()
 	if err != nil {
 		return errors.Wrap(err, "encoding a snapshot")
 	}
-	s := &replication.Snapshot{Header: n.core.SnapshotHeader(n.applied), Data: data}
-	err = n.config.SaveSnapshot(s, n.core.HardState(), n.core.EntriesAfter(n.applied))
-	if err != nil && n.isRetryable(err) {
+	n.savingSnapshot = true
+	n.bytesInSnapshot = n.bytesSinceSnapshot
+	n.writer.add(journalWrite{
+		snapshot: &replication.Snapshot{Header: n.core.SnapshotHeader(n.applied), Data: data},
+		record:   &replication.Record{HardState: n.core.HardState(), Entries: n.core.EntriesAfter(n.applied)},
+	})
+	return nil
+}
+
+func (n *Node[R]) isOverSnapshotBytes() bool {
+	return n.config.SnapshotBytes > 0 && n.bytesSinceSnapshot > n.config.SnapshotBytes
+}
+
+// finishSnapshot compacts the log after a snapshot was saved. After a retryable error a
+// snapshot is taken again later.
+func (n *Node[R]) finishSnapshot(s *replication.Snapshot, result error) error {
+	n.savingSnapshot = false
+	if result != nil && n.isRetryable(result) {
 		n.nextSnapshotAt = n.config.Now() + snapshotRetryInterval
 		return nil
 	}
-	if err != nil {
-		return err
+	if result != nil {
+		return result
+	}
+	keep := n.config.SnapshotEntries
+	if n.isOverSnapshotBytes() {
+		keep = 0
 	}
 	n.lastSnapshot = s
-	n.snapshotIndex = n.applied
-	n.bytesSinceSnapshot = 0
-	n.step(Compact{Index: n.applied, Keep: keep})
+	n.snapshotIndex = Index(s.GetHeader().GetIndex())
+	n.bytesSinceSnapshot -= n.bytesInSnapshot
+	n.step(Compact{Index: n.snapshotIndex, Keep: keep})
 	return nil
 }
 
--- a/pkg/replicator/protocol_test.go
+++ b/pkg/replicator/protocol_test.go
@@ -40,12 +40,23 @@
 	}, 0)
 }
 
+// persist makes the core's output durable, and returns it.
+func persist(c *Core, now time.Duration) Output {
+	out := c.TakeOutput()
+	if out.Persisted != nil {
+		c.Step(now, *out.Persisted)
+	}
+	return out
+}
+
 // makeLeader makes member 1 the leader of the next term, with the vote of member 2.
 func makeLeader(c *Core, now time.Duration) {
 	c.Step(now, Tick{})
 	next := uint64(c.Term()) + 1
 	c.Step(now, Receive{Message: &replication.Message{Kind: kindPreVoteReply, From: 2, To: 1, Term: next}})
+	persist(c, now)
 	c.Step(now, Receive{Message: &replication.Message{Kind: kindVoteReply, From: 2, To: 1, Term: next}})
+	persist(c, now)
 }
 
 // TestEntriesOfEarlierTermsAreNotCommittedByMajority guards against a leader
@@ -94,8 +105,8 @@
 		Kind: kindVote, From: 3, To: 1, Term: 2, LogIndex: 1, LogTerm: 1,
 	}})
 	out := c.TakeOutput()
-	if len(out.Messages) != 1 || out.Messages[0].GetRejected() {
-		t.Fatalf("messages %v, want one granted vote", out.Messages)
+	if len(out.Messages) != 0 || len(out.AfterRecord) != 1 || out.AfterRecord[0].GetRejected() {
+		t.Fatalf("messages %v, then %v, want one granted vote after the record", out.Messages, out.AfterRecord)
 	}
 	if out.Record.GetHardState().GetVote() != 3 || out.Record.GetHardState().GetTerm() != 2 {
 		t.Errorf("the vote is sent without being recorded: %v", out.Record)
@@ -103,7 +114,7 @@
 	c.Step(2*testElectionTimeout, Receive{Message: &replication.Message{
 		Kind: kindVote, From: 2, To: 1, Term: 2, LogIndex: 1, LogTerm: 1,
 	}})
-	if out = c.TakeOutput(); !out.Messages[0].GetRejected() {
+	if out = c.TakeOutput(); !out.AfterRecord[0].GetRejected() {
 		t.Error("a second vote was granted in one term")
 	}
 }
@@ -133,7 +144,7 @@
 			c.TakeOutput()
 			c.Step(test.at, Receive{Message: request})
 			out := c.TakeOutput()
-			if granted := !out.Messages[0].GetRejected(); granted != test.granted {
+			if granted := !out.AfterRecord[0].GetRejected(); granted != test.granted {
 				t.Errorf("vote granted is %t, want %t", granted, test.granted)
 			}
 		})
--- a/pkg/replicator/replicator.go
+++ b/pkg/replicator/replicator.go
@@ -74,6 +74,17 @@
 		Keep int
 	}
 
+	// Persisted reports that a Record or an installed snapshot is durable. Output holds the
+	// event to pass to Step then.
+	Persisted struct {
+		// Term is the one of the hard state.
+		Term Term
+		// Last is the index of the last entry that is durable, zero if there are no entries.
+		Last Index
+		// rewrites is the number of times that entries of the log had been removed.
+		rewrites uint64
+	}
+
 	// ReadResult answers a Read.
 	ReadResult struct {
 		ID ReadID
@@ -91,15 +102,22 @@
 	}
 
 	// Output is what the driver must do after one or more steps, in the order
-	// of the fields.
+	// of the fields. It need not wait until the record is durable before it goes on with the
+	// fields after AfterRecord, and with the next step.
 	Output struct {
 		// InstallSnapshot, if not nil, is a leader's snapshot that replaces the
-		// state machine and the journal. The new journal starts with the current
-		// hard state and the entries after the snapshot, so Record need not be
-		// appended as well.
+		// state machine and the journal, once all earlier records are durable. The new
+		// journal starts with the current hard state and the entries after the snapshot, so
+		// Record need not be appended as well. It must be durable before the next step.
 		InstallSnapshot *replication.Snapshot
-		// Record, if not nil, must be durable before anything below is done.
+		// Record, if not nil, is to be made durable after those of all earlier outputs.
 		Record *replication.Record
+		// Persisted is the event for the time when Record or InstallSnapshot is durable. It
+		// is nil if there is neither.
+		Persisted *Persisted
+		// AfterRecord are messages to be sent to other members once Record and those of
+		// all earlier outputs are durable.
+		AfterRecord []*replication.Message
 		// Messages are to be sent to other members. A snapshot message lacks its
 		// snapshot; the driver adds the latest one.
 		Messages []*replication.Message
@@ -159,6 +177,7 @@
 func (ProposeMembership) isEvent() {}
 func (Read) isEvent()              {}
 func (Compact) isEvent()           {}
+func (Persisted) isEvent()         {}
 
 // String returns the role's name.
 func (r Role) String() string {
