--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -294,3 +294,34 @@
 	wait = max(wait, minRetryAfter)
 	return wait + rand.N(wait)
 }
+
+// refuseAll refuses all waiting requests of a pool that has no upstream any more.
+func (d *dispatcher) refuseAll(key poolKey, p *pool) {
+	for id, w := range d.waiters {
+		if w.request.pool == key && p.scheduler.Remove(id) {
+			d.refuseWaiter(id, d.noUpstreamRefusal(key))
+		}
+	}
+}
+
+// refuseWaiting refuses the waiting requests for which a function returns a refusal.
+func (d *dispatcher) refuseWaiting(refusalOf func(dispatchRequest) *RefusalError) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, w := range d.waiters {
+		refusal := refusalOf(w.request)
+		if refusal != nil && d.pools[w.request.pool].scheduler.Remove(id) {
+			d.refuseWaiter(id, refusal)
+		}
+	}
+}
+
+func (d *dispatcher) noUpstreamRefusal(key poolKey) *RefusalError {
+	return refuseWithRetryAfter(http.StatusServiceUnavailable, CodeNoUpstream, "no upstream serves "+key.name, d.retryAfter())
+}
+
+func (d *dispatcher) refuseWaiter(id scheduler.ItemID, refusal *RefusalError) {
+	w := d.waiters[id]
+	delete(d.waiters, id)
+	w.refused <- refusal
+}
