controller: bound what is queued for a peer by its size

Cause: 256 messages could wait for a peer, whatever their size, and all that waited were sent as one message. While a peer is away, its leader repeats up to 1 MiB of entries with each heartbeat.

Change: the entries that wait for a peer are bounded to 4 MiB. The earliest messages are dropped, as the later ones repeat what was not acknowledged; before, the latest one was dropped.

--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -13,9 +13,6 @@
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
-// outboxSize bounds the messages queued for one peer. Further messages are dropped.
-const outboxSize = 256
-
 type (
 	// peers holds a client and an outbox for every other control process. If the
 	// settings list all peers, the set is fixed. With seeds, peers are added and
@@ -42,7 +39,7 @@
 	peer struct {
 		host   string
 		client *messenger.Client
-		outbox chan *replication.Message
+		outbox *outbox
 		// stop is closed when the peer is removed or its address changes.
 		stop chan struct{}
 	}
@@ -95,7 +92,7 @@
 	added := &peer{
 		host:   host,
 		client: messenger.NewClient(address, p.security, requestTimeout),
-		outbox: make(chan *replication.Message, outboxSize),
+		outbox: newOutbox(),
 		stop:   make(chan struct{}),
 	}
 	p.byHost[host] = added
@@ -215,19 +212,15 @@
 	}
 }
 
-// enqueue adds messages to the outboxes without blocking. A message is dropped
-// if its outbox is full or its receiver is unknown.
+// enqueue adds messages to the outboxes without blocking. A message is dropped if its receiver
+// is unknown.
 func (p *peers) enqueue(messages []*replication.Message) {
 	for _, m := range messages {
 		p.mu.Lock()
 		to := p.byHost[p.hostByMember[replicator.MemberID(m.GetTo())]]
 		p.mu.Unlock()
-		if to == nil {
-			continue
-		}
-		select {
-		case to.outbox <- m:
-		default:
+		if to != nil {
+			to.outbox.add(m)
 		}
 	}
 }
@@ -237,19 +230,18 @@
 func (p *peers) sendOutbox(ctx context.Context, to *peer) {
 	defer to.client.Close()
 	for {
-		var batch []*replication.Message
 		select {
 		case <-ctx.Done():
 			return
 		case <-to.stop:
 			return
-		case m := <-to.outbox:
-			batch = append(batch, m)
+		case <-to.outbox.added:
 		}
-		for range len(to.outbox) {
-			batch = append(batch, <-to.outbox)
+		messages := to.outbox.take()
+		if len(messages) == 0 {
+			continue
 		}
-		request := &wire.Request{Kind: &wire.Request_Replicate{Replicate: &wire.Replicate{Messages: batch}}}
+		request := &wire.Request{Kind: &wire.Request_Replicate{Replicate: &wire.Replicate{Messages: messages}}}
 		if err := to.client.Notify(ctx, request); err != nil {
 			p.log.Debug("sending messages to a control process failed; they are dropped", zap.String("peer", to.host), zap.Error(err))
 		}
