replicator: take no entries beyond what the disk keeps up with

Change: beyond 16 MiB of entries that are not written yet, messages with entries are dropped, as if lost; heartbeats are still answered. The bound counts the write in progress too.

--- a/pkg/replicator/node.go
+++ b/pkg/replicator/node.go
@@ -27,9 +27,9 @@
 	// snapshotRetryInterval is the least time from a snapshot that failed with a
 	// retryable error to the next attempt.
 	snapshotRetryInterval = time.Second
-	// maxWaitingBytes is the size of the entries waiting to be written above which a node
-	// takes no messages and proposals.
-	maxWaitingBytes = 16 << 20
+	// maxUnwrittenBytes is the size of the entries that are not yet written above which a node
+	// takes no further entries and proposals.
+	maxUnwrittenBytes = 16 << 20
 )
 
 type (
@@ -155,9 +155,9 @@
 	n.runContext = ctx
 	err := n.handleOutput()
 	for err == nil {
-		inbox, proposals := n.inbox, n.proposals
-		if n.writer.waitingBytes > maxWaitingBytes {
-			inbox, proposals = nil, nil
+		proposals := n.proposals
+		if n.writer.unwrittenBytes > maxUnwrittenBytes {
+			proposals = nil
 		}
 		select {
 		case <-ctx.Done():
@@ -165,7 +165,7 @@
 			continue
 		case <-ticker.C:
 			n.step(Tick{})
-		case m := <-inbox:
+		case m := <-n.inbox:
 			n.receive(m)
 		case p := <-proposals:
 			n.propose(p)
@@ -210,11 +210,21 @@
 }
 
 // receive passes the given message and all other queued ones to the core, so that
-// they share one synced write of the journal.
+// they share one synced write of the journal. Messages with entries are dropped, which the
+// protocol tolerates, while too many entries are not written.
 func (n *Node[R]) receive(first *replication.Message) {
-	n.step(Receive{Message: first})
+	received := 0
+	receiveOne := func(m *replication.Message) {
+		size := entryBytes(m.GetEntries())
+		if size > 0 && n.writer.unwrittenBytes+received > maxUnwrittenBytes {
+			return
+		}
+		received += size
+		n.step(Receive{Message: m})
+	}
+	receiveOne(first)
 	for range len(n.inbox) {
-		n.step(Receive{Message: <-n.inbox})
+		receiveOne(<-n.inbox)
 	}
 }
 
--- a/pkg/replicator/node_test.go
+++ b/pkg/replicator/node_test.go
@@ -98,6 +98,55 @@
 	}
 }
 
+// TestFullDiskTakesNoFurtherEntries guards against a member that runs out of memory while its
+// disk is full, since the leader sends the same entries again and again.
+func TestFullDiskTakesNoFurtherEntries(t *testing.T) {
+	const messages = 64
+	n, err := NewNode(NodeConfig[int]{
+		Core: Config{
+			ID: 1, HeartbeatInterval: time.Second, ElectionTimeout: time.Hour, BatchBytes: 1 << 20, Random: func(int64) int64 { return 0 },
+		},
+		InitialState: InitialState{
+			HardState: &replication.HardState{Term: 1}, Snapshot: &replication.SnapshotHeader{Membership: threeVoters()},
+		},
+		Now:             func() time.Duration { return time.Since(testStart) },
+		Append:          func(*replication.Record) error { return errDiskFull },
+		Retryable:       func(error) bool { return true },
+		Send:            func([]*replication.Message) {},
+		SnapshotEntries: 2 * messages,
+	}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(ctx) }()
+	data := make([]byte, 1<<20)
+	for index := range uint64(messages) {
+		m := appendOf(2, 1, index, min(index, 1), 1)
+		m.Entries[0].Data = data
+		n.Deliver(m)
+	}
+	for len(n.inbox) > 0 && ctx.Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	if waiting := len(n.inbox); waiting > 0 {
+		t.Errorf("%d messages with entries wait", waiting)
+	}
+	cancel()
+	if err = <-ended; err != nil {
+		t.Error(err)
+	}
+	var bytes int
+	for _, e := range n.core.EntriesAfter(0) {
+		bytes += len(e.GetData())
+	}
+	if bytes > maxUnwrittenBytes+2*len(data) {
+		t.Errorf("the log holds %d bytes that are not durable, want about %d", bytes, maxUnwrittenBytes)
+	}
+}
+
 // slowGroup is a group of nodes in one process whose writes to the journal can be slowed down.
 type slowGroup struct {
 	nodes map[MemberID]*Node[int]
--- a/pkg/replicator/writer.go
+++ b/pkg/replicator/writer.go
@@ -28,8 +28,8 @@
 		isRetryable  func(error) bool
 		// waiting holds the writes that have not been started, and started those in progress.
 		waiting, started []journalWrite
-		// waitingBytes is the size of the entries of the waiting writes.
-		waitingBytes int
+		// unwrittenBytes is the size of the entries in all of these.
+		unwrittenBytes int
 		// done receives the result of the started writes.
 		done chan error
 	}
@@ -46,9 +46,16 @@
 // add adds a write.
 func (w *journalWriter) add(write journalWrite) {
 	w.waiting = append(w.waiting, write)
-	for _, e := range write.record.GetEntries() {
-		w.waitingBytes += len(e.GetData())
+	w.unwrittenBytes += entryBytes(write.record.GetEntries())
+}
+
+// entryBytes returns the size of the data of entries.
+func entryBytes(entries []*replication.Entry) int {
+	size := 0
+	for _, e := range entries {
+		size += len(e.GetData())
 	}
+	return size
 }
 
 // isIdle reports whether all writes are done.
@@ -69,9 +76,6 @@
 	if n > 1 {
 		write.record = mergeRecords(w.started)
 	}
-	for _, e := range write.record.GetEntries() {
-		w.waitingBytes -= len(e.GetData())
-	}
 	go func() { w.done <- w.write(ctx, write) }()
 }
 
@@ -123,6 +127,9 @@
 func (w *journalWriter) takeStarted() []journalWrite {
 	finished := w.started
 	w.started = nil
+	for _, write := range finished {
+		w.unwrittenBytes -= entryBytes(write.record.GetEntries())
+	}
 	return finished
 }
 
