--- a/internal/router/dialect.go
+++ b/internal/router/dialect.go
@@ -110,6 +110,9 @@
 		// RetryAfter is the text of the pause that the upstream asks for: a number of
 		// seconds; empty if there is none.
 		RetryAfter string
+		// RequestLimit is the text of the number of requests a second that the upstream takes
+		// from all hosts together; empty if it names none. Several are separated by commas.
+		RequestLimit string
 	}
 )
 
@@ -183,6 +186,7 @@
 	info := ResponseInfo{
 		EchoedAttempt: AttemptID(response.Header.Get(HeaderAttempt)),
 		Leaving:       response.Header.Get(HeaderState) == string(registrar.Leaving),
+		RequestLimit:  strings.Join(response.Header.Values(HeaderRequestLimit), ","),
 	}
 	if response.StatusCode == http.StatusServiceUnavailable {
 		info.RetryAfter = response.Header.Get(headerRetryAfter)
--- a/internal/router/notice.go
+++ b/internal/router/notice.go
@@ -26,6 +26,7 @@
 	if info.Leaving && r.dispatcher.withdraw(g.upstream) {
 		r.log.Info("upstream says that it is leaving", zap.String("upstream", string(g.upstream.ID)))
 	}
+	r.logRequestLimit(g, info.RequestLimit)
 	if info.RetryAfter == "" {
 		return
 	}
@@ -40,6 +41,18 @@
 	}
 }
 
+// logRequestLimit logs the request limit that an upstream names in its responses, at each change.
+func (r *Router) logRequestLimit(g *grant, text string) {
+	r.dispatcher.mu.Lock()
+	before := g.state.requestLimit
+	g.state.requestLimit = text
+	r.dispatcher.mu.Unlock()
+	if before != text {
+		r.log.Info("upstream names a request limit", zap.String("upstream", string(g.upstream.ID)), zap.Uint64("incarnation", uint64(g.upstream.Incarnation)),
+			zap.String("limit", strconv.Quote(text[:min(len(text), maxLoggedBytes)])), zap.String("before", strconv.Quote(before[:min(len(before), maxLoggedBytes)])))
+	}
+}
+
 // parseRetryAfter returns the pause that a Retry-After value asks for, at most longest.
 // The second result is false if the value is not a number of seconds from zero to
 // longest. No pause is kept for a negative one, and defaultRetryAfter for a value that is
--- a/internal/router/refusal.go
+++ b/internal/router/refusal.go
@@ -35,6 +35,9 @@
 	// HeaderState is set to "leaving" in the responses of an upstream that wants no further
 	// requests.
 	HeaderState = "Comfreybend-State"
+	// HeaderRequestLimit is set in the responses of an upstream in need: the number of requests a
+	// second that it takes from all hosts together, for as long as its responses name it.
+	HeaderRequestLimit = "Comfreybend-Request-Limit"
 
 	// headerLastEventIDCanonical is HeaderLastEventID as canonicalized by net/http.
 	headerLastEventIDCanonical = "Last-Event-Id"
--- a/internal/router/upstream_state.go
+++ b/internal/router/upstream_state.go
@@ -40,6 +40,9 @@
 		failures decayingCounter
 		// reportedLoad is the load in the upstream's latest response that has one.
 		reportedLoad registrar.Load
+		// requestLimit is the text of the request limit in the latest response, empty if it names
+		// none.
+		requestLimit string
 		// leaseEnded is closed when the announcement lease ends or a new incarnation is
 		// announced.
 		leaseEnded chan struct{}
