--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -23,6 +23,8 @@
 	// leaveDelay is the time between the announcement that the upstream is leaving and
 	// the shutdown of its server, in which entry processes learn of it.
 	leaveDelay = time.Second
+	// maxArrivals bounds Stats.Arrivals.
+	maxArrivals = 10_000
 )
 
 type (
@@ -75,6 +77,9 @@
 		CutBody bool `json:"cutBody"`
 		// DelayMillis delays the response to an order that has run.
 		DelayMillis int `json:"delayMillis"`
+		// RequestLimit is the number of requests a second that all responses name as the one
+		// that the upstream takes from all hosts together. No response names one if it is empty.
+		RequestLimit string `json:"requestLimit"`
 	}
 
 	// Stats holds the counters of an upstream.
@@ -91,6 +96,8 @@
 		Orders map[string]int `json:"orders"`
 		// Headers lists the distinct request headers received, without the attempt header.
 		Headers []string `json:"headers"`
+		// Arrivals holds the times at which the latest requests arrived, in Unix milliseconds.
+		Arrivals []int64 `json:"arrivals"`
 	}
 
 	// Upstream is one emulated upstream.
@@ -206,17 +213,30 @@
 		mux.HandleFunc("/", u.serveOrder)
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		u.recordHeaders(r)
+		if limit := u.recordArrival(r); limit != "" {
+			w.Header().Set("Comfreybend-Request-Limit", limit)
+		}
 		mux.ServeHTTP(w, r)
 	})
 }
 
-func (u *Upstream) recordHeaders(r *http.Request) {
+// recordArrival records a request that is not for the emulator itself, and returns the request
+// limit that its response names.
+func (u *Upstream) recordArrival(r *http.Request) string {
 	if strings.HasPrefix(r.URL.Path, "/emulator/") {
-		return
+		return ""
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if len(u.stats.Arrivals) == maxArrivals {
+		u.stats.Arrivals = u.stats.Arrivals[1:]
+	}
+	u.stats.Arrivals = append(u.stats.Arrivals, time.Now().UnixMilli())
+	u.recordHeaders(r)
+	return u.faults.RequestLimit
+}
+
+func (u *Upstream) recordHeaders(r *http.Request) {
 	for name, values := range r.Header {
 		if name == "Comfreybend-Attempt" {
 			continue
