--- a/internal/controller/evidence_test.go
+++ b/internal/collector/collector_test.go
@@ -1,4 +1,4 @@
-package controller
+package collector
 
 import (
 	"testing"
@@ -22,33 +22,33 @@
 // it now and then.
 func TestEvidenceGossip(t *testing.T) {
 	now := time.UnixMilli(10_000)
-	near, far := newEvidenceTable(), newEvidenceTable()
-	g := &evidenceGossip{}
-	near.merge(now, endedRuns("bad", 1, 3))
-	if g.next(near, false) == nil {
+	near, far := NewTable(), NewTable()
+	g := &Gossip{}
+	near.Merge(now, endedRuns("bad", 1, 3))
+	if g.Next(near, false) == nil {
 		t.Fatal("new evidence is not sent at once")
 	}
-	if e := g.next(near, false); e != nil {
+	if e := g.Next(near, false); e != nil {
 		t.Errorf("%v is sent although nothing is new", e)
 	}
 	received := 0
 	for n := range 2 * evidenceRefresh {
-		e := g.next(near, true)
+		e := g.Next(near, true)
 		if e == nil {
 			continue
 		}
 		received++
-		if changed := far.merge(now, e); changed != (n == 0) {
+		if changed := far.Merge(now, e); changed != (n == 0) {
 			t.Errorf("message %d has something new: %t", n, changed)
 		}
 	}
 	if received < 2 || received > 2*evidenceRepeats {
 		t.Errorf("%d of %d messages have old evidence, want some at first and one now and then", received, 2*evidenceRefresh)
 	}
-	if held := far.newlyHeld(); len(held) != 1 || held[0].Part != "bad" {
+	if held := far.NewlyHeld(); len(held) != 1 || held[0].Part != "bad" {
 		t.Errorf("held %v, want the part", held)
 	}
-	if held := far.newlyHeld(); len(held) != 0 {
+	if held := far.NewlyHeld(); len(held) != 0 {
 		t.Errorf("%v is logged twice", held)
 	}
 }
@@ -56,24 +56,24 @@
 // TestLiftedPart checks that an operator's lift ends a hold and reaches other processes, and
 // that later ends of engines count again.
 func TestLiftedPart(t *testing.T) {
-	near, far := newEvidenceTable(), newEvidenceTable()
+	near, far := NewTable(), NewTable()
 	now := time.UnixMilli(10_000)
-	for _, table := range []*evidenceTable{near, far} {
-		table.merge(now, endedRuns("bad", 1, 4))
+	for _, table := range []*Table{near, far} {
+		table.Merge(now, endedRuns("bad", 1, 4))
 	}
-	_, position, updated := near.since(0)
-	near.lift(now, "bad")
+	_, position, updated := near.Since(0)
+	near.Lift(now, "bad")
 	select {
 	case <-updated:
 	default:
 		t.Error("polls are not woken by the lift")
 	}
-	e, _, _ := near.since(position)
-	if !far.merge(now, e) || len(far.accused()) > 0 {
-		t.Errorf("accused elsewhere after the lift: %v", far.accused())
+	e, _, _ := near.Since(position)
+	if !far.Merge(now, e) || len(far.Accused()) > 0 {
+		t.Errorf("accused elsewhere after the lift: %v", far.Accused())
 	}
-	far.merge(now, endedRuns("bad", 11, 13))
-	if parts := far.accused(); len(parts) != 1 || !parts[0].GetHeld() || parts[0].GetInstants() != 3 {
+	far.Merge(now, endedRuns("bad", 11, 13))
+	if parts := far.Accused(); len(parts) != 1 || !parts[0].GetHeld() || parts[0].GetInstants() != 3 {
 		t.Errorf("%v after further ends, want a held part with 3 instants", parts)
 	}
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -22,6 +22,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/comfreybend/comfreybend/internal/certifier"
+	"github.com/comfreybend/comfreybend/internal/collector"
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/instrumenter"
 	"github.com/comfreybend/comfreybend/internal/keeper"
@@ -81,7 +82,7 @@
 		windows       *windowCollector
 		// gossipWanted makes runGossip send without delay.
 		gossipWanted chan struct{}
-		evidence     *evidenceTable
+		evidence     *collector.Table
 		// autoscaler is nil until runPlatformAgent starts.
 		autoscaler atomic.Pointer[autoscaler]
 
@@ -117,7 +118,7 @@
 		loads:           newLoadTable(),
 		windows:         newWindowCollector(s.GetControl()),
 		gossipWanted:    make(chan struct{}, 1),
-		evidence:        newEvidenceTable(),
+		evidence:        collector.NewTable(),
 		appliedCommands: instruments.Scope.Counter("commands_committed"),
 		failedProposals: instruments.Scope.Counter("commands_refused"),
 	}
--- a/internal/controller/follow.go
+++ b/internal/controller/follow.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/comfreybend/comfreybend/internal/announcer"
+	"github.com/comfreybend/comfreybend/internal/collector"
 	"github.com/comfreybend/comfreybend/internal/messenger"
 	"github.com/comfreybend/comfreybend/pkg/isolator"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
@@ -244,7 +245,7 @@
 	if f.GetTable() != reply.GetTable() {
 		position = 0
 	}
-	evidence, position, updated := c.evidence.since(position)
+	evidence, position, updated := c.evidence.Since(position)
 	reply.Evidence, reply.EvidencePosition = evidence, uint64(position)
 	return updated
 }
@@ -293,7 +294,7 @@
 func (c *Controller) runGossip(ctx context.Context) error {
 	sentTo := map[string]*messenger.Client{}
 	lastPeriodic, lastLoad := time.Duration(0), time.Duration(0)
-	gossip := &evidenceGossip{}
+	gossip := &collector.Gossip{}
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -313,7 +314,7 @@
 			renewals = c.upstreamTable.takeRenewals()
 			entryHosts = c.clusterView.localEntryHosts()
 		}
-		evidence := gossip.next(c.evidence, periodicDue)
+		evidence := gossip.Next(c.evidence, periodicDue)
 		var load *wire.LoadShare
 		if now-lastLoad >= announcer.LoadInterval(c.clusterView.entryCount()) {
 			lastLoad = now
@@ -327,7 +328,7 @@
 			if added {
 				sentTo[host] = client
 				message.Upstreams = c.upstreamTable.all()
-				message.Evidence, _, _ = c.evidence.since(0)
+				message.Evidence, _, _ = c.evidence.Since(0)
 			}
 			if len(message.GetUpstreams())+len(renewals) == 0 && load == nil && evidence == nil && !periodicDue && !added && !message.GetWantAll() {
 				continue
--- a/internal/controller/operator.go
+++ b/internal/controller/operator.go
@@ -172,11 +172,11 @@
 // like of other evidence.
 func (c *Controller) liftEndpoint(ctx context.Context, request any) (any, error) {
 	part, _ := request.(isolator.PartID)
-	c.evidence.lift(c.clusterView.agreedTime(c.settings.GetHost().GetId()), part)
+	c.evidence.Lift(c.clusterView.agreedTime(c.settings.GetHost().GetId()), part)
 	c.wakeGossip()
 	operator, _ := ctx.Value(operatorContextKey{}).(string)
 	c.log.Info("an operator lifted the hold of a prompt part", zap.String("operator", operator), zap.String("part", string(part)))
-	return &wire.ReadReply{Parts: c.evidence.accused()}, nil
+	return &wire.ReadReply{Parts: c.evidence.Accused()}, nil
 }
 
 func (c *Controller) readEndpoint(ctx context.Context, request any) (any, error) {
--- a/internal/controller/requests.go
+++ b/internal/controller/requests.go
@@ -165,7 +165,7 @@
 		c.mergeEvidence(s.GetEvidence())
 	}
 	if s.GetWantsEvidence() {
-		reply.Evidence, _, _ = c.evidence.since(0)
+		reply.Evidence, _, _ = c.evidence.Since(0)
 	}
 	if a := c.autoscaler.Load(); a != nil {
 		reply.Draining = a.drainingUpstreams()
@@ -192,7 +192,7 @@
 	case ReadUpstreams:
 		reply.Upstreams = c.upstreams()
 	case ReadParts:
-		reply.Parts = c.evidence.accused()
+		reply.Parts = c.evidence.Accused()
 	case ReadDocument:
 		reply.Version = c.stateMachine.Document().GetVersion()
 		reply.Document = c.stateMachine.Document().GetContent()
