--- a/internal/collector/collector.go
+++ b/internal/collector/collector.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"github.com/comfreybend/comfreybend/internal/announcer"
+	"github.com/comfreybend/comfreybend/pkg/apportioner"
 	"github.com/comfreybend/comfreybend/pkg/isolator"
+	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
@@ -21,12 +23,21 @@
 	evidenceRefresh = 30
 )
 
+// limitShift is the number of bits of a Position that number the changes of the isolator. Those
+// above number the changes of the request limits.
+const limitShift = 32
+
 type (
-	// Table holds the evidence about prompt parts that entry processes report. It is
-	// kept in memory only: entry processes report theirs again to a restarted process.
+	// Position numbers the changes of a Table.
+	Position uint64
+
+	// Table holds the evidence about prompt parts that entry processes report, and the request
+	// limits that upstreams name to them. It is kept in memory only: entry processes report
+	// theirs again to a restarted process.
 	Table struct {
 		mu       sync.Mutex
 		isolator *isolator.Isolator
+		limits   *apportioner.Register
 		// updated is closed and replaced at each change.
 		updated chan struct{}
 		// logged holds the parts whose hold was logged.
@@ -36,9 +47,9 @@
 	// Gossip chooses the evidence in gossip messages.
 	Gossip struct {
 		// sent is the position up to which the evidence was sent.
-		sent isolator.Position
+		sent Position
 		// earlier holds the positions at the latest periodic messages, oldest first.
-		earlier []isolator.Position
+		earlier []Position
 		// untilRefresh counts the periodic messages until all evidence is sent.
 		untilRefresh int
 	}
@@ -46,7 +57,7 @@
 
 // NewTable returns a table without evidence.
 func NewTable() *Table {
-	return &Table{isolator: isolator.New(), updated: make(chan struct{}), logged: map[isolator.PartID]bool{}}
+	return &Table{isolator: isolator.New(), limits: apportioner.NewRegister(), updated: make(chan struct{}), logged: map[isolator.PartID]bool{}}
 }
 
 // Merge adds evidence and reports whether any of it was new.
@@ -56,7 +67,11 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.isolator.Merge(now, announcer.EvidenceFromWire(e)) {
+	changed := t.isolator.Merge(now, announcer.EvidenceFromWire(e))
+	for _, s := range announcer.LimitsFromWire(e.GetLimits()) {
+		changed = t.limits.Merge(now, s) || changed
+	}
+	if !changed {
 		return false
 	}
 	close(t.updated)
@@ -66,23 +81,50 @@
 
 // Since returns the evidence that changed after a position, the position reached, and a
 // channel that is closed at the next change.
-func (t *Table) Since(after isolator.Position) (*wire.Evidence, isolator.Position, <-chan struct{}) {
+func (t *Table) Since(after Position) (*wire.Evidence, Position, <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if after == t.isolator.Position() {
+	position := t.position()
+	if after == position {
 		return nil, after, t.updated
 	}
-	e, position := t.isolator.Since(after)
-	return announcer.EvidenceToWire(e), position, t.updated
+	e, _ := t.isolator.Since(isolator.Position(after & (1<<limitShift - 1)))
+	evidence := announcer.EvidenceToWire(e)
+	if statements, _ := t.limits.Since(apportioner.Position(after >> limitShift)); len(statements) > 0 {
+		if evidence == nil {
+			evidence = &wire.Evidence{}
+		}
+		evidence.Limits = announcer.LimitsToWire(statements)
+	}
+	return evidence, position, t.updated
+}
+
+// position returns the position of the latest change. The mutex must be held.
+func (t *Table) position() Position {
+	return Position(t.limits.Position())<<limitShift | Position(t.isolator.Position())
+}
+
+// Limits returns the upstreams that name a request limit.
+func (t *Table) Limits() map[registrar.UpstreamID]apportioner.Statement {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := map[registrar.UpstreamID]apportioner.Statement{}
+	statements, _ := t.limits.Since(0)
+	for _, s := range statements {
+		if known, found := out[s.Upstream.ID]; s.Named && (!found || s.Upstream.Incarnation > known.Upstream.Incarnation) {
+			out[s.Upstream.ID] = s
+		}
+	}
+	return out
 }
 
 // Lift clears a part of the evidence so far.
 func (t *Table) Lift(now time.Time, id isolator.PartID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	before := t.isolator.Position()
+	before := t.position()
 	t.isolator.Lift(now, id)
-	if t.isolator.Position() != before {
+	if t.position() != before {
 		close(t.updated)
 		t.updated = make(chan struct{})
 	}
--- a/internal/collector/collector_test.go
+++ b/internal/collector/collector_test.go
@@ -77,3 +77,43 @@
 		t.Errorf("%v after further ends, want a held part with 3 instants", parts)
 	}
 }
+
+// TestLimitsReachAllProcesses guards against a request limit that is known to one control process
+// only, or not to one that was restarted.
+func TestLimitsReachAllProcesses(t *testing.T) {
+	now := time.UnixMilli(10_000)
+	limit := 1.5
+	named := &wire.Evidence{Limits: []*wire.RequestLimit{{Upstream: "engine", Incarnation: 2, Limit: &limit, AtMillis: 9000}}}
+	near, far := NewTable(), NewTable()
+	g := &Gossip{}
+	_, _, updated := near.Since(0)
+	if !near.Merge(now, named) || near.Merge(now, named) {
+		t.Error("the limit is not new at first, or again")
+	}
+	select {
+	case <-updated:
+	default:
+		t.Error("polls are not woken by a limit")
+	}
+	near.Merge(now, endedRuns("bad", 1, 3))
+	e, position, _ := near.Since(0)
+	if len(e.GetLimits()) != 1 || len(e.GetParts()) != 1 {
+		t.Fatalf("evidence %v, want a limit and a part", e)
+	}
+	if e, _, _ = near.Since(position); e != nil {
+		t.Errorf("%v is sent again", e)
+	}
+	if e = g.Next(near, false); !far.Merge(now, e) {
+		t.Error("the limit is not sent to other control processes")
+	}
+	if s := far.Limits()["engine"]; s.Limit != 1.5 || s.Upstream.Incarnation != 2 {
+		t.Errorf("limits %v", far.Limits())
+	}
+	far.Merge(now, &wire.Evidence{Limits: []*wire.RequestLimit{{Upstream: "engine", Incarnation: 2, AtMillis: 9500}}})
+	if len(far.Limits()) != 0 {
+		t.Errorf("limits %v after the end", far.Limits())
+	}
+	if e, _, _ = far.Since(0); !near.Merge(now, e) || len(near.Limits()) != 0 {
+		t.Error("the end does not reach the other process")
+	}
+}
--- a/internal/controller/counts.go
+++ b/internal/controller/counts.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/comfreybend/comfreybend/pkg/apportioner"
 	"github.com/comfreybend/comfreybend/pkg/planner"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/timer"
@@ -34,7 +35,7 @@
 		if pool.GetScaling() == nil {
 			continue
 		}
-		for _, order := range a.sizer.Step(timer.Now(), describePool(pool, busy[pool.GetName()], c.upstreamTable.all())) {
+		for _, order := range a.sizer.Step(timer.Now(), describePool(pool, busy[pool.GetName()], c.upstreamTable.all(), c.evidence.Limits())) {
 			if !a.agent.refreshLease() {
 				return nil
 			}
@@ -74,9 +75,12 @@
 }
 
 // describePool converts a pool for the sizer: its limits and prices, its number of
-// busy upstreams, and the numbers of its serving upstreams. Upstreams that also
-// serve other pools are not counted. The pool's name is that of its service.
-func describePool(pool *state.Pool, busy float64, upstreams []*wire.Upstream) planner.SizedPool {
+// busy upstreams, and the numbers of its serving upstreams and of those that limit their
+// requests. Upstreams that also serve other pools are not counted. The pool's name is that of
+// its service.
+func describePool(
+	pool *state.Pool, busy float64, upstreams []*wire.Upstream, limits map[registrar.UpstreamID]apportioner.Statement,
+) planner.SizedPool {
 	out := planner.SizedPool{
 		Name:        planner.PoolName(pool.GetName()),
 		Busy:        busy,
@@ -93,6 +97,9 @@
 		if u.GetState() != string(registrar.Serving) || len(u.GetServes()) != 1 || u.GetServes()[0] != pool.GetName() {
 			continue
 		}
+		if s, found := limits[registrar.UpstreamID(u.GetId())]; found && s.Upstream.Incarnation == registrar.Incarnation(u.GetIncarnation()) {
+			out.Limited++
+		}
 		domain := planner.FailureDomain(u.GetFailureDomain())
 		if u.GetPreemptible() {
 			out.Preemptible[domain]++
--- a/internal/controller/follow.go
+++ b/internal/controller/follow.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,7 +12,6 @@
 	"github.com/comfreybend/comfreybend/internal/announcer"
 	"github.com/comfreybend/comfreybend/internal/collector"
 	"github.com/comfreybend/comfreybend/internal/messenger"
-	"github.com/comfreybend/comfreybend/pkg/isolator"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/synchronizer"
 	"github.com/comfreybend/comfreybend/pkg/timer"
@@ -27,6 +28,9 @@
 	// entryPollTimeout is the time after which an entry process is no longer considered
 	// live if it has not polled and no gossip message has named it.
 	entryPollTimeout = 5 * time.Second
+	// discoveryTime is the time from the start of a process in which all live entry processes
+	// have polled a control process and gossip has named them.
+	discoveryTime = 2 * maxGossipInterval
 	// clockTimeout is the time after which the clock reading of a silent host is dropped.
 	clockTimeout = 10 * time.Second
 	// maxPollWait bounds the time that a poll waits for changes.
@@ -54,6 +58,7 @@
 	// lacking holds the hosts whose announcements this process lacks, lackedBy those that
 	// lack announcements of this process.
 	lacking, lackedBy map[string]bool
+	createdAt         time.Duration
 }
 
 func newClusterView() *clusterView {
@@ -65,6 +70,7 @@
 		gossipReceived: map[string]time.Duration{},
 		lacking:        map[string]bool{},
 		lackedBy:       map[string]bool{},
+		createdAt:      timer.Now(),
 	}
 }
 
@@ -135,6 +141,32 @@
 	return len(v.entries)
 }
 
+// entryIDs returns the ids of the hosts of the live entry processes, or nil until they are known.
+func (v *clusterView) entryIDs() []uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if timer.Now()-v.createdAt < discoveryTime {
+		return nil
+	}
+	dropSilent(v.entries)
+	return announcer.HostIDs(slices.Collect(maps.Keys(v.entries)))
+}
+
+// addEntryHosts adds the number of live entry processes to the reply to a poll, and their ids if
+// the entry process has others.
+func (c *Controller) addEntryHosts(reply *wire.FollowReply, f *wire.Follow) {
+	reply.EntryHosts = int32(c.clusterView.entryCount())
+	reply.EntryIds = changedIDs(c.clusterView.entryIDs(), f.GetEntryIdsDigest())
+}
+
+// changedIDs returns ids of hosts, or nil if their digest is the one that an entry process has.
+func changedIDs(ids []uint64, digest uint64) []uint64 {
+	if announcer.DigestOf(ids) == digest {
+		return nil
+	}
+	return ids
+}
+
 // localEntryHosts returns the hosts of the entry processes that poll this process.
 func (v *clusterView) localEntryHosts() []string {
 	v.mu.Lock()
@@ -225,7 +257,7 @@
 	}
 	reply.RevisionAgeMillis = c.revisionAge().Milliseconds()
 	reply.ControlAddresses = c.controlAddresses(f.GetFailureDomain())
-	reply.EntryHosts = int32(c.clusterView.entryCount())
+	c.addEntryHosts(reply, f)
 	reply.TrueMillis = c.clusterView.agreedTime(c.settings.GetHost().GetId()).UnixMilli()
 	if f.GetWantUnconfirmed() && reply.GetRevision() > knownRevision {
 		if err := c.addChanges(reply, f); err != nil {
@@ -241,7 +273,7 @@
 	if !f.GetWantsEvidence() {
 		return nil
 	}
-	position := isolator.Position(f.GetEvidencePosition())
+	position := collector.Position(f.GetEvidencePosition())
 	if f.GetTable() != reply.GetTable() {
 		position = 0
 	}
--- a/internal/controller/requests.go
+++ b/internal/controller/requests.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/comfreybend/comfreybend/internal/announcer"
 	"github.com/comfreybend/comfreybend/internal/messenger"
 	"github.com/comfreybend/comfreybend/pkg/replicator"
 	"github.com/comfreybend/comfreybend/schema/state"
@@ -166,6 +167,7 @@
 	}
 	if s.GetWantsEvidence() {
 		reply.Evidence, _, _ = c.evidence.Since(0)
+		reply.EntryIds = changedIDs(announcer.HostIDs(c.entries.hosts()), s.GetEntryIdsDigest())
 	}
 	if a := c.autoscaler.Load(); a != nil {
 		reply.Draining = a.drainingUpstreams()
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/comfreybend/comfreybend/internal/dialer"
+	"github.com/comfreybend/comfreybend/internal/restrainer"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/settings"
@@ -53,7 +54,8 @@
 		now     func() time.Duration
 		// keepAlive reuses connections. When a reused connection breaks, net/http may
 		// resend a request on its own, so calls that must not run twice use it only
-		// as described at nonRetryableSingleUse.
+		// as described at nonRetryableSingleUse, and no request to an upstream with a
+		// request limit uses it.
 		keepAlive *http.Transport
 		// singleUse opens a new connection for each attempt.
 		singleUse *http.Transport
@@ -64,7 +66,10 @@
 		// on its own (see isResentByTransport) use singleUse.
 		nonRetryableSingleUse bool
 		// onResponse is called with the headers of every response before it is used.
-		onResponse func(*grant, ResponseInfo)
+		onResponse func(*attempt, ResponseInfo)
+		// admit is called before every request. It returns an error if the upstream's request
+		// limit does not allow it, and reports whether there is one.
+		admit func(*registrar.Upstream, restrainer.Reservation) (limited bool, err error)
 		// onStart is called for every attempt before it is sent.
 		onStart func(*call, *attempt)
 	}
@@ -174,7 +179,8 @@
 			MaxResponseHeaderBytes: int64(l.GetHeaderBytes()),
 		}
 	}
-	u := &upstreamClient{limits: l, dialect: dialect, now: timer.Now, keepAlive: transport(), singleUse: transport(), nonRetryableSingleUse: !e.GetFollowControl(), onResponse: func(*grant, ResponseInfo) {}, onStart: func(*call, *attempt) {}}
+	u := &upstreamClient{limits: l, dialect: dialect, now: timer.Now, keepAlive: transport(), singleUse: transport(), nonRetryableSingleUse: !e.GetFollowControl(), onResponse: func(*attempt, ResponseInfo) {}, onStart: func(*call, *attempt) {}}
+	u.admit = func(*registrar.Upstream, restrainer.Reservation) (bool, error) { return false, nil }
 	u.singleUse.DisableKeepAlives = true
 	probe := transport()
 	probe.DisableKeepAlives = true
@@ -200,11 +206,16 @@
 		at.close(err)
 		return nil, &attemptError{Attempt: at.id, NotRun: true, Cause: err}
 	}
+	limited, err := u.admit(g.upstream, g.reserved)
+	if err != nil {
+		at.close(err)
+		return nil, &attemptError{Attempt: at.id, NotRun: true, Cause: err}
+	}
 	if c.stream && !c.route.GetEventStream() {
 		go u.watchSilence(ctx, at)
 	}
 	transport := u.keepAlive
-	if !c.retryable && (u.nonRetryableSingleUse || isResentByTransport(c.method)) {
+	if limited || !c.retryable && (u.nonRetryableSingleUse || isResentByTransport(c.method)) {
 		transport = u.singleUse
 	}
 	response, err := transport.RoundTrip(request) //nolint:bodyclose // attempt.close closes it.
@@ -233,7 +244,7 @@
 func (u *upstreamClient) checkResponse(at *attempt) error {
 	info := u.dialect.ParseResponse(at.response)
 	at.load = info.Load
-	u.onResponse(at.grant, info)
+	u.onResponse(at, info)
 	status := at.response.StatusCode
 	switch {
 	case info.EchoedAttempt != "" && info.EchoedAttempt != at.id:
--- a/internal/router/control_poller.go
+++ b/internal/router/control_poller.go
@@ -12,7 +12,6 @@
 	"github.com/comfreybend/comfreybend/internal/announcer"
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/messenger"
-	"github.com/comfreybend/comfreybend/pkg/isolator"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/wire"
@@ -78,7 +77,7 @@
 		// evidencePosition is the position reached in the evidence about prompt parts, and
 		// reportedEvidence that of this process's evidence that the control process has.
 		evidencePosition uint64
-		reportedEvidence isolator.Position
+		reportedEvidence evidencePosition
 		// behindSince is the time since which the control process has a later configuration
 		// than this process, zero if it has not.
 		behindSince time.Duration
@@ -120,8 +119,8 @@
 			views[client.Address()] = view
 		}
 		request := p.newRequest(cursors[client.Address()], index)
-		var reported isolator.Position
-		request.Evidence, reported = p.router.isolation.since(cursors[client.Address()].reportedEvidence)
+		var reported evidencePosition
+		request.Evidence, reported = p.router.evidenceSince(cursors[client.Address()].reportedEvidence)
 		request.Lacking = view.lacking
 		request.WantRenewals = timer.Now()-view.renewedAt > p.router.settings.GetEntry().GetAnnouncementLease().AsDuration()/renewalsPerLease
 		reply, err := p.send(ctx, client, request)
@@ -161,7 +160,7 @@
 // sendEvidence sends new evidence about prompt parts without waiting for the next poll, until
 // ctx is done. What gets lost comes with a poll.
 func (p *controlPoller) sendEvidence(ctx context.Context) {
-	var sent isolator.Position
+	var sent evidencePosition
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -169,7 +168,7 @@
 		case <-p.router.isolation.changed:
 		}
 		var evidence *wire.Evidence
-		if evidence, sent = p.router.isolation.since(sent); evidence == nil {
+		if evidence, sent = p.router.evidenceSince(sent); evidence == nil {
 			continue
 		}
 		for index := range polledControlProcesses {
@@ -291,6 +290,7 @@
 
 		WantsEvidence:    true,
 		EvidencePosition: from.evidencePosition,
+		EntryIdsDigest:   p.router.restrainer.HostsDigest(),
 	}
 	fetched, _ := p.router.fetcher.wanted()
 	request.FetchedRevision = uint64(fetched)
@@ -331,10 +331,12 @@
 func (p *controlPoller) apply(control string, request *wire.Follow, reply *wire.FollowReply) {
 	r := p.router
 	now := timer.Now()
+	r.windows.setAgreedTime(now, time.UnixMilli(reply.GetTrueMillis()))
+	r.mergeEvidence(reply.GetEvidence())
 	for _, u := range request.GetLeaving() {
 		r.dispatcher.withdrawalReported(registrar.UpstreamID(u.GetId()), registrar.Incarnation(u.GetIncarnation()))
 	}
-	r.isolation.merge(reply.GetEvidence())
+	r.restrainer.SetHosts(reply.GetEntryIds())
 	for _, u := range reply.GetUpstreams() {
 		r.dispatcher.applyAnnouncement(announcer.FromWire(u, now))
 	}
@@ -343,7 +345,6 @@
 	}
 	r.controlClients.setAddresses(reply.GetControlAddresses())
 	r.dispatcher.setEntryProcesses(int(reply.GetEntryHosts()))
-	r.windows.setAgreedTime(now, time.UnixMilli(reply.GetTrueMillis()))
 	p.applyUnconfirmed(control, reply)
 	revision := configurer.Revision(reply.GetRevision())
 	switch {
--- a/internal/router/controlplane.go
+++ b/internal/router/controlplane.go
@@ -223,7 +223,8 @@
 	if p.router.settings.GetEntry().GetFollowControl() {
 		s.Upstreams = nil
 	} else {
-		s.Evidence, s.WantsEvidence = p.router.isolation.all(), true
+		s.Evidence, s.WantsEvidence = p.router.allEvidence(), true
+		s.EntryIdsDigest = p.router.restrainer.HostsDigest()
 	}
 	s.Usage.UnreportedMillis = (sentAt - p.usagePushedAt).Milliseconds()
 	return s
@@ -247,7 +248,8 @@
 			return err
 		}
 	}
-	p.router.isolation.merge(reply.GetEvidence())
+	p.router.mergeEvidence(reply.GetEvidence())
+	p.router.restrainer.SetHosts(reply.GetEntryIds())
 	p.router.dispatcher.setDraining(reply.GetDraining())
 	p.router.dispatcher.setLightShares(reply.GetLightParts())
 	p.usagePushedAt = sentAt
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/comfreybend/comfreybend/internal/configurer"
+	"github.com/comfreybend/comfreybend/internal/restrainer"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/scheduler"
@@ -102,6 +103,8 @@
 		// prefillDone reports that the upstream has processed the prompt or that the
 		// attempt has ended.
 		prefillDone bool
+		// reserved permits the request if the upstream has a request limit.
+		reserved restrainer.Reservation
 		// placement holds what the choice of the upstream was based on. It is logged.
 		placement placement
 	}
@@ -125,6 +128,7 @@
 		// retryAfter returns the time after which a client may retry if no upstream serves
 		// the pool.
 		retryAfter func() time.Duration
+		restrainer *restrainer.Restrainer
 
 		mu             sync.Mutex
 		registry       *registrar.Registry
@@ -183,6 +187,7 @@
 		settings:       s,
 		metrics:        m,
 		now:            timer.Now,
+		restrainer:     restrainer.New(s.GetHost().GetId(), time.Now),
 		registry:       newRegistry(e),
 		upstreamStates: map[registrar.UpstreamID]*upstreamState{},
 		pools:          map[poolKey]*pool{},
@@ -243,6 +248,7 @@
 				p.scheduler.WaitEstimate(item.Class, item.Tier, item.Organisation)))
 		}
 		d.dispatchWaiting(key, p)
+		d.refuseBeyondTurns(key, p)
 		d.metrics.waiting(key, p.scheduler.Waiting())
 	}
 }
@@ -325,6 +331,10 @@
 	if refusal := d.refuseOvercommitted(r, p); refusal != nil {
 		return nil, refusal
 	}
+	if refusal := d.limitedRefusal(r, p); refusal != nil {
+		p.refused++
+		return nil, refusal
+	}
 	d.nextItem++
 	if !r.interrupted && len(r.pick.Avoid) == 0 {
 		// A call is counted at its first attempt only.
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -248,6 +248,8 @@
 		h.recordStart()
 	case failure.Refused:
 		outcome = outcomeOverloaded
+	case isLimitError(err):
+		outcome = outcomeAbandoned
 	default:
 		outcome = outcomeUnreachable
 	}
--- a/internal/router/isolation.go
+++ b/internal/router/isolation.go
@@ -242,7 +242,7 @@
 
 // merge adds the evidence of other processes.
 func (s *isolation) merge(e *wire.Evidence) {
-	if e == nil {
+	if len(e.GetRuns())+len(e.GetParts()) == 0 {
 		return
 	}
 	s.change(func(now time.Time) { s.isolator.Merge(now, announcer.EvidenceFromWire(e)) })
@@ -259,12 +259,6 @@
 	return announcer.EvidenceToWire(e), position
 }
 
-// all returns all evidence, which is little while few parts are accused.
-func (s *isolation) all() *wire.Evidence {
-	e, _ := s.since(0)
-	return e
-}
-
 // change changes the evidence and does what follows from it.
 func (s *isolation) change(apply func(now time.Time)) {
 	s.mu.Lock()
@@ -275,11 +269,16 @@
 	if !changed {
 		return
 	}
+	s.wake()
+	s.update()
+}
+
+// wake makes the controlPoller send what is new.
+func (s *isolation) wake() {
 	select {
 	case s.changed <- struct{}{}:
 	default:
 	}
-	s.update()
 }
 
 // update brings the held parts up to date. Waiting requests with parts that are held now are
--- a/internal/router/notice.go
+++ b/internal/router/notice.go
@@ -21,12 +21,14 @@
 )
 
 // handleNotices passes on what the headers of a response say of the upstream besides its
-// load: that it is leaving, and that it wants no requests of this process for a time.
-func (r *Router) handleNotices(g *grant, info ResponseInfo) {
+// load: that it is leaving, that it wants no requests of this process for a time, and how many
+// it takes from all processes.
+func (r *Router) handleNotices(at *attempt, info ResponseInfo) {
+	g := at.grant
 	if info.Leaving && r.dispatcher.withdraw(g.upstream) {
 		r.log.Info("upstream says that it is leaving", zap.String("upstream", string(g.upstream.ID)))
 	}
-	r.logRequestLimit(g, info.RequestLimit)
+	r.handleRequestLimit(at, info)
 	if info.RetryAfter == "" {
 		return
 	}
@@ -41,18 +43,6 @@
 	}
 }
 
-// logRequestLimit logs the request limit that an upstream names in its responses, at each change.
-func (r *Router) logRequestLimit(g *grant, text string) {
-	r.dispatcher.mu.Lock()
-	before := g.state.requestLimit
-	g.state.requestLimit = text
-	r.dispatcher.mu.Unlock()
-	if before != text {
-		r.log.Info("upstream names a request limit", zap.String("upstream", string(g.upstream.ID)), zap.Uint64("incarnation", uint64(g.upstream.Incarnation)),
-			zap.String("limit", strconv.Quote(text[:min(len(text), maxLoggedBytes)])), zap.String("before", strconv.Quote(before[:min(len(before), maxLoggedBytes)])))
-	}
-}
-
 // parseRetryAfter returns the pause that a Retry-After value asks for, at most longest.
 // The second result is false if the value is not a number of seconds from zero to
 // longest. No pause is kept for a negative one, and defaultRetryAfter for a value that is
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -166,7 +166,7 @@
 		Host:    x.router.settings.GetHost().GetId(),
 		Demands: x.router.dispatcher.poolDemands(),
 
-		Evidence: x.router.isolation.all(),
+		Evidence: x.router.allEvidence(),
 	}
 }
 
@@ -183,7 +183,7 @@
 // apply applies a message of a peer.
 func (x *peerExchanger) apply(exchange *wire.PeerExchange) {
 	d := x.router.dispatcher
-	x.router.isolation.merge(exchange.GetEvidence())
+	x.router.mergeEvidence(exchange.GetEvidence())
 	for _, u := range exchange.GetUpstreams() {
 		if validateAnnouncement(u) == nil {
 			d.applyAnnouncement(announcer.FromWire(u, d.now()))
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -98,6 +98,7 @@
 ) *grant {
 	now := d.now()
 	g := &grant{item: w.item, pool: key, grantedAt: now}
+	d.preferUnheard(&w.request, candidates)
 	var chosen int
 	if w.request.prompt != nil {
 		engines := d.placerEngines(upstreams, candidates)
@@ -123,6 +124,7 @@
 		g.state.pendingTokens += g.uncachedTokens
 		g.state.uncachedTokens += g.uncachedTokens
 	}
+	g.reserved = d.restrainer.Reserve(g.upstream)
 	g.state.requestStarted(now)
 	d.pools[key].inProgress++
 	return g
@@ -183,6 +185,7 @@
 
 			Local:          c.Local,
 			Free:           c.Free,
+			Limited:        d.upstreamStates[u.ID].limited,
 			WarmingUp:      now < u.WarmUpEndsAt,
 			Age:            now - startTime(u, d.upstreamStates[u.ID]),
 			Requests:       running,
@@ -247,13 +250,15 @@
 		if u.Load.Slots > 0 {
 			s.limiter.SetCeiling(limiter.DivideSlots(u.Load.Slots, demand, others))
 		}
+		restraint := d.restrainer.RestraintOf(u)
+		s.setLimited(now, restraint.Limited)
 		upstreams = append(upstreams, u)
 		candidates = append(candidates, picker.Candidate{
 			ID:               u.ID,
 			Domain:           u.FailureDomain,
 			Local:            u.FailureDomain == domain,
 			Preemptible:      u.Preemptible,
-			Free:             s.free(now),
+			Free:             s.free(now) && restraint.Available,
 			ReportedLoad:     load.Running + load.Waiting,
 			InFlightAtReport: s.inFlightAt(load.MeasuredAt),
 			InFlight:         s.limiter.InFlight(),
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -19,6 +19,7 @@
 	"github.com/comfreybend/comfreybend/internal/certifier"
 	"github.com/comfreybend/comfreybend/internal/instrumenter"
 	"github.com/comfreybend/comfreybend/internal/messenger"
+	"github.com/comfreybend/comfreybend/internal/restrainer"
 	"github.com/comfreybend/comfreybend/internal/server"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/timer"
@@ -58,6 +59,7 @@
 	controlPlane   *controlPlane
 	fetcher        *configurationFetcher
 	isolation      *isolation
+	restrainer     *restrainer.Restrainer
 	dispatcher     *dispatcher
 	upstreamClient *upstreamClient
 	usage          *usageCounters
@@ -88,10 +90,13 @@
 		usage:       newUsageCounters(),
 		metrics:     newMetrics(instruments.Scope),
 	}
+	r.restrainer = restrainer.New(s.GetHost().GetId(), r.windows.now)
 	r.dispatcher = newDispatcher(s, r.metrics)
+	r.dispatcher.restrainer = r.restrainer
 	r.dispatcher.retryAfter = r.retryAfter
 	r.buffers = newBufferPool(s.GetEntry().GetUpstreamLimits().GetBufferedBytes())
 	r.upstreamClient = newUpstreamClient(s.GetEntry(), dialect)
+	r.upstreamClient.admit = r.restrainer.Admit
 	r.controlClients = newControlClients(s.GetEntry(), security)
 	r.controlPlane = newControlPlane(r)
 	r.fetcher = newConfigurationFetcher(r)
--- a/internal/router/silence.go
+++ b/internal/router/silence.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"net/http"
 	"time"
+
+	"github.com/comfreybend/comfreybend/internal/restrainer"
 )
 
 const (
@@ -51,6 +53,9 @@
 		if at.writingToClient.Load() || !probeNow && now-silentSince < timeout {
 			continue
 		}
+		if _, err := u.admit(at.grant.upstream, restrainer.Reservation{}); err != nil {
+			continue
+		}
 		lastCheck = now
 		if reason := u.probeAttempt(ctx, at); reason != "" {
 			at.cancel(&silentConnectionError{Reason: reason})
--- a/internal/router/upstream_state.go
+++ b/internal/router/upstream_state.go
@@ -40,9 +40,10 @@
 		failures decayingCounter
 		// reportedLoad is the load in the upstream's latest response that has one.
 		reportedLoad registrar.Load
-		// requestLimit is the text of the request limit in the latest response, empty if it names
-		// none.
-		requestLimit string
+		// limited reports that the upstream named a request limit when it was last a candidate.
+		limited bool
+		// heardAt is when the latest response of the upstream arrived.
+		heardAt time.Duration
 		// leaseEnded is closed when the announcement lease ends or a new incarnation is
 		// announced.
 		leaseEnded chan struct{}
@@ -81,6 +82,15 @@
 	return s.circuit.State(now) != retrier.Open && s.limiter.CanStart(now)
 }
 
+// setLimited records whether the upstream names a request limit. At its end the upstream gets a
+// slow start.
+func (s *upstreamState) setLimited(now time.Duration, limited bool) {
+	if s.limited && !limited {
+		s.limiter.RestartSlowStart(now)
+	}
+	s.limited = limited
+}
+
 func (s *upstreamState) requestStarted(now time.Duration) {
 	s.limiter.Start()
 	s.circuit.RecordStart(now)
--- a/pkg/apportioner/apportioner.go
+++ b/pkg/apportioner/apportioner.go
@@ -32,8 +32,10 @@
 	hostRetention = time.Minute
 	// maxClockStep is the largest step back of the clock after which used slots stay used.
 	maxClockStep = 10 * time.Second
-	// maxWaitSlots bounds how far Wait looks ahead.
-	maxWaitSlots = 60
+	// accountSlots is the number of slots after which an account that is not used is dropped.
+	accountSlots = 60
+	// maxTurnSlots bounds how far Turns looks ahead.
+	maxTurnSlots = 60
 	// endSpread is the time over which the hosts return to an upstream whose limit has ended. The
 	// host that it has told returns at once.
 	endSpread = 2 * time.Second
@@ -91,6 +93,11 @@
 			delete(a.listedAt, h)
 		}
 	}
+	for u, c := range a.accounts {
+		if slotOf(now)-c.slot > accountSlots {
+			delete(a.accounts, u)
+		}
+	}
 }
 
 // Limit returns the limit that this host keeps to for an upstream, or false if there is none.
@@ -132,11 +139,12 @@
 	return true
 }
 
-// Wait returns the time until this host may send one more request than ahead to any of the given
-// upstreams, all of which have a limit. It returns false if that takes longer than longest.
-func (a *Apportioner) Wait(now time.Time, upstreams []Upstream, ahead int, longest time.Duration) (time.Duration, bool) {
-	free := 0
-	for n := range int64(maxWaitSlots) {
+// Turns returns the times from now after which this host may send requests to any of the given
+// upstreams, all of which have a limit, in ascending order: one time for each request, at most
+// count, none later than longest.
+func (a *Apportioner) Turns(now time.Time, upstreams []Upstream, count int, longest time.Duration) []time.Duration {
+	var turns []time.Duration
+	for n := range int64(maxTurnSlots) {
 		slot := slotOf(now) + n
 		wait := max(0, time.Unix(0, slot*int64(slotLength)).Sub(now))
 		if wait > longest {
@@ -144,22 +152,20 @@
 		}
 		for _, u := range upstreams {
 			limit, _ := a.Limit(now, u)
+			share := a.shareOf(u, limit, slot)
 			if n == 0 {
-				free += a.Available(now, u, limit)
-			} else {
-				free += a.shareOf(u, limit, slot)
+				share = a.Available(now, u, limit)
 			}
-			if free > ahead {
-				return wait, true
+			for ; share > 0; share-- {
+				if turns = append(turns, wait); len(turns) == count {
+					return turns
+				}
 			}
 		}
 	}
-	return 0, false
+	return turns
 }
 
-// Forget drops what was sent to an upstream that is gone.
-func (a *Apportioner) Forget(u Upstream) { delete(a.accounts, u) }
-
 // account returns the account of the current slot. Neither a slot that was used nor the requests
 // sent in it are forgotten when the clock steps back a little.
 func (a *Apportioner) account(now time.Time, u Upstream, limit Rate) *account {
--- a/pkg/apportioner/apportioner_test.go
+++ b/pkg/apportioner/apportioner_test.go
@@ -220,8 +220,8 @@
 	}
 }
 
-// TestWait checks that the announced wait is that until the host may send again.
-func TestWait(t *testing.T) {
+// TestTurns checks that the announced turns are those at which the host may send.
+func TestTurns(t *testing.T) {
 	self := HostOf("one")
 	a := New(self)
 	var hosts []Host
@@ -231,20 +231,23 @@
 	a.SetHosts(fleetStart, append(hosts, self))
 	u := Upstream{ID: "engine", Incarnation: 1}
 	a.Merge(fleetStart, Statement{Upstream: u, Named: true, Limit: 1, At: fleetStart})
-	for a.Take(fleetStart, u, 1) {
+	turns := a.Turns(fleetStart, []Upstream{u}, 3, time.Minute)
+	if len(turns) != 3 {
+		t.Fatalf("turns %v within a minute although one in eight is this host's", turns)
 	}
-	wait, found := a.Wait(fleetStart, []Upstream{u}, 0, time.Minute)
-	if !found {
-		t.Fatal("no request within a minute although one in eight is this host's")
+	if within := a.Turns(fleetStart, []Upstream{u}, 3, turns[1]-1); len(within) != 1 {
+		t.Errorf("turns %v before the second one at %v", within, turns[1])
 	}
-	if before := fleetStart.Add(wait - time.Millisecond); a.Available(before, u, 1) > 0 {
-		t.Error("a request may be sent before the wait is over")
-	}
-	if !a.Take(fleetStart.Add(wait), u, 1) {
-		t.Error("no request may be sent when the wait is over")
-	}
-	if _, found = a.Wait(fleetStart, []Upstream{u}, 1, wait); found {
-		t.Error("a second request may be sent as early as the first")
+	for n, turn := range turns {
+		if n > 0 && turn == turns[n-1] {
+			t.Errorf("turns %v at one request a second", turns)
+		}
+		if before := fleetStart.Add(turn - time.Millisecond); turn > 0 && a.Available(before, u, 1) > 0 {
+			t.Errorf("a request may be sent before the turn after %v", turn)
+		}
+		if !a.Take(fleetStart.Add(turn), u, 1) {
+			t.Errorf("no request may be sent at the turn after %v", turn)
+		}
 	}
 }
 
--- a/pkg/apportioner/register.go
+++ b/pkg/apportioner/register.go
@@ -16,7 +16,7 @@
 	// defaultLimit replaces a limit that is no number.
 	defaultLimit Rate = 1
 	// refreshInterval is the time after which the same limit, named again, is a new statement.
-	refreshInterval = 10 * time.Second
+	refreshInterval = 5 * time.Minute
 	// statementLifetime is the time after which a statement that was not renewed is forgotten.
 	statementLifetime = time.Hour
 	// maxStatements bounds the statements; the earliest is dropped.
@@ -175,9 +175,18 @@
 
 // Since returns the statements that changed after a position, and the position reached.
 func (r *Register) Since(after Position) ([]Statement, Position) {
+	return r.since(after, false)
+}
+
+// ObservedSince is Since without the statements that only other hosts have heard.
+func (r *Register) ObservedSince(after Position) ([]Statement, Position) {
+	return r.since(after, true)
+}
+
+func (r *Register) since(after Position, observed bool) ([]Statement, Position) {
 	var out []Statement
 	for _, s := range r.statements {
-		if s.position > after {
+		if s.position > after && (s.observed || !observed) {
 			out = append(out, s.Statement)
 		}
 	}
--- a/pkg/picker/admission.go
+++ b/pkg/picker/admission.go
@@ -194,7 +194,7 @@
 	}
 	used, count := 0.0, 0.0
 	for i := range engines {
-		if lightGroup != nil && lightGroup[i] != lightClass {
+		if engines[i].Limited || lightGroup != nil && lightGroup[i] != lightClass {
 			continue
 		}
 		used += min(engines[i].UncachedTokens, budgetTokens)
--- a/pkg/picker/cachedparts.go
+++ b/pkg/picker/cachedparts.go
@@ -110,7 +110,7 @@
 		hashes []uint64
 	)
 	for i := range engines {
-		if lightGroup != nil && lightGroup[i] != lightClass || engines[i].Age < minAge {
+		if lightGroup != nil && lightGroup[i] != lightClass || engines[i].Age < minAge || engines[i].Limited {
 			continue
 		}
 		h := xxhash.Sum64String(part + "\x00" + string(engines[i].ID))
@@ -145,7 +145,7 @@
 	minAge := minSettledAge(engines)
 	out := make(map[int]bool, len(engines))
 	for i := range engines {
-		if engines[i].Age >= minAge {
+		if engines[i].Age >= minAge && !engines[i].Limited {
 			out[i] = true
 		}
 	}
--- a/pkg/picker/placer.go
+++ b/pkg/picker/placer.go
@@ -131,6 +131,9 @@
 		Incarnation registrar.Incarnation
 		// Free reports that the engine has a slot for one more request of this process.
 		Free bool
+		// Limited reports that the engine takes only few requests a second. It serves no light
+		// group and counts for no capacity.
+		Limited bool
 		// WarmingUp reports that the engine is still slow after its start.
 		WarmingUp bool
 		// Age is the time since the engine started or, if that is not known, was first seen.
--- a/pkg/picker/placer_test.go
+++ b/pkg/picker/placer_test.go
@@ -309,3 +309,41 @@
 		t.Errorf("the light group has %d engines while all slots of its %d are in use, want more", after, before)
 	}
 }
+
+// TestLimitedEnginesAreReplaced guards against light classes and shared parts that are left
+// without an engine since theirs take only few requests.
+func TestLimitedEnginesAreReplaced(t *testing.T) {
+	p := NewPlacer()
+	engines := testEngines()
+	now := time.Second
+	for i := range placerArrivals {
+		now += 25 * time.Millisecond
+		r := shortRequest()
+		if i%2 == 0 {
+			r = longRequest(i % documents)
+		}
+		place(p, now, r, engines)
+	}
+	size := func() (n int) {
+		for i, light := range p.lightGroup(now, engines) {
+			if light && !engines[i].Limited {
+				n++
+			}
+		}
+		return n
+	}
+	before := size()
+	home := place(p, now, longRequest(0), engines)
+	for i, light := range p.lightGroup(now, engines) {
+		if (light && i%2 == 0) || engines[i].ID == home {
+			engines[i].Limited, engines[i].Free = true, false
+		}
+	}
+	if after := size(); after < before-1 {
+		t.Errorf("%d engines for light classes, %d before some were limited", after, before)
+	}
+	next := place(p, now, longRequest(0), engines)
+	if again := place(p, now+time.Second, longRequest(0), engines); next == home || again != next {
+		t.Errorf("the shared parts are at %s, then at %s, want one other than %s", next, again, home)
+	}
+}
--- a/pkg/planner/sizer.go
+++ b/pkg/planner/sizer.go
@@ -53,6 +53,9 @@
 		Name PoolName
 		// Busy is the number of upstreams that the current work would keep fully busy.
 		Busy float64
+		// Limited is the number of upstreams that take only few requests a second. They are not
+		// counted on.
+		Limited int
 		// Maximum bounds the number of upstreams in each domain, on-demand and preemptible
 		// together. Minimum, or 1 if it is less, times the number of domains is the least target
 		// size of the pool.
@@ -182,7 +185,7 @@
 // at the first observation, and when fewer upstreams have been needed for shrinkDelay.
 func (s *sizedPoolState) updateTargetSize(now time.Duration, p SizedPool) bool {
 	needed := max(minOnDemand, len(p.Prices)*max(1, p.Minimum), int(math.Ceil(p.Busy/sizerTargetUtilization)))
-	needed = min(needed, len(p.Prices)*p.Maximum)
+	needed = min(needed+p.Limited, len(p.Prices)*p.Maximum)
 	if s.onDemand == nil {
 		// The load is not known at the first observation, but the process that chose the current
 		// number of upstreams knew it.
--- a/pkg/planner/sizer_test.go
+++ b/pkg/planner/sizer_test.go
@@ -162,3 +162,20 @@
 		t.Error("the lost upstreams were not ordered again")
 	}
 }
+
+// TestSizerReplacesLimitedUpstreams guards against a pool that counts on upstreams which take only
+// few requests: under the same load it needs as many more as there are of them.
+func TestSizerReplacesLimitedUpstreams(t *testing.T) {
+	const limited = 6
+	p := newFakePlatform(4)
+	z := NewSizer()
+	p.run(z, 0, 2*shrinkDelay, 4)
+	onDemand, preemptible := p.total()
+	before := onDemand + preemptible
+	p.pool.Limited = limited
+	p.run(z, 2*shrinkDelay, 3*shrinkDelay, 4)
+	onDemand, preemptible = p.total()
+	if after := onDemand + preemptible; after < before+limited {
+		t.Errorf("%d upstreams, %d of which limit their requests; want %d more than %d", after, limited, limited, before)
+	}
+}
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -123,6 +123,17 @@
 // Waiting returns the number of waiting requests.
 func (s *Scheduler) Waiting() int { return len(s.items) }
 
+// WaitingUpTo returns the number of waiting requests of a tier and of higher ones.
+func (s *Scheduler) WaitingUpTo(tier Tier) int {
+	n := 0
+	for _, q := range s.queues {
+		if q.tier <= tier {
+			n += q.waiting
+		}
+	}
+	return n
+}
+
 // Add queues a request or refuses it. A request is refused if it is not expected
 // to be dispatched by its DispatchBy, or if the queue is full and no waiting
 // request can be shed for it. Requeued requests are never refused, unless
--- a/test/integration/request_limit_test.go
+++ b/test/integration/request_limit_test.go
@@ -98,6 +98,8 @@
 	}
 
 	limited.setFaults(t, emulator.InjectedFaults{})
+	// The entry processes in its domain have no other upstream there.
+	upstreams[2].terminate()
 	eventually(t, waitTimeout, func() error {
 		begin := time.Now()
 		s.askAll("/public/x", interval, requestLimitDelay)
