--- /dev/null
+++ b/internal/bufferer/bufferer.go
@@ -0,0 +1,129 @@
+// Package bufferer bounds the memory that the responses in progress take together.
+package bufferer
+
+import (
+	"io"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// minBufferBytes is the first size of a buffer.
+	minBufferBytes = 1 << 10
+	// freeBufferBytes is the part of each buffer that does not count towards the shared room.
+	freeBufferBytes = 32 << 10
+)
+
+type (
+	// Pool is that memory. It is
+	// safe for concurrent use.
+	Pool struct {
+		// left is the number of bytes that may still be taken.
+		left atomic.Int64
+	}
+
+	// Buffer collects bytes of one response. Release must be called when it is not used
+	// any more.
+	Buffer struct {
+		pool *Pool
+		// Data is what has been collected.
+		Data []byte
+		// limit is the largest size.
+		limit int
+		// taken is the number of bytes taken from the pool.
+		taken int64
+	}
+
+	// NoBufferError reports data that do not fit into the memory that is left.
+	NoBufferError struct{}
+)
+
+// Error implements error.
+func (e *NoBufferError) Error() string { return "no memory is left for the upstream's data" }
+
+// New returns a pool of a number of bytes.
+func New(bytes int64) *Pool {
+	p := &Pool{}
+	p.left.Store(bytes)
+	return p
+}
+
+// Left returns the number of bytes that may still be taken.
+func (p *Pool) Left() int64 { return p.left.Load() }
+
+// NewBuffer returns an empty buffer for at most limit bytes.
+func (p *Pool) NewBuffer(limit int) *Buffer {
+	return &Buffer{pool: p, limit: limit}
+}
+
+// take reserves bytes of the shared room and reports whether they were left.
+func (p *Pool) take(bytes int64) bool {
+	if p.left.Add(-bytes) >= 0 {
+		return true
+	}
+	p.left.Add(bytes)
+	return false
+}
+
+// grow makes room for more bytes and reports whether there was some.
+func (b *Buffer) grow(more int) bool {
+	needed := len(b.Data) + more
+	if needed > b.limit {
+		return false
+	}
+	if needed <= cap(b.Data) {
+		return true
+	}
+	size := max(minBufferBytes, min(b.limit, 2*cap(b.Data)), needed)
+	extra := int64(size-freeBufferBytes) - b.taken
+	if extra > 0 {
+		if !b.pool.take(extra) {
+			return false
+		}
+		b.taken += extra
+	}
+	b.Data = append(make([]byte, 0, size), b.Data...)
+	return true
+}
+
+// Fill reads until the end of r, and reports false if it stopped before because the
+// buffer is full.
+func (b *Buffer) Fill(r io.Reader) (bool, error) {
+	for b.grow(1) {
+		n, err := r.Read(b.Data[len(b.Data):cap(b.Data)])
+		b.Data = b.Data[:len(b.Data)+n]
+		if errors.Is(err, io.EOF) {
+			return true, nil
+		}
+		if err != nil {
+			return false, errors.WithStack(err)
+		}
+	}
+	return false, nil
+}
+
+// Append adds bytes. The error is a *NoBufferError.
+func (b *Buffer) Append(bytes []byte) error {
+	if !b.grow(len(bytes)) {
+		return &NoBufferError{}
+	}
+	b.Data = append(b.Data, bytes...)
+	return nil
+}
+
+// Reset removes the data, and returns memory beyond the free part to the pool.
+func (b *Buffer) Reset() {
+	if b.taken > 0 {
+		b.Release()
+		return
+	}
+	b.Data = b.Data[:0]
+}
+
+// Release returns the memory of the buffer to the pool.
+func (b *Buffer) Release() {
+	b.pool.left.Add(b.taken)
+	b.taken = 0
+	b.Data = nil
+}
--- /dev/null
+++ b/internal/prober/prober.go
@@ -0,0 +1,89 @@
+// Package prober finds out whether an upstream has ended after a connection to it broke.
+package prober
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/url"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/comfreybend/comfreybend/pkg/isolator"
+)
+
+const (
+	// checkTimeout bounds a check, and checkLifetime is the time for which its result is used.
+	checkTimeout  = 300 * time.Millisecond
+	checkLifetime = 10 * time.Second
+)
+
+type (
+	// Prober checks runs of upstreams, each once. It is safe for concurrent use.
+	Prober struct {
+		now func() time.Duration
+
+		mu     sync.Mutex
+		checks map[isolator.RunID]*check
+	}
+
+	// check is the check whether a run has ended.
+	check struct {
+		startedAt time.Duration
+		done      chan struct{}
+		// ended is valid once done is closed.
+		ended bool
+	}
+)
+
+// New returns a prober. now reads a monotonic clock.
+func New(now func() time.Duration) *Prober {
+	return &Prober{now: now, checks: map[isolator.RunID]*check{}}
+}
+
+// HasEnded reports whether the upstream with a URL refuses connections. Attempts at the same
+// run that break off together share one check.
+func (p *Prober) HasEnded(ctx context.Context, run isolator.RunID, address string) bool {
+	c := p.check(ctx, run, address)
+	select {
+	case <-c.done:
+		return c.ended
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (p *Prober) check(ctx context.Context, run isolator.RunID, address string) *check {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	for id, c := range p.checks {
+		if now-c.startedAt > checkLifetime {
+			delete(p.checks, id)
+		}
+	}
+	c := p.checks[run]
+	if c == nil {
+		c = &check{startedAt: now, done: make(chan struct{})}
+		p.checks[run] = c
+		// The result is for other attempts too, so the check goes on if this one ends.
+		go c.run(context.WithoutCancel(ctx), address)
+	}
+	return c
+}
+
+func (c *check) run(ctx context.Context, address string) {
+	defer close(c.done)
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	target, err := url.Parse(address)
+	if err != nil {
+		return
+	}
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", target.Host)
+	if err == nil {
+		_ = conn.Close()
+	}
+	c.ended = errors.Is(err, syscall.ECONNREFUSED)
+}
--- a/internal/router/control_poller.go
+++ b/internal/router/control_poller.go
@@ -331,7 +331,7 @@
 func (p *controlPoller) apply(control string, request *wire.Follow, reply *wire.FollowReply) {
 	r := p.router
 	now := timer.Now()
-	r.windows.setAgreedTime(now, time.UnixMilli(reply.GetTrueMillis()))
+	r.windows.SetAgreedTime(now, time.UnixMilli(reply.GetTrueMillis()))
 	r.mergeEvidence(reply.GetEvidence())
 	for _, u := range request.GetLeaving() {
 		r.dispatcher.withdrawalReported(registrar.UpstreamID(u.GetId()), registrar.Incarnation(u.GetIncarnation()))
--- a/internal/router/controlplane.go
+++ b/internal/router/controlplane.go
@@ -216,7 +216,7 @@
 		Usage:         p.router.usage.snapshot(host.GetId(), p.router.incarnation, final),
 		Upstreams:     p.router.dispatcher.announcedUpstreams(),
 		Demands:       p.router.dispatcher.poolDemands(),
-		Windows:       p.router.windows.recent(),
+		Windows:       p.router.windows.Recent(),
 
 		FetchesChanges: true,
 	}
--- a/internal/router/endless_test.go
+++ b/internal/router/endless_test.go
@@ -289,7 +289,7 @@
 		}
 		return true
 	})
-	if left := r.buffers.left.Load(); left != r.settings.GetEntry().GetUpstreamLimits().GetBufferedBytes() {
+	if left := r.buffers.Left(); left != r.settings.GetEntry().GetUpstreamLimits().GetBufferedBytes() {
 		t.Errorf("%d bytes of the buffers are left, want all", left)
 	}
 }
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -14,6 +14,7 @@
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
+	"github.com/comfreybend/comfreybend/pkg/reporter"
 	"github.com/comfreybend/comfreybend/pkg/scheduler"
 )
 
@@ -419,7 +420,7 @@
 	if h.current != nil {
 		h.router.dispatcher.firstTokenReceived(h.current.grant)
 	}
-	h.router.windows.add(h.call.client)
+	h.router.windows.Add(reporter.Organisation(h.call.client.organisation))
 }
 
 // recordUsage adds the call and its tokens to the usage counters.
--- a/internal/router/isolation.go
+++ b/internal/router/isolation.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
-	"net/url"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -15,9 +13,10 @@
 	"go.uber.org/zap"
 
 	"github.com/comfreybend/comfreybend/internal/announcer"
+	"github.com/comfreybend/comfreybend/internal/prober"
 	"github.com/comfreybend/comfreybend/pkg/isolator"
 	"github.com/comfreybend/comfreybend/pkg/picker"
-	"github.com/comfreybend/comfreybend/pkg/registrar"
+	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
@@ -26,10 +25,6 @@
 	// against the prompt. An engine that survives a prompt for responseTime speaks for it.
 	beginTime    = 500 * time.Millisecond
 	responseTime = time.Second
-	// endCheckTimeout bounds the check whether an engine has ended, and endCheckLifetime is
-	// the time for which its result is used.
-	endCheckTimeout  = 300 * time.Millisecond
-	endCheckLifetime = 10 * time.Second
 	// maxEndedEngines is the number of engines that may end under one call.
 	maxEndedEngines = 2
 )
@@ -40,6 +35,7 @@
 	// of all others.
 	isolation struct {
 		router *Router
+		prober *prober.Prober
 		// accused is false while there is no evidence at all.
 		accused atomic.Bool
 		// changed wakes the controlPoller to send new evidence.
@@ -52,15 +48,6 @@
 		timer *time.Timer
 		// inProgress holds the attempts of calls with shared prompt parts.
 		inProgress map[*attempt]*call
-		endChecks  map[isolator.RunID]*endCheck
-	}
-
-	// endCheck is the check whether a run of an engine has ended.
-	endCheck struct {
-		startedAt time.Duration
-		done      chan struct{}
-		// ended is valid once done is closed.
-		ended bool
 	}
 
 	// heldPartError reports an attempt that was cancelled because a part of its prompt is
@@ -81,7 +68,7 @@
 		held:       map[isolator.PartID]bool{},
 		timer:      time.NewTimer(0),
 		inProgress: map[*attempt]*call{},
-		endChecks:  map[isolator.RunID]*endCheck{},
+		prober:     prober.New(timer.Now),
 	}
 }
 
@@ -109,7 +96,7 @@
 	host, processes := s.router.settings.GetHost().GetId(), s.router.dispatcher.entryProcesses()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	a := s.isolator.Admit(s.router.windows.now(), host, processes, parts)
+	a := s.isolator.Admit(s.router.windows.Now(), host, processes, parts)
 	if a.Refused != nil {
 		return refuseHeldPart(a.Refused.Part)
 	}
@@ -165,7 +152,7 @@
 	if at != nil {
 		began = began || s.router.dispatcher.now()-at.startedAt-at.timeToHeaders < beginTime
 	}
-	if !began || !s.hasEnded(ctx, g.upstream) {
+	if !began || !s.prober.HasEnded(ctx, announcer.RunOf(g.upstream.ID, g.upstream.Incarnation), g.upstream.URL) {
 		return false
 	}
 	s.change(func(now time.Time) {
@@ -179,48 +166,6 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-// hasEnded reports whether an engine refuses connections. Attempts that break off together
-// share one check.
-func (s *isolation) hasEnded(ctx context.Context, u *registrar.Upstream) bool {
-	run := announcer.RunOf(u.ID, u.Incarnation)
-	now := s.router.dispatcher.now()
-	s.mu.Lock()
-	for id, check := range s.endChecks {
-		if now-check.startedAt > endCheckLifetime {
-			delete(s.endChecks, id)
-		}
-	}
-	check := s.endChecks[run]
-	if check == nil {
-		check = &endCheck{startedAt: now, done: make(chan struct{})}
-		s.endChecks[run] = check
-		// The result is for other attempts too, so the check goes on if this one ends.
-		go check.run(context.WithoutCancel(ctx), u.URL)
-	}
-	s.mu.Unlock()
-	select {
-	case <-check.done:
-		return check.ended
-	case <-ctx.Done():
-		return false
-	}
-}
-
-func (c *endCheck) run(ctx context.Context, address string) {
-	defer close(c.done)
-	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
-	defer cancel()
-	target, err := url.Parse(address)
-	if err != nil {
-		return
-	}
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", target.Host)
-	if err == nil {
-		_ = conn.Close()
-	}
-	c.ended = errors.Is(err, syscall.ECONNREFUSED)
-}
-
 // responded records that an engine has survived a call's prompt.
 func (s *isolation) responded(c *call) {
 	if !s.accused.Load() || len(c.sharedParts()) == 0 {
@@ -237,7 +182,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.isolator.Suspects(s.router.windows.now(), c.isolatedParts())
+	return s.isolator.Suspects(s.router.windows.Now(), c.isolatedParts())
 }
 
 // merge adds the evidence of other processes.
@@ -263,7 +208,7 @@
 func (s *isolation) change(apply func(now time.Time)) {
 	s.mu.Lock()
 	before := s.isolator.Position()
-	apply(s.router.windows.now())
+	apply(s.router.windows.Now())
 	changed := s.isolator.Position() != before
 	s.mu.Unlock()
 	if !changed {
@@ -307,7 +252,7 @@
 func (s *isolation) updateHeld() []isolator.PartID {
 	var added []isolator.PartID
 	held := map[isolator.PartID]bool{}
-	now := s.router.windows.now()
+	now := s.router.windows.Now()
 	verdicts, next := s.isolator.Held(now)
 	s.timer.Stop()
 	if !next.IsZero() {
--- a/internal/router/response.go
+++ b/internal/router/response.go
@@ -146,26 +146,26 @@
 	if at.response.ContentLength > limit {
 		return &oversizedResponseError{Limit: limit}
 	}
-	body := h.router.buffers.newBuffer(maxBufferedBytes)
-	defer body.release()
-	complete, err := body.fill(at.response.Body)
+	body := h.router.buffers.NewBuffer(maxBufferedBytes)
+	defer body.Release()
+	complete, err := body.Fill(at.response.Body)
 	if err != nil {
 		return errors.Wrap(err, "reading the answer")
 	}
 	if err = at.startRelay(); err != nil && !complete {
 		return err
 	}
-	h.readResponseUsage(body.data)
-	h.storeResponse(body.data, complete)
+	h.readResponseUsage(body.Data)
+	h.storeResponse(body.Data, complete)
 	h.copyResponseHeader(w.w.Header(), at.response.Header)
 	if at.response.ContentLength >= 0 {
 		w.w.Header().Set("Content-Length", strconv.FormatInt(at.response.ContentLength, 10))
 	}
 	w.w.WriteHeader(at.response.StatusCode)
 	var upstreamErr error
-	clientErr := w.write(body.data)
+	clientErr := w.write(body.Data)
 	if clientErr == nil && !complete {
-		upstreamErr, clientErr = w.copyRemaining(at, int64(len(body.data)), limit)
+		upstreamErr, clientErr = w.copyRemaining(at, int64(len(body.Data)), limit)
 	}
 	err = clientErr
 	outcome := outcomeAnswered
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -16,11 +16,13 @@
 	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/comfreybend/comfreybend/internal/bufferer"
 	"github.com/comfreybend/comfreybend/internal/certifier"
 	"github.com/comfreybend/comfreybend/internal/instrumenter"
 	"github.com/comfreybend/comfreybend/internal/messenger"
 	"github.com/comfreybend/comfreybend/internal/restrainer"
 	"github.com/comfreybend/comfreybend/internal/server"
+	"github.com/comfreybend/comfreybend/internal/windower"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/settings"
@@ -48,7 +50,7 @@
 	settings       *settings.Settings
 	dialect        Dialect
 	random         func(n int) int
-	windows        *windowCounter
+	windows        *windower.Counter
 	controlPoller  *controlPoller
 	controlClients *controlClients
 	startedAt      time.Duration
@@ -65,7 +67,7 @@
 	usage          *usageCounters
 	peers          *peerExchanger
 	metrics        *metrics
-	buffers        *bufferPool
+	buffers        *bufferer.Pool
 	inProgress     atomic.Int64
 	shuttingDown   atomic.Bool
 }
@@ -83,18 +85,18 @@
 		dialect:     dialect,
 		random:      rand.IntN,
 		startedAt:   timer.Now(),
-		windows:     newWindowCounter(s.GetEntry()),
+		windows:     windower.New(s.GetEntry().GetAlignedWindow().AsDuration(), reportedWindows),
 		log:         log,
 		instruments: instruments,
 		incarnation: uuid.NewString(),
 		usage:       newUsageCounters(),
 		metrics:     newMetrics(instruments.Scope),
 	}
-	r.restrainer = restrainer.New(s.GetHost().GetId(), r.windows.now)
+	r.restrainer = restrainer.New(s.GetHost().GetId(), r.windows.Now)
 	r.dispatcher = newDispatcher(s, r.metrics)
 	r.dispatcher.restrainer = r.restrainer
 	r.dispatcher.retryAfter = r.retryAfter
-	r.buffers = newBufferPool(s.GetEntry().GetUpstreamLimits().GetBufferedBytes())
+	r.buffers = bufferer.New(s.GetEntry().GetUpstreamLimits().GetBufferedBytes())
 	r.upstreamClient = newUpstreamClient(s.GetEntry(), dialect)
 	r.upstreamClient.admit = r.restrainer.Admit
 	r.controlClients = newControlClients(s.GetEntry(), security)
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -11,6 +11,8 @@
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
+
+	"github.com/comfreybend/comfreybend/internal/bufferer"
 )
 
 const (
@@ -45,7 +47,7 @@
 	eventReader struct {
 		buffer *bufio.Reader
 		// raw holds what has been read of the current event.
-		raw *buffer
+		raw *bufferer.Buffer
 	}
 
 	// eventGapError reports a stream in which events are missing.
@@ -89,18 +91,18 @@
 
 // next returns the next complete event. Its slices are valid until the next call of next.
 func (r *eventReader) next() (event, error) {
-	r.raw.reset()
+	r.raw.Reset()
 	e := event{comment: true}
 	for {
-		start := len(r.raw.data)
+		start := len(r.raw.Data)
 		if err := r.readLine(); err != nil {
 			return event{}, err
 		}
-		line := bytes.TrimRight(r.raw.data[start:], "\r\n")
+		line := bytes.TrimRight(r.raw.Data[start:], "\r\n")
 		e.comment = e.comment && (len(line) == 0 || line[0] == ':')
 		switch {
 		case len(line) == 0:
-			e.raw = r.raw.data
+			e.raw = r.raw.Data
 			return e, nil
 		case bytes.HasPrefix(line, dataField):
 			e.data = bytes.TrimSpace(line[len(dataField):])
@@ -117,7 +119,7 @@
 func (r *eventReader) readLine() error {
 	for {
 		part, err := r.buffer.ReadSlice('\n')
-		if appendErr := r.raw.append(part); appendErr != nil {
+		if appendErr := r.raw.Append(part); appendErr != nil {
 			return errors.Wrap(appendErr, "event is too large")
 		}
 		if err == nil {
@@ -179,17 +181,17 @@
 // client separately.
 func (h *callHandler) copyEvents(w *clientWriter) (upstreamErr, clientErr error) {
 	at := h.current
-	raw := h.router.buffers.newBuffer(maxEventBytes)
-	defer raw.release()
+	raw := h.router.buffers.NewBuffer(maxEventBytes)
+	defer raw.Release()
 	reader := &eventReader{buffer: bufio.NewReaderSize(at.response.Body, streamBufferBytes), raw: raw}
 	for {
 		e, err := reader.next()
-		if h.call.route.GetEventStream() && errors.Is(err, io.EOF) && len(raw.data) == 0 {
+		if h.call.route.GetEventStream() && errors.Is(err, io.EOF) && len(raw.Data) == 0 {
 			return nil, nil
 		}
 		if err != nil {
-			if len(raw.data) > maxUnfinishedBytes {
-				err = &unfinishedEventError{Bytes: len(raw.data), Cause: err}
+			if len(raw.Data) > maxUnfinishedBytes {
+				err = &unfinishedEventError{Bytes: len(raw.Data), Cause: err}
 			}
 			return err, nil
 		}
--- a/internal/router/windows_test.go
+++ b/internal/router/windows_test.go
@@ -9,8 +9,8 @@
 
 	"go.uber.org/zap"
 
+	"github.com/comfreybend/comfreybend/internal/windower"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
-	"github.com/comfreybend/comfreybend/pkg/reporter"
 	"github.com/comfreybend/comfreybend/schema/state"
 )
 
@@ -46,13 +46,13 @@
 				server.Close()
 			}
 			r := newTestRouter(t)
-			r.windows = &windowCounter{counter: reporter.NewCounter(time.Hour, reportedWindows)}
+			r.windows = windower.New(time.Hour, reportedWindows)
 			h := sendOnce(t, r, server.URL)
 			if h.current != nil {
 				h.finishAttempt(outcomeAnswered, nil)
 			}
 			var got uint64
-			for _, w := range r.windows.recent() {
+			for _, w := range r.windows.Recent() {
 				got += w.GetCounts()["one"]
 			}
 			if got != test.want {
--- a/internal/router/windows.go
+++ b/internal/windower/windower.go
@@ -1,4 +1,5 @@
-package router
+// Package windower counts in an entry process the requests of each organisation in usage windows.
+package windower
 
 import (
 	"sync"
@@ -6,14 +7,13 @@
 
 	"github.com/comfreybend/comfreybend/pkg/reporter"
 	"github.com/comfreybend/comfreybend/pkg/timer"
-	"github.com/comfreybend/comfreybend/schema/settings"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
 type (
-	// windowCounter counts requests in usage windows that are aligned to multiples of
+	// Counter counts requests in usage windows that are aligned to multiples of
 	// their length in agreed time, the time of day on which the control processes agree.
-	windowCounter struct {
+	Counter struct {
 		mu      sync.Mutex
 		counter *reporter.Counter
 		// agreedTimeOffset is the agreed time at the zero of the monotonic clock. It is
@@ -23,49 +23,49 @@
 	}
 )
 
-func newWindowCounter(e *settings.Entry) *windowCounter {
-	length := e.GetAlignedWindow().AsDuration()
+// New returns a counter for windows of a length, none for zero. It keeps a number of recent ones.
+func New(length time.Duration, recent int) *Counter {
 	if length <= 0 {
-		return &windowCounter{}
+		return &Counter{}
 	}
-	return &windowCounter{counter: reporter.NewCounter(length, reportedWindows)}
+	return &Counter{counter: reporter.NewCounter(length, recent)}
 }
 
-// setAgreedTime sets the agreed time that corresponds to now on the monotonic clock.
-func (w *windowCounter) setAgreedTime(now time.Duration, agreed time.Time) {
+// SetAgreedTime sets the agreed time that corresponds to now on the monotonic clock.
+func (w *Counter) SetAgreedTime(now time.Duration, agreed time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.agreedTimeOffset = time.Duration(agreed.UnixNano()) - now
 	w.offsetKnown = true
 }
 
-// now returns the agreed time, or that of the system clock until it is known.
-func (w *windowCounter) now() time.Time {
+// Now returns the agreed time, or that of the system clock until it is known.
+func (w *Counter) Now() time.Time {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.nowLocked()
 }
 
-func (w *windowCounter) nowLocked() time.Time {
+func (w *Counter) nowLocked() time.Time {
 	if !w.offsetKnown {
 		return time.Now()
 	}
 	return time.Unix(0, int64(w.agreedTimeOffset+timer.Now()))
 }
 
-// add counts a request that starts to run now. Until the agreed time is known, the system
+// Add counts a request that starts to run now. Until the agreed time is known, the system
 // clock is used.
-func (w *windowCounter) add(client identity) {
-	if w.counter == nil || client.organisation == "" {
+func (w *Counter) Add(organisation reporter.Organisation) {
+	if w.counter == nil || organisation == "" {
 		return
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.counter.Add(w.nowLocked(), reporter.Organisation(client.organisation))
+	w.counter.Add(w.nowLocked(), organisation)
 }
 
-// recent returns the counts of recent windows.
-func (w *windowCounter) recent() []*wire.WindowCounts {
+// Recent returns the counts of recent windows.
+func (w *Counter) Recent() []*wire.WindowCounts {
 	if w.counter == nil {
 		return nil
 	}
