--- a/internal/collector/collector.go
+++ b/internal/collector/collector.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/comfreybend/comfreybend/internal/announcer"
+	"github.com/comfreybend/comfreybend/internal/identifier"
 	"github.com/comfreybend/comfreybend/pkg/apportioner"
 	"github.com/comfreybend/comfreybend/pkg/isolator"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
@@ -23,9 +24,13 @@
 	evidenceRefresh = 30
 )
 
-// limitShift is the number of bits of a Position that number the changes of the isolator. Those
-// above number the changes of the request limits.
-const limitShift = 32
+// A Position has in its lowest bits the number of changes of the isolator, from limitShift on that
+// of the request limits, and from keyShift on that of the key.
+const (
+	limitShift = 28
+	keyShift   = 56
+	countMask  = 1<<limitShift - 1
+)
 
 type (
 	// Position numbers the changes of a Table.
@@ -38,6 +43,9 @@
 		mu       sync.Mutex
 		isolator *isolator.Isolator
 		limits   *apportioner.Register
+		key      *identifier.Identifier
+		// keyChanges is the number of keys that the table has had.
+		keyChanges Position
 		// updated is closed and replaced at each change.
 		updated chan struct{}
 		// logged holds the parts whose hold was logged.
@@ -57,7 +65,7 @@
 
 // NewTable returns a table without evidence.
 func NewTable() *Table {
-	return &Table{isolator: isolator.New(), limits: apportioner.NewRegister(), updated: make(chan struct{}), logged: map[isolator.PartID]bool{}}
+	return &Table{isolator: isolator.New(), limits: apportioner.NewRegister(), key: identifier.NewWithKey(time.Now()), keyChanges: 1, updated: make(chan struct{}), logged: map[isolator.PartID]bool{}}
 }
 
 // Merge adds evidence and reports whether any of it was new.
@@ -71,6 +79,10 @@
 	for _, s := range announcer.LimitsFromWire(e.GetLimits()) {
 		changed = t.limits.Merge(now, s) || changed
 	}
+	if t.key.Merge(e.GetKey()) {
+		t.keyChanges++
+		changed = true
+	}
 	if !changed {
 		return false
 	}
@@ -88,20 +100,22 @@
 	if after == position {
 		return nil, after, t.updated
 	}
-	e, _ := t.isolator.Since(isolator.Position(after & (1<<limitShift - 1)))
+	e, _ := t.isolator.Since(isolator.Position(after & countMask))
 	evidence := announcer.EvidenceToWire(e)
-	if statements, _ := t.limits.Since(apportioner.Position(after >> limitShift)); len(statements) > 0 {
-		if evidence == nil {
-			evidence = &wire.Evidence{}
-		}
-		evidence.Limits = announcer.LimitsToWire(statements)
+	if evidence == nil {
+		evidence = &wire.Evidence{}
+	}
+	statements, _ := t.limits.Since(apportioner.Position(after >> limitShift & countMask))
+	evidence.Limits = announcer.LimitsToWire(statements)
+	if after>>keyShift != position>>keyShift {
+		evidence.Key = t.key.Key()
 	}
 	return evidence, position, t.updated
 }
 
 // position returns the position of the latest change. The mutex must be held.
 func (t *Table) position() Position {
-	return Position(t.limits.Position())<<limitShift | Position(t.isolator.Position())
+	return t.keyChanges<<keyShift | Position(t.limits.Position())&countMask<<limitShift | Position(t.isolator.Position())&countMask
 }
 
 // Limits returns the upstreams that name a request limit.
--- a/internal/router/evidence.go
+++ b/internal/router/evidence.go
@@ -23,9 +23,22 @@
 		}
 		e.Limits = limits
 	}
+	if after == (evidencePosition{}) {
+		if key := r.identifier.Key(); key != nil {
+			if e == nil {
+				e = &wire.Evidence{}
+			}
+			e.Key = key
+		}
+	}
 	return e, evidencePosition{parts: parts, limits: position}
 }
 
+// identityOf returns the identity of a request, empty as long as there is no key for it.
+func (r *Router) identityOf(c *call) isolator.PartID {
+	return r.identifier.Identify(c.body, c.method, c.host, c.requestURI, string(c.client.organisation))
+}
+
 // allEvidence returns everything, which is little while few parts are accused and few upstreams
 // limit their requests.
 func (r *Router) allEvidence() *wire.Evidence {
@@ -35,6 +48,7 @@
 
 // mergeEvidence adds what other processes know.
 func (r *Router) mergeEvidence(e *wire.Evidence) {
+	r.identifier.Merge(e.GetKey())
 	r.isolation.merge(e)
 	r.restrainer.Merge(e.GetLimits())
 }
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -266,7 +266,8 @@
 	h.recordBreak(ctx, g, nil, err)
 	h.failedUpstreams = append(h.failedUpstreams, g.upstream.ID)
 	h.router.dispatcher.release(g, outcome, 0)
-	h.log.Info("attempt failed", append(h.placementFields(g), h.partsField(), zap.Int("attempts", h.attempts), zap.Error(err))...)
+	h.log.Info("attempt failed", append(h.placementFields(g), h.partsField(), h.identityField(),
+		zap.Bool("upstreamEnded", h.router.isolation.upstreamEnded(ctx, g, err)), zap.Int("attempts", h.attempts), zap.Error(err))...)
 }
 
 // recordBreak records the end of an engine as evidence against the prompt, if that is why an
--- a/internal/router/isolation.go
+++ b/internal/router/isolation.go
@@ -145,14 +145,14 @@
 // response, as the headers of a stream show; nothing shows it for other responses.
 func (s *isolation) attemptBroke(ctx context.Context, c *call, g *grant, at *attempt, err error) bool {
 	parts := c.isolatedParts()
-	if len(parts) == 0 || !isConnectionBreak(err) || s.router.dispatcher.isLeaving(g.upstream) {
+	if len(parts) == 0 || !isConnectionBreak(err) {
 		return false
 	}
 	began := !c.stream
 	if at != nil {
 		began = began || s.router.dispatcher.now()-at.startedAt-at.timeToHeaders < beginTime
 	}
-	if !began || !s.prober.HasEnded(ctx, announcer.RunOf(g.upstream.ID, g.upstream.Incarnation), g.upstream.URL) {
+	if !began || !s.upstreamEnded(ctx, g, err) {
 		return false
 	}
 	s.change(func(now time.Time) {
@@ -161,6 +161,21 @@
 	return true
 }
 
+// upstreamEnded reports whether an attempt broke off because its upstream has ended without
+// saying before that it leaves.
+func (s *isolation) upstreamEnded(ctx context.Context, g *grant, err error) bool {
+	broke := isConnectionBreak(err) || isRefusedResend(err)
+	return broke && !s.router.dispatcher.isLeaving(g.upstream) &&
+		s.prober.HasEnded(ctx, announcer.RunOf(g.upstream.ID, g.upstream.Incarnation), g.upstream.URL)
+}
+
+// isRefusedResend reports whether net/http sent a request again when a reused connection broke,
+// and found that the upstream refuses connections.
+func isRefusedResend(err error) bool {
+	var failure *attemptError
+	return errors.As(err, &failure) && !failure.NotRun && errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // isConnectionBreak reports whether the upstream's side closed or reset a connection.
 func isConnectionBreak(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
--- a/internal/router/request_log.go
+++ b/internal/router/request_log.go
@@ -52,6 +52,12 @@
 	return zap.Strings("parts", ids)
 }
 
+// identityField returns the log field with the identity of the request, by which it is found when
+// it comes again.
+func (h *callHandler) identityField() zap.Field {
+	return zap.String("identity", string(h.router.identityOf(h.call)))
+}
+
 // logServed logs a request whose response was relayed; there is one such line per served
 // request.
 func (h *callHandler) logServed(g *grant, status int, timeToHeaders time.Duration) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -18,6 +18,7 @@
 
 	"github.com/comfreybend/comfreybend/internal/bufferer"
 	"github.com/comfreybend/comfreybend/internal/certifier"
+	"github.com/comfreybend/comfreybend/internal/identifier"
 	"github.com/comfreybend/comfreybend/internal/instrumenter"
 	"github.com/comfreybend/comfreybend/internal/messenger"
 	"github.com/comfreybend/comfreybend/internal/restrainer"
@@ -62,6 +63,7 @@
 	fetcher        *configurationFetcher
 	isolation      *isolation
 	restrainer     *restrainer.Restrainer
+	identifier     *identifier.Identifier
 	dispatcher     *dispatcher
 	upstreamClient *upstreamClient
 	usage          *usageCounters
@@ -91,6 +93,7 @@
 		incarnation: uuid.NewString(),
 		usage:       newUsageCounters(),
 		metrics:     newMetrics(instruments.Scope),
+		identifier:  identifier.New(),
 	}
 	r.restrainer = restrainer.New(s.GetHost().GetId(), r.windows.Now)
 	r.dispatcher = newDispatcher(s, r.metrics)
