--- a/cmd/comfreybend/emulate.go
+++ b/cmd/comfreybend/emulate.go
@@ -39,7 +39,7 @@
 			Default(emulatedTokenInterval.String()).DurationVar(&config.TokenInterval)
 		c.Flag("tokens", "Tokens of a response if the request sets no maximum.").Default("32").IntVar(&config.Tokens)
 		c.Flag("report-lag", "Age of the reported load.").Default("0s").DurationVar(&config.ReportLag)
-		c.Flag("crash-on", "End when a response begins to a request that holds this text.").StringVar(&config.CrashOnText)
+		c.Flag("crash-on", "End when a response begins to a request whose body, or whose path at a service, holds this text.").StringVar(&config.CrashOnText)
 		actions[c.FullCommand()] = func(ctx context.Context) error {
 			return emulator.New(config).Run(ctx)
 		}
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -53,7 +53,8 @@
 		// ReportLag is the age of the announced load.
 		ReportLag time.Duration
 		// CrashOnText makes a model engine end without a shutdown when it begins a response to
-		// a request whose body holds this text. An empty text has no effect.
+		// a request whose body holds this text, and an order service while it runs a request
+		// whose path holds it. An empty text has no effect.
 		CrashOnText string
 	}
 
@@ -129,15 +130,15 @@
 		events uint64
 	}
 
-	// CrashError reports that an upstream has crashed on a prompt.
+	// CrashError reports that an upstream has crashed on a request.
 	CrashError struct {
-		// Text is the one that the prompt holds.
+		// Text is the one that the request holds.
 		Text string
 	}
 )
 
 // Error implements error.
-func (e *CrashError) Error() string { return fmt.Sprintf("crashed on a prompt with %q", e.Text) }
+func (e *CrashError) Error() string { return fmt.Sprintf("crashed on a request with %q", e.Text) }
 
 // New returns an upstream that has not started.
 func New(config Config) *Upstream {
--- a/internal/emulator/service.go
+++ b/internal/emulator/service.go
@@ -8,11 +8,20 @@
 	"time"
 )
 
+// crashDelay is the time for which a request runs that crashes an order service.
+const crashDelay = 80 * time.Millisecond
+
 // serveOrder serves the order service on all paths: a POST request runs an order, and
 // any other request returns how often the order named by the last path segment ran.
 func (u *Upstream) serveOrder(w http.ResponseWriter, r *http.Request) {
 	attempt := u.startAttempt(r.Header.Get("Comfreybend-Attempt"))
 	defer u.finishAttempt(attempt, false)
+	if u.config.CrashOnText != "" && strings.Contains(r.URL.Path, u.config.CrashOnText) {
+		time.Sleep(crashDelay)
+		u.crashOnce.Do(func() { close(u.crash) })
+		<-r.Context().Done()
+		return
+	}
 	w.Header().Set("Comfreybend-Attempt", r.Header.Get("Comfreybend-Attempt"))
 	if r.Method == http.MethodPost {
 		u.runOrder(w, r)
