--- a/internal/announcer/evidence.go
+++ b/internal/announcer/evidence.go
@@ -27,6 +27,9 @@
 		for _, run := range p.GetRuns() {
 			part.Runs = append(part.Runs, isolator.RunID(run))
 		}
+		for _, run := range p.GetAfter() {
+			part.After = append(part.After, isolator.RunID(run))
+		}
 		if p.GetClearedAtMillis() != 0 {
 			part.ClearedAt = time.UnixMilli(p.GetClearedAtMillis())
 		}
@@ -49,6 +52,9 @@
 		for _, run := range p.Runs {
 			part.Runs = append(part.Runs, uint64(run))
 		}
+		for _, run := range p.After {
+			part.After = append(part.After, uint64(run))
+		}
 		if !p.ClearedAt.IsZero() {
 			part.ClearedAtMillis = p.ClearedAt.UnixMilli()
 		}
--- a/internal/identifier/identifier.go
+++ b/internal/identifier/identifier.go
@@ -12,6 +12,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"strings"
 	"sync"
 	"time"
 
@@ -84,3 +85,6 @@
 	_, _ = h.Write(body)
 	return isolator.PartID(prefix + hex.EncodeToString(h.Sum(nil)[:identityBytes]))
 }
+
+// IsIdentity reports whether an id is the identity of a request.
+func IsIdentity(id isolator.PartID) bool { return strings.HasPrefix(string(id), prefix) }
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -12,11 +12,13 @@
 	"path"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/comfreybend/comfreybend/internal/configurer"
+	"github.com/comfreybend/comfreybend/pkg/isolator"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/state"
@@ -69,6 +71,8 @@
 		retryable bool
 		// probe reports that the call shows whether a held prompt part still crashes engines.
 		probe bool
+		// identity is set by Router.identityOf.
+		identity atomic.Pointer[isolator.PartID]
 	}
 
 	// modelRequest has the fields of a model request's body that the router needs.
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -60,6 +60,7 @@
 
 	// dispatchRequest asks for an upstream on behalf of a call.
 	dispatchRequest struct {
+		call  *call
 		pool  poolKey
 		class *state.Class
 		// rank orders calls by the tiers of their organisation and class; 1 is the most
--- a/internal/router/evidence.go
+++ b/internal/router/evidence.go
@@ -36,7 +36,14 @@
 
 // identityOf returns the identity of a request, empty as long as there is no key for it.
 func (r *Router) identityOf(c *call) isolator.PartID {
-	return r.identifier.Identify(c.body, c.method, c.host, c.requestURI, string(c.client.organisation))
+	if known := c.identity.Load(); known != nil {
+		return *known
+	}
+	id := r.identifier.Identify(c.body, c.method, c.host, c.requestURI, string(c.client.organisation))
+	if id != "" {
+		c.identity.Store(&id)
+	}
+	return id
 }
 
 // allEvidence returns everything, which is little while few parts are accused and few upstreams
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -11,7 +11,9 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/comfreybend/comfreybend/internal/announcer"
 	"github.com/comfreybend/comfreybend/internal/configurer"
+	"github.com/comfreybend/comfreybend/pkg/isolator"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/reporter"
@@ -51,10 +53,14 @@
 		failedUpstreams []registrar.UpstreamID
 		// current is the attempt whose response is relayed; nil if there is none.
 		current *attempt
-		// endedEngines is the number of engines that ended under the call, engineEnded that the
-		// latest attempt's did.
-		endedEngines int
+		// endedRuns are the runs of engines that ended under the call, engineEnded reports that the
+		// latest attempt's did, and endsReported that this is known to the isolation.
+		endedRuns    []isolator.Run
 		engineEnded  bool
+		endsReported bool
+		// endedBefore is the run that was known to have ended last under the same request when the
+		// call began.
+		endedBefore isolator.RunID
 		// responded reports that an engine has survived the prompt.
 		responded bool
 		// startRecorded reports that the call was counted in its usage window.
@@ -113,9 +119,11 @@
 	if refusal := r.resolve(c); refusal != nil {
 		return nil, h.recordRefusal(refusal)
 	}
+	r.isolation.awaitVerdict(ctx, c)
 	if refusal := r.isolation.admit(c); refusal != nil {
 		return nil, h.recordRefusal(refusal)
 	}
+	h.endedBefore = r.isolation.latestEnd(c)
 	out, refusal := h.sendAttempts(ctx)
 	if refusal != nil {
 		h.releaseClaim(refusal)
@@ -157,6 +165,7 @@
 func (h *callHandler) acquireUpstream(ctx context.Context) (*grant, *RefusalError) {
 	c := h.call
 	g, refusal := h.router.dispatcher.acquire(ctx, dispatchRequest{
+		call:         c,
 		pool:         c.pool,
 		class:        c.class,
 		rank:         c.rank,
@@ -224,6 +233,10 @@
 	if h.call.retryable && h.router.dialect.IsRetryableStatus(at.response.StatusCode) {
 		err = &attemptError{Attempt: at.id, Cause: errors.Errorf("upstream answered %d", at.response.StatusCode)}
 		h.log.Info("attempt failed", append(h.placementFields(g), h.partsField(), zap.Int("attempts", h.attempts), zap.Error(err))...)
+		if at.response.StatusCode == http.StatusInternalServerError {
+			// The engine failed, but it goes on.
+			h.recordSurvival()
+		}
 		at.close(err)
 		h.failedUpstreams = append(h.failedUpstreams, g.upstream.ID)
 		h.router.dispatcher.release(g, outcomeOverloaded, 0)
@@ -270,12 +283,23 @@
 		zap.Bool("upstreamEnded", h.router.isolation.upstreamEnded(ctx, g, err)), zap.Int("attempts", h.attempts), zap.Error(err))...)
 }
 
-// recordBreak records the end of an engine as evidence against the prompt, if that is why an
-// attempt failed. at is nil if there was no response.
+// recordBreak records the end of an engine, if that is why an attempt failed. at is nil if there
+// was no response.
 func (h *callHandler) recordBreak(ctx context.Context, g *grant, at *attempt, err error) {
 	h.engineEnded = h.router.isolation.attemptBroke(ctx, h.call, g, at, err)
 	if h.engineEnded {
-		h.endedEngines++
+		run := announcer.RunOf(g.upstream.ID, g.upstream.Incarnation)
+		h.endedRuns = append(h.endedRuns, isolator.Run{ID: run, EndedAt: h.router.windows.Now()})
+		h.endsReported = false
+	}
+}
+
+// reportEnds reports the engines that ended under the call. A call that shared an engine with the
+// one at fault usually succeeds at another engine, and then nothing is reported.
+func (h *callHandler) reportEnds() {
+	if len(h.endedRuns) > 0 && !h.endsReported && !h.responded {
+		h.endsReported = true
+		h.router.isolation.recordEnds(h.call, h.endedBefore, h.endedRuns)
 	}
 }
 
@@ -322,14 +346,22 @@
 // counts as an attempt. After any other failure only retryable calls are sent
 // again, within the attempt limit and the retry budget.
 func (h *callHandler) allowRetry(ctx context.Context, err error) bool {
+	allowed := h.mayRetry(ctx, err)
+	if !allowed || len(h.endedRuns) >= maxEndedEngines {
+		h.reportEnds()
+	}
+	return allowed
+}
+
+func (h *callHandler) mayRetry(ctx context.Context, err error) bool {
 	if ctx.Err() != nil || h.router.dispatcher.now() >= h.call.deadline {
 		return false
 	}
 	if errors.As(err, new(*heldPartError)) {
 		return false
 	}
-	if h.engineEnded && (h.endedEngines >= maxEndedEngines || h.router.isolation.suspects(h.call)) {
-		// The prompt may be what ends the engines.
+	if h.engineEnded && (len(h.endedRuns) >= maxEndedEngines || h.router.isolation.endsUnder(h.call) > 0 || h.router.isolation.suspects(h.call)) {
+		// The request or its prompt may be what ends the engines.
 		return false
 	}
 	var failure *attemptError
@@ -381,6 +413,7 @@
 
 // recordRefusal counts and logs a refusal, and returns it.
 func (h *callHandler) recordRefusal(refusal *RefusalError) *RefusalError {
+	h.reportEnds()
 	h.router.metrics.refused(refusal.Code)
 	h.log.Info("request refused", h.requestIDField(), zap.String("attempt", string(refusal.Attempt)),
 		zap.String("code", refusal.Code),
--- /dev/null
+++ b/internal/router/held_request_test.go
@@ -0,0 +1,192 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/comfreybend/comfreybend/internal/identifier"
+	"github.com/comfreybend/comfreybend/pkg/isolator"
+	"github.com/comfreybend/comfreybend/pkg/registrar"
+	"github.com/comfreybend/comfreybend/schema/wire"
+)
+
+// ask sends a request with a method, path and body, and returns the status and the body.
+func ask(t *testing.T, server *httptest.Server, method, path, body string) (status int, text string) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(context.Background(), method, server.URL+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, _ := io.ReadAll(response.Body)
+	return response.StatusCode, string(data)
+}
+
+// newIdentifyingRouter is newNoticeRouter with a key for identities.
+func newIdentifyingRouter(t *testing.T, ids ...registrar.UpstreamID) (*Router, *httptest.Server, map[registrar.UpstreamID]*noticeUpstream) {
+	t.Helper()
+	r, server, upstreams := newNoticeRouter(t, ids...)
+	r.mergeEvidence(&wire.Evidence{Key: identifier.NewWithKey(time.Now()).Key()})
+	return r, server, upstreams
+}
+
+// holdRequest makes a router hold a request, as if engines had ended under it at other processes.
+func holdRequest(r *Router, c *call) {
+	ends := make([]isolator.Run, 0, 3)
+	for n := range 3 {
+		ends = append(ends, isolator.Run{ID: isolator.RunID(n + 1), EndedAt: time.Now().Add(time.Duration(n-10) * time.Second)})
+	}
+	r.isolation.recordEnds(c, 0, ends)
+}
+
+// TestHeldRequest guards against a request that ends upstreams and reaches further ones, and against
+// other requests, of the same caller and path or with the same body, that are refused for it. The
+// refusal is final and says that the request has not run.
+func TestHeldRequest(t *testing.T) {
+	r, server, upstreams := newIdentifyingRouter(t, "one")
+	address := strings.TrimPrefix(server.URL, "http://")
+	host, _, _ := strings.Cut(address, ":")
+	holdRequest(r, &call{method: http.MethodPost, host: host, requestURI: "/order?x=1", body: []byte("bad")})
+	before := upstreams["one"].calls.Load()
+	status, text := ask(t, server, http.MethodPost, "/order?x=1", "bad")
+	if status != http.StatusUnprocessableEntity || !strings.Contains(text, CodeRequestHeld) || !strings.Contains(text, string(NotRun)) {
+		t.Errorf("status %d: %s; want a final refusal, not run", status, text)
+	}
+	if upstreams["one"].calls.Load() != before {
+		t.Error("the request has reached an upstream")
+	}
+	tests := map[string][3]string{
+		"another body":   {http.MethodPost, "/order?x=1", "good"},
+		"another query":  {http.MethodPost, "/order?x=2", "bad"},
+		"another path":   {http.MethodPost, "/orders", "bad"},
+		"another method": {http.MethodPut, "/order?x=1", "bad"},
+	}
+	for name, test := range tests {
+		if status, text = ask(t, server, test[0], test[1], test[2]); status != http.StatusOK {
+			t.Errorf("%s: status %d: %s", name, status, text)
+		}
+	}
+}
+
+// TestHeldRequestIsEnded guards against a request that waits for an upstream, or that one runs
+// already, when it becomes held. The one that may have run says so.
+func TestHeldRequestIsEnded(t *testing.T) {
+	r, server, upstreams := newIdentifyingRouter(t, "one")
+	release := make(chan struct{})
+	defer close(release)
+	upstreams["one"].set(func(_ http.ResponseWriter, request *http.Request) {
+		select {
+		case <-release:
+		case <-request.Context().Done():
+		}
+	})
+	results := make(chan string, 4)
+	for range cap(results) {
+		go func() {
+			status, text := ask(t, server, http.MethodPost, "/order", "bad")
+			results <- fmt.Sprint(status, text)
+		}()
+	}
+	var c *call
+	for began := time.Now(); c == nil; time.Sleep(time.Millisecond) {
+		if time.Since(began) > setupTimeout {
+			t.Fatal("no request reached the upstream")
+		}
+		r.isolation.mu.Lock()
+		for _, known := range r.isolation.inProgress {
+			c = known
+		}
+		r.isolation.mu.Unlock()
+	}
+	holdRequest(r, c)
+	mayHaveRun := 0
+	for range cap(results) {
+		select {
+		case text := <-results:
+			if !strings.HasPrefix(text, "422") || !strings.Contains(text, CodeRequestHeld) {
+				t.Errorf("%s, want a final refusal", text)
+			}
+			if strings.Contains(text, string(MayHaveRun)) {
+				mayHaveRun++
+			}
+		case <-time.After(setupTimeout):
+			t.Fatal("a request waits although it is held")
+		}
+	}
+	if calls := upstreams["one"].calls.Load(); int64(mayHaveRun) != calls {
+		t.Errorf("%d refusals say that the request may have run, %d have reached the upstream", mayHaveRun, calls)
+	}
+}
+
+// endingUpstream is an upstream that ends under requests with a text in their path.
+type endingUpstream struct {
+	server *http.Server
+	url    string
+	calls  atomic.Int64
+}
+
+func (u *endingUpstream) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	u.calls.Add(1)
+	if strings.Contains(request.URL.Path, "deadly") {
+		_ = u.server.Close()
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(w, "done")
+}
+
+// TestRetriesOfRequestsThatEndUpstreams guards against retries that end further upstreams: a call
+// is sent to a second upstream, so that a sound one which shared the first is served; one under
+// which two have ended, or that has ended one before, is not sent again. What ended is reported.
+func TestRetriesOfRequestsThatEndUpstreams(t *testing.T) {
+	r, server, _ := newIdentifyingRouter(t)
+	upstreams := map[registrar.UpstreamID]*endingUpstream{}
+	for n := range 6 {
+		u := &endingUpstream{}
+		started := httptest.NewServer(u)
+		t.Cleanup(started.Close)
+		u.server, u.url = started.Config, started.URL
+		id := registrar.UpstreamID(fmt.Sprint("u", n))
+		upstreams[id] = u
+		r.dispatcher.applyAnnouncement(noticeAnnouncement(id, u.url, 1, 1, r.dispatcher.now()))
+	}
+	calls := func() (n int) {
+		for _, u := range upstreams {
+			n += int(u.calls.Load())
+		}
+		return n
+	}
+	for n, want := range []int{2, 3} {
+		status, text := ask(t, server, http.MethodGet, "/deadly", "")
+		if status != http.StatusBadGateway || !strings.Contains(text, string(MayHaveRun)) {
+			t.Errorf("call %d: status %d: %s; want 502, may have run", n, status, text)
+		}
+		if got := calls(); got != want {
+			t.Errorf("%d upstreams have ended after call %d, want %d", got, n, want)
+		}
+	}
+	e := r.allEvidence()
+	if len(e.GetParts()) != 1 || len(e.GetParts()[0].GetRuns()) != 3 {
+		t.Fatalf("evidence %v, want one request with three ends", e)
+	}
+	if text := e.GetParts()[0].GetId(); strings.Contains(text, "deadly") {
+		t.Errorf("evidence names the request in clear: %s", text)
+	}
+	// The next one waits until no response can speak for the request any more.
+	if status, text := ask(t, server, http.MethodGet, "/deadly", ""); status != http.StatusUnprocessableEntity || calls() != 3 {
+		t.Errorf("status %d: %s; %d upstreams have ended, want the request held after three", status, text, calls())
+	}
+	if status, text := ask(t, server, http.MethodGet, "/sound", ""); status != http.StatusOK {
+		t.Errorf("status %d of another request: %s", status, text)
+	}
+}
--- a/internal/router/isolation.go
+++ b/internal/router/isolation.go
@@ -13,9 +13,9 @@
 	"go.uber.org/zap"
 
 	"github.com/comfreybend/comfreybend/internal/announcer"
+	"github.com/comfreybend/comfreybend/internal/identifier"
 	"github.com/comfreybend/comfreybend/internal/prober"
 	"github.com/comfreybend/comfreybend/pkg/isolator"
-	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
@@ -46,7 +46,7 @@
 		held     map[isolator.PartID]bool
 		// timer calls update when the next part is held.
 		timer *time.Timer
-		// inProgress holds the attempts of calls with shared prompt parts.
+		// inProgress holds the attempts of all calls.
 		inProgress map[*attempt]*call
 	}
 
@@ -58,7 +58,12 @@
 )
 
 // Error implements error.
-func (e *heldPartError) Error() string { return "prompt part " + string(e.Part) + " crashes engines" }
+func (e *heldPartError) Error() string {
+	if identifier.IsIdentity(e.Part) {
+		return "the request crashes upstreams"
+	}
+	return "prompt part " + string(e.Part) + " crashes engines"
+}
 
 func newIsolation(r *Router) *isolation {
 	return &isolation{
@@ -72,45 +77,55 @@
 	}
 }
 
-// isolatedParts returns the ids of the parts that the call shares with others.
-func (c *call) isolatedParts() []isolator.PartID { return partIDs(c.sharedParts()) }
-
-func partIDs(parts []picker.PromptPart) []isolator.PartID {
-	ids := make([]isolator.PartID, 0, len(parts))
+// sharedIDs returns the ids of the parts of the prompt that the call shares with others.
+func (c *call) sharedIDs() []isolator.PartID {
+	parts := c.sharedParts()
+	ids := make([]isolator.PartID, 0, len(parts)+1)
 	for _, part := range parts {
 		ids = append(ids, isolator.PartID(part.ID))
 	}
 	return ids
 }
 
-// admit returns a refusal if a part of the call's prompt is held. A call that is let through
+// suspectIDs returns the ids of what may be at fault if upstreams end under a call: the parts of
+// its prompt that it shares with others, and the request as a whole.
+func (s *isolation) suspectIDs(c *call) []isolator.PartID {
+	ids := c.sharedIDs()
+	if id := s.router.identityOf(c); id != "" {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// admit returns a refusal if the call or a part of its prompt is held. A call that is let through
 // as a probe is marked as such.
 func (s *isolation) admit(c *call) *RefusalError {
 	if !s.accused.Load() || c.probe {
 		return nil
 	}
-	parts := c.isolatedParts()
-	if len(parts) == 0 {
-		return nil
-	}
+	ids := s.suspectIDs(c)
 	host, processes := s.router.settings.GetHost().GetId(), s.router.dispatcher.entryProcesses()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	a := s.isolator.Admit(s.router.windows.Now(), host, processes, parts)
+	a := s.isolator.Admit(s.router.windows.Now(), host, processes, ids)
 	if a.Refused != nil {
 		return refuseHeldPart(a.Refused.Part)
 	}
 	if a.Probe {
 		c.probe = true
-		s.router.log.Info("sending a probe for a held prompt part", zap.String("requestId", string(c.Attempt)), zap.Any("parts", parts))
+		s.router.log.Info("sending a probe for a held prompt part", zap.String("requestId", string(c.Attempt)), zap.Any("parts", ids))
 	}
 	return nil
 }
 
-// refuseHeldPart returns the refusal of a request whose prompt has a held part. It is final:
-// sending the request again does not help.
+// refuseHeldPart returns the refusal of a request that is held or whose prompt has a held part.
+// It is final: sending the request again does not help.
 func refuseHeldPart(part isolator.PartID) *RefusalError {
-	return refuse(http.StatusUnprocessableEntity, CodePartHeld, (&heldPartError{Part: part}).Error())
+	code := CodePartHeld
+	if identifier.IsIdentity(part) {
+		code = CodeRequestHeld
+	}
+	return refuse(http.StatusUnprocessableEntity, code, (&heldPartError{Part: part}).Error())
 }
 
 // heldRefusal returns a refusal if one of the parts is held, without admitting a probe.
@@ -127,9 +142,6 @@
 
 // track registers an attempt so that it can be cancelled, until it is closed.
 func (s *isolation) track(c *call, at *attempt) {
-	if len(c.sharedParts()) == 0 {
-		return
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inProgress[at] = c
@@ -140,27 +152,65 @@
 	}
 }
 
-// attemptBroke records the end of an engine if that is why an attempt broke off, and reports
-// whether it is. It speaks against the prompt only if the engine had just begun to write the
-// response, as the headers of a stream show; nothing shows it for other responses.
+// attemptBroke reports whether an attempt broke off because its upstream ended under the call: not
+// long after it had begun to write the response, or before that. The end speaks against the parts
+// of a prompt only if the headers of a stream show that it had begun.
 func (s *isolation) attemptBroke(ctx context.Context, c *call, g *grant, at *attempt, err error) bool {
-	parts := c.isolatedParts()
-	if len(parts) == 0 || !isConnectionBreak(err) {
+	begun := at != nil && s.router.dispatcher.now()-at.startedAt-at.timeToHeaders < beginTime
+	if at != nil && c.stream && !begun || !s.upstreamEnded(ctx, g, err) {
 		return false
 	}
-	began := !c.stream
-	if at != nil {
-		began = began || s.router.dispatcher.now()-at.startedAt-at.timeToHeaders < beginTime
-	}
-	if !began || !s.upstreamEnded(ctx, g, err) {
-		return false
+	if ids := c.sharedIDs(); len(ids) > 0 && (begun || !c.stream) {
+		s.change(func(now time.Time) {
+			s.isolator.RecordEnd(now, announcer.RunOf(g.upstream.ID, g.upstream.Incarnation), ids)
+		})
 	}
-	s.change(func(now time.Time) {
-		s.isolator.RecordEnd(now, announcer.RunOf(g.upstream.ID, g.upstream.Incarnation), parts)
-	})
 	return true
 }
 
+// recordEnds records that upstreams ended one after the other under a call, and after another one
+// that was known to have ended under the same request when the call began.
+func (s *isolation) recordEnds(c *call, before isolator.RunID, ends []isolator.Run) {
+	if id := s.router.identityOf(c); id != "" {
+		s.change(func(now time.Time) { s.isolator.RecordRequestEnds(now, id, len(c.sharedParts()), before, ends) })
+	}
+}
+
+// awaitVerdict waits until it is clear whether a request is held, if that is about to be: until
+// then a response that speaks for it may become known, but no further upstream ends under it.
+func (s *isolation) awaitVerdict(ctx context.Context, c *call) {
+	for s.accused.Load() {
+		s.mu.Lock()
+		wait := s.isolator.SettlesIn(s.router.windows.Now(), s.router.identityOf(c))
+		s.mu.Unlock()
+		wait = min(wait, c.deadline-s.router.dispatcher.now())
+		if wait <= 0 || !timer.Sleep(ctx, wait) {
+			return
+		}
+	}
+}
+
+// latestEnd returns the run that is known to have ended last under the same request; zero for none.
+func (s *isolation) latestEnd(c *call) isolator.RunID {
+	if !s.accused.Load() {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isolator.LatestEnd(s.router.identityOf(c))
+}
+
+// endsUnder returns the number of moments at which upstreams are known to have ended under the
+// same request.
+func (s *isolation) endsUnder(c *call) int {
+	if !s.accused.Load() {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isolator.Ends(s.router.identityOf(c))
+}
+
 // upstreamEnded reports whether an attempt broke off because its upstream has ended without
 // saying before that it leaves.
 func (s *isolation) upstreamEnded(ctx context.Context, g *grant, err error) bool {
@@ -183,10 +233,10 @@
 
 // responded records that an engine has survived a call's prompt.
 func (s *isolation) responded(c *call) {
-	if !s.accused.Load() || len(c.sharedParts()) == 0 {
+	if !s.accused.Load() {
 		return
 	}
-	s.change(func(now time.Time) { s.isolator.RecordResponse(now, c.isolatedParts()) })
+	s.change(func(now time.Time) { s.isolator.RecordResponse(now, s.suspectIDs(c)) })
 }
 
 // suspects reports whether a part of the call's prompt may crash engines, so that it is not
@@ -197,7 +247,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.isolator.Suspects(s.router.windows.Now(), c.isolatedParts())
+	return s.isolator.Suspects(s.router.windows.Now(), s.suspectIDs(c))
 }
 
 // merge adds the evidence of other processes.
@@ -254,10 +304,10 @@
 	}
 	if len(added) > 0 {
 		s.router.dispatcher.refuseWaiting(func(r dispatchRequest) *RefusalError {
-			if r.probe || r.prompt == nil {
+			if r.probe || r.call == nil {
 				return nil
 			}
-			return s.heldRefusal(partIDs(r.prompt.Parts[:max(0, len(r.prompt.Parts)-1)]))
+			return s.heldRefusal(s.suspectIDs(r.call))
 		})
 	}
 }
@@ -298,7 +348,7 @@
 		if c.probe {
 			continue
 		}
-		for _, own := range c.isolatedParts() {
+		for _, own := range s.suspectIDs(c) {
 			for _, part := range held {
 				if own == part {
 					out[at] = part
--- a/internal/router/isolation_test.go
+++ b/internal/router/isolation_test.go
@@ -72,19 +72,26 @@
 		err     error
 		leaving bool
 		parts   []string
-		want    bool
+		// want reports that the end speaks against the prompt, ended that it counts for the call.
+		want, ended bool
 	}{
-		"ended when it had begun":               {url: ended, stream: true, err: io.ErrUnexpectedEOF, parts: []string{"a", "own"}, want: true},
-		"reset when it had begun":               {url: ended, stream: true, err: syscall.ECONNRESET, parts: []string{"a", "own"}, want: true},
-		"ended without a stream":                {url: ended, noReply: true, err: io.EOF, parts: []string{"a", "own"}, want: true},
-		"ended before the stream began":         {url: ended, stream: true, noReply: true, err: io.EOF, parts: []string{"a", "own"}},
+		"ended when it had begun":               {url: ended, stream: true, err: io.ErrUnexpectedEOF, parts: []string{"a", "own"}, want: true, ended: true},
+		"reset when it had begun":               {url: ended, stream: true, err: syscall.ECONNRESET, parts: []string{"a", "own"}, want: true, ended: true},
+		"ended without a stream":                {url: ended, noReply: true, err: io.EOF, parts: []string{"a", "own"}, want: true, ended: true},
+		"ended before the stream began":         {url: ended, stream: true, noReply: true, err: io.EOF, parts: []string{"a", "own"}, ended: true},
 		"ended long after the stream began":     {url: ended, stream: true, age: 2 * beginTime, err: io.ErrUnexpectedEOF, parts: []string{"a", "own"}},
 		"broke off, but goes on":                {url: alive.URL, stream: true, err: io.ErrUnexpectedEOF, parts: []string{"a", "own"}},
 		"ended when it had said that it leaves": {url: ended, stream: true, err: io.ErrUnexpectedEOF, leaving: true, parts: []string{"a", "own"}},
 		"the client has left":                   {url: ended, stream: true, err: context.Canceled, parts: []string{"a", "own"}},
 		"the deadline has passed":               {url: ended, stream: true, err: &deadlineError{}, parts: []string{"a", "own"}},
 		"the path is cut":                       {url: ended, stream: true, err: syscall.ETIMEDOUT, parts: []string{"a", "own"}},
-		"no part is shared":                     {url: ended, stream: true, err: io.ErrUnexpectedEOF, parts: []string{"own"}},
+		"no part is shared":                     {url: ended, stream: true, err: io.ErrUnexpectedEOF, parts: []string{"own"}, ended: true},
+		"ended, and a resend was refused": {
+			url: ended, noReply: true, err: &attemptError{Cause: syscall.ECONNREFUSED}, parts: []string{"a", "own"}, want: true, ended: true,
+		},
+		"refused before anything was sent": {
+			url: ended, noReply: true, err: &attemptError{NotRun: true, Cause: syscall.ECONNREFUSED}, parts: []string{"a", "own"},
+		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -102,8 +109,8 @@
 				at = writingFor(now, test.age)
 			}
 			got := r.isolation.attemptBroke(t.Context(), c, &grant{upstream: &u}, at, errors.Wrap(test.err, "reading the stream"))
-			if got != test.want || r.isolation.accused.Load() != test.want {
-				t.Errorf("counts: %t, evidence: %t, want %t", got, r.isolation.accused.Load(), test.want)
+			if got != test.ended || r.isolation.accused.Load() != test.want {
+				t.Errorf("counts: %t, evidence: %t, want %t and %t", got, r.isolation.accused.Load(), test.ended, test.want)
 			}
 		})
 	}
@@ -285,6 +292,7 @@
 		d.mu.Unlock()
 		w, refusal := d.enqueue(dispatchRequest{
 			pool: poolKey{kind: registrar.KindService, name: "s"}, arrived: now, deadline: now + time.Hour,
+			call:   &call{RequestInfo: RequestInfo{Prompt: prompt}},
 			prompt: &picker.PromptRequest{Parts: prompt.Parts, PromptTokens: 100, TimeLimit: time.Hour},
 		})
 		if refusal != nil {
@@ -362,7 +370,7 @@
 			}
 		})
 	}
-	if ids := (&call{RequestInfo: RequestInfo{Prompt: promptOf("a", "b", "own")}}).isolatedParts(); fmt.Sprint(ids) != fmt.Sprint([]isolator.PartID{"a", "b"}) {
+	if ids := (&call{RequestInfo: RequestInfo{Prompt: promptOf("a", "b", "own")}}).sharedIDs(); fmt.Sprint(ids) != fmt.Sprint([]isolator.PartID{"a", "b"}) {
 		t.Errorf("shared parts %v, want all but the last", ids)
 	}
 }
--- a/internal/router/refusal.go
+++ b/internal/router/refusal.go
@@ -71,6 +71,7 @@
 	CodeIdempotencyReuse = "idempotencyKeyReused"
 	CodeTooManyClaims    = "tooManyClaims"
 	CodePartHeld         = "promptPartHeld"
+	CodeRequestHeld      = "requestHeld"
 )
 
 type (
--- a/internal/router/response.go
+++ b/internal/router/response.go
@@ -211,6 +211,7 @@
 // abortClient panics with http.ErrAbortHandler, which resets the client's
 // connection, so that a truncated response never looks complete.
 func (h *callHandler) abortClient(cause error) {
+	h.reportEnds()
 	h.log.Info("response to the client was aborted", h.requestIDField(), zap.String("class", h.call.class.GetName()),
 		zap.String("organisation", string(h.call.client.organisation)), zap.Error(cause))
 	panic(http.ErrAbortHandler)
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -1,11 +1,11 @@
-// Package isolator finds parts of prompts that crash the engines which process them, and
-// keeps their requests away from engines.
+// Package isolator finds requests, and parts that prompts share, which crash the engines that
+// process them, and keeps them away from engines.
 //
 // An engine that ends speaks against the parts of the prompts whose responses it had just
-// begun to write; a response that is received speaks for the parts of its prompt. A part is
-// held if several engines ended under it, at different moments, and no response speaks for it
-// since. Of several parts that explain the same ends, the one that explains most is held, so
-// that what other prompts share with it stays free.
+// begun to write, and against the requests that it ran; a response that is received speaks for
+// both. A part or a request is held if several engines ended under it, at different moments, and
+// no response speaks for it since. Of several that explain the same ends, the one that explains
+// most is held, so that what other prompts share with it, and requests beside it, stay free.
 //
 // Evidence from many processes merges in any order, and twice without harm. Decisions follow
 // from the evidence alone, so all processes that have the same evidence decide alike. Times
@@ -54,7 +54,7 @@
 )
 
 type (
-	// PartID identifies a part of prompts.
+	// PartID identifies a part of prompts, or a request that comes again as a whole.
 	PartID string
 	// RunID identifies one run of an engine, from its start to its end.
 	RunID uint64
@@ -82,6 +82,9 @@
 		// Runs are those that ended when they had just begun to write a response to a
 		// prompt with the part.
 		Runs []RunID
+		// After holds for each of the runs the one that had ended under the same request before
+		// it was sent there; zero if there is none. It is nil if there is none for any run.
+		After []RunID
 		// ClearedAt is the latest time at which a response to a prompt with the part was
 		// received, or an operator lifted its hold. Runs that ended until then do not count.
 		ClearedAt time.Time
@@ -108,12 +111,20 @@
 		clearedAt time.Time
 		// position is that of the latest change of depth and clearedAt.
 		position Position
-		// runs holds the runs that count, with the positions at which they were added.
-		runs map[RunID]Position
+		// runs holds the runs that count.
+		runs map[RunID]partRun
 		// probedAt is when this process sent a probe in the hold that ended probedUntil.
 		probedAt, probedUntil time.Time
 	}
 
+	// partRun is what is known of a run and a part besides.
+	partRun struct {
+		// position is that at which it was added or changed.
+		position Position
+		// after is the run that had ended under the same request before; zero for none.
+		after RunID
+	}
+
 	// Verdict is what the evidence says of a part.
 	Verdict struct {
 		Part PartID
@@ -156,6 +167,39 @@
 	i.Merge(now, e)
 }
 
+// RecordRequestEnds records that runs of engines ended one after the other while they ran a
+// request. Each is a moment of its own, however short the time between them: only the request is
+// common to them. before is the result of LatestEnd when the request was sent to the first of
+// them, depth the number of parts of its prompt.
+func (i *Isolator) RecordRequestEnds(now time.Time, request PartID, depth int, before RunID, ends []Run) {
+	e := Evidence{Parts: []Part{{ID: request, Depth: depth}}}
+	p := &e.Parts[0]
+	for _, end := range ends {
+		e.Runs = append(e.Runs, Run{ID: end.ID, EndedAt: end.EndedAt.Truncate(time.Millisecond)})
+		p.Runs, p.After = append(p.Runs, end.ID), append(p.After, before)
+		before = end.ID
+	}
+	i.Merge(now, e)
+}
+
+// SettlesIn returns the time until a part is held if nothing speaks for it meanwhile; zero if it
+// is held already or will not be.
+func (i *Isolator) SettlesIn(now time.Time, id PartID) time.Duration {
+	return max(0, i.Verdicts()[id].HeldFrom.Sub(now))
+}
+
+// LatestEnd returns the run that is known to have ended last under a part; zero for none.
+func (i *Isolator) LatestEnd(id PartID) RunID {
+	if p := i.parts[id]; p != nil && len(p.runs) > 0 {
+		return i.latestRun(p).ID
+	}
+	return 0
+}
+
+// Ends returns the number of moments at which engines ended under a part and nothing that is
+// held explains it.
+func (i *Isolator) Ends(id PartID) int { return i.Verdicts()[id].Instants }
+
 // RecordResponse records that a response to a prompt with the given parts was received.
 func (i *Isolator) RecordResponse(now time.Time, parts []PartID) {
 	for _, id := range parts {
@@ -210,11 +254,15 @@
 func (i *Isolator) mergePart(now time.Time, p Part, ends map[RunID]time.Time) {
 	known := i.parts[p.ID]
 	if known == nil {
-		known = &knownPart{id: p.ID, depth: p.Depth, clearedAt: p.ClearedAt, runs: map[RunID]Position{}}
+		known = &knownPart{id: p.ID, depth: p.Depth, clearedAt: p.ClearedAt, runs: map[RunID]partRun{}}
 	}
-	for _, id := range p.Runs {
+	for n, id := range p.Runs {
+		after := RunID(0)
+		if len(p.After) == len(p.Runs) {
+			after = p.After[n]
+		}
 		if end, found := ends[id]; found {
-			i.addRun(now, known, Run{ID: id, EndedAt: end})
+			i.addRun(now, known, Run{ID: id, EndedAt: end}, after)
 		}
 	}
 	if i.parts[p.ID] == nil {
@@ -257,8 +305,15 @@
 
 // addRun adds a run to those that count against a part, unless it is too old or the part has
 // been cleared since. The earliest beyond the limit are dropped.
-func (i *Isolator) addRun(now time.Time, p *knownPart, r Run) {
-	if _, found := p.runs[r.ID]; found || now.Sub(r.EndedAt) >= evidenceLifetime {
+func (i *Isolator) addRun(now time.Time, p *knownPart, r Run, after RunID) {
+	if before, found := p.runs[r.ID]; found {
+		if after > before.after {
+			i.position++
+			p.runs[r.ID] = partRun{position: i.position, after: after}
+		}
+		return
+	}
+	if now.Sub(r.EndedAt) >= evidenceLifetime {
 		return
 	}
 	known := i.runs[r.ID]
@@ -277,7 +332,7 @@
 	}
 	i.position++
 	i.runs[r.ID] = known
-	p.runs[r.ID] = i.position
+	p.runs[r.ID] = partRun{position: i.position, after: after}
 }
 
 func (i *Isolator) earliestRun(p *knownPart) *knownRun {
@@ -290,6 +345,16 @@
 	return earliest
 }
 
+func (i *Isolator) latestRun(p *knownPart) *knownRun {
+	var latest *knownRun
+	for id := range p.runs {
+		if r := i.runs[id]; latest == nil || i.compareRuns(r, latest) > 0 {
+			latest = r
+		}
+	}
+	return latest
+}
+
 func (i *Isolator) compareRuns(a, b *knownRun) int {
 	return cmp.Or(a.EndedAt.Compare(b.EndedAt), cmp.Compare(a.ID, b.ID))
 }
@@ -353,14 +418,15 @@
 	wanted := map[RunID]bool{}
 	for _, p := range i.parts {
 		part := Part{ID: p.id, Depth: p.depth, ClearedAt: p.clearedAt}
-		for run, position := range p.runs {
-			if position > after {
+		for run, known := range p.runs {
+			if known.position > after {
 				part.Runs = append(part.Runs, run)
 				wanted[run] = true
 			}
 		}
 		if p.position > after || len(part.Runs) > 0 {
 			slices.Sort(part.Runs)
+			part.After = p.orderOf(part.Runs)
 			e.Parts = append(e.Parts, part)
 		}
 	}
@@ -374,6 +440,20 @@
 	return e, i.position
 }
 
+// orderOf returns the runs that ended before the given ones under the same request, or nil if
+// there are none.
+func (p *knownPart) orderOf(runs []RunID) []RunID {
+	after, any := make([]RunID, len(runs)), false
+	for n, run := range runs {
+		after[n] = p.runs[run].after
+		any = any || after[n] != 0
+	}
+	if !any {
+		return nil
+	}
+	return after
+}
+
 // Position returns the position of the latest change.
 func (i *Isolator) Position() Position { return i.position }
 
--- a/pkg/isolator/verdict.go
+++ b/pkg/isolator/verdict.go
@@ -39,7 +39,7 @@
 			s.runs = append(s.runs, i.runs[id])
 		}
 		slices.SortFunc(s.runs, i.compareRuns)
-		s.instants = a.count(s.runs)
+		s.instants = len(a.moments(s))
 		if s.instants > 0 {
 			a.suspects = append(a.suspects, s)
 		}
@@ -134,23 +134,27 @@
 			continue
 		}
 		s.runs = slices.DeleteFunc(s.runs, func(r *knownRun) bool { return a.explained[r.ID] })
-		if s.instants = a.count(s.runs); s.instants > 0 {
+		if s.instants = len(a.moments(s)); s.instants > 0 {
 			kept = append(kept, s)
 		}
 	}
 	a.suspects = kept
 }
 
-// count returns the number of instants of runs that are ordered by time.
-func (a *assessment) count(runs []*knownRun) int {
-	count, latest := 0, 0
-	for _, r := range runs {
-		if number := a.instants[r.ID]; number != latest {
-			count++
+// moments returns the times of the first ends in the moments at which runs ended under a part. An
+// end that followed another one under the same request is a moment of its own.
+func (a *assessment) moments(s *suspect) []time.Time {
+	var moments []time.Time
+	latest, seen := 0, map[RunID]bool{}
+	for _, r := range s.runs {
+		number := a.instants[r.ID]
+		if number != latest || seen[s.part.runs[r.ID].after] {
+			moments = append(moments, r.EndedAt)
 			latest = number
 		}
+		seen[r.ID] = true
 	}
-	return count
+	return moments
 }
 
 func (a *assessment) verdict(s *suspect) Verdict {
@@ -161,20 +165,8 @@
 	return v
 }
 
-// instantTime returns the time of the first end in the n-th instant of a part, counted from 1.
-func (a *assessment) instantTime(s *suspect, n int) time.Time {
-	count, latest := 0, 0
-	for _, r := range s.runs {
-		if number := a.instants[r.ID]; number != latest {
-			count++
-			latest = number
-		}
-		if count == n {
-			return r.EndedAt
-		}
-	}
-	return time.Time{}
-}
+// instantTime returns the time of the first end in the n-th moment of a part, counted from 1.
+func (a *assessment) instantTime(s *suspect, n int) time.Time { return a.moments(s)[n-1] }
 
 // failedProbes returns how often a run ended under a part after a hold.
 func (s *suspect) failedProbes() int {
