--- a/internal/router/control_clients.go
+++ b/internal/ranker/ranker.go
@@ -1,4 +1,6 @@
-package router
+// Package ranker keeps clients for the control processes in the order in which an entry process
+// tries them.
+package ranker
 
 import (
 	"sort"
@@ -14,6 +16,9 @@
 	// controlDialTimeout bounds connecting to a control process. A host that is switched
 	// off does not refuse connections, so only a timeout detects it.
 	controlDialTimeout = 300 * time.Millisecond
+	// dialsPerFreshness is the number of control processes that can be dialled,
+	// one after another, before the freshness of the configuration ends.
+	dialsPerFreshness = 8
 
 	// After a failure a control process is tried after the others for a backoff time, which
 	// starts at minBackoff and doubles with each further failure up to maxBackoff.
@@ -21,13 +26,13 @@
 	maxBackoff = 24 * time.Second
 )
 
-// controlClients holds a client for each address of a control process: the addresses in
+// Ranker holds a client for each address of a control process: the addresses in
 // the settings (the seeds) and those reported by control processes.
-type controlClients struct {
+type Ranker struct {
 	seeds    []string
 	settings *settings.Entry
-	// newClient returns a client for an address. The timeout bounds connecting.
-	newClient func(address string, timeout time.Duration) *messenger.Client
+	// NewClient returns a client for an address. The timeout bounds connecting.
+	NewClient func(address string, timeout time.Duration) *messenger.Client
 
 	mu sync.Mutex
 	// order holds the clients in the order in which to try them.
@@ -39,19 +44,20 @@
 	backoff map[string]time.Duration
 }
 
-func newControlClients(e *settings.Entry, security messenger.Security) *controlClients {
-	c := &controlClients{seeds: e.GetControlAddresses(), settings: e, backoffUntil: map[string]time.Duration{}, backoff: map[string]time.Duration{}}
-	c.newClient = func(address string, timeout time.Duration) *messenger.Client {
+// New returns a ranker of the control processes in the settings.
+func New(e *settings.Entry, security messenger.Security) *Ranker {
+	c := &Ranker{seeds: e.GetControlAddresses(), settings: e, backoffUntil: map[string]time.Duration{}, backoff: map[string]time.Duration{}}
+	c.NewClient = func(address string, timeout time.Duration) *messenger.Client {
 		return messenger.NewClient(address, security, timeout)
 	}
-	c.setAddresses(nil)
+	c.SetAddresses(nil)
 	return c
 }
 
-// setAddresses replaces the reported addresses, which are tried in the given order. The
+// SetAddresses replaces the reported addresses, which are tried in the given order. The
 // seeds follow, in case all reported addresses become unreachable. Control processes that
 // failed recently are then moved behind the others.
-func (c *controlClients) setAddresses(addresses []string) {
+func (c *Ranker) SetAddresses(addresses []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	known := map[string]*messenger.Client{}
@@ -68,7 +74,7 @@
 		added[address] = true
 		client := known[address]
 		if client == nil {
-			client = c.newClient(address, timeout)
+			client = c.NewClient(address, timeout)
 		}
 		delete(known, address)
 		order = append(order, client)
@@ -83,9 +89,9 @@
 	c.order = order
 }
 
-// setSeeds replaces the seeds. The former seeds remain in use until a control process
+// SetSeeds replaces the seeds. The former seeds remain in use until a control process
 // reports addresses.
-func (c *controlClients) setSeeds(addresses []string) {
+func (c *Ranker) SetSeeds(addresses []string) {
 	c.mu.Lock()
 	c.seeds = addresses
 	known := make([]string, 0, len(c.order))
@@ -93,18 +99,18 @@
 		known = append(known, client.Address())
 	}
 	c.mu.Unlock()
-	c.setAddresses(known)
+	c.SetAddresses(known)
 }
 
-// preferred returns the control process to try first.
-func (c *controlClients) preferred() *messenger.Client {
+// Preferred returns the control process to try first.
+func (c *Ranker) Preferred() *messenger.Client {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.order[0]
 }
 
-// at returns the control process at an index of the order, or nil if there are fewer.
-func (c *controlClients) at(index int) *messenger.Client {
+// At returns the control process at an index of the order, or nil if there are fewer.
+func (c *Ranker) At(index int) *messenger.Client {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if index >= len(c.order) {
@@ -113,23 +119,23 @@
 	return c.order[index]
 }
 
-// all returns all control processes in the order in which to try them.
-func (c *controlClients) all() []*messenger.Client {
+// All returns all control processes in the order in which to try them.
+func (c *Ranker) All() []*messenger.Client {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return append([]*messenger.Client(nil), c.order...)
 }
 
-// markSucceeded resets the backoff of a control process: the next one is minBackoff again.
-func (c *controlClients) markSucceeded(client *messenger.Client) {
+// MarkSucceeded resets the backoff of a control process: the next one is minBackoff again.
+func (c *Ranker) MarkSucceeded(client *messenger.Client) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.backoff, client.Address())
 }
 
-// markFailed moves a control process that failed to the end of the order and starts its
+// MarkFailed moves a control process that failed to the end of the order and starts its
 // backoff.
-func (c *controlClients) markFailed(client *messenger.Client) {
+func (c *Ranker) MarkFailed(client *messenger.Client) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	backoff := min(max(2*c.backoff[client.Address()], minBackoff), maxBackoff)
@@ -143,8 +149,9 @@
 	}
 }
 
-func (c *controlClients) close() {
-	for _, client := range c.all() {
+// Close closes all clients.
+func (c *Ranker) Close() {
+	for _, client := range c.All() {
 		client.Close()
 	}
 }
--- a/internal/router/configuration_test.go
+++ b/internal/router/configuration_test.go
@@ -218,12 +218,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.controlClients.newClient = func(address string, timeout time.Duration) *messenger.Client {
+	r.controlClients.NewClient = func(address string, timeout time.Duration) *messenger.Client {
 		client := messenger.NewClient(address, messenger.Security{}, timeout)
 		client.Dial = link.dial
 		return client
 	}
-	r.controlClients.setSeeds(control)
+	r.controlClients.SetSeeds(control)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { _ = r.controlPlane.run(ctx) })
--- a/internal/router/control_poller.go
+++ b/internal/router/control_poller.go
@@ -108,7 +108,7 @@
 	cursors := map[string]cursor{}
 	views := map[string]*tableView{}
 	for ctx.Err() == nil {
-		client := p.router.controlClients.at(index)
+		client := p.router.controlClients.At(index)
 		if client == nil {
 			timer.Sleep(ctx, pollPause)
 			continue
@@ -128,11 +128,11 @@
 			err = p.fetchTable(ctx, client, reply.GetFollow())
 		}
 		if err != nil {
-			p.router.controlClients.markFailed(client)
+			p.router.controlClients.MarkFailed(client)
 			p.router.dispatcher.requeueCachedParts(request.GetLoadShare())
 			p.router.log.Debug("polling a control process failed", zap.String("control", client.Address()), zap.Error(err))
 		} else {
-			p.router.controlClients.markSucceeded(client)
+			p.router.controlClients.MarkSucceeded(client)
 			if err = decodeUpstreams(reply.GetFollow()); err != nil {
 				p.router.log.Error("upstreams of a control process cannot be read", zap.String("control", client.Address()), zap.Error(err))
 				timer.Sleep(ctx, pollPause)
@@ -172,7 +172,7 @@
 			continue
 		}
 		for index := range polledControlProcesses {
-			if client := p.router.controlClients.at(index); client != nil {
+			if client := p.router.controlClients.At(index); client != nil {
 				go p.notifyEvidence(ctx, client, evidence)
 			}
 		}
@@ -343,7 +343,7 @@
 	if request.GetLoadShare() != nil {
 		r.dispatcher.applyClusterLoad(request.GetLoadShare(), reply)
 	}
-	r.controlClients.setAddresses(reply.GetControlAddresses())
+	r.controlClients.SetAddresses(reply.GetControlAddresses())
 	r.dispatcher.setEntryProcesses(int(reply.GetEntryHosts()))
 	p.applyUnconfirmed(control, reply)
 	revision := configurer.Revision(reply.GetRevision())
--- a/internal/router/controlplane.go
+++ b/internal/router/controlplane.go
@@ -13,15 +13,13 @@
 
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/messenger"
+	"github.com/comfreybend/comfreybend/internal/ranker"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/state"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
 const (
-	// dialsPerFreshness is the number of control processes that can be dialled,
-	// one after another, before the freshness of the configuration ends.
-	dialsPerFreshness = 8
 	// failedSyncsPerFreshness is the number of sync requests that can time out,
 	// one after another, before the freshness of the configuration ends.
 	failedSyncsPerFreshness = 4
@@ -42,7 +40,7 @@
 	// had confirmed.
 	controlPlane struct {
 		router         *Router
-		controlClients *controlClients
+		controlClients *ranker.Ranker
 		syncInterval   time.Duration
 		freshness      time.Duration
 		now            func() time.Duration
@@ -135,7 +133,7 @@
 		case <-time.After(p.syncInterval):
 		}
 	}
-	p.controlClients.close()
+	p.controlClients.Close()
 	return nil
 }
 
@@ -150,7 +148,7 @@
 	defer cancel()
 	sentAt := p.now()
 	request := &wire.Request{Kind: &wire.Request_Sync{Sync: p.newSyncRequest(sentAt, final)}}
-	clients := p.controlClients.all()
+	clients := p.controlClients.All()
 	results := make(chan syncResult, len(clients))
 	asked, failed := 0, 0
 	for failed < len(clients) {
@@ -200,7 +198,7 @@
 	}
 	var unreachable *messenger.UnreachableError
 	if errors.As(result.err, &unreachable) {
-		p.controlClients.markFailed(result.client)
+		p.controlClients.MarkFailed(result.client)
 	}
 }
 
@@ -407,7 +405,7 @@
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	var lastErr error
-	for _, client := range p.controlClients.all() {
+	for _, client := range p.controlClients.All() {
 		reply, err := proposeThrough(ctx, client, command)
 		if err == nil {
 			return reply, nil
--- a/internal/router/controlplane_test.go
+++ b/internal/router/controlplane_test.go
@@ -76,7 +76,7 @@
 // whose operator has not changed anything yet.
 func TestReadyBeforeFirstChange(t *testing.T) {
 	r := newRouterOf(t, &partServer{})
-	reply := syncResult{client: r.controlClients.preferred(), reply: &wire.SyncReply{}}
+	reply := syncResult{client: r.controlClients.Preferred(), reply: &wire.SyncReply{}}
 	if err := r.controlPlane.applyReply(r.controlPlane.now(), 0, reply); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/router/fetcher.go
+++ b/internal/router/fetcher.go
@@ -134,7 +134,7 @@
 		f.router.log.Debug("fetching configuration changes failed", zap.String("control", client.Address()),
 			zap.Int("bytes", len(current.data)), zap.Error(err))
 		if errors.As(err, new(*messenger.UnreachableError)) && ctx.Err() == nil {
-			f.router.controlClients.markFailed(client)
+			f.router.controlClients.MarkFailed(client)
 		}
 	}
 	timer.Sleep(ctx, fetchPause)
@@ -145,7 +145,7 @@
 // that reported the wanted revision.
 func (f *configurationFetcher) clients() []*messenger.Client {
 	_, source := f.wanted()
-	all := f.router.controlClients.all()
+	all := f.router.controlClients.All()
 	for i, client := range all {
 		if client.Address() == source {
 			return append([]*messenger.Client{client}, append(all[:i:i], all[i+1:]...)...)
--- a/internal/router/fetcher_test.go
+++ b/internal/router/fetcher_test.go
@@ -74,7 +74,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(r.controlClients.close)
+	t.Cleanup(r.controlClients.Close)
 	return r
 }
 
@@ -107,7 +107,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			r := newRouterOf(t, test.servers...)
-			r.fetcher.request(7, r.controlClients.preferred().Address())
+			r.fetcher.request(7, r.controlClients.Preferred().Address())
 			current := &fetch{}
 			for r.controlPlane.revision() < 7 && t.Context().Err() == nil {
 				current = r.fetcher.fetchFromAny(t.Context(), current)
@@ -139,7 +139,7 @@
 		t.Fatal(err)
 	}
 	sentAt := p.now()
-	result := syncResult{client: r.controlClients.preferred(), reply: &wire.SyncReply{Revision: 7, Fetchable: true}}
+	result := syncResult{client: r.controlClients.Preferred(), reply: &wire.SyncReply{Revision: 7, Fetchable: true}}
 	if err := p.applyReply(sentAt, 6, result); err != nil || p.fresh() {
 		t.Fatalf("error %v, fresh %t before the fetch; want neither", err, p.fresh())
 	}
@@ -167,7 +167,7 @@
 		return reply
 	}
 	r := newRouterOf(t, &partServer{})
-	client := r.controlClients.preferred()
+	client := r.controlClients.Preferred()
 	for _, step := range []struct {
 		held  configurer.Revision
 		reply *wire.SyncReply
@@ -204,7 +204,7 @@
 		t.Run(name, func(t *testing.T) {
 			r := newRouterOf(t, test.servers...)
 			p := r.controlPlane
-			result := syncResult{client: r.controlClients.preferred(), reply: &wire.SyncReply{Revision: 7, Fetchable: true}}
+			result := syncResult{client: r.controlClients.Preferred(), reply: &wire.SyncReply{Revision: 7, Fetchable: true}}
 			if err := p.applyReply(p.now(), 0, result); err != nil {
 				t.Fatal(err)
 			}
--- a/internal/router/hedge_test.go
+++ b/internal/router/hedge_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/comfreybend/comfreybend/internal/instrumenter"
 	"github.com/comfreybend/comfreybend/internal/messenger"
+	"github.com/comfreybend/comfreybend/internal/ranker"
 	"github.com/comfreybend/comfreybend/internal/validator"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/settings"
@@ -77,7 +78,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			defer r.controlClients.close()
+			defer r.controlClients.Close()
 			started := time.Now()
 			r.controlPlane.syncOnce(t.Context(), false)
 			if r.controlPlane.revision() != 7 {
@@ -97,23 +98,23 @@
 // that are no longer reported are removed.
 func TestControlOrder(t *testing.T) {
 	tests := map[string]struct {
-		change func(*controlClients)
+		change func(*ranker.Ranker)
 		want   []string
 	}{
-		"seeds only":                               {change: func(*controlClients) {}, want: []string{"a", "b"}},
-		"reported ones go first":                   {change: func(c *controlClients) { c.setAddresses([]string{"c"}) }, want: []string{"c", "a", "b"}},
-		"a failed one goes last":                   {change: func(c *controlClients) { c.markFailed(c.preferred()) }, want: []string{"b", "a"}},
-		"a failed one stays last for a while":      {change: func(c *controlClients) { c.markFailed(c.preferred()); c.setAddresses([]string{"a", "b"}) }, want: []string{"b", "a"}},
-		"an address no longer reported is removed": {change: func(c *controlClients) { c.setAddresses([]string{"c"}); c.setAddresses([]string{"d"}) }, want: []string{"d", "a", "b"}},
-		"new seeds follow the known addresses":     {change: func(c *controlClients) { c.setAddresses([]string{"c"}); c.setSeeds([]string{"x"}) }, want: []string{"c", "a", "b", "x"}},
+		"seeds only":                               {change: func(*ranker.Ranker) {}, want: []string{"a", "b"}},
+		"reported ones go first":                   {change: func(c *ranker.Ranker) { c.SetAddresses([]string{"c"}) }, want: []string{"c", "a", "b"}},
+		"a failed one goes last":                   {change: func(c *ranker.Ranker) { c.MarkFailed(c.Preferred()) }, want: []string{"b", "a"}},
+		"a failed one stays last for a while":      {change: func(c *ranker.Ranker) { c.MarkFailed(c.Preferred()); c.SetAddresses([]string{"a", "b"}) }, want: []string{"b", "a"}},
+		"an address no longer reported is removed": {change: func(c *ranker.Ranker) { c.SetAddresses([]string{"c"}); c.SetAddresses([]string{"d"}) }, want: []string{"d", "a", "b"}},
+		"new seeds follow the known addresses":     {change: func(c *ranker.Ranker) { c.SetAddresses([]string{"c"}); c.SetSeeds([]string{"x"}) }, want: []string{"c", "a", "b", "x"}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			e := &settings.Entry{ControlAddresses: []string{"a", "b"}, Freshness: durationpb.New(5 * time.Second)}
-			c := newControlClients(e, messenger.Security{})
+			c := ranker.New(e, messenger.Security{})
 			test.change(c)
 			var got []string
-			for _, client := range c.all() {
+			for _, client := range c.All() {
 				got = append(got, client.Address())
 			}
 			if len(got) != len(test.want) {
@@ -171,7 +172,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			defer r.controlClients.close()
+			defer r.controlClients.Close()
 			ctx, cancel := context.WithCancel(t.Context())
 			ended := make(chan error, 1)
 			go func() { ended <- r.controlPoller.run(ctx) }()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -21,6 +21,7 @@
 	"github.com/comfreybend/comfreybend/internal/identifier"
 	"github.com/comfreybend/comfreybend/internal/instrumenter"
 	"github.com/comfreybend/comfreybend/internal/messenger"
+	"github.com/comfreybend/comfreybend/internal/ranker"
 	"github.com/comfreybend/comfreybend/internal/restrainer"
 	"github.com/comfreybend/comfreybend/internal/server"
 	"github.com/comfreybend/comfreybend/internal/windower"
@@ -53,7 +54,7 @@
 	random         func(n int) int
 	windows        *windower.Counter
 	controlPoller  *controlPoller
-	controlClients *controlClients
+	controlClients *ranker.Ranker
 	startedAt      time.Duration
 	log            *zap.Logger
 	instruments    *instrumenter.Instruments
@@ -102,7 +103,7 @@
 	r.buffers = bufferer.New(s.GetEntry().GetUpstreamLimits().GetBufferedBytes())
 	r.upstreamClient = newUpstreamClient(s.GetEntry(), dialect)
 	r.upstreamClient.admit = r.restrainer.Admit
-	r.controlClients = newControlClients(s.GetEntry(), security)
+	r.controlClients = ranker.New(s.GetEntry(), security)
 	r.controlPlane = newControlPlane(r)
 	r.fetcher = newConfigurationFetcher(r)
 	r.isolation = newIsolation(r)
@@ -155,7 +156,7 @@
 // Reload applies the settings that can change at run time: the addresses of the control
 // processes.
 func (r *Router) Reload(s *settings.Settings) {
-	r.controlClients.setSeeds(s.GetEntry().GetControlAddresses())
+	r.controlClients.SetSeeds(s.GetEntry().GetControlAddresses())
 }
 
 // shutDown waits until ctx is done and shuts down gracefully: readiness fails first, then new
