--- a/pkg/isolator/request_test.go
+++ b/pkg/isolator/request_test.go
@@ -38,6 +38,13 @@
 		"two calls that know nothing of each other": {calls: []call{
 			{id: "bad", ends: ends(1, 0, short)}, {id: "bad", ends: ends(3, second, second+short)},
 		}, held: []PartID{"bad"}},
+		"in the same millisecond": {calls: []call{
+			{id: "bad", ends: ends(7, 0, 0)}, {id: "bad", before: 8, ends: ends(3, 0)},
+		}, held: []PartID{"bad"}},
+		"many at a lost domain after one has ended": {calls: []call{
+			{id: "popular", ends: ends(1, 0)}, {id: "popular", before: 1, ends: ends(2, second)},
+			{id: "popular", before: 1, ends: ends(3, second)}, {id: "popular", before: 1, ends: ends(4, second)},
+		}},
 		"three calls that run once each": {calls: []call{
 			{id: "bad", ends: ends(1, 0)}, {id: "bad", ends: ends(2, second)}, {id: "bad", ends: ends(3, 2*second)},
 		}, held: []PartID{"bad"}},
@@ -48,14 +55,23 @@
 			{id: "popular", ends: ends(1, 0)}, {id: "popular", ends: ends(2, second)}, {id: "popular", ends: ends(3, 2*second)},
 		}, response: 3 * second},
 		"one that shared upstreams with the culprit": {calls: []call{
-			{id: "bad", ends: ends(1, 0, short)}, {id: "beside", ends: ends(1, 0, short)},
-			{id: "bad", ends: ends(3, second)}, {id: "beside", ends: ends(3, second)}, {id: "bad", ends: ends(4, 2*second)},
+			{id: "bad", ends: ends(1, 0, short)},
+			{id: "beside", ends: ends(1, 0, short)},
+			{id: "bad", ends: ends(3, second)},
+			{id: "beside", ends: ends(3, second)},
+			{id: "bad", ends: ends(4, 2*second)},
 		}, held: []PartID{"bad"}},
 		"five culprits": {calls: []call{
-			{id: "a", ends: ends(1, 0, second)}, {id: "b", ends: ends(11, 0, second)}, {id: "c", ends: ends(21, 0, second)},
-			{id: "d", ends: ends(31, 0, second)}, {id: "e", ends: ends(41, 0, second)},
-			{id: "a", ends: ends(3, 3*second)}, {id: "b", ends: ends(13, 3*second)}, {id: "c", ends: ends(23, 3*second)},
-			{id: "d", ends: ends(33, 3*second)}, {id: "e", ends: ends(43, 3*second)},
+			{id: "a", ends: ends(1, 0, second)},
+			{id: "b", ends: ends(11, 0, second)},
+			{id: "c", ends: ends(21, 0, second)},
+			{id: "d", ends: ends(31, 0, second)},
+			{id: "e", ends: ends(41, 0, second)},
+			{id: "a", ends: ends(3, 3*second)},
+			{id: "b", ends: ends(13, 3*second)},
+			{id: "c", ends: ends(23, 3*second)},
+			{id: "d", ends: ends(33, 3*second)},
+			{id: "e", ends: ends(43, 3*second)},
 		}, held: []PartID{"a", "b", "c", "d", "e"}},
 	}
 	for name, test := range tests {
@@ -82,6 +98,17 @@
 	}
 }
 
+// TestCircularEvidence guards against evidence that no process can have made and that never ends.
+func TestCircularEvidence(t *testing.T) {
+	i := New()
+	i.Merge(start.Add(second), Evidence{
+		Runs: ends(1, 0, 0), Parts: []Part{{ID: "a", Runs: []RunID{1, 2}, After: []RunID{2, 1}}},
+	})
+	if got := i.Ends("a"); got < 1 || got > 2 {
+		t.Errorf("%d moments of two runs", got)
+	}
+}
+
 // TestRequestAndItsPrompt guards against a part of a prompt that is held instead of the request that
 // crashes engines, when both explain the same ends: other prompts may share the part.
 func TestRequestAndItsPrompt(t *testing.T) {
--- a/pkg/isolator/verdict.go
+++ b/pkg/isolator/verdict.go
@@ -141,22 +141,36 @@
 	a.suspects = kept
 }
 
-// moments returns the times of the first ends in the moments at which runs ended under a part. An
-// end that followed another one under the same request is a moment of its own.
+// moments returns the times of the first ends in the moments at which runs ended under a part. Runs
+// that ended in one instant are one moment, or as many as followed each other under the request.
 func (a *assessment) moments(s *suspect) []time.Time {
+	members := make(map[RunID]bool, len(s.runs))
+	for _, r := range s.runs {
+		members[r.ID] = true
+	}
 	var moments []time.Time
-	latest, seen := 0, map[RunID]bool{}
+	latest, begin := 0, 0
 	for _, r := range s.runs {
-		number := a.instants[r.ID]
-		if number != latest || seen[s.part.runs[r.ID].after] {
+		if number := a.instants[r.ID]; number != latest {
+			latest, begin = number, len(moments)
+		}
+		for depth := a.depth(s, members, r.ID); len(moments)-begin < depth; {
 			moments = append(moments, r.EndedAt)
-			latest = number
 		}
-		seen[r.ID] = true
 	}
 	return moments
 }
 
+// depth returns the number of runs that ended one after the other under a request up to the given
+// one, within its instant.
+func (a *assessment) depth(s *suspect, members map[RunID]bool, run RunID) int {
+	depth := 1
+	for before := s.part.runs[run].after; members[before] && a.instants[before] == a.instants[run] && depth < len(s.runs); depth++ {
+		before = s.part.runs[before].after
+	}
+	return depth
+}
+
 func (a *assessment) verdict(s *suspect) Verdict {
 	v := Verdict{Part: s.part.id, Instants: s.instants, FirstEnd: s.runs[0].EndedAt, LastEnd: s.runs[len(s.runs)-1].EndedAt}
 	if s.instants >= suspectInstants {
