--- a/internal/controller/autoscaler.go
+++ b/internal/controller/autoscaler.go
@@ -12,7 +12,9 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/comfreybend/comfreybend/pkg/apportioner"
 	"github.com/comfreybend/comfreybend/pkg/planner"
+	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/state"
 	"github.com/comfreybend/comfreybend/schema/wire"
@@ -103,6 +105,7 @@
 		return err
 	}
 	pools := a.agent.controller.entries.pools(a.agent.controller.upstreams())
+	limitSlots(pools, a.agent.controller.evidence.Limits())
 	for _, order := range a.plan(pools) {
 		if order.Action == planner.Stop {
 			a.startDrain(order)
@@ -115,6 +118,17 @@
 	return a.stopDrained(ctx, pools)
 }
 
+// limitSlots counts one slot of each upstream that names a request limit.
+func limitSlots(pools []planner.Pool, limits map[registrar.UpstreamID]apportioner.Statement) {
+	for _, pool := range pools {
+		for n := range pool.Upstreams {
+			if _, limited := limits[registrar.UpstreamID(pool.Upstreams[n].ID)]; limited {
+				pool.Upstreams[n].Slots = 1
+			}
+		}
+	}
+}
+
 // plan returns the planner's orders for the observed pools.
 func (a *autoscaler) plan(pools []planner.Pool) []planner.Order {
 	s := a.agent.controller.settings.GetControl().GetOrdering()
