--- a/pkg/retrier/retrier_test.go
+++ b/pkg/retrier/retrier_test.go
@@ -102,6 +102,9 @@
 		// minRetries is the number of retries that must be possible in some window.
 		minRetries float64
 	}{
+		"two processes":                {processes: 2, allowance: 52, requestRate: 66, minRetries: 60},
+		"seven processes":              {processes: 7, allowance: 54, requestRate: 66, minRetries: 60},
+		"hundreds of processes":        {processes: 194, allowance: 428, requestRate: 250, minRetries: 250},
 		"a few busy processes":         {processes: 6, allowance: 52, requestRate: 66, minRetries: 60},
 		"a few idle processes":         {processes: 6, allowance: 52, requestRate: 0, minRetries: 10},
 		"many processes":               {processes: 88, allowance: 216, requestRate: 540, minRetries: 500},
--- a/test/integration/control_test.go
+++ b/test/integration/control_test.go
@@ -354,6 +354,35 @@
 	s.makeChanges(1)
 }
 
+// TestLostDiskWhileAllOthersLosePower guards against losing accepted changes when a control process
+// loses its disk at the moment at which all other processes, entry processes too, are lost.
+func TestLostDiskWhileAllOthersLosePower(t *testing.T) {
+	s := startSystem(t, layout{controls: 3, entries: []string{"a", "b"}, adjustControl: frequentSnapshots})
+	const changes = 40
+	s.makeChanges(changes)
+	erased := s.leader()
+	for _, c := range s.controls {
+		c.kill()
+	}
+	for _, e := range s.entries {
+		e.kill()
+	}
+	if err := os.RemoveAll(erased.dataFolder); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range s.controls {
+		c.start()
+	}
+	for _, e := range s.entries {
+		e.start()
+	}
+	s.awaitChanges(changes)
+	s.makeChanges(1)
+	for _, e := range s.entries {
+		eventually(t, waitTimeout, e.ready)
+	}
+}
+
 // TestRestartAllControlProcesses guards against losing changes when all control
 // processes fail at once. They are killed after many changes and restarted.
 func TestRestartAllControlProcesses(t *testing.T) {
