--- a/pkg/isolator/request_test.go
+++ b/pkg/isolator/request_test.go
@@ -42,8 +42,10 @@
 			{id: "bad", ends: ends(7, 0, 0)}, {id: "bad", before: 8, ends: ends(3, 0)},
 		}, held: []PartID{"bad"}},
 		"many at a lost domain after one has ended": {calls: []call{
-			{id: "popular", ends: ends(1, 0)}, {id: "popular", before: 1, ends: ends(2, second)},
-			{id: "popular", before: 1, ends: ends(3, second)}, {id: "popular", before: 1, ends: ends(4, second)},
+			{id: "popular", ends: ends(1, 0)},
+			{id: "popular", before: 1, ends: ends(2, second)},
+			{id: "popular", before: 1, ends: ends(3, second)},
+			{id: "popular", before: 1, ends: ends(4, second)},
 		}},
 		"three calls that run once each": {calls: []call{
 			{id: "bad", ends: ends(1, 0)}, {id: "bad", ends: ends(2, second)}, {id: "bad", ends: ends(3, 2*second)},
