--- a/pkg/apportioner/apportioner_test.go
+++ b/pkg/apportioner/apportioner_test.go
@@ -419,3 +419,18 @@
 		})
 	}
 }
+
+// BenchmarkNewSlot measures the first request of a host to a limited upstream in a slot, among the
+// hosts of the two-year size.
+func BenchmarkNewSlot(b *testing.B) {
+	a := New(HostOf("self"))
+	var hosts []Host
+	for n := range 320 {
+		hosts = append(hosts, HostOf(fmt.Sprint("host-", n)))
+	}
+	a.SetHosts(fleetStart, hosts)
+	u := Upstream{ID: "engine-with-a-name", Incarnation: 1}
+	for n := 0; b.Loop(); n++ {
+		a.Available(fleetStart.Add(time.Duration(n)*time.Second), u, 10)
+	}
+}
