--- a/internal/router/held_request_test.go
+++ b/internal/router/held_request_test.go
@@ -190,3 +190,48 @@
 		t.Errorf("status %d of another request: %s", status, text)
 	}
 }
+
+// TestEndIsReportedWithoutAnotherUpstream guards against an end that nobody hears of since the call
+// found no second upstream, as when a request has ended all of them.
+func TestEndIsReportedWithoutAnotherUpstream(t *testing.T) {
+	r, server, _ := newIdentifyingRouter(t)
+	u := &endingUpstream{}
+	started := httptest.NewServer(u)
+	t.Cleanup(started.Close)
+	u.server = started.Config
+	r.dispatcher.applyAnnouncement(noticeAnnouncement("one", started.URL, 1, 1, r.dispatcher.now()))
+	if status, text := ask(t, server, http.MethodGet, "/deadly", ""); status < http.StatusInternalServerError {
+		t.Fatalf("status %d: %s", status, text)
+	}
+	if e := r.allEvidence(); len(e.GetParts()) != 1 || len(e.GetParts()[0].GetRuns()) != 1 {
+		t.Errorf("evidence %v, want the end of the upstream", e)
+	}
+}
+
+// TestResponsesThatSpeakForRequest guards against a sound request that stays accused although an
+// upstream has survived it, successfully or not.
+func TestResponsesThatSpeakForRequest(t *testing.T) {
+	tests := map[string]struct {
+		status int
+		ends   int
+	}{
+		"success":                 {status: http.StatusOK},
+		"failure":                 {status: http.StatusInternalServerError},
+		"another kind of failure": {status: http.StatusNotFound},
+		"gateway":                 {status: http.StatusBadGateway, ends: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r, server, upstreams := newIdentifyingRouter(t, "one")
+			r.dialect.IsRetryableStatus = func(status int) bool { return status >= http.StatusInternalServerError }
+			upstreams["one"].set(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(test.status) })
+			host, _, _ := strings.Cut(strings.TrimPrefix(server.URL, "http://"), ":")
+			c := &call{method: http.MethodGet, host: host, requestURI: "/order"}
+			r.isolation.recordEnds(c, 0, []isolator.Run{{ID: 1, EndedAt: time.Now().Add(-time.Second)}})
+			ask(t, server, http.MethodGet, "/order", "")
+			if got := r.isolation.endsUnder(c); got != test.ends {
+				t.Errorf("%d ends count, want %d", got, test.ends)
+			}
+		})
+	}
+}
