--- a/internal/router/request_limit_test.go
+++ b/internal/router/request_limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"sync/atomic"
 	"testing"
@@ -350,3 +351,48 @@
 		})
 	}
 }
+
+// TestSilenceChecksCount guards against questions about silent attempts that an upstream with a
+// request limit gets beyond it.
+func TestSilenceChecksCount(t *testing.T) {
+	for name, allowed := range map[string]bool{"allowed": true, "not allowed": false} {
+		t.Run(name, func(t *testing.T) {
+			var asked atomic.Int64
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				asked.Add(1)
+				_, _ = io.WriteString(w, `{"state":"running"}`)
+			}))
+			defer server.Close()
+			r := newTestRouter(t)
+			u := r.upstreamClient
+			u.limits.SilenceTimeout = durationpb.New(40 * time.Millisecond)
+			var admitted atomic.Int64
+			u.admit = func(*registrar.Upstream, restrainer.Reservation) (bool, error) {
+				admitted.Add(1)
+				if allowed {
+					return true, nil
+				}
+				return true, &restrainer.LimitError{}
+			}
+			at := &attempt{
+				id: "a", startedAt: u.now(), done: make(chan struct{}), cancel: func(error) {},
+				grant: &grant{upstream: &registrar.Upstream{URL: server.URL}, state: &upstreamState{leaseEnded: make(chan struct{})}},
+			}
+			ended := make(chan struct{})
+			go func() {
+				u.watchSilence(t.Context(), at)
+				close(ended)
+			}()
+			for began := time.Now(); admitted.Load() < 3 || allowed && asked.Load() == 0; time.Sleep(time.Millisecond) {
+				if time.Since(began) > setupTimeout {
+					t.Fatal("the silence is not noticed")
+				}
+			}
+			close(at.done)
+			<-ended
+			if !allowed && asked.Load() > 0 {
+				t.Errorf("%d questions beyond the limit", asked.Load())
+			}
+		})
+	}
+}
