--- a/internal/router/request_limit_test.go
+++ b/internal/router/request_limit_test.go
@@ -73,12 +73,24 @@
 			for began := time.Now(); one.calls.Load() == 0 && time.Since(began) < setupTimeout; {
 				get(t, server.URL)
 			}
+			admit := r.upstreamClient.admit
+			takenBack := 0
+			r.upstreamClient.admit = func(u *registrar.Upstream, reserved restrainer.Reservation) (bool, error) {
+				limited, err := admit(u, reserved)
+				if err != nil {
+					takenBack++
+				}
+				return limited, err
+			}
 			before, began := one.calls.Load(), time.Now()
 			for time.Since(began) < 1500*time.Millisecond {
 				if status, _ := get(t, server.URL); status >= http.StatusTooManyRequests && status != http.StatusInternalServerError {
 					t.Fatalf("status %d although the other upstream has no limit", status)
 				}
 			}
+			if takenBack > 3 {
+				t.Errorf("%d requests were granted the upstream beyond its limit", takenBack)
+			}
 			// Three slots of two requests may be touched.
 			if got := one.calls.Load() - before; got > 6 {
 				t.Errorf("%d requests in 1.5 s at an upstream that takes 2 a second", got)
@@ -94,13 +106,15 @@
 	r, server, upstreams := newNoticeRouter(t, "one", "two")
 	knowHosts(r, 1)
 	admit := r.upstreamClient.admit
-	var refused atomic.Int64
+	var refused, admitted atomic.Int64
 	r.upstreamClient.admit = func(u *registrar.Upstream, reserved restrainer.Reservation) (bool, error) {
 		if u.ID == "one" {
 			r.mergeEvidence(limitOf("one", 0.001))
 			limited, err := admit(u, reserved)
 			if err != nil {
 				refused.Add(1)
+			} else {
+				admitted.Add(1)
 			}
 			return limited, err
 		}
@@ -114,8 +128,8 @@
 	if refused.Load() == 0 {
 		t.Fatal("no request was granted the upstream before its limit was known")
 	}
-	if calls := upstreams["one"].calls.Load(); calls > 1 {
-		t.Errorf("%d requests reached the upstream", calls)
+	if calls := upstreams["one"].calls.Load(); calls != admitted.Load() || calls > 1 {
+		t.Errorf("%d requests reached the upstream, %d were admitted, one may be", calls, admitted.Load())
 	}
 	r.dispatcher.mu.Lock()
 	defer r.dispatcher.mu.Unlock()
@@ -160,6 +174,31 @@
 	}
 }
 
+// TestLimitedPoolRefusesOnArrival guards against requests that are queued although they get no turn.
+func TestLimitedPoolRefusesOnArrival(t *testing.T) {
+	r, _, _ := newNoticeRouter(t, "one")
+	knowHosts(r, 1)
+	r.mergeEvidence(limitOf("one", 0.05))
+	d := r.dispatcher
+	one := d.registry.Get("one")
+	turn := func() time.Duration {
+		d.restrainer.Reserve(one)
+		return d.restrainer.Turns([]*registrar.Upstream{one}, 1, time.Minute)[0]
+	}
+	for turn() < time.Second {
+		time.Sleep(time.Second)
+	}
+	request := dispatchRequest{pool: poolKey{kind: registrar.KindService, name: noticeService}, arrived: d.now(), deadline: d.now() + time.Second}
+	w, refusal := d.enqueue(request)
+	if w != nil || refusal == nil || refusal.Status != http.StatusTooManyRequests || refusal.Run != NotRun || refusal.RetryAfter < turn() {
+		t.Errorf("queued: %t, refusal %+v; want one, with the time of the next turn", w != nil, refusal)
+	}
+	request.deadline = d.now() + time.Minute
+	if _, refusal = d.enqueue(request); refusal != nil {
+		t.Errorf("a request that gets a turn is refused: %v", refusal)
+	}
+}
+
 // TestLimitedPoolRefusesWaiting guards against requests that already wait when all upstreams of
 // their pool name a limit and that time out.
 func TestLimitedPoolRefusesWaiting(t *testing.T) {
@@ -327,7 +366,7 @@
 			r.mergeEvidence(limitOf("two", 100))
 			key := poolKey{kind: registrar.KindService, name: noticeService}
 			chosen := map[registrar.UpstreamID]int{}
-			for range 30 {
+			for n := range 30 {
 				r.dispatcher.mu.Lock()
 				upstreams, candidates := r.dispatcher.candidates(key, r.dispatcher.pool(key))
 				w := &waiter{request: dispatchRequest{pool: key, pick: picker.Request{Retryable: retryable}}}
@@ -335,6 +374,9 @@
 				g.state.requestFinished(now, outcomeAbandoned)
 				r.dispatcher.mu.Unlock()
 				chosen[g.upstream.ID]++
+				if n == 0 && retryable && g.upstream.ID != "two" {
+					t.Error("the upstream with a limit is not asked although it was never heard of")
+				}
 				r.dispatcher.heard(g)
 			}
 			if chosen["one"]+chosen["three"] < 10 || chosen["two"] == 0 && retryable {
--- a/pkg/picker/placer_test.go
+++ b/pkg/picker/placer_test.go
@@ -342,6 +342,11 @@
 	if after := size(); after < before-1 {
 		t.Errorf("%d engines for light classes, %d before some were limited", after, before)
 	}
+	for _, i := range preferredEngines(longRequest(0), engines, nil, false) {
+		if engines[i].Limited {
+			t.Errorf("engine %s is preferred for shared parts", engines[i].ID)
+		}
+	}
 	next := place(p, now, longRequest(0), engines)
 	if again := place(p, now+time.Second, longRequest(0), engines); next == home || again != next {
 		t.Errorf("the shared parts are at %s, then at %s, want one other than %s", next, again, home)
