--- a/internal/router/request_limit_test.go
+++ b/internal/router/request_limit_test.go
@@ -219,7 +219,6 @@
 		case <-request.Context().Done():
 		}
 	})
-	defer close(hold)
 	statuses := make(chan int, 8)
 	for range cap(statuses) {
 		go func() {
@@ -242,6 +241,10 @@
 	case <-time.After(setupTimeout):
 		t.Error("the waiting requests are not refused")
 	}
+	close(hold)
+	for range cap(statuses) - 1 {
+		<-statuses
+	}
 }
 
 // TestLimitedUpstreamUsesNewConnections guards against net/http, which sends a request a second
