--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -190,8 +190,10 @@
 
 // LatestEnd returns the run that is known to have ended last under a part; zero for none.
 func (i *Isolator) LatestEnd(id PartID) RunID {
-	if p := i.parts[id]; p != nil && len(p.runs) > 0 {
-		return i.latestRun(p).ID
+	if p := i.parts[id]; p != nil {
+		if latest := i.latestRun(p); latest != nil {
+			return latest.ID
+		}
 	}
 	return 0
 }
@@ -345,10 +347,16 @@
 	return earliest
 }
 
+// latestRun returns the run of a part that ended last and that no other one is known to have
+// followed, however close their times are; nil if there is none.
 func (i *Isolator) latestRun(p *knownPart) *knownRun {
+	followed := make(map[RunID]bool, len(p.runs))
+	for _, r := range p.runs {
+		followed[r.after] = true
+	}
 	var latest *knownRun
 	for id := range p.runs {
-		if r := i.runs[id]; latest == nil || i.compareRuns(r, latest) > 0 {
+		if r := i.runs[id]; !followed[id] && (latest == nil || i.compareRuns(r, latest) > 0) {
 			latest = r
 		}
 	}
--- a/pkg/isolator/request_test.go
+++ b/pkg/isolator/request_test.go
@@ -100,6 +100,25 @@
 	}
 }
 
+// TestLatestEnd guards against an end that is taken for an earlier one than that which it followed,
+// since their times are the same.
+func TestLatestEnd(t *testing.T) {
+	for _, first := range []RunID{1, 9} {
+		i := New()
+		if i.LatestEnd("a") != 0 {
+			t.Error("an end is known at the start")
+		}
+		i.RecordRequestEnds(start.Add(second), "a", 0, 0, []Run{{ID: first, EndedAt: start}, {ID: 5, EndedAt: start}})
+		if got := i.LatestEnd("a"); got != 5 {
+			t.Errorf("run %d is the latest, want 5, which followed %d", got, first)
+		}
+		i.RecordRequestEnds(start.Add(second), "a", 0, 5, []Run{{ID: 3, EndedAt: start}})
+		if got := i.Ends("a"); got != 3 {
+			t.Errorf("%d moments of three ends that followed each other", got)
+		}
+	}
+}
+
 // TestCircularEvidence guards against evidence that no process can have made and that never ends.
 func TestCircularEvidence(t *testing.T) {
 	i := New()
