--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -54,6 +54,23 @@
 	}
 }
 
+// Ended returns the runs that were found to have ended by checks in the latest time.
+func (p *Prober) Ended(within time.Duration) []isolator.RunID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var runs []isolator.RunID
+	for id, c := range p.checks {
+		select {
+		case <-c.done:
+			if c.ended && p.now()-c.startedAt <= within {
+				runs = append(runs, id)
+			}
+		default:
+		}
+	}
+	return runs
+}
+
 func (p *Prober) check(ctx context.Context, run isolator.RunID, address string) *check {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -11,6 +11,7 @@
 	"github.com/comfreybend/comfreybend/internal/restrainer"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
+	"github.com/comfreybend/comfreybend/pkg/retrier"
 	"github.com/comfreybend/comfreybend/pkg/scheduler"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/settings"
@@ -159,7 +160,7 @@
 		meanPendingTokens float64
 		// domainFailures counts the recent connection failures and TCP timeouts of
 		// upstreams, by failure domain.
-		domainFailures map[registrar.FailureDomain]*decayingCounter
+		domainFailures map[registrar.FailureDomain]*retrier.FailureCounter
 	}
 )
 
@@ -193,7 +194,7 @@
 		upstreamStates: map[registrar.UpstreamID]*upstreamState{},
 		pools:          map[poolKey]*pool{},
 		waiters:        map[scheduler.ItemID]*waiter{},
-		domainFailures: map[registrar.FailureDomain]*decayingCounter{},
+		domainFailures: map[registrar.FailureDomain]*retrier.FailureCounter{},
 		picker:         picker.New(picker.Policy(e.GetPolicy()), rand.IntN),
 		cacheIndex:     picker.NewCacheIndex(),
 		placer:         picker.NewPlacer(),
@@ -418,7 +419,7 @@
 	g.state.uncachedTokens -= g.uncachedTokens
 	g.state.requestFinished(d.now(), outcome)
 	if outcome == outcomeUnreachable || outcome == outcomeTimedOut {
-		d.failuresIn(g.upstream.FailureDomain).add(d.now())
+		d.failuresIn(g.upstream.FailureDomain).Add(d.now())
 	}
 	if outcome == outcomeAnswered {
 		d.budget.onSuccess()
@@ -429,23 +430,15 @@
 }
 
 // failuresIn returns the counter of recent failures in a failure domain.
-func (d *dispatcher) failuresIn(domain registrar.FailureDomain) *decayingCounter {
+func (d *dispatcher) failuresIn(domain registrar.FailureDomain) *retrier.FailureCounter {
 	c := d.domainFailures[domain]
 	if c == nil {
-		c = &decayingCounter{}
+		c = &retrier.FailureCounter{}
 		d.domainFailures[domain] = c
 	}
 	return c
 }
 
-// isLeaving reports whether an upstream has said that it is leaving.
-func (d *dispatcher) isLeaving(u *registrar.Upstream) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	known := d.registry.Get(u.ID)
-	return known != nil && known.Incarnation == u.Incarnation && known.State == registrar.Leaving
-}
-
 // String returns the name of the pool in messages between processes.
 func (k poolKey) String() string {
 	return string(k.kind) + "/" + k.name
--- a/internal/router/endless_test.go
+++ b/internal/router/endless_test.go
@@ -195,7 +195,7 @@
 			awaitCondition(t, "the failure is not counted", func() bool {
 				r.dispatcher.mu.Lock()
 				defer r.dispatcher.mu.Unlock()
-				return r.dispatcher.upstreamStates[registrar.UpstreamID(name)].failures.weight > 0
+				return r.dispatcher.upstreamStates[registrar.UpstreamID(name)].failures.Penalty(r.dispatcher.now()) > 0
 			})
 		})
 	}
@@ -227,7 +227,7 @@
 			awaitCondition(t, "the connection is not closed", func() bool { return upstream.closed.Load() == upstream.opened.Load() })
 			r.dispatcher.mu.Lock()
 			defer r.dispatcher.mu.Unlock()
-			if failed := r.dispatcher.upstreamStates[registrar.UpstreamID(name)].failures.weight > 0; failed != test.failed {
+			if failed := r.dispatcher.upstreamStates[registrar.UpstreamID(name)].failures.Penalty(r.dispatcher.now()) > 0; failed != test.failed {
 				t.Errorf("failure counted: %t, want %t", failed, test.failed)
 			}
 		})
--- a/internal/router/evidence.go
+++ b/internal/router/evidence.go
@@ -17,19 +17,15 @@
 func (r *Router) evidenceSince(after evidencePosition) (*wire.Evidence, evidencePosition) {
 	e, parts := r.isolation.since(after.parts)
 	limits, position := r.restrainer.Since(after.limits)
-	if len(limits) > 0 {
-		if e == nil {
-			e = &wire.Evidence{}
-		}
-		e.Limits = limits
+	key := r.identifier.Key()
+	if after != (evidencePosition{}) {
+		key = nil
 	}
-	if after == (evidencePosition{}) {
-		if key := r.identifier.Key(); key != nil {
-			if e == nil {
-				e = &wire.Evidence{}
-			}
-			e.Key = key
-		}
+	if e == nil && (len(limits) > 0 || key != nil) {
+		e = &wire.Evidence{}
+	}
+	if e != nil {
+		e.Limits, e.Key = limits, key
 	}
 	return e, evidencePosition{parts: parts, limits: position}
 }
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -11,8 +11,8 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"github.com/comfreybend/comfreybend/internal/announcer"
 	"github.com/comfreybend/comfreybend/internal/configurer"
+	"github.com/comfreybend/comfreybend/internal/restrainer"
 	"github.com/comfreybend/comfreybend/pkg/isolator"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
@@ -58,6 +58,10 @@
 		endedRuns    []isolator.Run
 		engineEnded  bool
 		endsReported bool
+		// promptEnds is the number of them that speak against the prompt, and progressed reports
+		// that the client has received a part of a stream.
+		promptEnds int
+		progressed bool
 		// endedBefore is the run that was known to have ended last under the same request when the
 		// call began.
 		endedBefore isolator.RunID
@@ -262,7 +266,7 @@
 		h.recordStart()
 	case failure.Refused:
 		outcome = outcomeOverloaded
-	case isLimitError(err):
+	case errors.As(err, new(*restrainer.LimitError)):
 		outcome = outcomeAbandoned
 	default:
 		outcome = outcomeUnreachable
@@ -283,34 +287,6 @@
 		zap.Bool("upstreamEnded", h.router.isolation.upstreamEnded(ctx, g, err)), zap.Int("attempts", h.attempts), zap.Error(err))...)
 }
 
-// recordBreak records the end of an engine, if that is why an attempt failed. at is nil if there
-// was no response.
-func (h *callHandler) recordBreak(ctx context.Context, g *grant, at *attempt, err error) {
-	h.engineEnded = h.router.isolation.attemptBroke(ctx, h.call, g, at, err)
-	if h.engineEnded {
-		run := announcer.RunOf(g.upstream.ID, g.upstream.Incarnation)
-		h.endedRuns = append(h.endedRuns, isolator.Run{ID: run, EndedAt: h.router.windows.Now()})
-		h.endsReported = false
-	}
-}
-
-// reportEnds reports the engines that ended under the call. A call that shared an engine with the
-// one at fault usually succeeds at another engine, and then nothing is reported.
-func (h *callHandler) reportEnds() {
-	if len(h.endedRuns) > 0 && !h.endsReported && !h.responded {
-		h.endsReported = true
-		h.router.isolation.recordEnds(h.call, h.endedBefore, h.endedRuns)
-	}
-}
-
-// recordSurvival records that an engine has survived the prompt.
-func (h *callHandler) recordSurvival() {
-	if !h.responded {
-		h.responded = true
-		h.router.isolation.responded(h.call)
-	}
-}
-
 // failureOutcome returns outcomeAbandoned for an attempt that this process cancelled because
 // of its prompt, outcomeTimedOut for a connection whose upstream stopped
 // acknowledging data or keep-alive probes, and outcomeFailed for other failures.
@@ -347,7 +323,7 @@
 // again, within the attempt limit and the retry budget.
 func (h *callHandler) allowRetry(ctx context.Context, err error) bool {
 	allowed := h.mayRetry(ctx, err)
-	if !allowed || len(h.endedRuns) >= maxEndedEngines {
+	if !allowed || h.endedTooMany() {
 		h.reportEnds()
 	}
 	return allowed
@@ -360,8 +336,7 @@
 	if errors.As(err, new(*heldPartError)) {
 		return false
 	}
-	if h.engineEnded && (len(h.endedRuns) >= maxEndedEngines || h.router.isolation.endsUnder(h.call) > 0 || h.router.isolation.suspects(h.call)) {
-		// The request or its prompt may be what ends the engines.
+	if h.engineEnded && h.mayHaveEndedEngines() {
 		return false
 	}
 	var failure *attemptError
--- a/internal/router/held_request_test.go
+++ b/internal/router/held_request_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/types/known/durationpb"
+
 	"github.com/comfreybend/comfreybend/internal/identifier"
 	"github.com/comfreybend/comfreybend/pkg/isolator"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
@@ -235,3 +237,40 @@
 		})
 	}
 }
+
+// TestStreamSurvivesLostDomain guards against a stream that is given up, or held when it comes again,
+// since its domain was lost one upstream after the other.
+func TestStreamSurvivesLostDomain(t *testing.T) {
+	r, server, _ := newIdentifyingRouter(t)
+	document := engineDocument()
+	route := document.Configuration.Routes[0]
+	route.Service, route.EventStream, route.Resumable, route.Attempts = noticeService, true, true, 5
+	route.Timeout = durationpb.New(setupTimeout)
+	if err := r.controlPlane.applyConfiguration(&wire.SyncReply{Revision: 2, Whole: true, Configuration: document.GetConfiguration()}, delivery{}); err != nil {
+		t.Fatal(err)
+	}
+	var served atomic.Int64
+	for n := range 4 {
+		started := httptest.NewUnstartedServer(nil)
+		started.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			event := served.Add(1)
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", event)
+			_ = http.NewResponseController(w).Flush()
+			if event < 4 {
+				_ = started.Config.Close()
+				panic(http.ErrAbortHandler)
+			}
+		})
+		started.Start()
+		t.Cleanup(started.Close)
+		r.dispatcher.applyAnnouncement(noticeAnnouncement(registrar.UpstreamID(fmt.Sprint("u", n)), started.URL, 1, 1, r.dispatcher.now()))
+	}
+	status, text := ask(t, server, http.MethodPost, "/order", "sound")
+	if status != http.StatusOK || !strings.Contains(text, "id: 4\n") {
+		t.Errorf("status %d, %q; want the stream from four upstreams", status, text)
+	}
+	if e := r.allEvidence(); len(e.GetParts()) != 0 {
+		t.Errorf("evidence %v against a request that was served", e)
+	}
+}
--- a/internal/router/isolation.go
+++ b/internal/router/isolation.go
@@ -25,6 +25,9 @@
 	// against the prompt. An engine that survives a prompt for responseTime speaks for it.
 	beginTime    = 500 * time.Millisecond
 	responseTime = time.Second
+	// commonEndTime is the time in which engines that this process finds to have ended may have a
+	// common cause.
+	commonEndTime = time.Second
 	// maxEndedEngines is the number of engines that may end under one call.
 	maxEndedEngines = 2
 )
@@ -92,7 +95,7 @@
 func (s *isolation) suspectIDs(c *call) []isolator.PartID {
 	ids := c.sharedIDs()
 	if id := s.router.identityOf(c); id != "" {
-		ids = append(ids, id)
+		return append(ids, id)
 	}
 	return ids
 }
@@ -153,26 +156,31 @@
 }
 
 // attemptBroke reports whether an attempt broke off because its upstream ended under the call: not
-// long after it had begun to write the response, or before that. The end speaks against the parts
-// of a prompt only if the headers of a stream show that it had begun.
-func (s *isolation) attemptBroke(ctx context.Context, c *call, g *grant, at *attempt, err error) bool {
+// long after it had begun to write the response, or before that. The end also speaks against the
+// parts of a prompt if the headers of a stream show that it had begun.
+func (s *isolation) attemptBroke(ctx context.Context, c *call, g *grant, at *attempt, err error) (ended, againstPrompt bool) {
 	begun := at != nil && s.router.dispatcher.now()-at.startedAt-at.timeToHeaders < beginTime
 	if at != nil && c.stream && !begun || !s.upstreamEnded(ctx, g, err) {
-		return false
+		return false, false
 	}
-	if ids := c.sharedIDs(); len(ids) > 0 && (begun || !c.stream) {
+	ids := c.sharedIDs()
+	againstPrompt = len(ids) > 0 && (begun || !c.stream)
+	if againstPrompt {
 		s.change(func(now time.Time) {
 			s.isolator.RecordEnd(now, announcer.RunOf(g.upstream.ID, g.upstream.Incarnation), ids)
 		})
 	}
-	return true
+	return true, againstPrompt
 }
 
 // recordEnds records that upstreams ended one after the other under a call, and after another one
 // that was known to have ended under the same request when the call began.
 func (s *isolation) recordEnds(c *call, before isolator.RunID, ends []isolator.Run) {
 	if id := s.router.identityOf(c); id != "" {
-		s.change(func(now time.Time) { s.isolator.RecordRequestEnds(now, id, len(c.sharedParts()), before, ends) })
+		others := s.prober.Ended(commonEndTime)
+		s.change(func(now time.Time) {
+			s.isolator.RecordRequestEnds(now, id, len(c.sharedParts()), before, ends, others)
+		})
 	}
 }
 
--- a/internal/router/isolation_test.go
+++ b/internal/router/isolation_test.go
@@ -108,8 +108,8 @@
 			if !test.noReply {
 				at = writingFor(now, test.age)
 			}
-			got := r.isolation.attemptBroke(t.Context(), c, &grant{upstream: &u}, at, errors.Wrap(test.err, "reading the stream"))
-			if got != test.ended || r.isolation.accused.Load() != test.want {
+			got, against := r.isolation.attemptBroke(t.Context(), c, &grant{upstream: &u}, at, errors.Wrap(test.err, "reading the stream"))
+			if got != test.ended || against != test.want || r.isolation.accused.Load() != test.want {
 				t.Errorf("counts: %t, evidence: %t, want %t and %t", got, r.isolation.accused.Load(), test.ended, test.want)
 			}
 		})
--- a/internal/router/notice.go
+++ b/internal/router/notice.go
@@ -143,3 +143,11 @@
 	return refuseWithRetryAfter(http.StatusServiceUnavailable, CodeOverloaded,
 		"all upstreams have asked for a pause beyond the deadline", jitterRetryAfter(earliest-now))
 }
+
+// isLeaving reports whether an upstream has said that it is leaving.
+func (d *dispatcher) isLeaving(u *registrar.Upstream) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	known := d.registry.Get(u.ID)
+	return known != nil && known.Incarnation == u.Incarnation && known.State == registrar.Leaving
+}
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -192,7 +192,7 @@
 			Slots:          u.Load.Slots,
 			PendingTokens:  d.upstreamStates[u.ID].pendingTokens + othersPending,
 			UncachedTokens: uncached,
-			Penalty:        d.upstreamStates[u.ID].failures.penalty(now) + d.failuresIn(u.FailureDomain).penalty(now)/domainPenaltyDivisor,
+			Penalty:        d.upstreamStates[u.ID].failures.Penalty(now) + d.failuresIn(u.FailureDomain).Penalty(now)/domainPenaltyDivisor,
 		})
 	}
 	return out
--- a/internal/router/request_limit.go
+++ b/internal/router/request_limit.go
@@ -7,10 +7,8 @@
 	"strconv"
 	"time"
 
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"github.com/comfreybend/comfreybend/internal/restrainer"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/scheduler"
@@ -136,7 +134,7 @@
 		return
 	}
 	slices.SortFunc(waiting, func(a, b *waiter) int {
-		return cmp.Or(compareInterrupted(a, b), cmp.Compare(a.item.Tier, b.item.Tier), cmp.Compare(a.item.ID, b.item.ID))
+		return cmp.Or(cmp.Compare(a.turnRank(), b.turnRank()), cmp.Compare(a.item.ID, b.item.ID))
 	})
 	now, ahead := d.now(), 0
 	turns := d.restrainer.Turns(upstreams, len(waiting), longest-now)
@@ -151,17 +149,10 @@
 	}
 }
 
-// compareInterrupted orders interrupted requests before the others.
-func compareInterrupted(a, b *waiter) int {
-	switch {
-	case a.item.Requeued == b.item.Requeued:
+// turnRank orders waiting requests: interrupted ones go first, the others by tier.
+func (w *waiter) turnRank() scheduler.Tier {
+	if w.item.Requeued {
 		return 0
-	case a.item.Requeued:
-		return -1
-	default:
-		return 1
 	}
+	return w.item.Tier
 }
-
-// isLimitError reports whether a request was not sent because of its upstream's request limit.
-func isLimitError(err error) bool { return errors.As(err, new(*restrainer.LimitError)) }
--- a/internal/router/request_limit_test.go
+++ b/internal/router/request_limit_test.go
@@ -133,8 +133,8 @@
 	}
 	r.dispatcher.mu.Lock()
 	defer r.dispatcher.mu.Unlock()
-	if s := r.dispatcher.upstreamStates["one"]; s.circuit.State(r.dispatcher.now()) != retrier.Closed || s.failures.weight > 0 || s.limiter.InFlight() != 0 {
-		t.Errorf("the upstream counts as failing (%f failures, %d in flight)", s.failures.weight, s.limiter.InFlight())
+	if s := r.dispatcher.upstreamStates["one"]; s.circuit.State(r.dispatcher.now()) != retrier.Closed || s.failures.Penalty(r.dispatcher.now()) > 0 || s.limiter.InFlight() != 0 {
+		t.Errorf("the upstream counts as failing (%f failures, %d in flight)", s.failures.Penalty(r.dispatcher.now()).Seconds(), s.limiter.InFlight())
 	}
 }
 
--- a/internal/router/upstream_state.go
+++ b/internal/router/upstream_state.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"math"
 	"time"
 
 	"github.com/comfreybend/comfreybend/pkg/limiter"
@@ -14,10 +13,6 @@
 	// keptInFlightSamples is the number of samples kept when older ones are removed; there
 	// are at most twice as many.
 	keptInFlightSamples = 512
-	// failureDecayTime is the time constant of the exponential decay of counted failures.
-	failureDecayTime = 4 * time.Second
-	// failurePenalty is the delay that one recent failure adds to the cost of an upstream.
-	failurePenalty = 400 * time.Millisecond
 )
 
 type (
@@ -37,7 +32,7 @@
 		// progress, counted when each starts.
 		uncachedTokens float64
 		// failures counts recent failed attempts.
-		failures decayingCounter
+		failures retrier.FailureCounter
 		// reportedLoad is the load in the upstream's latest response that has one.
 		reportedLoad registrar.Load
 		// limited reports that the upstream named a request limit when it was last a candidate.
@@ -49,12 +44,6 @@
 		leaseEnded chan struct{}
 	}
 
-	// decayingCounter counts events with exponential decay.
-	decayingCounter struct {
-		weight    float64
-		updatedAt time.Duration
-	}
-
 	inFlightSample struct {
 		at    time.Duration
 		count int
@@ -119,9 +108,9 @@
 	case outcomeFailed:
 		s.limiter.ObserveFailure(now)
 		s.circuit.RecordFailure(now)
-		s.failures.add(now)
+		s.failures.Add(now)
 	case outcomeUnreachable, outcomeTimedOut:
-		s.failures.add(now)
+		s.failures.Add(now)
 		s.circuit.Trip(now)
 	case outcomeAbandoned:
 		s.circuit.AbandonProbe()
@@ -129,22 +118,6 @@
 	s.recordInFlight(now)
 }
 
-// add counts one event.
-func (c *decayingCounter) add(now time.Duration) {
-	c.weight = c.weightAt(now) + 1
-	c.updatedAt = now
-}
-
-// weightAt returns the decayed count at now.
-func (c *decayingCounter) weightAt(now time.Duration) float64 {
-	return c.weight * math.Exp(-float64(now-c.updatedAt)/float64(failureDecayTime))
-}
-
-// penalty returns the delay that recent failures add to the cost of an upstream.
-func (c *decayingCounter) penalty(now time.Duration) time.Duration {
-	return time.Duration(c.weightAt(now) * float64(failurePenalty))
-}
-
 func (s *upstreamState) recordInFlight(now time.Duration) {
 	s.inFlightSamples = append(s.inFlightSamples, inFlightSample{at: now, count: s.limiter.InFlight()})
 	if len(s.inFlightSamples) > 2*keptInFlightSamples {
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -14,11 +14,8 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -167,41 +164,6 @@
 	i.Merge(now, e)
 }
 
-// RecordRequestEnds records that runs of engines ended one after the other while they ran a
-// request. Each is a moment of its own, however short the time between them: only the request is
-// common to them. before is the result of LatestEnd when the request was sent to the first of
-// them, depth the number of parts of its prompt.
-func (i *Isolator) RecordRequestEnds(now time.Time, request PartID, depth int, before RunID, ends []Run) {
-	e := Evidence{Parts: []Part{{ID: request, Depth: depth}}}
-	p := &e.Parts[0]
-	for _, end := range ends {
-		e.Runs = append(e.Runs, Run{ID: end.ID, EndedAt: end.EndedAt.Truncate(time.Millisecond)})
-		p.Runs, p.After = append(p.Runs, end.ID), append(p.After, before)
-		before = end.ID
-	}
-	i.Merge(now, e)
-}
-
-// SettlesIn returns the time until a part is held if nothing speaks for it meanwhile; zero if it
-// is held already or will not be.
-func (i *Isolator) SettlesIn(now time.Time, id PartID) time.Duration {
-	return max(0, i.Verdicts()[id].HeldFrom.Sub(now))
-}
-
-// LatestEnd returns the run that is known to have ended last under a part; zero for none.
-func (i *Isolator) LatestEnd(id PartID) RunID {
-	if p := i.parts[id]; p != nil {
-		if latest := i.latestRun(p); latest != nil {
-			return latest.ID
-		}
-	}
-	return 0
-}
-
-// Ends returns the number of moments at which engines ended under a part and nothing that is
-// held explains it.
-func (i *Isolator) Ends(id PartID) int { return i.Verdicts()[id].Instants }
-
 // RecordResponse records that a response to a prompt with the given parts was received.
 func (i *Isolator) RecordResponse(now time.Time, parts []PartID) {
 	for _, id := range parts {
@@ -464,63 +426,3 @@
 
 // Position returns the position of the latest change.
 func (i *Isolator) Position() Position { return i.position }
-
-// Admit decides whether a request with the given parts may be sent to an engine by one of a
-// number of processes. Once a hold has ended, each process may send one probe, at a time of its
-// own, until the outcome of one is known.
-func (i *Isolator) Admit(now time.Time, process string, processes int, parts []PartID) Admission {
-	var probed *knownPart
-	for _, id := range parts {
-		v := i.Verdicts()[id]
-		if !v.isHeld(now) {
-			continue
-		}
-		p := i.parts[id]
-		window := time.Duration(max(processes, 1)) * probeSpacing
-		probeAt := v.HeldUntil.Add(time.Duration(probeHash(v, process) % uint64(window)))
-		isProbed := p.probedUntil.Equal(v.HeldUntil) && now.Before(p.probedAt.Add(window))
-		if now.Before(probeAt) || isProbed {
-			return Admission{Refused: &v}
-		}
-		probed = p
-		probed.probedUntil = v.HeldUntil
-	}
-	if probed == nil {
-		return Admission{}
-	}
-	probed.probedAt = now
-	return Admission{Probe: true}
-}
-
-// probeHash spreads the probes of different processes over time.
-func probeHash(v Verdict, process string) uint64 {
-	key := binary.BigEndian.AppendUint64([]byte(process+"\x00"+string(v.Part)+"\x00"), uint64(v.HeldUntil.UnixNano()))
-	return xxhash.Sum64(key)
-}
-
-// Suspects reports whether engines ended under one of the parts at several moments, and
-// nothing speaks for it since.
-func (i *Isolator) Suspects(now time.Time, parts []PartID) bool {
-	verdicts := i.Verdicts()
-	return slices.ContainsFunc(parts, func(id PartID) bool {
-		v := verdicts[id]
-		return !v.SuspectedFrom.IsZero() && !now.Before(v.SuspectedFrom)
-	})
-}
-
-// Held returns the verdicts on the parts that are held at a time, ordered by part, and the
-// time from which another one is held if no further evidence comes; zero for none.
-func (i *Isolator) Held(now time.Time) (held []Verdict, next time.Time) {
-	for _, v := range i.Verdicts() {
-		switch {
-		case v.isHeld(now):
-			held = append(held, v)
-		case !v.HeldFrom.IsZero() && (next.IsZero() || v.HeldFrom.Before(next)):
-			next = v.HeldFrom
-		}
-	}
-	slices.SortFunc(held, func(a, b Verdict) int { return cmp.Compare(a.Part, b.Part) })
-	return held, next
-}
-
-func (v Verdict) isHeld(now time.Time) bool { return !v.HeldFrom.IsZero() && !now.Before(v.HeldFrom) }
--- a/pkg/isolator/request_test.go
+++ b/pkg/isolator/request_test.go
@@ -23,6 +23,8 @@
 		id     PartID
 		before RunID
 		ends   []Run
+		// others are engines that ended at the same time.
+		others []RunID
 	}
 	const short = 20 * time.Millisecond
 	tests := map[string]struct {
@@ -41,6 +43,12 @@
 		"in the same millisecond": {calls: []call{
 			{id: "bad", ends: ends(7, 0, 0)}, {id: "bad", before: 8, ends: ends(3, 0)},
 		}, held: []PartID{"bad"}},
+		"one call through a domain that is lost": {calls: []call{
+			{id: "sound", ends: ends(1, 0, short, 2*short), others: []RunID{1, 2, 3, 4}},
+		}},
+		"others that ended under the same request": {calls: []call{
+			{id: "bad", ends: ends(1, 0, short)}, {id: "bad", before: 2, ends: ends(3, 2*short), others: []RunID{1, 2, 3}},
+		}, held: []PartID{"bad"}},
 		"many at a lost domain after one has ended": {calls: []call{
 			{id: "popular", ends: ends(1, 0)},
 			{id: "popular", before: 1, ends: ends(2, second)},
@@ -81,7 +89,7 @@
 			one, other := New(), New()
 			var ids []PartID
 			for _, c := range test.calls {
-				one.RecordRequestEnds(start.Add(10*second), c.id, 0, c.before, c.ends)
+				one.RecordRequestEnds(start.Add(10*second), c.id, 0, c.before, c.ends, c.others)
 				ids = append(ids, c.id)
 			}
 			if test.response > 0 {
@@ -108,11 +116,11 @@
 		if i.LatestEnd("a") != 0 {
 			t.Error("an end is known at the start")
 		}
-		i.RecordRequestEnds(start.Add(second), "a", 0, 0, []Run{{ID: first, EndedAt: start}, {ID: 5, EndedAt: start}})
+		i.RecordRequestEnds(start.Add(second), "a", 0, 0, []Run{{ID: first, EndedAt: start}, {ID: 5, EndedAt: start}}, nil)
 		if got := i.LatestEnd("a"); got != 5 {
 			t.Errorf("run %d is the latest, want 5, which followed %d", got, first)
 		}
-		i.RecordRequestEnds(start.Add(second), "a", 0, 5, []Run{{ID: 3, EndedAt: start}})
+		i.RecordRequestEnds(start.Add(second), "a", 0, 5, []Run{{ID: 3, EndedAt: start}}, nil)
 		if got := i.Ends("a"); got != 3 {
 			t.Errorf("%d moments of three ends that followed each other", got)
 		}
@@ -137,7 +145,7 @@
 	for n := range 3 {
 		at := time.Duration(n) * second
 		i.RecordEnd(start.Add(at), RunID(n+1), []PartID{"shared", "document"})
-		i.RecordRequestEnds(start.Add(at), "request-1", 2, 0, ends(RunID(n+1), at))
+		i.RecordRequestEnds(start.Add(at), "request-1", 2, 0, ends(RunID(n+1), at), nil)
 	}
 	if got := heldParts(i); !slices.Equal(got, []PartID{"request-1"}) {
 		t.Errorf("held %v, want the request", got)
@@ -159,7 +167,7 @@
 				source.RecordResponse(at, []PartID{id})
 			} else {
 				first := RunID(1 + r.IntN(20))
-				source.RecordRequestEnds(at, id, 0, source.LatestEnd(id), []Run{{ID: first, EndedAt: at}, {ID: first + 100, EndedAt: at.Add(time.Duration(n) * time.Millisecond)}})
+				source.RecordRequestEnds(at, id, 0, source.LatestEnd(id), []Run{{ID: first, EndedAt: at}, {ID: first + 100, EndedAt: at.Add(time.Duration(n) * time.Millisecond)}}, nil)
 			}
 			var e Evidence
 			e, position = source.Since(position)
@@ -253,7 +261,7 @@
 	now := start
 	report := func(c *deskCall) {
 		if len(c.ended) > 0 {
-			hosts[c.host].RecordRequestEnds(now, c.id, 0, c.before, c.ended)
+			hosts[c.host].RecordRequestEnds(now, c.id, 0, c.before, c.ended, nil)
 		}
 		if !c.culprit {
 			result.lost++
