--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -260,7 +260,7 @@
 			Preemptible:      u.Preemptible,
 			Free:             s.free(now) && restraint.Available,
 			ReportedLoad:     load.Running + load.Waiting,
-			InFlightAtReport: s.inFlightAt(load.MeasuredAt),
+			InFlightAtReport: s.inFlight.At(load.MeasuredAt),
 			InFlight:         s.limiter.InFlight(),
 			Slots:            slotsOf(u),
 			Latency:          s.limiter.Latency(),
--- a/internal/router/upstream_state.go
+++ b/internal/router/upstream_state.go
@@ -9,20 +9,13 @@
 	"github.com/comfreybend/comfreybend/schema/settings"
 )
 
-const (
-	// keptInFlightSamples is the number of samples kept when older ones are removed; there
-	// are at most twice as many.
-	keptInFlightSamples = 512
-)
-
 type (
 	// upstreamState is the local state of one incarnation of an upstream.
 	upstreamState struct {
 		limiter *limiter.Limiter
 		circuit *retrier.CircuitBreaker
-		// inFlightSamples records the changes of the number of requests in progress,
-		// oldest first.
-		inFlightSamples []inFlightSample
+		// inFlight records the number of requests in progress.
+		inFlight limiter.History
 		// firstAnnounced is when the first announcement of the incarnation was applied.
 		firstAnnounced time.Duration
 		// pendingTokens are the prompt tokens of this process's requests that the upstream
@@ -43,11 +36,6 @@
 		// announced.
 		leaseEnded chan struct{}
 	}
-
-	inFlightSample struct {
-		at    time.Duration
-		count int
-	}
 )
 
 func newUpstreamState(l *settings.UpstreamLimits, now time.Duration) *upstreamState {
@@ -83,7 +71,7 @@
 func (s *upstreamState) requestStarted(now time.Duration) {
 	s.limiter.Start()
 	s.circuit.RecordStart(now)
-	s.recordInFlight(now)
+	s.inFlight.Record(now, s.limiter.InFlight())
 }
 
 // headersReceived updates the limiter and the circuit breaker. An upstream that has
@@ -115,25 +103,7 @@
 	case outcomeAbandoned:
 		s.circuit.AbandonProbe()
 	}
-	s.recordInFlight(now)
-}
-
-func (s *upstreamState) recordInFlight(now time.Duration) {
-	s.inFlightSamples = append(s.inFlightSamples, inFlightSample{at: now, count: s.limiter.InFlight()})
-	if len(s.inFlightSamples) > 2*keptInFlightSamples {
-		s.inFlightSamples = append(s.inFlightSamples[:0], s.inFlightSamples[keptInFlightSamples:]...)
-	}
-}
-
-// inFlightAt returns the number of requests that were in progress at a past time; zero if
-// no sample is that old.
-func (s *upstreamState) inFlightAt(at time.Duration) int {
-	for i := len(s.inFlightSamples) - 1; i >= 0; i-- {
-		if s.inFlightSamples[i].at <= at {
-			return s.inFlightSamples[i].count
-		}
-	}
-	return 0
+	s.inFlight.Record(now, s.limiter.InFlight())
 }
 
 // endLease signals the attempts in progress that the announcement lease of this incarnation
