--- a/internal/router/held_request_test.go
+++ b/internal/router/held_request_test.go
@@ -274,3 +274,60 @@
 		t.Errorf("evidence %v against a request that was served", e)
 	}
 }
+
+// TestLostDomainSparesLastAttempt guards against a stream whose last attempt is sent into a failure
+// domain that is being lost, although an upstream in its slow start is left elsewhere.
+func TestLostDomainSparesLastAttempt(t *testing.T) {
+	const attempts = 3
+	r, server, _ := newIdentifyingRouter(t)
+	document := engineDocument()
+	route := document.Configuration.Routes[0]
+	route.Service, route.EventStream, route.Resumable, route.Attempts = noticeService, true, true, attempts
+	route.Timeout = durationpb.New(setupTimeout)
+	if err := r.controlPlane.applyConfiguration(&wire.SyncReply{Revision: 2, Whole: true, Configuration: document.GetConfiguration()}, delivery{}); err != nil {
+		t.Fatal(err)
+	}
+	var served atomic.Int64
+	writeEvent := func(w http.ResponseWriter, id int64) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", id)
+		_ = http.NewResponseController(w).Flush()
+	}
+	announce := func(id registrar.UpstreamID, domain registrar.FailureDomain, url string) {
+		u := noticeAnnouncement(id, url, 1, 1, r.dispatcher.now())
+		u.FailureDomain = domain
+		r.dispatcher.applyAnnouncement(u)
+	}
+	busy, ctx := make(chan struct{}), t.Context()
+	left := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		if body, _ := io.ReadAll(request.Body); string(body) == "busy" {
+			writeEvent(w, 1)
+			close(busy)
+			select {
+			case <-ctx.Done():
+			case <-request.Context().Done():
+			}
+			return
+		}
+		writeEvent(w, attempts)
+	}))
+	t.Cleanup(left.Close)
+	announce("left", "b", left.URL)
+	go func() { _, _ = ask(t, server, http.MethodPost, "/order", "busy") }()
+	<-busy
+	for n := range attempts {
+		started := httptest.NewUnstartedServer(nil)
+		started.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			writeEvent(w, served.Add(1))
+			_ = started.Config.Close()
+			panic(http.ErrAbortHandler)
+		})
+		started.Start()
+		t.Cleanup(started.Close)
+		announce(registrar.UpstreamID(fmt.Sprint("lost", n)), "a", started.URL)
+	}
+	status, text := ask(t, server, http.MethodPost, "/order", "sound")
+	if status != http.StatusOK || !strings.Contains(text, "id: 3\n") || served.Load() == attempts {
+		t.Errorf("status %d, %q after %d attempts in the lost domain; want the last attempt elsewhere", status, text, served.Load())
+	}
+}
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -99,6 +99,7 @@
 	now := d.now()
 	g := &grant{item: w.item, pool: key, grantedAt: now}
 	d.preferUnheard(&w.request, candidates)
+	picker.LeaveFailedDomains(w.request.pick.Avoid, candidates)
 	var chosen int
 	if w.request.prompt != nil {
 		engines := d.placerEngines(upstreams, candidates)
@@ -259,6 +260,7 @@
 			Local:            u.FailureDomain == domain,
 			Preemptible:      u.Preemptible,
 			Free:             s.free(now) && restraint.Available,
+			Ready:            s.ready(now) && restraint.Available,
 			ReportedLoad:     load.Running + load.Waiting,
 			InFlightAtReport: s.inFlight.At(load.MeasuredAt),
 			InFlight:         s.limiter.InFlight(),
--- a/internal/router/upstream_state.go
+++ b/internal/router/upstream_state.go
@@ -59,6 +59,11 @@
 	return s.circuit.State(now) != retrier.Open && s.limiter.CanStart(now)
 }
 
+// ready is free without regard to the slow start.
+func (s *upstreamState) ready(now time.Duration) bool {
+	return s.circuit.State(now) != retrier.Open && s.limiter.HasRoom()
+}
+
 // setLimited records whether the upstream names a request limit. At its end the upstream gets a
 // slow start.
 func (s *upstreamState) setLimited(now time.Duration, limited bool) {
--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -96,13 +96,16 @@
 
 // Limit returns the number of requests allowed in flight at now. It is at least 1.
 func (l *Limiter) Limit(now time.Duration) int {
-	limit := min(l.limit, float64(l.ceiling))
+	limit := l.fullLimit()
 	if age := now - l.slowStartedAt; age < l.config.SlowStart {
 		limit *= float64(age) / float64(l.config.SlowStart)
 	}
 	return max(1, int(limit))
 }
 
+// fullLimit returns the number of requests allowed in flight after slow start.
+func (l *Limiter) fullLimit() float64 { return min(l.limit, float64(l.ceiling)) }
+
 // InFlight returns the number of requests in flight.
 func (l *Limiter) InFlight() int { return l.inFlight }
 
@@ -111,6 +114,11 @@
 	return l.inFlight < l.Limit(now)
 }
 
+// HasRoom reports whether one more request may start if slow start is ignored.
+func (l *Limiter) HasRoom() bool {
+	return l.inFlight < max(1, int(l.fullLimit()))
+}
+
 // Latency returns the moving average of the time to the first byte, or zero
 // before the first response.
 func (l *Limiter) Latency() time.Duration {
--- a/pkg/limiter/limiter_test.go
+++ b/pkg/limiter/limiter_test.go
@@ -112,3 +112,23 @@
 		})
 	}
 }
+
+// TestRoomIgnoresSlowStart guards against the room of an upstream that just started being taken for
+// none, and against more requests than it may have later.
+func TestRoomIgnoresSlowStart(t *testing.T) {
+	const initial = 4
+	l := New(Config{Initial: initial, Maximum: 100, SlowStart: time.Second}, 0)
+	l.Start()
+	if l.CanStart(0) {
+		t.Error("a second request may start at the beginning of slow start")
+	}
+	for n := 1; n < initial; n++ {
+		if !l.HasRoom() {
+			t.Errorf("no room with %d of %d requests", n, initial)
+		}
+		l.Start()
+	}
+	if l.HasRoom() {
+		t.Errorf("room beside %d requests", initial)
+	}
+}
--- a/pkg/picker/picker.go
+++ b/pkg/picker/picker.go
@@ -35,11 +35,6 @@
 	PolicyLeastReported Policy = "leastReported"
 )
 
-// domainFailureThreshold is the number of upstreams of one failure domain at which a request
-// must have failed before it avoids the domain. One upstream may fail alone; two failures
-// indicate that the whole domain is failing.
-const domainFailureThreshold = 2
-
 type (
 	// PromptPart is one of the consecutive parts of a prompt. An upstream that has a part cached
 	// is assumed to have the parts before it cached too, so the ID of a shared part identifies the
@@ -61,6 +56,8 @@
 		Preemptible bool
 		// Free reports that the upstream has a slot for one more request of this process.
 		Free bool
+		// Ready is Free without regard to the slow start of the upstream.
+		Ready bool
 		// Cached reports that the upstream's cache is known to hold the request's prefix.
 		Cached bool
 		// ReportedLoad is the number of requests of all processes at the upstream, according to
@@ -136,7 +133,7 @@
 		}
 	}
 	free = filterUnlessEmpty(free, func(i int) bool { return !contains(r.Avoid, candidates[i].ID) })
-	failed := failuresByDomain(r, candidates)
+	failed := failuresByDomain(r.Avoid, candidates)
 	free = filterUnlessEmpty(free, func(i int) bool { return failed[candidates[i].Domain] < domainFailureThreshold })
 	if !r.Retryable {
 		free = filterUnlessEmpty(free, func(i int) bool { return !candidates[i].Preemptible })
@@ -144,21 +141,6 @@
 	return filterUnlessEmpty(free, func(i int) bool { return candidates[i].Local })
 }
 
-// failuresByDomain counts, by failure domain, the candidates at which the request has failed. It
-// returns nil if there are too few failures to exclude a domain.
-func failuresByDomain(r Request, candidates []Candidate) map[registrar.FailureDomain]int {
-	if len(r.Avoid) < domainFailureThreshold {
-		return nil
-	}
-	failed := map[registrar.FailureDomain]int{}
-	for i := range candidates {
-		if contains(r.Avoid, candidates[i].ID) {
-			failed[candidates[i].Domain]++
-		}
-	}
-	return failed
-}
-
 // filterUnlessEmpty returns the indices for which keep is true, or all of them if there are none.
 func filterUnlessEmpty(indices []int, keep func(int) bool) []int {
 	var kept []int
