--- a/pkg/isolator/isolator_test.go
+++ b/pkg/isolator/isolator_test.go
@@ -184,10 +184,16 @@
 	}
 }
 
-// TestProbes checks that few processes send a probe after a hold, that a failed one prolongs
-// the hold twice as much, and that a response ends it for all.
+// TestProbes guards against a probe of each of many processes after a hold. A failed one prolongs the
+// hold twice as much, and a response ends it for all.
 func TestProbes(t *testing.T) {
-	const processes = 200
+	for _, processes := range []int{2, 7, 88, 194, 200} {
+		t.Run(fmt.Sprintf("%d processes", processes), func(t *testing.T) { testProbes(t, processes) })
+	}
+}
+
+func testProbes(t *testing.T, processes int) {
+	t.Helper()
 	bad := []PartID{"bad"}
 	all := make([]*Isolator, processes)
 	for n := range all {
