--- a/test/integration/crashing_request_test.go
+++ b/test/integration/crashing_request_test.go
@@ -84,3 +84,59 @@
 		e.checkLog()
 	}
 }
+
+// TestHeldRequestOutlivesAllProcesses guards against a held request that ends upstreams again after
+// all processes have lost power at once.
+func TestHeldRequestOutlivesAllProcesses(t *testing.T) {
+	const upstreams = 4
+	s := startSystem(t, layout{controls: 3, entries: []string{"a", "b"}})
+	s.configure()
+	f := &crashingFleet{t: t, system: s, endedAt: map[*upstreamProcess]time.Time{}}
+	for i := range upstreams {
+		f.engines = append(f.engines, s.startUpstream(fmt.Sprintf("orders-%d", i+1), string(rune('a'+i%2)), "service", "orders", s.entries, "--crash-on", "deadly"))
+	}
+	checkHeld := func(e *entryProcess) error {
+		if a := e.get(crashingPath, ""); a.status != http.StatusUnprocessableEntity || a.run() != router.NotRun {
+			return fmt.Errorf("%s answers the request with %d, run %q; want a final refusal, not run", e.id, a.status, a.run())
+		}
+		return nil
+	}
+	checkServed := func(e *entryProcess) error { return checkStatus(e.get("/public/popular", ""), http.StatusOK) }
+	for _, e := range s.entries {
+		eventually(t, waitTimeout, func() error { return checkServed(e) })
+	}
+	for _, e := range s.entries {
+		eventually(t, waitTimeout, func() error {
+			f.restart()
+			return checkHeld(e)
+		})
+	}
+	eventually(t, waitTimeout, func() error {
+		if f.restart(); len(f.endedAt) > 0 {
+			return errors.New("an upstream is down")
+		}
+		return nil
+	})
+	ended := len(f.crashes)
+	for _, c := range s.controls {
+		c.kill()
+	}
+	for _, e := range s.entries {
+		e.kill()
+	}
+	for _, c := range s.controls {
+		c.start()
+	}
+	for _, e := range s.entries {
+		e.start()
+	}
+	for _, e := range s.entries {
+		eventually(t, waitTimeout, func() error { return checkServed(e) })
+		if err := checkHeld(e); err != nil {
+			t.Error(err)
+		}
+	}
+	if f.restart(); len(f.crashes) > ended {
+		t.Errorf("%d upstreams ended under the request after the restart", len(f.crashes)-ended)
+	}
+}
