--- a/pkg/journaler/journaler.go
+++ b/pkg/journaler/journaler.go
@@ -199,47 +199,22 @@
 // writeFile creates a file that contains m as its only frame, syncs the file and the
 // folder, and returns the file open for appending.
 func (j *Journal) writeFile(name string, m proto.Message) (*os.File, error) {
-	payload, err := proto.Marshal(m)
-	if err != nil {
-		return nil, errors.Wrap(err, "encoding "+name)
-	}
-	path := filepath.Join(j.folder, name)
-	file, err := os.OpenFile(path+temporarySuffix, os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, fileMode)
-	if isNoSpace(err) {
-		return nil, &NoSpaceError{File: path, Cause: err}
-	}
-	if err != nil {
-		return nil, j.fail(path, err)
-	}
-	if err = j.writeFrame(file, payload); err != nil {
-		_ = file.Close()
-		// If this fails, Open removes the temporary file at the next start.
-		_ = os.Remove(path + temporarySuffix)
-		return nil, err
-	}
-	if err = os.Rename(path+temporarySuffix, path); err != nil {
-		_ = file.Close()
-		return nil, j.fail(path, err)
-	}
-	if err = j.syncFolder(); err != nil {
-		_ = file.Close()
-		return nil, err
-	}
-	return file, nil
+	file, err := createFile(j.disk, filepath.Join(j.folder, name), m)
+	return file, j.recordFailure(err)
 }
 
 // writeFrame appends a frame to a file and syncs it. The error is a *NoSpaceError or a *WriteError.
 func (j *Journal) writeFrame(file *os.File, payload []byte) error {
-	if _, err := j.disk.Write(file, EncodeFrame(payload)); err != nil {
-		if isNoSpace(err) {
-			return &NoSpaceError{File: file.Name(), Cause: err}
-		}
-		return j.fail(file.Name(), err)
-	}
-	if err := j.disk.Sync(file); err != nil {
-		return j.fail(file.Name(), err)
+	return j.recordFailure(writeFrame(j.disk, file, payload))
+}
+
+// recordFailure makes every later write return an error that is a *WriteError. It returns err.
+func (j *Journal) recordFailure(err error) error {
+	var failure *WriteError
+	if errors.As(err, &failure) {
+		j.failed = failure
 	}
-	return nil
+	return err
 }
 
 // discardPartialFrame removes the incomplete frame that a failed write has left if
@@ -256,18 +231,6 @@
 	return cause
 }
 
-func (j *Journal) syncFolder() error {
-	folder, err := os.Open(j.folder)
-	if err != nil {
-		return j.fail(j.folder, err)
-	}
-	defer func() { _ = folder.Close() }()
-	if err = j.disk.Sync(folder); err != nil {
-		return j.fail(j.folder, err)
-	}
-	return nil
-}
-
 // fail returns a *WriteError with the given cause and makes every later write
 // return it too.
 func (j *Journal) fail(path string, cause error) error {
@@ -277,22 +240,7 @@
 
 // readFile reads a file with a single frame into m. It returns false if the file does not exist.
 func (j *Journal) readFile(name string, m proto.Message) (bool, error) {
-	path := filepath.Join(j.folder, name)
-	content, err := os.ReadFile(path)
-	if errors.Is(err, os.ErrNotExist) {
-		return false, nil
-	}
-	if err != nil {
-		return false, errors.Wrap(err, "reading "+name)
-	}
-	payload, state := decodeFrame(content)
-	if state != frameValid || headerBytes+len(payload) != len(content) {
-		return false, &CorruptionError{File: path, Detail: "invalid frame, or data after it"}
-	}
-	if err = proto.Unmarshal(payload, m); err != nil {
-		return false, &CorruptionError{File: path, Detail: err.Error()}
-	}
-	return true, nil
+	return readFile(filepath.Join(j.folder, name), m)
 }
 
 // list returns the names of the files in the data folder that begin with prefix, in ascending order.
--- a/pkg/journaler/journaler_test.go
+++ b/pkg/journaler/journaler_test.go
@@ -336,3 +336,55 @@
 		}
 	}
 }
+
+// TestFile guards against a file that is lost or half written when it is replaced, and against
+// changed content that is read as if it were sound.
+func TestFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "state")
+	file := NewFile(path, OSDisk())
+	if found, err := file.Read(&replication.Entry{}); found || err != nil {
+		t.Fatalf("found %v, error %v before the first write, want neither", found, err)
+	}
+	for index := range uint64(3) {
+		if err := file.Replace(entry(index, 1)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	tests := map[string]struct {
+		disk Disk
+		want any
+	}{
+		"no space": {
+			disk: Disk{Write: func(*os.File, []byte) (int, error) { return 0, syscall.ENOSPC }, Sync: (*os.File).Sync}, want: new(*NoSpaceError),
+		},
+		"torn write": {
+			disk: Disk{Write: func(f *os.File, data []byte) (int, error) {
+				_, _ = f.Write(data[:len(data)/2])
+				return len(data) / 2, syscall.EIO
+			}, Sync: (*os.File).Sync}, want: new(*WriteError),
+		},
+		"failed sync": {disk: Disk{Write: (*os.File).Write, Sync: func(*os.File) error { return syscall.EIO }}, want: new(*WriteError)},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if err := NewFile(path, test.disk).Replace(entry(9, 1)); !errors.As(err, test.want) {
+				t.Errorf("error %v, want a %T", err, test.want)
+			}
+			got := &replication.Entry{}
+			if found, err := file.Read(got); !found || err != nil || !proto.Equal(got, entry(2, 1)) {
+				t.Errorf("found %v, error %v, content %v; want the former one", found, err, got)
+			}
+		})
+	}
+	content, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	content[len(content)-1] ^= 1
+	if err = os.WriteFile(path, content, fileMode); err != nil {
+		t.Fatal(err)
+	}
+	if _, err = file.Read(&replication.Entry{}); !errors.As(err, new(*CorruptionError)) {
+		t.Errorf("error %v for changed content, want a *CorruptionError", err)
+	}
+}
