--- a/internal/collector/collector.go
+++ b/internal/collector/collector.go
@@ -37,8 +37,8 @@
 	Position uint64
 
 	// Table holds the evidence about prompt parts that entry processes report, and the request
-	// limits that upstreams name to them. It is kept in memory only: entry processes report
-	// theirs again to a restarted process.
+	// limits that upstreams name to them. Entry processes report theirs again to a restarted
+	// process, and a Store keeps what must outlast all processes.
 	Table struct {
 		mu       sync.Mutex
 		isolator *isolator.Isolator
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -45,6 +45,8 @@
 	requestTimeout = 2 * time.Second
 	// journalFolder is the folder of the journal below the data folder.
 	journalFolder = "log"
+	// evidenceFile is the file below the data folder with what upstreams ended under.
+	evidenceFile = "evidence"
 	// httpReadHeaderTimeout bounds the time to read the headers of an HTTP request.
 	httpReadHeaderTimeout = 5 * time.Second
 	httpShutdownTimeout   = 5 * time.Second
@@ -146,6 +148,8 @@
 		c.log.Warn("truncated an incomplete record at the end of the journal", zap.Int64("bytes", recovered.TruncatedBytes))
 	}
 	c.membership = newMembershipManager(c, recovered)
+	evidence := collector.NewStore(c.evidence, journaler.NewFile(filepath.Join(s.GetDataFolder(), evidenceFile), journaler.OSDisk()), c.log)
+	evidence.Load(time.Now())
 	listeners, err := c.listen(ctx)
 	if err != nil {
 		return err
@@ -157,6 +161,7 @@
 	group.Go(func() error { return c.serveHTTP(ctx, listeners.operator, c.publicHandler()) })
 	group.Go(func() error { return c.runGossip(ctx) })
 	group.Go(func() error { return c.peers.run(ctx) })
+	group.Go(func() error { return evidence.Run(ctx) })
 	group.Go(func() error { return c.runNode(ctx, recovered) })
 	c.log.Info("control process started",
 		zap.Uint64("incarnation", c.identity.GetIncarnation()), zap.String("peerListen", s.GetPeerListen()))
