--- a/pkg/isolator/fleet_test.go
+++ b/pkg/isolator/fleet_test.go
@@ -1,6 +1,7 @@
 package isolator
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -18,6 +19,13 @@
 		culpritsPerSecond, soundPerSecond float64
 		// flapsPerSecond is the rate at which engines end for another reason.
 		flapsPerSecond float64
+		// lostShare is the share of the engines that end at once, each second for lossLength, for
+		// another reason.
+		lostShare float64
+		// documents is the number of sound parts; zero for 1000.
+		documents int
+		// writing is the mean time for which engines write a sound response; zero for 600 ms.
+		writing time.Duration
 		// exchange is the time until evidence is known everywhere.
 		exchange time.Duration
 	}
@@ -53,6 +61,8 @@
 
 const (
 	simulationStep = 20 * time.Millisecond
+	// lossLength is the time for which a share of the engines is lost again and again.
+	lossLength = 8 * time.Second
 	// reactionTime is the time after the fifth end from which few requests may reach engines.
 	reactionTime = 3 * time.Second
 )
@@ -71,10 +81,10 @@
 	const (
 		engineDown = 2500 * time.Millisecond
 		prefill    = 150 * time.Millisecond
-		writing    = 600 * time.Millisecond
 		crashDelay = 60 * time.Millisecond
 	)
 	r := rand.New(rand.NewPCG(seed, 3))
+	documents, writing := cmp.Or(f.documents, 1000), cmp.Or(f.writing, 600*time.Millisecond)
 	all := make([]*Isolator, f.processes)
 	cursors := make([]Position, f.processes)
 	for n := range all {
@@ -146,6 +156,12 @@
 	}
 	chance := func(perSecond float64) bool { return r.Float64() < perSecond*simulationStep.Seconds() }
 	for ; now.Before(start.Add(length)); now = now.Add(simulationStep) {
+		if since := now.Sub(start); f.lostShare > 0 && since > 0 && since < lossLength && since%second == 0 {
+			for _, n := range r.Perm(len(engines))[:int(f.lostShare*float64(len(engines)))] {
+				end(engines[n])
+				engines[n].backAt = now.Add(second / 2)
+			}
+		}
 		for p := range f.culprits {
 			if chance(f.culpritsPerSecond / float64(f.culprits)) {
 				arrive(&simulatedRequest{process: r.IntN(f.processes), parts: []PartID{"common", PartID(fmt.Sprint("bad", p))}, culprit: true})
@@ -153,7 +169,7 @@
 		}
 		for n := 0; n < int(f.soundPerSecond*simulationStep.Seconds()+r.Float64()); n++ {
 			result.sound++
-			arrive(&simulatedRequest{process: r.IntN(f.processes), parts: []PartID{"common", PartID(fmt.Sprint("document", r.IntN(1000)))}})
+			arrive(&simulatedRequest{process: r.IntN(f.processes), parts: []PartID{"common", PartID(fmt.Sprint("document", r.IntN(documents)))}})
 		}
 		for _, e := range engines {
 			if chance(f.flapsPerSecond / float64(f.engines)) {
@@ -237,3 +253,36 @@
 		})
 	}
 }
+
+// TestLostEnginesAccuseNobody guards against sound requests that are refused since many engines
+// ended at once, again and again, whatever they processed.
+func TestLostEnginesAccuseNobody(t *testing.T) {
+	const (
+		// mostRefused, and one in soundPerRefused, bound the sound requests that may be refused.
+		mostRefused     = 5
+		soundPerRefused = 500
+		mostEnded       = 20
+		mostLate        = 3
+	)
+	tests := map[string]fleet{
+		"6 processes":    {processes: 6, engines: 18, soundPerSecond: 45, documents: 20},
+		"few engines":    {processes: 6, engines: 9, soundPerSecond: 45, documents: 20},
+		"many processes": {processes: 30, engines: 60, soundPerSecond: 200, documents: 50},
+		"with a culprit": {processes: 6, engines: 18, culprits: 1, culpritsPerSecond: 5, soundPerSecond: 45, documents: 20},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			test.lostShare, test.writing, test.exchange = 0.6, 3*second, 300*time.Millisecond
+			for seed := range uint64(8) {
+				got := test.play(seed, 25*time.Second)
+				t.Logf("seed %d: %+v", seed, got)
+				if bound := mostRefused + got.sound/soundPerRefused; got.soundRefused > bound {
+					t.Errorf("seed %d: %d of %d sound requests were refused, want at most %d", seed, got.soundRefused, got.sound, bound)
+				}
+				if got.ended > mostEnded || got.late > mostLate {
+					t.Errorf("seed %d: %d engines ended under the culprit, %d late; want at most %d and %d", seed, got.ended, got.late, mostEnded, mostLate)
+				}
+			}
+		})
+	}
+}
