--- a/pkg/isolator/decision.go
+++ b/pkg/isolator/decision.go
@@ -20,7 +20,7 @@
 			continue
 		}
 		p := i.parts[id]
-		window := time.Duration(max(processes, 1)) * probeSpacing
+		window := time.Duration(max(processes, 1)) * v.probeSpacing()
 		probeAt := v.HeldUntil.Add(time.Duration(probeHash(v, process) % uint64(window)))
 		isProbed := p.probedUntil.Equal(v.HeldUntil) && now.Before(p.probedAt.Add(window))
 		if now.Before(probeAt) || isProbed {
@@ -36,6 +36,14 @@
 	return Admission{Probe: true}
 }
 
+// probeSpacing returns the mean time between the probes of different processes.
+func (v Verdict) probeSpacing() time.Duration {
+	if v.doubtful {
+		return doubtfulSpacing
+	}
+	return probeSpacing
+}
+
 // probeHash spreads the probes of different processes over time.
 func probeHash(v Verdict, process string) uint64 {
 	key := binary.BigEndian.AppendUint64([]byte(process+"\x00"+string(v.Part)+"\x00"), uint64(v.HeldUntil.UnixNano()))
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -37,9 +37,16 @@
 	// doubles, up to maxDoublings times, with each probe that ends one more.
 	holdTime     = 10 * time.Minute
 	maxDoublings = 4
+	// commonEnds is the number of engines that end in an instant, beside those that ended under a
+	// part, from which the ends have a common cause unless the part explains most of them.
+	commonEnds = 5
 	// probeSpacing is the mean time between the probes that different processes may send
 	// after the hold: an outcome is known everywhere much sooner.
 	probeSpacing = 5 * time.Second
+	// doubtfulHoldTime and doubtfulSpacing replace holdTime and probeSpacing for a part that may be
+	// held without cause.
+	doubtfulHoldTime = time.Second
+	doubtfulSpacing  = time.Second
 	// evidenceLifetime is the time after which the end of an engine is forgotten.
 	evidenceLifetime = 2 * holdTime << maxDoublings
 	// clearedLifetime is the time for which runs and parts are remembered that do not count
@@ -136,6 +143,8 @@
 		// HeldFrom and HeldUntil are the time from which the part is kept away from engines,
 		// and that from which a probe may be sent. Both are zero if the part is not held.
 		HeldFrom, HeldUntil time.Time
+		// doubtful reports that the part may be held without cause.
+		doubtful bool
 	}
 
 	// Admission is the decision on one request.
--- a/pkg/isolator/verdict.go
+++ b/pkg/isolator/verdict.go
@@ -11,8 +11,10 @@
 		isolator *Isolator
 		// instants numbers the moments at which runs ended.
 		instants map[RunID]int
-		// explained holds the runs that ended under a part that is held.
-		explained map[RunID]bool
+		// explained holds the runs that ended under a part that is held, and unexplained the number
+		// of the others in each instant.
+		explained   map[RunID]bool
+		unexplained map[int]int
 		// suspects are the parts with evidence that are not held yet.
 		suspects []*suspect
 	}
@@ -32,7 +34,10 @@
 	if i.verdicts != nil {
 		return i.verdicts
 	}
-	a := &assessment{isolator: i, instants: i.numberInstants(), explained: map[RunID]bool{}}
+	a := &assessment{isolator: i, instants: i.numberInstants(), explained: map[RunID]bool{}, unexplained: map[int]int{}}
+	for _, number := range a.instants {
+		a.unexplained[number]++
+	}
 	for _, p := range i.parts {
 		s := &suspect{part: p}
 		for id := range p.runs {
@@ -47,8 +52,9 @@
 	i.verdicts = map[PartID]Verdict{}
 	for best := a.strongest(); best != nil; best = a.strongest() {
 		v := a.verdict(best)
-		v.HeldFrom = a.instantTime(best, heldInstants).Add(settleTime)
-		v.HeldUntil = v.LastEnd.Add(holdTime << min(best.failedProbes(), maxDoublings))
+		v.HeldFrom = a.instantTime(best, a.neededInstants(best)).Add(settleTime)
+		v.doubtful = a.isDoubtful(best)
+		v.HeldUntil = v.LastEnd.Add(best.holdTime(v.doubtful))
 		i.verdicts[v.Part] = v
 		a.explain(best)
 	}
@@ -110,7 +116,7 @@
 // isCulprit reports whether a part explains enough instants, and a sufficient share of those
 // from its first to its latest one that are not explained yet.
 func (a *assessment) isCulprit(s *suspect) bool {
-	if s.instants < heldInstants {
+	if s.instants < a.neededInstants(s) {
 		return false
 	}
 	first, last := a.instants[s.runs[0].ID], a.instants[s.runs[len(s.runs)-1].ID]
@@ -127,6 +133,7 @@
 func (a *assessment) explain(held *suspect) {
 	for _, r := range held.runs {
 		a.explained[r.ID] = true
+		a.unexplained[a.instants[r.ID]]--
 	}
 	kept := a.suspects[:0]
 	for _, s := range a.suspects {
@@ -143,24 +150,68 @@
 
 // moments returns the times of the first ends in the moments at which runs ended under a part. Runs
 // that ended in one instant are one moment, or as many as followed each other under the request.
+// Of an instant with a common cause only runs that followed others count.
 func (a *assessment) moments(s *suspect) []time.Time {
 	members := make(map[RunID]bool, len(s.runs))
 	for _, r := range s.runs {
 		members[r.ID] = true
 	}
+	own := a.runsByInstant(s)
 	var moments []time.Time
 	latest, begin := 0, 0
 	for _, r := range s.runs {
-		if number := a.instants[r.ID]; number != latest {
+		number := a.instants[r.ID]
+		if number != latest {
 			latest, begin = number, len(moments)
 		}
-		for depth := a.depth(s, members, r.ID); len(moments)-begin < depth; {
+		depth := a.depth(s, members, r.ID)
+		if others := a.unexplained[number] - own[number]; others >= commonEnds && others > own[number] {
+			depth--
+		}
+		for len(moments)-begin < depth {
 			moments = append(moments, r.EndedAt)
 		}
 	}
 	return moments
 }
 
+// runsByInstant returns the number of a part's runs that ended in each instant.
+func (a *assessment) runsByInstant(s *suspect) map[int]int {
+	own := make(map[int]int, len(s.runs))
+	for _, r := range s.runs {
+		own[a.instants[r.ID]]++
+	}
+	return own
+}
+
+// neededInstants returns the number of moments from which a part is held.
+func (a *assessment) neededInstants(s *suspect) int {
+	if a.isDoubtful(s) {
+		return weakInstants
+	}
+	return heldInstants
+}
+
+// isDoubtful reports whether a part may be accused without cause: other engines ended at each of the
+// moments that speak against it, and none ended after another one under the same request.
+func (a *assessment) isDoubtful(s *suspect) bool {
+	own := a.runsByInstant(s)
+	for _, r := range s.runs {
+		if own[a.instants[r.ID]] == a.unexplained[a.instants[r.ID]] || s.part.runs[r.ID].after != 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// holdTime returns the time for which a part is held after the latest end.
+func (s *suspect) holdTime(doubtful bool) time.Duration {
+	if doubtful {
+		return doubtfulHoldTime
+	}
+	return holdTime << min(s.failedProbes(), maxDoublings)
+}
+
 // depth returns the number of runs that ended one after the other under a request up to the given
 // one, within its instant.
 func (a *assessment) depth(s *suspect, members map[RunID]bool, run RunID) int {
