--- a/internal/router/held_request_test.go
+++ b/internal/router/held_request_test.go
@@ -101,16 +101,14 @@
 		}()
 	}
 	var c *call
-	for began := time.Now(); c == nil; time.Sleep(time.Millisecond) {
-		if time.Since(began) > setupTimeout {
-			t.Fatal("no request reached the upstream")
-		}
+	awaitCondition(t, "no request reached the upstream", func() bool {
 		r.isolation.mu.Lock()
+		defer r.isolation.mu.Unlock()
 		for _, known := range r.isolation.inProgress {
 			c = known
 		}
-		r.isolation.mu.Unlock()
-	}
+		return c != nil
+	})
 	holdRequest(r, c)
 	mayHaveRun := 0
 	for range cap(results) {
--- a/internal/router/request_limit_test.go
+++ b/internal/router/request_limit_test.go
@@ -185,9 +185,7 @@
 		d.restrainer.Reserve(one)
 		return d.restrainer.Turns([]*registrar.Upstream{one}, 1, time.Minute)[0]
 	}
-	for turn() < time.Second {
-		time.Sleep(time.Second)
-	}
+	awaitCondition(t, "the next turn stays near", func() bool { return turn() >= time.Second })
 	request := dispatchRequest{pool: poolKey{kind: registrar.KindService, name: noticeService}, arrived: d.now(), deadline: d.now() + time.Second}
 	w, refusal := d.enqueue(request)
 	if w != nil || refusal == nil || refusal.Status != http.StatusTooManyRequests || refusal.Run != NotRun || refusal.RetryAfter < turn() {
@@ -226,12 +224,7 @@
 			statuses <- status
 		}()
 	}
-	for began := time.Now(); upstreams["one"].calls.Load() == 0; {
-		if time.Since(began) > setupTimeout {
-			t.Fatal("no request reached the upstream")
-		}
-		time.Sleep(time.Millisecond)
-	}
+	awaitCondition(t, "no request reached the upstream", func() bool { return upstreams["one"].calls.Load() > 0 })
 	r.mergeEvidence(limitOf("one", 0.05))
 	select {
 	case status := <-statuses:
@@ -428,11 +421,9 @@
 				u.watchSilence(t.Context(), at)
 				close(ended)
 			}()
-			for began := time.Now(); admitted.Load() < 3 || allowed && asked.Load() == 0; time.Sleep(time.Millisecond) {
-				if time.Since(began) > setupTimeout {
-					t.Fatal("the silence is not noticed")
-				}
-			}
+			awaitCondition(t, "the silence is not noticed", func() bool {
+				return admitted.Load() >= 3 && (!allowed || asked.Load() > 0)
+			})
 			close(at.done)
 			<-ended
 			if !allowed && asked.Load() > 0 {
--- a/test/integration/crashing_request_test.go
+++ b/test/integration/crashing_request_test.go
@@ -39,6 +39,8 @@
 		eventually(t, waitTimeout, func() error { return checkStatus(e.get("/public/sound", ""), http.StatusOK) })
 	}
 	var sound, refused atomic.Int64
+	pace := time.NewTicker(stepInterval)
+	defer pace.Stop()
 	for n, begin := 0, time.Now(); time.Since(begin) < length; n++ {
 		e := s.entries[n%len(s.entries)]
 		f.wait.Go(func() { e.get(crashingPath, "") })
@@ -52,7 +54,7 @@
 			}
 		})
 		f.restart()
-		time.Sleep(stepInterval)
+		<-pace.C
 	}
 	f.wait.Wait()
 	f.restart()
--- a/test/integration/isolation_test.go
+++ b/test/integration/isolation_test.go
@@ -142,12 +142,14 @@
 		s.awaitCompletion(e, f.key)
 	}
 
+	pace := time.NewTicker(stepInterval)
+	defer pace.Stop()
 	for len(f.crashes) < crashesAllowed || time.Since(f.crashes[crashesAllowed-1]) < 2*isolationTime {
 		if err := f.held(); err == nil && len(f.crashes) < crashesAllowed {
 			break
 		}
 		f.step()
-		time.Sleep(stepInterval)
+		<-pace.C
 	}
 	f.wait.Wait()
 	f.check("while the requests come")
