--- a/pkg/isolator/isolator_test.go
+++ b/pkg/isolator/isolator_test.go
@@ -316,3 +316,68 @@
 	// true
 	// false
 }
+
+// crowded records instants, a second apart, at each of which runs end under a part and others beside it.
+func crowded(instants, own, others int) observations {
+	var all observations
+	for n := range instants {
+		for run := range own + others {
+			o := observation{at: time.Duration(n) * second, run: RunID(100*(n+1) + run), parts: []PartID{"part"}}
+			if run >= own {
+				o.parts = []PartID{PartID(fmt.Sprintf("other-%d-%d", n, run))}
+			}
+			all = append(all, o)
+		}
+	}
+	return all
+}
+
+// TestCrowdedInstants guards against parts that are held for engines that ended for another reason at
+// the same time, and against culprits that are spared because others ended beside them.
+func TestCrowdedInstants(t *testing.T) {
+	tests := map[string]struct {
+		observed observations
+		held     bool
+	}{
+		"few ended beside it, three times":               {observed: crowded(3, 1, 2)},
+		"few ended beside it, five times":                {observed: crowded(5, 1, 2), held: true},
+		"many ended beside it":                           {observed: crowded(9, 2, commonEnds)},
+		"many ended beside it, but more under it":        {observed: crowded(5, commonEnds+1, commonEnds), held: true},
+		"once alone, then few beside it":                 {observed: append(crowded(2, 1, 2), observation{at: 5 * second, run: 9, parts: []PartID{"part"}}), held: true},
+		"alone before many ended beside it, three times": {observed: append(crowded(3, 1, commonEnds), observation{at: 5 * second, run: 9, parts: []PartID{"part"}})},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			i := New()
+			test.observed.record(i)
+			if got := slices.Contains(heldParts(i), "part"); got != test.held {
+				t.Errorf("held: %t, want %t; verdicts %v", got, test.held, i.Verdicts()["part"])
+			}
+		})
+	}
+}
+
+// TestDoubtfulHold guards against a sound part that is held for long because engines ended for another
+// reason, and against a culprit that is probed again and again.
+func TestDoubtfulHold(t *testing.T) {
+	const (
+		processes = 6
+		instants  = 5
+	)
+	part := []PartID{"part"}
+	last := start.Add((instants - 1) * second)
+	// A second after the latest end, and a second more for each process.
+	probedAt := last.Add((1 + processes) * second)
+	var i *Isolator
+	for n := range processes {
+		i = New()
+		crowded(instants, 1, 2).record(i)
+		if !i.Admit(probedAt, fmt.Sprint("host-", n), processes, part).Probe {
+			t.Errorf("process %d may not send a probe %v after the latest end", n, probedAt.Sub(last))
+		}
+	}
+	i.RecordEnd(probedAt, 1, part)
+	if v := i.Verdicts()["part"]; v.HeldUntil.Sub(v.LastEnd) != holdTime {
+		t.Errorf("held for %v after a probe has failed, want %v", v.HeldUntil.Sub(v.LastEnd), holdTime)
+	}
+}
--- a/pkg/isolator/request_test.go
+++ b/pkg/isolator/request_test.go
@@ -27,6 +27,14 @@
 		others []RunID
 	}
 	const short = 20 * time.Millisecond
+	// crowd returns calls under which many engines ended at three moments.
+	crowd := func() []call {
+		var calls []call
+		for n := range 3 * 2 * commonEnds {
+			calls = append(calls, call{id: PartID(fmt.Sprint("sound-", n)), ends: ends(RunID(1000+n), time.Duration(n%3)*second)})
+		}
+		return calls
+	}
 	tests := map[string]struct {
 		calls []call
 		// response is the time of a response that speaks for the requests, none if it is zero.
@@ -49,6 +57,11 @@
 		"others that ended under the same request": {calls: []call{
 			{id: "bad", ends: ends(1, 0, short)}, {id: "bad", before: 2, ends: ends(3, 2*short), others: []RunID{1, 2, 3}},
 		}, held: []PartID{"bad"}},
+		"twice under each of three calls while many others end": {calls: append(crowd(),
+			call{id: "bad", ends: ends(1, 0, short)},
+			call{id: "bad", ends: ends(3, second, second+short)},
+			call{id: "bad", ends: ends(5, 2*second, 2*second+short)},
+		), held: []PartID{"bad"}},
 		"many at a lost domain after one has ended": {calls: []call{
 			{id: "popular", ends: ends(1, 0)},
 			{id: "popular", before: 1, ends: ends(2, second)},
