--- a/test/integration/soak_test.go
+++ b/test/integration/soak_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/comfreybend/comfreybend/internal/emulator"
 	"github.com/comfreybend/comfreybend/internal/router"
+	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/state"
 )
 
@@ -26,6 +27,11 @@
 	soakSeconds = 12
 	soakClients = 6
 	soakTokens  = 12
+	// soakLimit is the request limit, in requests a second, that an upstream names for
+	// soakLimitLength, with soakLimitPause between two times.
+	soakLimit       = 1
+	soakLimitLength = 9 * time.Second
+	soakLimitPause  = time.Second
 	// soakRequestTimeout bounds one request of a client.
 	soakRequestTimeout = 15 * time.Second
 	// withdrawalTimeout bounds the time until a withdrawn key works nowhere: freshness,
@@ -48,7 +54,9 @@
 		random        *rand.Rand
 		engines       []*upstreamProcess
 		orderServices []*upstreamProcess
-		end           time.Time
+		// limited names a request limit now and then, and has no other fault.
+		limited *upstreamProcess
+		end     time.Time
 
 		mu sync.Mutex
 		// disruptions holds the periods in which a process or link was disrupted.
@@ -119,6 +127,7 @@
 		id := fmt.Sprintf("orders-%d", i+1)
 		s.orderServices = append(s.orderServices, s.startUpstream(id, domain, "service", "orders", s.entries))
 	}
+	s.limited = s.startUpstream("orders-limited", "a", "service", "orders", s.entries)
 	return s
 }
 
@@ -134,6 +143,7 @@
 		clients.Go(func() { s.runClient(ctx, client, seed, key) })
 	}
 	clients.Go(func() { s.runOperator(ctx) })
+	clients.Go(func() { s.limitRequests(ctx) })
 	s.injectRandomFaults(ctx)
 	clients.Wait()
 	s.awaitRecovery()
@@ -264,6 +274,24 @@
 	}
 }
 
+// limitRequests makes an upstream name a request limit now and then, and fails the test if it gets
+// more requests than that from all entry processes together.
+func (s *soak) limitRequests(ctx context.Context) {
+	for timer.Sleep(ctx, soakLimitPause) {
+		s.limited.setFaults(s.t, emulator.InjectedFaults{RequestLimit: strconv.Itoa(soakLimit)})
+		from := time.Now().Add(requestLimitDelay)
+		timer.Sleep(ctx, soakLimitLength)
+		most := mostArrivals(s.limited.stats(s.t).Arrivals, from)
+		s.limited.setFaults(s.t, emulator.InjectedFaults{})
+		if allowed := requestLimitFactor*soakLimit*requestLimitWindow.Seconds() + requestLimitMargin; float64(most) > allowed {
+			s.t.Errorf("%d requests in %v at an upstream that takes %d a second, want at most %.0f", most, requestLimitWindow, soakLimit, allowed)
+		}
+		s.mu.Lock()
+		s.faultNames = append(s.faultNames, fmt.Sprintf("limit of %s (%d requests)", s.limited.id, most))
+		s.mu.Unlock()
+	}
+}
+
 // injectRandomFaults injects faults that follow and overlap each other until ctx is done.
 func (s *soak) injectRandomFaults(ctx context.Context) {
 	var running sync.WaitGroup
@@ -307,7 +335,9 @@
 		{"break streams of " + engine.id, func() { s.setFaultsFor(engine, emulator.InjectedFaults{CutAfterEvents: 5}, duration) }},
 	}
 	chosen := faults[s.random.Intn(len(faults))]
+	s.mu.Lock()
 	s.faultNames = append(s.faultNames, chosen.name)
+	s.mu.Unlock()
 	return chosen.inject
 }
 
@@ -399,7 +429,7 @@
 // and the acknowledged changes with the audit trail.
 func (s *soak) checkOutcomes() {
 	ran := map[string]int{}
-	for _, u := range s.orderServices {
+	for _, u := range append([]*upstreamProcess{s.limited}, s.orderServices...) {
 		for reference, runs := range u.stats(s.t).Orders {
 			ran[reference] += runs
 		}
