--- a/internal/validator/decode.go
+++ b/internal/validator/decode.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 
@@ -91,10 +93,36 @@
 }
 
 func checkField(path string, raw json.RawMessage, field protoreflect.FieldDescriptor) []Fault {
-	if field.IsList() {
+	switch {
+	case field.IsList():
 		return checkList(path, raw, field)
+	case field.IsMap():
+		return checkMap(path, raw, field)
+	default:
+		return checkValue(path, raw, field)
+	}
+}
+
+// checkMap checks the keys and values of a map, which are the fields of its entries.
+func checkMap(path string, raw json.RawMessage, field protoreflect.FieldDescriptor) []Fault {
+	entries, fault := splitObject(path, raw)
+	if fault != nil {
+		return []Fault{*fault}
 	}
-	return checkValue(path, raw, field)
+	var faults []Fault
+	for _, key := range slices.Sorted(maps.Keys(entries)) {
+		encoded, err := json.Marshal(key)
+		if err != nil {
+			return []Fault{{Path: path, Problem: err.Error(), Allowed: "a JSON object"}}
+		}
+		faults = append(faults, checkValue(path+"."+key, encoded, field.MapKey())...)
+		if string(entries[key]) == "null" {
+			faults = append(faults, Fault{Path: path + "." + key, Problem: "found null", Allowed: allowedType(field.MapValue())})
+			continue
+		}
+		faults = append(faults, checkValue(path+"."+key, entries[key], field.MapValue())...)
+	}
+	return faults
 }
 
 func checkList(path string, raw json.RawMessage, field protoreflect.FieldDescriptor) []Fault {
@@ -111,8 +139,7 @@
 
 // checkValue checks a value that is not a list, or one element of a list. Scalars and
 // durations are unmarshalled as the only field of a scratch message, so that protojson's
-// rules for their types apply. A map is checked as a message with the fields key and
-// value, so its entries are reported as unknown fields.
+// rules for their types apply.
 func checkValue(path string, raw json.RawMessage, field protoreflect.FieldDescriptor) []Fault {
 	message := field.Message()
 	if message != nil && message.FullName() != durationFullName {
@@ -131,7 +158,6 @@
 }
 
 // allowedType describes the valid values of a field that is a scalar or a duration.
-// Floating-point fields have no description of their own and get that of integers.
 func allowedType(field protoreflect.FieldDescriptor) string {
 	if field.Message() != nil {
 		return `a duration in seconds such as "0.5s"`
@@ -141,6 +167,8 @@
 		return "a string"
 	case protoreflect.BoolKind:
 		return "true or false"
+	case protoreflect.DoubleKind, protoreflect.FloatKind:
+		return "a number"
 	default:
 		return "an integer"
 	}
--- a/internal/validator/validator_test.go
+++ b/internal/validator/validator_test.go
@@ -4,6 +4,8 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"github.com/comfreybend/comfreybend/schema/state"
 )
 
 const validSettings = `{
@@ -110,3 +112,32 @@
 		}
 	})
 }
+
+// TestDecodeMaps guards against documents with maps, such as the prices of a pool by failure domain,
+// that are rejected, and against wrong values in them that are not.
+func TestDecodeMaps(t *testing.T) {
+	tests := map[string]struct {
+		document string
+		// path is that of the only fault; empty if there is none.
+		path string
+	}{
+		"prices":       {document: `{"prices": {"a": 1, "b": 0.8}}`},
+		"empty":        {document: `{"prices": {}}`},
+		"wrong value":  {document: `{"prices": {"a": 1, "b": "cheap"}}`, path: "$.prices.b"},
+		"value absent": {document: `{"prices": {"a": null}}`, path: "$.prices.a"},
+		"twice":        {document: `{"prices": {"a": 1, "a": 2}}`, path: "$.prices.a"},
+		"no object":    {document: `{"prices": [1]}`, path: "$.prices"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			scaling := &state.Scaling{}
+			faults := Decode([]byte(test.document), scaling)
+			switch {
+			case test.path == "" && (len(faults) > 0 || name == "prices" && scaling.GetPrices()["b"] != 0.8):
+				t.Errorf("faults %v, prices %v", faults, scaling.GetPrices())
+			case test.path != "" && (len(faults) != 1 || faults[0].Path != test.path):
+				t.Errorf("faults %v, want one at %s", faults, test.path)
+			}
+		})
+	}
+}
