--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/comfreybend/comfreybend/internal/keeper"
 	"github.com/comfreybend/comfreybend/pkg/reporter"
 	"github.com/comfreybend/comfreybend/schema/settings"
 	"github.com/comfreybend/comfreybend/schema/state"
@@ -94,11 +95,20 @@
 	if !found {
 		return nil
 	}
-	call, err := c.dialect.UsageCall(report)
+	body, err := c.encodeReport(report)
 	if err != nil {
-		return errors.Wrap(err, "building the usage call")
+		return err
 	}
-	freeze := &state.FreezeWindow{EndMillis: now.UnixMilli(), Number: report.Window, Report: call.Body, EntryHosts: int32(nextExpected)}
+	freeze := &state.FreezeWindow{EndMillis: now.UnixMilli(), Number: report.Window, Report: body, EntryHosts: int32(nextExpected)}
 	_, err = c.propose(ctx, &state.Command{Kind: &state.Command_FreezeWindow{FreezeWindow: freeze}})
 	return errors.Wrap(err, "freezing a usage window")
 }
+
+// encodeReport encodes the report of an aligned window.
+func (c *Controller) encodeReport(report UsageReport) ([]byte, error) {
+	if c.dialect.UsageCall == nil {
+		return keeper.EncodeAlignedReport(report.Window, c.settings.GetControl().GetAlignedWindow().AsDuration(), report.Counts)
+	}
+	call, err := c.dialect.UsageCall(report)
+	return call.Body, errors.Wrap(err, "building the usage call")
+}
--- a/internal/keeper/usage.go
+++ b/internal/keeper/usage.go
@@ -2,10 +2,15 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"sort"
+	"time"
 
+	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/comfreybend/comfreybend/pkg/reporter"
 	"github.com/comfreybend/comfreybend/schema/state"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
@@ -165,6 +170,20 @@
 	return accepted()
 }
 
+// EncodeAlignedReport returns the report of a window that is aligned to agreed time, which has the
+// number of calls of each organisation only.
+func EncodeAlignedReport(number uint64, length time.Duration, calls map[string]uint64) ([]byte, error) {
+	end := reporter.EndOf(reporter.Window(number), length)
+	report := ReportBody{
+		Window: number, StartMillis: end.Add(-length).UnixMilli(), EndMillis: end.UnixMilli(), Rows: make([]ReportRow, 0, len(calls)),
+	}
+	for _, organisation := range slices.Sorted(maps.Keys(calls)) {
+		report.Rows = append(report.Rows, ReportRow{Organisation: organisation, Calls: calls[organisation]})
+	}
+	data, err := json.Marshal(report)
+	return data, errors.Wrap(err, "encoding a usage report")
+}
+
 // AlignedWindow returns the highest number of a frozen window that is aligned to
 // agreed time, and the number of entry hosts that are expected to report the next
 // one.
--- a/test/integration/platform_test.go
+++ b/test/integration/platform_test.go
@@ -190,6 +190,25 @@
 	return calls, tokens
 }
 
+// reportedCalls returns the sum of an organisation's calls over all reported windows.
+func (p *fakePlatform) reportedCalls(organisation string) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var calls uint64
+	for _, sends := range p.reports {
+		var report keeper.ReportBody
+		if err := json.Unmarshal(sends[0], &report); err != nil {
+			p.t.Fatal(err)
+		}
+		for _, row := range report.Rows {
+			if row.Organisation == organisation {
+				calls += row.Calls
+			}
+		}
+	}
+	return calls
+}
+
 // quietWindows is the number of windows without new calls after which all earlier
 // calls count as reported. It exceeds the delay of a report, counted in windows.
 const quietWindows = 4
@@ -510,3 +529,34 @@
 	p.checkFencingNumbers()
 	p.checkReports()
 }
+
+// TestAlignedUsageReports guards against control processes that end when aligned windows are set
+// without a dialect, and against counts that are not reported then.
+func TestAlignedUsageReports(t *testing.T) {
+	const window = time.Second
+	p := newFakePlatform(t)
+	adjust := p.adjustSettings(window)
+	s := startSystem(t, layout{controls: 3, entries: []string{"a", "b"}, adjustControl: func(s *settings.Settings) {
+		adjust(s)
+		s.Control.AlignedWindow, s.Control.AlignedSettle = durationpb.New(window), durationpb.New(window)
+	}, adjustEntry: func(s *settings.Settings) { s.Entry.AlignedWindow = durationpb.New(window) }})
+	s.configure()
+	for _, e := range s.entries {
+		s.startUpstream("engine-"+e.domain, e.domain, "model", "m", []*entryProcess{e}, "--token-interval", "1ms")
+	}
+	s.startUpstream("orders-1", "a", "service", "orders", s.entries)
+	counted := s.grant("two")
+	s.awaitKey(s.grant("one").Key, s.entries...)
+	const calls = 20
+	for n := range calls {
+		if a := s.entries[n%len(s.entries)].complete(counted.Key, 3); a.status != http.StatusOK {
+			t.Fatalf("status %d, body %s", a.status, a.body)
+		}
+	}
+	eventually(t, waitTimeout, func() error {
+		if got := p.reportedCalls("two"); got != calls {
+			return fmt.Errorf("%d calls are reported, clients got %d responses", got, calls)
+		}
+		return nil
+	})
+}
