--- a/pkg/scheduler/class.go
+++ b/pkg/scheduler/class.go
@@ -101,12 +101,13 @@
 	return best
 }
 
-// longestQueue returns the queue of the organisation with the most waiting requests,
-// or nil if no organisation has used the class and tier yet.
-func (q *classQueue) longestQueue() *organisationQueue {
+// longestSheddable returns the queue of the organisation with the most waiting requests, among those
+// with a request that was not requeued, or nil if there is none.
+func (q *classQueue) longestSheddable() *organisationQueue {
 	var best *organisationQueue
 	for _, o := range q.organisations {
-		if best == nil || len(o.items) > len(best.items) || len(o.items) == len(best.items) && o.name < best.name {
+		longer := best == nil || len(o.items) > len(best.items) || len(o.items) == len(best.items) && o.name < best.name
+		if longer && o.newest() != nil {
 			best = o
 		}
 	}
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -289,8 +289,8 @@
 
 // victimFor returns the waiting request to shed for a new one, or nil if none may be
 // shed. The victim is the newest request of the organisation with the most waiting
-// requests in a queue of the lowest tier. Requeued requests are never shed, so the
-// result is also nil if all waiting requests of that organisation there are requeued.
+// requests in a queue of the lowest tier. Requeued requests are never shed: organisations
+// and queues that have no other ones are passed over.
 //
 // Requests of tiers above the new request's are not shed. A request of the same tier
 // is shed only if the new request's organisation has fewer requests waiting in the
@@ -298,16 +298,21 @@
 // has in the victim's class and tier, or has never queued a request of the new
 // request's class and tier.
 func (s *Scheduler) victimFor(item *Item) *Item {
-	var lowest *classQueue
+	var (
+		lowest  *classQueue
+		largest *organisationQueue
+	)
 	for _, q := range s.queues {
-		if q.waiting > 0 && (lowest == nil || q.tier > lowest.tier) {
-			lowest = q
+		if q.waiting == 0 || q.tier < item.Tier || lowest != nil && q.tier <= lowest.tier {
+			continue
+		}
+		if longest := q.longestSheddable(); longest != nil {
+			lowest, largest = q, longest
 		}
 	}
-	if lowest == nil || lowest.tier < item.Tier {
+	if lowest == nil {
 		return nil
 	}
-	largest := lowest.longestQueue()
 	own := s.queue(item.Class, item.Tier).organisations[item.Organisation]
 	if lowest.tier > item.Tier || own == nil || len(own.items)+1 < len(largest.items) {
 		return largest.newest()
--- a/pkg/scheduler/scheduler_test.go
+++ b/pkg/scheduler/scheduler_test.go
@@ -290,3 +290,42 @@
 		})
 	}
 }
+
+// TestFullQueueWithRequeuedRequests guards against a request that is refused because the requests of
+// the lowest tier in a full queue were requeued and may not be shed, although others may be.
+func TestFullQueueWithRequeuedRequests(t *testing.T) {
+	waiting := func(id ItemID, tier Tier, organisation Organisation, requeued bool) Item {
+		return Item{ID: id, Class: Class(fmt.Sprint("class-", tier)), Tier: tier, Organisation: organisation, Requeued: requeued, DispatchBy: time.Hour, Deadline: time.Hour}
+	}
+	tests := map[string]struct {
+		waiting []Item
+		tier    Tier
+		// shed is the request that makes room; zero if the new one is refused.
+		shed ItemID
+	}{
+		"the lowest tier is requeued": {waiting: []Item{waiting(1, 2, "a", false), waiting(2, 2, "a", false), waiting(3, 3, "a", true)}, tier: 1, shed: 2},
+		"the organisation with most there is requeued": {
+			waiting: []Item{waiting(1, 3, "a", true), waiting(2, 3, "a", true), waiting(3, 3, "b", false)}, tier: 1, shed: 3,
+		},
+		"everything below is requeued": {waiting: []Item{waiting(1, 1, "a", false), waiting(2, 2, "a", true), waiting(3, 3, "a", true)}, tier: 1},
+		"all are requeued":             {waiting: []Item{waiting(1, 2, "a", true), waiting(2, 2, "b", true), waiting(3, 3, "a", true)}, tier: 1},
+		"only higher tiers are left":   {waiting: []Item{waiting(1, 1, "a", false), waiting(2, 1, "a", false), waiting(3, 3, "a", true)}, tier: 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := New(Config{MaxWaiting: len(test.waiting)})
+			for _, item := range test.waiting {
+				if !s.Add(0, item).Accepted {
+					t.Fatalf("request %d is refused", item.ID)
+				}
+			}
+			admission := s.Add(0, waiting(9, test.tier, "a", false))
+			switch {
+			case test.shed == 0 && (admission.Accepted || len(admission.Shed) > 0):
+				t.Errorf("admission %+v, want a refusal", admission)
+			case test.shed != 0 && (!admission.Accepted || !slices.Equal(admission.Shed, []ItemID{test.shed})):
+				t.Errorf("admission %+v, want request %d shed", admission, test.shed)
+			}
+		})
+	}
+}
