--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -215,6 +215,7 @@
 	for _, p := range e.Parts {
 		i.mergePart(now, p, ends)
 	}
+	i.addOthers(now, e.Runs)
 	if i.position != before {
 		i.verdicts = nil
 		i.expire(now)
@@ -338,58 +339,6 @@
 	return cmp.Or(a.EndedAt.Compare(b.EndedAt), cmp.Compare(a.ID, b.ID))
 }
 
-// expire removes evidence that is too old, does not count any more or is beyond the limits.
-func (i *Isolator) expire(now time.Time) {
-	used := map[RunID]bool{}
-	for id, p := range i.parts {
-		for run := range p.runs {
-			if now.Sub(i.runs[run].EndedAt) >= evidenceLifetime {
-				delete(p.runs, run)
-			}
-		}
-		if len(p.runs) == 0 && now.Sub(p.clearedAt) >= clearedLifetime {
-			delete(i.parts, id)
-		}
-	}
-	if len(i.parts) > maxParts {
-		i.dropWeakest()
-	}
-	for _, p := range i.parts {
-		for run := range p.runs {
-			used[run] = true
-		}
-	}
-	for id, r := range i.runs {
-		if !used[id] && now.Sub(r.EndedAt) >= clearedLifetime {
-			delete(i.runs, id)
-		}
-	}
-}
-
-// dropWeakest removes the parts beyond the limit against which least speaks.
-func (i *Isolator) dropWeakest() {
-	type weighed struct {
-		part *knownPart
-		last time.Time
-	}
-	all := make([]weighed, 0, len(i.parts))
-	for _, p := range i.parts {
-		w := weighed{part: p, last: p.clearedAt}
-		for run := range p.runs {
-			if at := i.runs[run].EndedAt; at.After(w.last) {
-				w.last = at
-			}
-		}
-		all = append(all, w)
-	}
-	slices.SortFunc(all, func(a, b weighed) int {
-		return cmp.Or(cmp.Compare(len(a.part.runs), len(b.part.runs)), a.last.Compare(b.last), cmp.Compare(a.part.id, b.part.id))
-	})
-	for _, w := range all[:len(all)-maxParts] {
-		delete(i.parts, w.part.id)
-	}
-}
-
 // Since returns the evidence that changed after a position, and the position to pass the next
 // time. Position zero stands for the start.
 func (i *Isolator) Since(after Position) (Evidence, Position) {
--- a/pkg/isolator/isolator_test.go
+++ b/pkg/isolator/isolator_test.go
@@ -381,3 +381,32 @@
 		t.Errorf("held for %v after a probe has failed, want %v", v.HeldUntil.Sub(v.LastEnd), holdTime)
 	}
 }
+
+// TestCrowdIsRemembered guards against a sound part that is held later, when the other parts under which
+// engines ended at the same time have been cleared, and against processes that learn of it later and
+// decide otherwise.
+func TestCrowdIsRemembered(t *testing.T) {
+	i := New()
+	crowd := crowded(3, 1, commonEnds)
+	crowd.record(i)
+	for _, o := range crowd {
+		if o.parts[0] != "part" {
+			i.RecordResponse(start.Add(10*second), o.parts)
+		}
+	}
+	later := start.Add(10*second + 2*clearedLifetime)
+	i.RecordEnd(later, 1, []PartID{"unrelated"})
+	e, _ := i.Since(0)
+	other := New()
+	other.Merge(later, e)
+	for name, process := range map[string]*Isolator{"first": i, "other": other} {
+		if held, _ := process.Held(later); len(held) > 0 {
+			t.Errorf("%s process holds %v", name, held)
+		}
+	}
+	forgotten := later.Add(evidenceLifetime)
+	i.RecordEnd(forgotten, 2, []PartID{"unrelated"})
+	if e, _ = i.Since(0); len(e.Runs) != 1 {
+		t.Errorf("%d runs are known at the end, want one", len(e.Runs))
+	}
+}
