router, controller, replicator: log who told of a leave, and how old a control process's knowledge is

Members know now as of when they have all committed entries (Status.CurrentAt), polls report it, and both sides log it. The line "upstream is leaving" names its source and sender. No decision changes.

--- a/internal/controller/follow.go
+++ b/internal/controller/follow.go
@@ -209,35 +209,10 @@
 		c.recordReportedLeave(ctx, registrar.Departure{ID: registrar.UpstreamID(u.GetId()), Incarnation: registrar.Incarnation(u.GetIncarnation())})
 	}
 	c.mergeEvidence(f.GetEvidence())
-	wait := min(time.Duration(f.GetWaitMillis())*time.Millisecond, maxPollWait)
-	until := timer.Now() + wait
-	var (
-		reply                         *wire.FollowReply
-		tableUpdated, evidenceUpdated <-chan struct{}
-	)
-	table := f.GetTable()
-	if !f.GetAcceptsRenewals() && c.upstreamTable.wholeTableDue(f.GetHost()) {
-		table = 0
-	}
 	knownRevision := max(f.GetHaveRevision(), f.GetFetchedRevision())
-	for {
-		configurationChanged := c.stateMachine.Changed()
-		reply, tableUpdated = c.upstreamTable.changesSince(table, f.GetPosition(), !f.GetAcceptsRenewals())
-		c.upstreamTable.addLacking(reply, f.GetLacking())
-		evidenceUpdated = c.addEvidence(reply, f)
-		reply.Revision = uint64(c.stateMachine.Revision())
-		remaining := until - timer.Now()
-		if reply.GetWholeTable() || reply.GetEvidence() != nil || len(reply.GetUpstreams())+len(reply.GetRemoved()) > 0 || reply.GetRevision() > knownRevision || remaining <= 0 {
-			break
-		}
-		select {
-		case <-ctx.Done():
-			return failureReply(ReasonNoLeader, "the process stops")
-		case <-tableUpdated:
-		case <-evidenceUpdated:
-		case <-configurationChanged:
-		case <-time.After(remaining):
-		}
+	reply := c.awaitUpdates(ctx, f, knownRevision)
+	if reply == nil {
+		return failureReply(ReasonNoLeader, "the process stops")
 	}
 	if reply.GetWholeTable() && f.GetAcceptsRenewals() {
 		if err := c.addWholeTable(reply, f); err != nil {
@@ -256,6 +231,7 @@
 		c.loads.fillReply(reply, loadPosition, cachedPartsPosition, registrar.FailureDomain(f.GetFailureDomain()), c.upstreamTable.places())
 	}
 	reply.RevisionAgeMillis = c.revisionAge().Milliseconds()
+	reply.LagMillis = c.lag().Milliseconds()
 	reply.ControlAddresses = c.controlAddresses(f.GetFailureDomain())
 	c.addEntryHosts(reply, f)
 	reply.TrueMillis = c.clusterView.agreedTime(c.settings.GetHost().GetId()).UnixMilli()
@@ -267,6 +243,35 @@
 	return &wire.Reply{Kind: &wire.Reply_Follow{Follow: reply}}
 }
 
+// awaitUpdates returns the start of the reply to a poll once there is an update or the wait is
+// over, or nil if ctx ends before.
+func (c *Controller) awaitUpdates(ctx context.Context, f *wire.Follow, knownRevision uint64) *wire.FollowReply {
+	until := timer.Now() + min(time.Duration(f.GetWaitMillis())*time.Millisecond, maxPollWait)
+	table := f.GetTable()
+	if !f.GetAcceptsRenewals() && c.upstreamTable.wholeTableDue(f.GetHost()) {
+		table = 0
+	}
+	for {
+		configurationChanged := c.stateMachine.Changed()
+		reply, tableUpdated := c.upstreamTable.changesSince(table, f.GetPosition(), !f.GetAcceptsRenewals())
+		c.upstreamTable.addLacking(reply, f.GetLacking())
+		evidenceUpdated := c.addEvidence(reply, f)
+		reply.Revision = uint64(c.stateMachine.Revision())
+		remaining := until - timer.Now()
+		if reply.GetWholeTable() || reply.GetEvidence() != nil || len(reply.GetUpstreams())+len(reply.GetRemoved()) > 0 || reply.GetRevision() > knownRevision || remaining <= 0 {
+			return reply
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tableUpdated:
+		case <-evidenceUpdated:
+		case <-configurationChanged:
+		case <-time.After(remaining):
+		}
+	}
+}
+
 // addEvidence adds the evidence after the position of a poll to its reply, and returns a
 // channel that is closed when there is more.
 func (c *Controller) addEvidence(reply *wire.FollowReply, f *wire.Follow) <-chan struct{} {
@@ -327,6 +332,7 @@
 	sentTo := map[string]*messenger.Client{}
 	lastPeriodic, lastLoad := time.Duration(0), time.Duration(0)
 	gossip := &collector.Gossip{}
+	lag := c.lag()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -334,6 +340,7 @@
 		case <-c.gossipWanted:
 		case <-time.After(gossipInterval):
 		}
+		lag = c.logLag(lag)
 		now := timer.Now()
 		updates := c.upstreamTable.takeUnsent()
 		periodicDue := now-lastPeriodic >= maxGossipInterval
--- a/internal/router/announcement.go
+++ b/internal/router/announcement.go
@@ -8,6 +8,7 @@
 
 	kithttp "github.com/go-kit/kit/transport/http"
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"github.com/comfreybend/comfreybend/internal/announcer"
@@ -18,6 +19,17 @@
 // maxAnnouncementBytes bounds the body of an announcement.
 const maxAnnouncementBytes = 64 << 10
 
+// leaveSource is how an entry process has learnt that an upstream is leaving.
+type leaveSource string
+
+// The values of leaveSource.
+const (
+	leaveAnnounced  leaveSource = "announcement"
+	leavePolled     leaveSource = "poll"
+	leaveExchanged  leaveSource = "peer"
+	leaveInResponse leaveSource = "response"
+)
+
 // announcementHandler serves the API on which upstreams announce themselves and report
 // cache events.
 func (r *Router) announcementHandler() http.Handler {
@@ -71,12 +83,28 @@
 	// The announcement comes from the upstream itself, so it has no age.
 	u.AgeMillis = 0
 	announced := announcer.FromWire(u, r.dispatcher.now())
-	if r.dispatcher.applyAnnouncement(announced) {
+	if r.applyAnnouncement(announced, leaveAnnounced, u.GetUrl()) {
 		r.peers.queueAnnouncement(announced)
 	}
 	return nil, nil
 }
 
+// applyAnnouncement applies an announcement that a process has sent, and reports whether it is
+// newer than what was known. That a known upstream leaves is logged.
+func (r *Router) applyAnnouncement(u registrar.Upstream, source leaveSource, sender string) bool {
+	leaving := u.State == registrar.Leaving && r.dispatcher.isServing(&u)
+	accepted := r.dispatcher.applyAnnouncement(u)
+	if leaving && accepted {
+		r.logLeave(u, source, sender)
+	}
+	return accepted
+}
+
+func (r *Router) logLeave(u registrar.Upstream, source leaveSource, sender string) {
+	r.log.Info("upstream is leaving", zap.String("upstream", string(u.ID)), zap.Uint64("incarnation", uint64(u.Incarnation)),
+		zap.String("source", string(source)), zap.String("sender", sender), zap.Duration("age", r.dispatcher.now()-u.AnnouncedAt))
+}
+
 func encodeNoContent(_ context.Context, w http.ResponseWriter, _ any) error {
 	w.WriteHeader(http.StatusNoContent)
 	return nil
--- a/internal/router/control_poller.go
+++ b/internal/router/control_poller.go
@@ -63,6 +63,8 @@
 		renewedAt time.Duration
 		// lacking are upstreams in the table that the registry lacks.
 		lacking []string
+		// lagging reports that the control process lags behind the majority.
+		lagging bool
 	}
 
 	// cursor is how far this process has read the updates of a control process.
@@ -133,6 +135,7 @@
 			p.router.log.Debug("polling a control process failed", zap.String("control", client.Address()), zap.Error(err))
 		} else {
 			p.router.controlClients.MarkSucceeded(client)
+			p.logLag(client, view, reply.GetFollow())
 			if err = decodeUpstreams(reply.GetFollow()); err != nil {
 				p.router.log.Error("upstreams of a control process cannot be read", zap.String("control", client.Address()), zap.Error(err))
 				timer.Sleep(ctx, pollPause)
@@ -157,6 +160,16 @@
 	}
 }
 
+// logLag logs that a control process lags behind the majority, or does not any more.
+func (p *controlPoller) logLag(client *messenger.Client, view *tableView, reply *wire.FollowReply) {
+	lag := millis(reply.GetLagMillis())
+	if lagging := lag > 0; lagging != view.lagging {
+		view.lagging = lagging
+		p.router.log.Info("control process lags behind the majority", zap.String("control", client.Address()),
+			zap.Bool("lagging", lagging), zap.Duration("lag", lag))
+	}
+}
+
 // sendEvidence sends new evidence about prompt parts without waiting for the next poll, until
 // ctx is done. What gets lost comes with a poll.
 func (p *controlPoller) sendEvidence(ctx context.Context) {
@@ -338,7 +351,7 @@
 	}
 	r.restrainer.SetHosts(reply.GetEntryIds())
 	for _, u := range reply.GetUpstreams() {
-		r.dispatcher.applyAnnouncement(announcer.FromWire(u, now))
+		r.applyAnnouncement(announcer.FromWire(u, now), leavePolled, control)
 	}
 	if request.GetLoadShare() != nil {
 		r.dispatcher.applyClusterLoad(request.GetLoadShare(), reply)
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -152,9 +152,6 @@
 		withdrawn map[registrar.UpstreamID]registrar.Upstream
 		// onWithdrawn is called, with the mutex held, for each such upstream.
 		onWithdrawn func(registrar.Upstream)
-		// onLeaving is called, with the mutex held, when an announcement shows that an
-		// upstream is leaving.
-		onLeaving func(registrar.Upstream)
 		// meanPendingTokens is the moving average of the pending prompt tokens of a
 		// request in progress.
 		meanPendingTokens float64
@@ -203,7 +200,6 @@
 		clusterLoad:    newClusterLoad(),
 		withdrawn:      map[registrar.UpstreamID]registrar.Upstream{},
 		onWithdrawn:    func(registrar.Upstream) {},
-		onLeaving:      func(registrar.Upstream) {},
 	}
 }
 
@@ -265,9 +261,6 @@
 	if !d.registry.Announce(now, u) {
 		return false
 	}
-	if current := d.registry.Get(u.ID); current.State == registrar.Leaving && known != nil && known.State != registrar.Leaving {
-		d.onLeaving(*current)
-	}
 	if known == nil || known.Incarnation != u.Incarnation {
 		if s := d.upstreamStates[u.ID]; s != nil {
 			s.endLease()
--- a/internal/router/notice.go
+++ b/internal/router/notice.go
@@ -26,7 +26,7 @@
 func (r *Router) handleNotices(at *attempt, info ResponseInfo) {
 	g := at.grant
 	if info.Leaving && r.dispatcher.withdraw(g.upstream) {
-		r.log.Info("upstream says that it is leaving", zap.String("upstream", string(g.upstream.ID)))
+		r.logLeave(*g.upstream, leaveInResponse, g.upstream.URL)
 	}
 	r.handleRequestLimit(at, info)
 	if info.RetryAfter == "" {
@@ -151,3 +151,11 @@
 	known := d.registry.Get(u.ID)
 	return known != nil && known.Incarnation == u.Incarnation && known.State == registrar.Leaving
 }
+
+// isServing reports whether a run of an upstream or an earlier one is known and not leaving.
+func (d *dispatcher) isServing(u *registrar.Upstream) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	known := d.registry.Get(u.ID)
+	return known != nil && known.Incarnation <= u.Incarnation && known.State != registrar.Leaving
+}
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -186,7 +186,7 @@
 	x.router.mergeEvidence(exchange.GetEvidence())
 	for _, u := range exchange.GetUpstreams() {
 		if validateAnnouncement(u) == nil {
-			d.applyAnnouncement(announcer.FromWire(u, d.now()))
+			x.router.applyAnnouncement(announcer.FromWire(u, d.now()), leaveExchanged, exchange.GetHost())
 		}
 	}
 	for _, e := range exchange.GetCacheEvents() {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -25,7 +25,6 @@
 	"github.com/comfreybend/comfreybend/internal/restrainer"
 	"github.com/comfreybend/comfreybend/internal/server"
 	"github.com/comfreybend/comfreybend/internal/windower"
-	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/settings"
 )
@@ -110,10 +109,6 @@
 	r.controlPoller = newControlPoller(r)
 	r.peers = newPeerExchanger(r, security)
 	r.dispatcher.onWithdrawn = r.peers.queueAnnouncement
-	r.dispatcher.onLeaving = func(u registrar.Upstream) {
-		r.log.Info("upstream is leaving", zap.String("upstream", string(u.ID)), zap.Uint64("incarnation", uint64(u.Incarnation)),
-			zap.Duration("age", timer.Now()-u.AnnouncedAt))
-	}
 	r.upstreamClient.onResponse = r.handleNotices
 	r.upstreamClient.onStart = r.isolation.track
 	return r, nil
--- a/pkg/replicator/append.go
+++ b/pkg/replicator/append.go
@@ -139,6 +139,9 @@
 	added := c.mergeEntries(m.GetEntries())
 	matched := previous + Index(len(m.GetEntries()))
 	c.advanceCommit(min(Index(m.GetCommit()), matched))
+	if c.commit >= Index(m.GetCommit()) {
+		c.currentAt = now
+	}
 	if !added && c.persistedTerm == c.term {
 		// The entries are acknowledged when they are durable. Meanwhile the leader learns
 		// that this member is in contact.
--- a/pkg/replicator/core.go
+++ b/pkg/replicator/core.go
@@ -50,6 +50,9 @@
 		// lastLeaderContact is when a message from a leader last arrived, or when
 		// the Core was created if none has arrived.
 		lastLeaderContact time.Duration
+		// currentAt is when a message of a leader last showed that this member knows all
+		// committed entries, or when the Core was created if none has.
+		currentAt time.Duration
 		// electionDeadline is when a voter starts a campaign unless a message from a
 		// leader arrives before.
 		electionDeadline time.Duration
@@ -107,7 +110,7 @@
 // no vote for one election timeout, because it may have answered a heartbeat
 // just before it was restarted and the leader's lease rests on that answer.
 func NewCore(config Config, initial InitialState, now time.Duration) *Core {
-	c := &Core{config: config, lastLeaderContact: now}
+	c := &Core{config: config, lastLeaderContact: now, currentAt: now}
 	c.term = Term(initial.HardState.GetTerm())
 	c.vote = MemberID(initial.HardState.GetVote())
 	c.log.reset(Index(initial.Snapshot.GetIndex()), Term(initial.Snapshot.GetTerm()))
@@ -241,6 +244,17 @@
 	return out
 }
 
+// CurrentAt returns the time as of which this member knows all committed entries: for a
+// leader the sending of the heartbeats that a majority has answered, for any other member the
+// arrival of the latest message of a leader after which it lacks none. Until the first such
+// message it is when the Core was created.
+func (c *Core) CurrentAt(now time.Duration) time.Duration {
+	if c.role == Leader && c.commit >= c.termStart {
+		c.currentAt = max(c.currentAt, c.majorityContact(now))
+	}
+	return c.currentAt
+}
+
 // SnapshotHeader returns the header for a snapshot of the state machine after
 // entry i, which must be committed and not yet compacted.
 func (c *Core) SnapshotHeader(i Index) *replication.SnapshotHeader {
--- a/pkg/replicator/core_test.go
+++ b/pkg/replicator/core_test.go
@@ -210,3 +210,57 @@
 		})
 	}
 }
+
+// TestCurrentAt guards against members that take themselves for current although they are
+// cut off from the majority, and against current members that do not know it.
+func TestCurrentAt(t *testing.T) {
+	for seed := range int64(20) {
+		c := newCluster(t, seed, 5, 0)
+		c.runFor(10 * testElectionTimeout)
+		cut := c.members[:2]
+		for _, m := range cut {
+			for _, other := range c.members[2:] {
+				c.partitions[[2]string{m.host, other.host}] = true
+				c.partitions[[2]string{other.host, m.host}] = true
+			}
+		}
+		began := c.now
+		for range 10 {
+			c.runFor(testElectionTimeout)
+			c.proposeAndRead()
+		}
+		for i, m := range c.members {
+			at := m.core.CurrentAt(c.clock(m)) - m.clockOffset
+			// A leader that is cut off keeps its lease for an election timeout, in which the others
+			// commit nothing. Its last message takes up to a heartbeat interval.
+			if isCut := i < len(cut); isCut && at > began+testElectionTimeout+testHeartbeat || !isCut && c.now-at > 3*testHeartbeat {
+				t.Fatalf("seed %d: %s (cut off: %t) is current as of %v, cut at %v, now %v", seed, m.host, isCut, at, began, c.now)
+			}
+		}
+	}
+}
+
+// TestMemberThatLacksEntriesIsNotCurrent guards against a member that is in contact with the
+// leader, as after a restart, and lacks committed entries.
+func TestMemberThatLacksEntriesIsNotCurrent(t *testing.T) {
+	const (
+		started = time.Second
+		later   = 2 * time.Second
+	)
+	c := NewCore(Config{ID: 2, HeartbeatInterval: testHeartbeat, ElectionTimeout: testElectionTimeout, Random: func(int64) int64 { return 0 }},
+		InitialState{}, started)
+	appendOf := func(commit uint64, entries ...*replication.Entry) Receive {
+		return Receive{Message: &replication.Message{
+			Kind: replication.MessageKind_MESSAGE_KIND_APPEND, From: 1, To: 2, Term: 1, Commit: commit, Entries: entries,
+		}}
+	}
+	entry := func(index uint64) *replication.Entry { return &replication.Entry{Index: index, Term: 1} }
+	c.Step(later, appendOf(3, entry(1), entry(2)))
+	if at := c.CurrentAt(later); at != started {
+		t.Errorf("current as of %v with entries 1 and 2 of 3, want %v", at, started)
+	}
+	c.Step(later, appendOf(3, entry(1), entry(2), entry(3)))
+	if at := c.CurrentAt(later); at != later {
+		t.Errorf("current as of %v with all entries, want %v", at, later)
+	}
+}
--- a/pkg/replicator/status.go
+++ b/pkg/replicator/status.go
@@ -30,6 +30,9 @@
 		// be elected leader. It is zero if this member is not the leader or has not
 		// yet committed an entry of its term.
 		LeaseUntil time.Duration
+		// CurrentAt is the time of the node's clock as of which it has applied all committed
+		// entries, or its start if it never has.
+		CurrentAt time.Duration
 		// Matches holds, at a leader, each member's match index: the highest index up
 		// to which its durable log is known to be identical to the leader's.
 		Matches map[MemberID]Index
@@ -55,6 +58,7 @@
 		LastIndex:  n.core.LastIndex(),
 		Membership: n.core.Membership(),
 		LeaseUntil: n.core.LeaseUntil(n.config.Now()),
+		CurrentAt:  n.core.CurrentAt(n.config.Now()),
 
 		MembershipCommitted: n.core.MembershipCommitted(),
 	}
