--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -17,6 +17,7 @@
 
 	"github.com/comfreybend/comfreybend/internal/dialer"
 	"github.com/comfreybend/comfreybend/internal/restrainer"
+	"github.com/comfreybend/comfreybend/internal/scanner"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/settings"
@@ -35,8 +36,6 @@
 	upstreamIdleTimeout     = 30 * time.Second
 	// bodyEndTimeout bounds the wait for the end of a body after its last content byte.
 	bodyEndTimeout = 100 * time.Millisecond
-	// noEventID means that a stream has not delivered an event with an id yet.
-	noEventID EventID = 0
 )
 
 type (
@@ -44,8 +43,6 @@
 	// the client chose the id. It is also the type of the ids that identify a call
 	// in log lines and claims.
 	AttemptID string
-	// EventID is the number of an event within its stream, from 1.
-	EventID uint64
 
 	// upstreamClient sends attempts to upstreams.
 	upstreamClient struct {
@@ -191,7 +188,7 @@
 // send sends a call to the granted upstream and waits for the response
 // headers. A stream is resumed after lastEventID, the id of the last event that
 // the client has received. The error is an *attemptError.
-func (u *upstreamClient) send(ctx context.Context, c *call, g *grant, lastEventID EventID) (*attempt, error) {
+func (u *upstreamClient) send(ctx context.Context, c *call, g *grant, lastEventID scanner.EventID) (*attempt, error) {
 	id := c.Attempt
 	if id == "" {
 		id = AttemptID(uuid.NewString())
@@ -272,7 +269,7 @@
 	}
 }
 
-func (u *upstreamClient) newRequest(ctx context.Context, c *call, at *attempt, lastEventID EventID) (*http.Request, error) {
+func (u *upstreamClient) newRequest(ctx context.Context, c *call, at *attempt, lastEventID scanner.EventID) (*http.Request, error) {
 	requestURI, err := url.ParseRequestURI(at.grant.upstream.URL + c.requestURI)
 	if err != nil {
 		return nil, errors.Wrap(err, "making the upstream request")
--- a/internal/router/dialect.go
+++ b/internal/router/dialect.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/comfreybend/comfreybend/internal/scanner"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 )
@@ -55,7 +56,7 @@
 		IdempotencyKey string
 		// LastEventID is the id of the last event that the client has received of a
 		// stream that it resumes.
-		LastEventID EventID
+		LastEventID scanner.EventID
 		// Prompt describes the prompt of a model request; zero if the headers do not
 		// describe it.
 		Prompt Prompt
@@ -89,8 +90,8 @@
 		// TimeLeft is the time until the call's deadline.
 		TimeLeft time.Duration
 		// LastEventID is the id of the event after which the stream is resumed;
-		// noEventID if it starts from the beginning.
-		LastEventID EventID
+		// scanner.NoEventID if it starts from the beginning.
+		LastEventID scanner.EventID
 	}
 
 	// ResponseInfo is what the status and headers of an upstream's response report.
@@ -177,7 +178,7 @@
 	if a.Prefix != "" {
 		h.Set(HeaderPrefix, string(a.Prefix))
 	}
-	if a.LastEventID != noEventID {
+	if a.LastEventID != scanner.NoEventID {
 		h.Set(HeaderLastEventID, strconv.FormatUint(uint64(a.LastEventID), 10))
 	}
 }
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -13,6 +13,7 @@
 
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/restrainer"
+	"github.com/comfreybend/comfreybend/internal/scanner"
 	"github.com/comfreybend/comfreybend/pkg/isolator"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
@@ -71,7 +72,7 @@
 		startRecorded bool
 
 		// lastEventID is the id of the last stream event that the client has received.
-		lastEventID EventID
+		lastEventID scanner.EventID
 		// inputTokens and outputTokens are the token counts of the call that have not
 		// been added to the usage counters yet.
 		inputTokens  TokenCount
--- a/internal/router/resend_test.go
+++ b/internal/router/resend_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/comfreybend/comfreybend/internal/scanner"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/state"
 )
@@ -40,7 +41,7 @@
 			upstream: &registrar.Upstream{ID: "u", URL: server.URL},
 			state:    newUpstreamState(r.settings.GetEntry().GetUpstreamLimits(), 0),
 		}
-		at, err := r.upstreamClient.send(context.Background(), c, g, noEventID)
+		at, err := r.upstreamClient.send(context.Background(), c, g, scanner.NoEventID)
 		if err == nil {
 			at.awaitBodyEnd()
 			at.close(nil)
@@ -81,7 +82,7 @@
 		upstream: &registrar.Upstream{ID: "u", URL: "http://" + address},
 		state:    newUpstreamState(r.settings.GetEntry().GetUpstreamLimits(), 0),
 	}
-	_, err = r.upstreamClient.send(context.Background(), c, g, noEventID)
+	_, err = r.upstreamClient.send(context.Background(), c, g, scanner.NoEventID)
 	failure, ok := err.(*attemptError) //nolint:errorlint // send returns the type itself.
 	if !ok || !failure.NotRun {
 		t.Errorf("error %v, want an attemptError with NotRun", err)
