router, controller: hand out committed leaves with confirmed sync replies

What callers saw: requests were passed to upstreams seconds after a control host had acknowledged that they leave.

Cause: an entry host hears of a leave from the two control hosts that it polls, its own domain's first. On sites with two of them in a domain both can be cut off from the other six; they answer polls, nothing tells how old their knowledge is, and the host, which reaches the six, is in touch. It sends to the upstream until its lease ends after 12 s. Class: knowledge taken from some process without its age, while the bound is promised by a majority.

Change: the replies to sync requests, which a majority confirms, carry the leaves committed since the last one, by position. A sync request that was sent after an acknowledgement cannot miss it, whatever the polls do, and the entry process remembers it, so that a stale announcement cannot bring the upstream back.

--- a/internal/controller/leave.go
+++ b/internal/controller/leave.go
@@ -17,6 +17,10 @@
 // process if their leave is not acknowledged within a second.
 const departureTimeout = 700 * time.Millisecond
 
+// maxFirstDepartures is the number of departures that an entry process without any gets. They
+// cover the lease of an announcement, after which a late one is rejected for its age.
+const maxFirstDepartures = 1024
+
 // UnknownUpstreamError reports the withdrawal of an upstream that this process does not know,
 // for example because it has just started.
 type UnknownUpstreamError struct {
@@ -82,6 +86,18 @@
 	return nil
 }
 
+// addDepartures adds to a sync reply the departures that the entry process may not know.
+func (c *Controller) addDepartures(reply *wire.SyncReply, s *wire.Sync) {
+	if !s.GetWantsDepartures() {
+		return
+	}
+	departures, position := c.stateMachine.DeparturesSince(registrar.Position(s.GetDeparturePosition()), maxFirstDepartures)
+	reply.DeparturePosition = uint64(position)
+	for _, d := range departures {
+		reply.Departures = append(reply.Departures, &wire.UpstreamRun{Id: string(d.ID), Incarnation: uint64(d.Incarnation)})
+	}
+}
+
 // wakeGossip makes the next gossip message go out at once.
 func (c *Controller) wakeGossip() {
 	select {
--- a/internal/controller/requests.go
+++ b/internal/controller/requests.go
@@ -162,6 +162,7 @@
 	}
 	reply.RevisionAgeMillis = c.revisionAge().Milliseconds()
 	reply.LightParts = c.entries.lightShares()
+	c.addDepartures(reply, s)
 	if s.GetEvidence() != nil {
 		c.mergeEvidence(s.GetEvidence())
 	}
--- a/internal/keeper/departure.go
+++ b/internal/keeper/departure.go
@@ -1,6 +1,8 @@
 package keeper
 
 import (
+	"slices"
+
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/state"
 	"github.com/comfreybend/comfreybend/schema/wire"
@@ -23,6 +25,15 @@
 	return m.departures.Has(id, incarnation)
 }
 
+// DeparturesSince returns the departures committed after a position; see
+// registrar.Departures.Since.
+func (m *StateMachine) DeparturesSince(after registrar.Position, limit int) ([]registrar.Departure, registrar.Position) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	departures, position := m.departures.Since(after, limit)
+	return slices.Clone(departures), position
+}
+
 func departureOf(d *state.Departure) registrar.Departure {
 	return registrar.Departure{ID: registrar.UpstreamID(d.GetUpstream()), Incarnation: registrar.Incarnation(d.GetIncarnation())}
 }
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -169,6 +169,8 @@
 		AlignedWindow:     m.alignedWindow,
 		AlignedHosts:      int32(m.expectedHosts),
 		Departures:        departuresToState(m.departures),
+
+		DeparturesCommitted: uint64(m.departures.Position()),
 	}
 	for _, u := range m.latestPushes {
 		s.Usage = append(s.Usage, u)
@@ -227,6 +229,7 @@
 	for _, d := range s.GetDepartures() {
 		m.departures.Add(departureOf(d))
 	}
+	m.departures.Restore(registrar.Position(s.GetDeparturesCommitted()))
 }
 
 func (m *StateMachine) reset() {
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -277,3 +277,33 @@
 		t.Errorf("windows differ: %v and %v", one, two)
 	}
 }
+
+// TestDeparturesSurviveSnapshot guards against an entry process that misses the leave of an
+// upstream because a control process that was restored from a snapshot counts anew.
+func TestDeparturesSurviveSnapshot(t *testing.T) {
+	departure := func(id string) []byte {
+		data, err := proto.Marshal(&state.Command{Kind: &state.Command_Departure{Departure: &state.Departure{Upstream: id, Incarnation: 1}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return data
+	}
+	m := New()
+	for i := range maxDepartures + 2 {
+		m.Apply(departure(fmt.Sprint("u", i)))
+	}
+	_, position := m.DeparturesSince(0, 1)
+	snapshot, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := New()
+	if err = restored.Restore(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	restored.Apply(departure("last"))
+	got, reached := restored.DeparturesSince(position, 1)
+	if len(got) != 1 || got[0].ID != "last" || reached != position+1 {
+		t.Errorf("departures %v until position %d after position %d, want the last one until %d", got, reached, position, position+1)
+	}
+}
--- a/internal/router/announcement.go
+++ b/internal/router/announcement.go
@@ -26,6 +26,7 @@
 const (
 	leaveAnnounced  leaveSource = "announcement"
 	leavePolled     leaveSource = "poll"
+	leaveCommitted  leaveSource = "sync"
 	leaveExchanged  leaveSource = "peer"
 	leaveInResponse leaveSource = "response"
 )
@@ -100,6 +101,17 @@
 	return accepted
 }
 
+// applyDepartures applies the departures in a sync reply and returns the position reached.
+func (r *Router) applyDepartures(reply *wire.SyncReply, sender string) registrar.Position {
+	for _, run := range reply.GetDepartures() {
+		d := registrar.Departure{ID: registrar.UpstreamID(run.GetId()), Incarnation: registrar.Incarnation(run.GetIncarnation())}
+		if u := r.dispatcher.depart(d); u != nil {
+			r.logLeave(*u, leaveCommitted, sender)
+		}
+	}
+	return registrar.Position(reply.GetDeparturePosition())
+}
+
 func (r *Router) logLeave(u registrar.Upstream, source leaveSource, sender string) {
 	r.log.Info("upstream is leaving", zap.String("upstream", string(u.ID)), zap.Uint64("incarnation", uint64(u.Incarnation)),
 		zap.String("source", string(source)), zap.String("sender", sender), zap.Duration("age", r.dispatcher.now()-u.AnnouncedAt))
--- a/internal/router/controlplane.go
+++ b/internal/router/controlplane.go
@@ -14,6 +14,7 @@
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/messenger"
 	"github.com/comfreybend/comfreybend/internal/ranker"
+	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/state"
 	"github.com/comfreybend/comfreybend/schema/wire"
@@ -63,6 +64,9 @@
 		// usagePushedAt is when the latest sync request with a valid reply was sent, at
 		// first the start of the process. Usage since then is unreported.
 		usagePushedAt time.Duration
+		// departures is the position reached in the committed departures of upstreams. syncMu
+		// guards it.
+		departures registrar.Position
 	}
 
 	// syncResult is the result of a sync request to one control process.
@@ -217,6 +221,8 @@
 		Windows:       p.router.windows.Recent(),
 
 		FetchesChanges: true,
+
+		WantsDepartures: true, DeparturePosition: uint64(p.departures),
 	}
 	if p.router.settings.GetEntry().GetFollowControl() {
 		s.Upstreams = nil
@@ -232,6 +238,7 @@
 // revision held was in use. The freshness counts from then, not from the arrival of the reply.
 func (p *controlPlane) applyReply(sentAt time.Duration, held configurer.Revision, result syncResult) error {
 	reply, revision := result.reply, configurer.Revision(result.reply.GetRevision())
+	p.departures = p.router.applyDepartures(reply, result.client.Address())
 	if revision < held {
 		return &earlierRevisionError{Held: held, Received: revision}
 	}
--- a/internal/router/notice.go
+++ b/internal/router/notice.go
@@ -144,6 +144,17 @@
 		"all upstreams have asked for a pause beyond the deadline", jitterRetryAfter(earliest-now))
 }
 
+// depart records that a run of an upstream has left for good, also if it is not known yet. It
+// returns the upstream if that was news of it.
+func (d *dispatcher) depart(departure registrar.Departure) *registrar.Upstream {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.registry.Depart(d.now(), departure) {
+		return nil
+	}
+	return d.registry.Get(departure.ID)
+}
+
 // isLeaving reports whether an upstream has said that it is leaving.
 func (d *dispatcher) isLeaving(u *registrar.Upstream) bool {
 	d.mu.Lock()
--- a/pkg/registrar/departures.go
+++ b/pkg/registrar/departures.go
@@ -9,8 +9,14 @@
 		latest map[UpstreamID]Incarnation
 		// order holds the departures, oldest first.
 		order []Departure
+		// position is the number of departures that were ever added.
+		position Position
 	}
 
+	// Position is how many departures were added until a moment. Replicas that add the same
+	// departures in the same order have the same positions.
+	Position uint64
+
 	// Departure is one run of an upstream that has left. Earlier runs have left too.
 	Departure struct {
 		ID          UpstreamID
@@ -31,6 +37,7 @@
 	}
 	d.latest[added.ID] = added.Incarnation
 	d.order = append(d.order, added)
+	d.position++
 	if len(d.order) > d.limit {
 		oldest := d.order[0]
 		d.order = append([]Departure(nil), d.order[1:]...)
@@ -46,5 +53,26 @@
 	return incarnation != 0 && d.latest[id] >= incarnation
 }
 
+// Position returns the number of departures that were ever added.
+func (d *Departures) Position() Position { return d.position }
+
+// Restore sets the number of departures that were ever added, after those that are still
+// remembered have been added again.
+func (d *Departures) Restore(position Position) {
+	d.position = max(position, Position(len(d.order)))
+}
+
+// Since returns the departures that were added after a position, oldest first, and the position
+// reached. It returns the latest ones, up to a limit, after position zero or one that has not been
+// reached, and all that are remembered if earlier ones are missing. The caller must not modify
+// them.
+func (d *Departures) Since(after Position, limit int) ([]Departure, Position) {
+	missing := uint64(d.position - after)
+	if after == 0 || after > d.position {
+		missing = uint64(limit)
+	}
+	return d.order[len(d.order)-int(min(missing, uint64(len(d.order)))):], d.position
+}
+
 // All returns the departures, oldest first. The caller must not modify them.
 func (d *Departures) All() []Departure { return d.order }
--- a/pkg/registrar/departures_test.go
+++ b/pkg/registrar/departures_test.go
@@ -76,3 +76,41 @@
 	}
 	// Output: engine-2
 }
+
+// TestDeparturesSince guards against departures that a reader misses, also one that comes
+// from a replica with other positions, and against a reader without any that gets them all.
+func TestDeparturesSince(t *testing.T) {
+	const (
+		limit = 10
+		first = 3
+	)
+	tests := map[string]struct {
+		added int
+		after Position
+		want  int
+	}{
+		"from the start":                  {added: 5, want: first},
+		"from the start of few":           {added: 2, want: 2},
+		"none before":                     {want: 0},
+		"some are new":                    {added: 5, after: 3, want: 2},
+		"none is new":                     {added: 5, after: 5, want: 0},
+		"earlier ones are forgotten":      {added: 25, after: 3, want: limit},
+		"after a position not reached":    {added: 5, after: 9, want: first},
+		"some are new and some forgotten": {added: 25, after: 21, want: 4},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := NewDepartures(limit)
+			for i := range test.added {
+				d.Add(Departure{ID: UpstreamID(fmt.Sprint("u", i)), Incarnation: 1})
+			}
+			got, position := d.Since(test.after, first)
+			if len(got) != test.want || position != Position(test.added) {
+				t.Fatalf("%d departures until position %d, want %d until %d", len(got), position, test.want, test.added)
+			}
+			if n := len(got); n > 0 && got[n-1].ID != UpstreamID(fmt.Sprint("u", test.added-1)) {
+				t.Errorf("the last one is %s, want the latest", got[n-1].ID)
+			}
+		})
+	}
+}
