ranker, router: prefer control processes that are in contact with the majority

It never hears of new upstreams, takes their load, evidence and limits for current, and loses all upstreams that announce themselves to the majority once their leases end.

A polled control process that lags counts as failed now, as long as another one is left; a domain that is cut off as a whole goes on with its own.

--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -133,11 +133,31 @@
 	delete(c.backoff, client.Address())
 }
 
+// MarkLagging treats a control process that is cut off from the majority like one that failed.
+// It has no effect if no other one is left: a domain that is cut off goes on with what its own
+// control processes know.
+func (c *Ranker) MarkLagging(client *messenger.Client) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := timer.Now()
+	for _, other := range c.order {
+		if other != client && now >= c.backoffUntil[other.Address()] {
+			c.backOff(client)
+			return
+		}
+	}
+}
+
 // MarkFailed moves a control process that failed to the end of the order and starts its
 // backoff.
 func (c *Ranker) MarkFailed(client *messenger.Client) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.backOff(client)
+}
+
+// backOff is MarkFailed with the mutex held.
+func (c *Ranker) backOff(client *messenger.Client) {
 	backoff := min(max(2*c.backoff[client.Address()], minBackoff), maxBackoff)
 	c.backoff[client.Address()] = backoff
 	c.backoffUntil[client.Address()] = timer.Now() + backoff
--- a/internal/router/control_poller.go
+++ b/internal/router/control_poller.go
@@ -134,8 +134,7 @@
 			p.router.dispatcher.requeueCachedParts(request.GetLoadShare())
 			p.router.log.Debug("polling a control process failed", zap.String("control", client.Address()), zap.Error(err))
 		} else {
-			p.router.controlClients.MarkSucceeded(client)
-			p.logLag(client, view, reply.GetFollow())
+			p.rankControl(client, view, reply.GetFollow())
 			if err = decodeUpstreams(reply.GetFollow()); err != nil {
 				p.router.log.Error("upstreams of a control process cannot be read", zap.String("control", client.Address()), zap.Error(err))
 				timer.Sleep(ctx, pollPause)
@@ -160,10 +159,16 @@
 	}
 }
 
-// logLag logs that a control process lags behind the majority, or does not any more.
-func (p *controlPoller) logLag(client *messenger.Client, view *tableView, reply *wire.FollowReply) {
+// rankControl prefers other control processes to one that lags behind the majority.
+func (p *controlPoller) rankControl(client *messenger.Client, view *tableView, reply *wire.FollowReply) {
 	lag := millis(reply.GetLagMillis())
-	if lagging := lag > 0; lagging != view.lagging {
+	lagging := lag > 0
+	if lagging {
+		p.router.controlClients.MarkLagging(client)
+	} else {
+		p.router.controlClients.MarkSucceeded(client)
+	}
+	if lagging != view.lagging {
 		view.lagging = lagging
 		p.router.log.Info("control process lags behind the majority", zap.String("control", client.Address()),
 			zap.Bool("lagging", lagging), zap.Duration("lag", lag))
