router: look whether an upstream leaves before each send, and after each connect

An upstream was chosen, and the request sent later, without another look: after the commit of a claim (up to 4 s on the own interface) and after a connection was established (0.3 s on the platform, 1 s by default). A leave that became known meanwhile did not count.

Every send looks now (first attempts, retries, resumed streams), and every connection that was established for one; the attempt is not run, counts neither as an attempt nor against the upstream, and another upstream is chosen. TestLeaveBeforeSend failed in both cases before. Questions after silence are asked of leaving upstreams as before, since they are no new work.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -67,10 +67,22 @@
 		// admit is called before every request. It returns an error if the upstream's request
 		// limit does not allow it, and reports whether there is one.
 		admit func(*registrar.Upstream, restrainer.Reservation) (limited bool, err error)
+		// checkLeaving is called before an attempt is sent, and again when a connection for it has
+		// been established. It returns an error if the upstream is leaving.
+		checkLeaving func(*registrar.Upstream) error
 		// onStart is called for every attempt before it is sent.
 		onStart func(*call, *attempt)
 	}
 
+	// upstreamKey is the context key of the upstream that a connection is established for.
+	upstreamKey struct{}
+
+	// leavingUpstreamError reports an attempt that was not sent because its upstream has become
+	// known to be leaving.
+	leavingUpstreamError struct {
+		Upstream registrar.UpstreamID
+	}
+
 	// attempt is one try of a call at one upstream.
 	attempt struct {
 		id       AttemptID
@@ -142,6 +154,11 @@
 // Unwrap returns the cause.
 func (e *attemptError) Unwrap() error { return e.Cause }
 
+// Error implements error.
+func (e *leavingUpstreamError) Error() string {
+	return "upstream " + string(e.Upstream) + " is leaving"
+}
+
 // Error implements error.
 func (e *deadlineError) Error() string { return "not answered by the deadline" }
 
@@ -166,9 +183,10 @@
 			Count:    tcpKeepAliveCount,
 		},
 	}
+	u := &upstreamClient{limits: l, dialect: dialect, now: timer.Now, nonRetryableSingleUse: !e.GetFollowControl(), onResponse: func(*attempt, ResponseInfo) {}, onStart: func(*call, *attempt) {}}
 	transport := func() *http.Transport {
 		return &http.Transport{
-			DialContext:         direct.DialContext,
+			DialContext:         u.dialWith(direct),
 			MaxIdleConnsPerHost: maxIdleConnsPerUpstream,
 			IdleConnTimeout:     upstreamIdleTimeout,
 			DisableCompression:  true,
@@ -176,7 +194,8 @@
 			MaxResponseHeaderBytes: int64(l.GetHeaderBytes()),
 		}
 	}
-	u := &upstreamClient{limits: l, dialect: dialect, now: timer.Now, keepAlive: transport(), singleUse: transport(), nonRetryableSingleUse: !e.GetFollowControl(), onResponse: func(*attempt, ResponseInfo) {}, onStart: func(*call, *attempt) {}}
+	u.keepAlive, u.singleUse = transport(), transport()
+	u.checkLeaving = func(*registrar.Upstream) error { return nil }
 	u.admit = func(*registrar.Upstream, restrainer.Reservation) (bool, error) { return false, nil }
 	u.singleUse.DisableKeepAlives = true
 	probe := transport()
@@ -185,6 +204,23 @@
 	return u
 }
 
+// dialWith returns a function that establishes connections, and closes one whose upstream is found
+// to be leaving.
+func (u *upstreamClient) dialWith(d *net.Dialer) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := d.DialContext(ctx, network, address)
+		upstream, known := ctx.Value(upstreamKey{}).(*registrar.Upstream)
+		if err != nil || !known {
+			return conn, err
+		}
+		if err = u.checkLeaving(upstream); err != nil {
+			_ = conn.Close()
+			return nil, err
+		}
+		return conn, nil
+	}
+}
+
 // send sends a call to the granted upstream and waits for the response
 // headers. A stream is resumed after lastEventID, the id of the last event that
 // the client has received. The error is an *attemptError.
@@ -203,7 +239,7 @@
 		at.close(err)
 		return nil, &attemptError{Attempt: at.id, NotRun: true, Cause: err}
 	}
-	limited, err := u.admit(g.upstream, g.reserved)
+	limited, err := u.checkSend(g)
 	if err != nil {
 		at.close(err)
 		return nil, &attemptError{Attempt: at.id, NotRun: true, Cause: err}
@@ -236,6 +272,15 @@
 	return at, nil
 }
 
+// checkSend returns an error if a request may not be sent to the granted upstream any more, and
+// reports whether that has a request limit.
+func (u *upstreamClient) checkSend(g *grant) (limited bool, err error) {
+	if err = u.checkLeaving(g.upstream); err != nil {
+		return false, err
+	}
+	return u.admit(g.upstream, g.reserved)
+}
+
 // checkResponse takes the load from the response headers and returns an
 // *attemptError if the response must not be relayed.
 func (u *upstreamClient) checkResponse(at *attempt) error {
@@ -275,7 +320,7 @@
 		return nil, errors.Wrap(err, "making the upstream request")
 	}
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { at.connected.Store(true) }}
-	ctx = httptrace.WithClientTrace(ctx, trace)
+	ctx = context.WithValue(httptrace.WithClientTrace(ctx, trace), upstreamKey{}, at.grant.upstream)
 	request, err := http.NewRequestWithContext(ctx, c.method, at.grant.upstream.URL, bytes.NewReader(c.body))
 	if err != nil {
 		return nil, errors.Wrap(err, "making the upstream request")
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -267,7 +267,7 @@
 		h.recordStart()
 	case failure.Refused:
 		outcome = outcomeOverloaded
-	case errors.As(err, new(*restrainer.LimitError)):
+	case errors.As(err, new(*restrainer.LimitError)), errors.As(err, new(*leavingUpstreamError)):
 		outcome = outcomeAbandoned
 	default:
 		outcome = outcomeUnreachable
--- a/internal/router/notice.go
+++ b/internal/router/notice.go
@@ -163,6 +163,14 @@
 	return known != nil && known.Incarnation == u.Incarnation && known.State == registrar.Leaving
 }
 
+// checkLeaving returns a *leavingUpstreamError if an upstream has said that it is leaving.
+func (d *dispatcher) checkLeaving(u *registrar.Upstream) error {
+	if d.isLeaving(u) {
+		return &leavingUpstreamError{Upstream: u.ID}
+	}
+	return nil
+}
+
 // isServing reports whether a run of an upstream or an earlier one is known and not leaving.
 func (d *dispatcher) isServing(u *registrar.Upstream) bool {
 	d.mu.Lock()
--- a/internal/router/notice_test.go
+++ b/internal/router/notice_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -209,3 +210,37 @@
 		})
 	}
 }
+
+// TestLeaveBeforeSend guards against a request to an upstream whose leave becomes known after
+// the upstream was chosen and before the request is sent: while a claim is committed or a
+// connection is established, which can take seconds.
+func TestLeaveBeforeSend(t *testing.T) {
+	tests := map[string]func(u *upstreamClient, leave func()){
+		"before a connection is obtained": func(u *upstreamClient, leave func()) {
+			u.onStart = func(*call, *attempt) { leave() }
+		},
+		"while it is established": func(u *upstreamClient, leave func()) {
+			dial := u.keepAlive.DialContext
+			u.keepAlive.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+				leave()
+				return dial(ctx, network, address)
+			}
+		},
+	}
+	for name, arrange := range tests {
+		t.Run(name, func(t *testing.T) {
+			r, server, upstreams := newNoticeRouter(t, "one")
+			arrange(r.upstreamClient, func() { r.dispatcher.depart(registrar.Departure{ID: "one", Incarnation: 1}) })
+			status, retryAfter := get(t, server.URL)
+			if n := upstreams["one"].calls.Load(); n != 0 {
+				t.Errorf("%d requests reached the upstream, want none", n)
+			}
+			if status != http.StatusServiceUnavailable || retryAfter == "" {
+				t.Errorf("status %d, Retry-After %q; want a refusal that says when to come back", status, retryAfter)
+			}
+			if n := r.dispatcher.upstreamStates["one"].failures.Penalty(r.dispatcher.now()); n != 0 {
+				t.Errorf("the leave counts as a failure of the upstream: penalty %v", n)
+			}
+		})
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -102,6 +102,7 @@
 	r.buffers = bufferer.New(s.GetEntry().GetUpstreamLimits().GetBufferedBytes())
 	r.upstreamClient = newUpstreamClient(s.GetEntry(), dialect)
 	r.upstreamClient.admit = r.restrainer.Admit
+	r.upstreamClient.checkLeaving = r.dispatcher.checkLeaving
 	r.controlClients = ranker.New(s.GetEntry(), security)
 	r.controlPlane = newControlPlane(r)
 	r.fetcher = newConfigurationFetcher(r)
