registrar, router: remember a leave after the lease of the upstream has ended

An entry process forgot a leave together with the upstream, at the end of its lease, and the rule of Server-Leaving holds for a host in touch or not. A late announcement of a control process that does not know of the leave, for example one that is cut off, brought the upstream back. A response that said so after the end of the lease was ignored.

--- a/internal/router/notice.go
+++ b/internal/router/notice.go
@@ -61,15 +61,22 @@
 	}
 }
 
-// withdraw marks an upstream as leaving for the rest of its incarnation, and queues that
-// for the control processes. It reports whether the upstream was not leaving before.
+// withdraw marks an upstream as leaving for the rest of its incarnation, also one whose lease
+// has ended here, and queues that for the control processes. It reports whether the upstream
+// was not leaving before.
 func (d *dispatcher) withdraw(u *registrar.Upstream) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if known := d.registry.Get(u.ID); known == nil || known.State == registrar.Leaving {
+	known := d.registry.Get(u.ID)
+	if d.registry.HasDeparted(u.ID, u.Incarnation) || known != nil && known.State == registrar.Leaving {
 		return false
 	}
 	leaving, accepted := d.registry.Withdraw(d.now(), u.ID, u.Incarnation)
+	if known == nil {
+		d.registry.Depart(d.now(), registrar.Departure{ID: u.ID, Incarnation: u.Incarnation})
+		leaving, accepted = *u, true
+		leaving.State = registrar.Leaving
+	}
 	if accepted {
 		d.withdrawn[u.ID] = leaving
 		d.onWithdrawn(leaving)
--- a/internal/router/notice_test.go
+++ b/internal/router/notice_test.go
@@ -244,3 +244,40 @@
 		})
 	}
 }
+
+// TestLeaveIsRemembered guards against requests to an upstream that has said that it is leaving,
+// after this process has forgotten the upstream with the end of its lease: a late announcement
+// of a control process that does not know of the leave brought it back.
+func TestLeaveIsRemembered(t *testing.T) {
+	tests := map[string]func(r *Router, u *registrar.Upstream){
+		"said in a response": func(r *Router, u *registrar.Upstream) { r.dispatcher.withdraw(u) },
+		"said in a response after its lease": func(r *Router, u *registrar.Upstream) {
+			r.dispatcher.registry.Expire(r.dispatcher.now() + time.Hour)
+			r.dispatcher.withdraw(u)
+		},
+		"committed by the control processes": func(r *Router, u *registrar.Upstream) {
+			r.dispatcher.depart(registrar.Departure{ID: u.ID, Incarnation: u.Incarnation})
+		},
+		"handed out by a control process polled": func(r *Router, u *registrar.Upstream) {
+			leaving := *u
+			leaving.State, leaving.Sequence = registrar.Leaving, u.Sequence+1
+			r.dispatcher.applyAnnouncement(leaving)
+		},
+	}
+	for name, leave := range tests {
+		t.Run(name, func(t *testing.T) {
+			r, server, upstreams := newNoticeRouter(t, "one")
+			u := r.dispatcher.registry.Get("one")
+			leave(r, u)
+			r.dispatcher.registry.Expire(r.dispatcher.now() + time.Hour)
+			r.dispatcher.applyAnnouncement(noticeAnnouncement("one", u.URL, 1, 9, r.dispatcher.now()))
+			if status, _ := get(t, server.URL); status != http.StatusServiceUnavailable || upstreams["one"].calls.Load() != 0 {
+				t.Errorf("status %d and %d requests, want 503 and none", status, upstreams["one"].calls.Load())
+			}
+			r.dispatcher.applyAnnouncement(noticeAnnouncement("one", u.URL, 2, 1, r.dispatcher.now()))
+			if status, _ := get(t, server.URL); status != http.StatusOK {
+				t.Errorf("status %d of the next incarnation, want 200", status)
+			}
+		})
+	}
+}
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -139,7 +139,8 @@
 // rejected if its lease has ended, if it is not newer than the recorded one of the
 // same upstream, or if its URL belongs to another upstream with a greater
 // incarnation. An upstream that is leaving remains so for the rest of its
-// incarnation, and an announcement that says so is accepted even if it is not newer.
+// incarnation, also after its lease has ended, and an announcement that says so is accepted
+// even if it is not newer.
 func (r *Registry) Announce(now time.Duration, u Upstream) bool {
 	if now-u.AnnouncedAt >= r.lease {
 		return false
@@ -153,6 +154,9 @@
 		u = *before
 		u.State = Leaving
 	}
+	if u.State == Leaving {
+		r.departures.Add(Departure{ID: u.ID, Incarnation: u.Incarnation})
+	}
 	if before != nil && before.Incarnation == u.Incarnation && before.State == Leaving || r.departures.Has(u.ID, u.Incarnation) {
 		u.State = Leaving
 	}
