router: test a leave while the tables of all control processes are fetched

After a restart of the control processes both polls of an entry process fetch a whole table, one after the other, and apply nothing meanwhile; 12,000 rows take 4.4 s each at 250 kB/s.

--- a/internal/router/configuration_test.go
+++ b/internal/router/configuration_test.go
@@ -34,6 +34,11 @@
 	// inForceTimeout is the time after its acknowledgement within which a change is in force
 	// at every entry process.
 	inForceTimeout = 2500 * time.Millisecond
+	// drainBound is the time after the acknowledgement of its leave from which an upstream may
+	// get no request any more.
+	drainBound = 2 * time.Second
+	// announcedIncarnation is the incarnation of all upstreams that announce makes known.
+	announcedIncarnation = 1_700_000_000_000
 	// setupTimeout bounds the waits for what the test does not measure.
 	setupTimeout = 60 * time.Second
 )
@@ -55,8 +60,11 @@
 
 	// controlGroup is a group of control processes that run in the test.
 	controlGroup struct {
-		t       *testing.T
-		clients []*messenger.Client
+		t        *testing.T
+		settings []*settings.Settings
+		clients  []*messenger.Client
+		// stop stops all control processes.
+		stop func()
 	}
 )
 
@@ -107,12 +115,6 @@
 	for i := range 3 {
 		members = append(members, &settings.ControlPeer{Id: fmt.Sprint("control-", i), Address: reserveAddress(t)})
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	var running sync.WaitGroup
-	t.Cleanup(func() {
-		cancel()
-		running.Wait()
-	})
 	for _, m := range members {
 		s := &settings.Settings{
 			Host: &settings.Host{Id: m.GetId(), FailureDomain: "a"},
@@ -122,20 +124,36 @@
 			},
 		}
 		validator.FillDefaults(s)
+		g.settings = append(g.settings, s)
+		client := messenger.NewClient(m.GetAddress(), messenger.Security{}, time.Second)
+		t.Cleanup(client.Close)
+		g.clients = append(g.clients, client)
+	}
+	g.start()
+	t.Cleanup(func() { g.stop() })
+	return g
+}
+
+// start starts all control processes.
+func (g *controlGroup) start() {
+	g.t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	running := &sync.WaitGroup{}
+	for _, s := range g.settings {
 		c, err := controller.New(s, controller.Dialect{}, zap.NewNop(), instrumenter.New("control"))
 		if err != nil {
-			t.Fatal(err)
+			g.t.Fatal(err)
 		}
 		running.Go(func() {
 			if err := c.Run(ctx); err != nil {
-				t.Error(err)
+				g.t.Error(err)
 			}
 		})
-		client := messenger.NewClient(m.GetAddress(), messenger.Security{}, time.Second)
-		t.Cleanup(client.Close)
-		g.clients = append(g.clients, client)
 	}
-	return g
+	g.stop = func() {
+		cancel()
+		running.Wait()
+	}
 }
 
 func (g *controlGroup) addresses() []string {
@@ -149,28 +167,37 @@
 // put commits a document and returns the revision that it leads to.
 func (g *controlGroup) put(d *state.Document) configurer.Revision {
 	g.t.Helper()
-	request := &wire.Request{Kind: &wire.Request_Propose{Propose: &state.Command{Kind: &state.Command_Document{Document: d}}}}
+	return configurer.Revision(g.commit(&state.Command{Kind: &state.Command_Document{Document: d}}).GetRevision())
+}
+
+// commit commits a command and returns its outcome.
+func (g *controlGroup) commit(command *state.Command) *state.Outcome {
+	g.t.Helper()
+	request := &wire.Request{Kind: &wire.Request_Propose{Propose: command}}
 	for end := timer.Now() + setupTimeout; timer.Now() < end; timer.Sleep(g.t.Context(), 20*time.Millisecond) {
 		for _, client := range g.clients {
 			ctx, cancel := context.WithTimeout(g.t.Context(), 5*time.Second)
 			reply, err := client.Call(ctx, request)
 			cancel()
 			if outcome := reply.GetPropose().GetOutcome(); err == nil && outcome.GetAccepted() {
-				return configurer.Revision(outcome.GetRevision())
+				return outcome
 			}
 		}
 	}
-	g.t.Fatal("the group does not commit the document")
-	return 0
+	g.t.Fatal("the group does not commit the command")
+	return nil
 }
 
+// announcedID returns the id of an upstream that announce makes known.
+func announcedID(number int) string { return fmt.Sprintf("i-%08x", number) }
+
 // announce makes upstreams known to all control processes, as their gossip does.
 func (g *controlGroup) announce(upstreams int) {
 	g.t.Helper()
 	message := &wire.Spread{Host: "other"}
 	for i := range upstreams {
 		message.Upstreams = append(message.Upstreams, &wire.Upstream{
-			Id: fmt.Sprintf("i-%08x", i), Incarnation: 1_700_000_000_000, Sequence: 1, Url: fmt.Sprintf("http://10.0.%d.%d:8000", i/256, i%256),
+			Id: announcedID(i), Incarnation: announcedIncarnation, Sequence: 1, Url: fmt.Sprintf("http://10.0.%d.%d:8000", i/256, i%256),
 			FailureDomain: "a", Kind: string(registrar.KindService), Serves: []string{"service"}, State: string(registrar.Serving),
 			Load: &wire.Load{Slots: 64}, UpMillis: 60_000,
 		})
@@ -289,3 +316,34 @@
 	}
 	t.Logf("all are known after %v", timer.Now()-startedAt)
 }
+
+// TestLeaveWhileTablesAreFetched guards against requests to an upstream whose leave was
+// acknowledged, while an entry process fetches the whole tables of the control processes that
+// it polls over a slow link, as after their restart.
+func TestLeaveWhileTablesAreFetched(t *testing.T) {
+	const upstreams = 12_000
+	group := startControlGroup(t)
+	revision := group.put(documentWithRoutes(1, 10))
+	group.announce(1)
+	link := &slowLink{}
+	r := startEntryBehind(t, link, group.addresses())
+	r.awaitRevision(t, revision, setupTimeout)
+	awaitCondition(t, "the upstream is not known", func() bool { return r.isServing(announcedID(0)) })
+	group.stop()
+	group.start()
+	group.announce(upstreams)
+	// The next reply to each poll says that the whole table is to be fetched.
+	before := link.received.Load()
+	awaitCondition(t, "no table is fetched", func() bool { return link.received.Load() > before+fetchPartBytes })
+	group.commit(&state.Command{Kind: &state.Command_Departure{Departure: &state.Departure{Upstream: announcedID(0), Incarnation: announcedIncarnation}}})
+	acknowledged := timer.Now()
+	awaitCondition(t, "the leave is not known", func() bool { return !r.isServing(announcedID(0)) })
+	if after := timer.Now() - acknowledged; after > drainBound {
+		t.Errorf("the leave is known after %v, want %v", after, drainBound)
+	}
+}
+
+// isServing reports whether requests are sent to an upstream.
+func (r *Router) isServing(id string) bool {
+	return r.dispatcher.isServing(&registrar.Upstream{ID: registrar.UpstreamID(id), Incarnation: announcedIncarnation})
+}
