--- a/internal/router/configuration_test.go
+++ b/internal/router/configuration_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -37,6 +38,8 @@
 	// drainBound is the time after the acknowledgement of its leave from which an upstream may
 	// get no request any more.
 	drainBound = 2 * time.Second
+	// platformConnectTimeout is the connect timeout of the platform's adapter.
+	platformConnectTimeout = 300 * time.Millisecond
 	// announcedIncarnation is the incarnation of all upstreams that announce makes known.
 	announcedIncarnation = 1_700_000_000_000
 	// setupTimeout bounds the waits for what the test does not measure.
@@ -343,6 +346,83 @@
 	}
 }
 
+// TestLeaveReachesAllHosts guards against the sum of the delays on the way of a leave: its commit,
+// the sync interval, and control processes that do not answer and are tried first. Nothing
+// comes by polls, as while a table is fetched. The time counts at the last of all hosts.
+func TestLeaveReachesAllHosts(t *testing.T) {
+	// lost is the number of control processes that accept connections and do not answer: frozen
+	// ones, or ones whose loss is not noticed yet.
+	const lost = 2
+	group := startControlGroup(t)
+	revision := group.put(documentWithRoutes(1, 10))
+	var silent []string
+	for range lost {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = l.Close() })
+		silent = append(silent, l.Addr().String())
+	}
+	for n, hosts := range []int{2, 7, 88, 194} {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			routers := make([]*Router, hosts)
+			for i := range routers {
+				routers[i] = newSyncingRouter(t, fmt.Sprint("e-", i), append(slices.Clone(silent), group.addresses()...))
+				routers[i].dispatcher.applyAnnouncement(announcedUpstream(n, routers[i].dispatcher.now()))
+			}
+			for _, r := range routers {
+				r.awaitRevision(t, revision, setupTimeout)
+			}
+			group.commit(&state.Command{Kind: &state.Command_Departure{Departure: &state.Departure{Upstream: announcedID(n), Incarnation: announcedIncarnation}}})
+			acknowledged := timer.Now()
+			for _, r := range routers {
+				awaitCondition(t, "the leave is not known", func() bool { return !r.isServing(announcedID(n)) })
+			}
+			// A request that was sent just before may still wait for a connection.
+			sum := timer.Now() - acknowledged + platformConnectTimeout
+			t.Logf("no request %v after the acknowledgement", sum)
+			if sum > drainBound {
+				t.Errorf("requests until %v after the acknowledgement, want none after %v", sum, drainBound)
+			}
+		})
+	}
+}
+
+// newSyncingRouter returns an entry process that sends sync requests, and no polls, until the end
+// of the test.
+func newSyncingRouter(t *testing.T, host string, control []string) *Router {
+	t.Helper()
+	s := &settings.Settings{
+		Host: &settings.Host{Id: host, FailureDomain: "a"},
+		Entry: &settings.Entry{
+			FollowControl: true, ServeStale: true, ControlAddresses: control, AnnouncementLease: durationpb.New(time.Minute),
+			SyncInterval: durationpb.New(time.Second), Freshness: durationpb.New(5 * time.Second),
+		},
+	}
+	validator.FillDefaults(s)
+	r, err := New(s, NativeDialect(), zap.NewNop(), instrumenter.New("entry"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = r.controlPlane.run(ctx) })
+	running.Go(func() { _ = r.fetcher.run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	return r
+}
+
+func announcedUpstream(number int, now time.Duration) registrar.Upstream {
+	return registrar.Upstream{
+		ID: registrar.UpstreamID(announcedID(number)), Incarnation: announcedIncarnation, URL: "http://" + announcedID(number), FailureDomain: "a",
+		Kind: registrar.KindService, Serves: []string{"service"}, State: registrar.Serving, AnnouncedAt: now, Load: registrar.Load{Slots: 64},
+	}
+}
+
 // isServing reports whether requests are sent to an upstream.
 func (r *Router) isServing(id string) bool {
 	return r.dispatcher.isServing(&registrar.Upstream{ID: registrar.UpstreamID(id), Incarnation: announcedIncarnation})
