registrar, router, platform: know and log the software version of upstreams

Announcements carry the version now, in gossip, renewals (by the fingerprint), the tables for entry hosts and on the own interface; emulated upstreams have one, which shows in their tokens. Lines of requests name the upstream's version, and the attempt that a client resumes. An announcement without a version, relayed by an older process, keeps the one known of the run. No decision changes.

--- a/cmd/comfreybend/emulate.go
+++ b/cmd/comfreybend/emulate.go
@@ -25,6 +25,7 @@
 		c.Flag("failure-domain", "Failure domain of the upstream.").Required().StringVar(&config.FailureDomain)
 		c.Flag("kind", "model or service.").Default("model").EnumVar(&config.Kind, "model", "service")
 		c.Flag("serves", "Model or service name; may be repeated.").Required().StringsVar(&config.Serves)
+		c.Flag("software-version", "Version to announce; it is part of each token.").StringVar(&config.Version)
 		c.Flag("listen", "Address to serve on.").Default("127.0.0.1:0").StringVar(&config.Listen)
 		c.Flag("advertise", "URL to announce; by default the listening address.").StringVar(&config.Advertise)
 		c.Flag("announce", "Base URL of an entry process's upstream interface; may be repeated.").
--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -22,6 +22,7 @@
 		Kind:          registrar.Kind(u.GetKind()),
 		Serves:        u.GetServes(),
 		State:         registrar.State(u.GetState()),
+		Version:       registrar.Version(u.GetVersion()),
 		Preemptible:   u.GetPreemptible(),
 		Load: registrar.Load{
 			Running:    int(u.GetLoad().GetRunning()),
@@ -48,6 +49,7 @@
 		Kind:          string(u.Kind),
 		Serves:        u.Serves,
 		State:         string(u.State),
+		Version:       string(u.Version),
 		Preemptible:   u.Preemptible,
 		Load: &wire.Load{
 			Running:   int32(u.Load.Running),
--- a/internal/emulator/announcer.go
+++ b/internal/emulator/announcer.go
@@ -88,6 +88,7 @@
 		Kind:          u.config.Kind,
 		Serves:        u.config.Serves,
 		State:         state,
+		Version:       u.config.Version,
 		Preemptible:   u.config.Preemptible,
 		Load: &wire.Load{
 			Running:   int32(load.running),
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -35,6 +35,9 @@
 		// Kind is "model" or "service".
 		Kind   string
 		Serves []string
+		// Version is the version of the software. The tokens of two versions differ, so that a
+		// stream that is joined from both can be seen.
+		Version string
 		// Listen is the address of the listener.
 		Listen string
 		// Advertise is the announced URL. If it is empty, the listener's address is announced.
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -177,7 +177,7 @@
 	case c.faults.MismatchAttempts && n <= c.tokens:
 		return fmt.Sprintf(chunk, c.request.Model, `{"index":0,"delta":{"content":"of another request "}}`, "")
 	case n <= c.tokens:
-		choice := fmt.Sprintf(`{"index":0,"delta":{"content":"token%d "}}`, n)
+		choice := fmt.Sprintf(`{"index":0,"delta":{"content":"token%d%s "}}`, n, c.upstream.config.Version)
 		return fmt.Sprintf(chunk, c.request.Model, choice, "")
 	case n == c.tokens+1:
 		usage := fmt.Sprintf(`,"usage":{"prompt_tokens":%d,"completion_tokens":%d}`, c.promptTokens, c.tokens)
@@ -198,7 +198,7 @@
 	}
 	var text strings.Builder
 	for n := 1; n <= c.tokens; n++ {
-		fmt.Fprintf(&text, "token%d ", n)
+		fmt.Fprintf(&text, "token%d%s ", n, c.upstream.config.Version)
 	}
 	c.w.Header().Set("Content-Type", "application/json")
 	_, err := fmt.Fprintf(c.w, `{"id":"chatcmpl-emulated","object":"chat.completion","model":%q,`+
--- a/internal/router/announcement.go
+++ b/internal/router/announcement.go
@@ -70,6 +70,8 @@
 		return errors.New("kind must be model or service")
 	case u.GetState() != string(registrar.Serving) && u.GetState() != string(registrar.Leaving):
 		return errors.New("state must be serving or leaving")
+	case len(u.GetVersion()) > registrar.MaxVersionBytes:
+		return errors.Errorf("version has more than %d bytes", registrar.MaxVersionBytes)
 	case len(u.GetServes()) == 0:
 		return errors.New("serves is empty")
 	default:
--- a/internal/router/dialect.go
+++ b/internal/router/dialect.go
@@ -12,6 +12,9 @@
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 )
 
+// maxResumedBytes bounds the id of the attempt that a client names to resume a stream.
+const maxResumedBytes = 256
+
 type (
 	// Dialect adapts the router to the HTTP interface that clients and upstreams
 	// use: it translates their headers, status codes and refusals.
@@ -57,6 +60,9 @@
 		// LastEventID is the id of the last event that the client has received of a
 		// stream that it resumes.
 		LastEventID scanner.EventID
+		// Resumes is the attempt that brought the client the first event of that stream; empty if
+		// the client does not say so.
+		Resumes AttemptID
 		// Prompt describes the prompt of a model request; zero if the headers do not
 		// describe it.
 		Prompt Prompt
@@ -145,6 +151,7 @@
 		}
 		info.Timeout = time.Duration(millis) * time.Millisecond
 	}
+	info.Resumes = ResumedAttempt(request.Header.Values(HeaderResumes))
 	info.Prompt.Parts = ParsePromptParts(request.Header.Get(HeaderPromptParts))
 	for _, part := range info.Prompt.Parts {
 		info.Prompt.InputTokens += TokenCount(part.Tokens)
@@ -152,6 +159,21 @@
 	return info, nil
 }
 
+// ResumedAttempt returns the attempt that brought the first event of the stream that a request
+// resumes, from the values of the header that names it. It is empty if there is none, if they differ, or if
+// it is too long to be an attempt of this system's clients.
+func ResumedAttempt(values []string) AttemptID {
+	if len(values) == 0 || len(values[0]) > maxResumedBytes {
+		return ""
+	}
+	for _, v := range values[1:] {
+		if v != values[0] {
+			return ""
+		}
+	}
+	return AttemptID(values[0])
+}
+
 // ParsePromptParts parses a list of prompt parts: ID:TOKENS separated by commas. Numbers that
 // cannot be parsed count as zero, because the upstream reads the same list itself.
 func ParsePromptParts(text string) []picker.PromptPart {
--- a/internal/router/refusal.go
+++ b/internal/router/refusal.go
@@ -23,7 +23,10 @@
 	// HeaderPromptParts lists the parts of the prompt in their order, as ID:TOKENS separated
 	// by commas. The last part belongs to the request alone.
 	HeaderPromptParts = "Comfreybend-Prompt-Parts"
-	headerRetryAfter  = "Retry-After"
+	// HeaderResumes names the attempt that brought the first event of the stream that the client
+	// resumes after Last-Event-ID.
+	HeaderResumes    = "Comfreybend-Resumes"
+	headerRetryAfter = "Retry-After"
 )
 
 // Headers of requests to upstreams.
--- a/internal/router/request_log.go
+++ b/internal/router/request_log.go
@@ -34,6 +34,7 @@
 		h.requestIDField(),
 		zap.String("upstream", string(g.upstream.ID)),
 		zap.String("upstreamDomain", string(g.upstream.FailureDomain)),
+		zap.String("version", string(g.upstream.Version)),
 		zap.Int("candidates", g.placement.candidates),
 		zap.Int("load", g.placement.load),
 		zap.Duration("loadAge", g.placement.loadAge),
@@ -68,6 +69,8 @@
 		zap.Duration("firstByte", timeToHeaders),
 		zap.Duration("whole", h.age()),
 		zap.Uint64("events", uint64(h.lastEventID)),
+		zap.String("resumes", string(h.call.Resumes)),
+		zap.Uint64("resumedAfter", uint64(h.call.LastEventID)),
 		zap.String("organisation", string(h.call.client.organisation)),
 		zap.String("class", h.call.class.GetName()),
 		zap.Int32("tier", h.call.tier))...)
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -162,7 +162,7 @@
 		h.finishAttempt(failureOutcome(cause), failure)
 	}
 	h.log.Info("upstream stream was interrupted", h.requestIDField(), zap.String("attempt", string(at.id)),
-		zap.String("upstream", string(at.grant.upstream.ID)), h.partsField(),
+		zap.String("upstream", string(at.grant.upstream.ID)), zap.String("version", string(at.grant.upstream.Version)), h.partsField(),
 		zap.Uint64("delivered", uint64(h.lastEventID)), zap.Error(cause))
 	if h.lastEventID == scanner.NoEventID && at.eventsRelayed.Load() > 0 {
 		// The client has received events without ids, so the position to resume at
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -13,6 +13,8 @@
 )
 
 const (
+	// MaxVersionBytes is the size of the longest version that an upstream may report.
+	MaxVersionBytes = 128
 	// maxWarmUpDrift is the difference of two announced ends of the warm-up that is ignored.
 	maxWarmUpDrift = time.Second
 	// maxDepartures is the number of departures that a registry remembers.
@@ -35,6 +37,9 @@
 	Kind string
 	// State is whether an upstream accepts new requests.
 	State string
+	// Version is the version of an upstream's software. Versions have no order. It is empty
+	// if the upstream does not report it.
+	Version string
 
 	// Load is the load that an upstream reports for itself.
 	Load struct {
@@ -61,6 +66,8 @@
 		// Serves lists the names of the models or services that the upstream serves.
 		Serves []string
 		State  State
+		// Version is that of the incarnation.
+		Version Version
 		// Preemptible reports that the platform may reclaim the upstream on short notice.
 		Preemptible bool
 		Load        Load
@@ -154,6 +161,10 @@
 		u = *before
 		u.State = Leaving
 	}
+	if before != nil && before.Incarnation == u.Incarnation && u.Version == "" {
+		// It was relayed by a process that does not know versions.
+		u.Version = before.Version
+	}
 	if u.State == Leaving {
 		r.departures.Add(Departure{ID: u.ID, Incarnation: u.Incarnation})
 	}
@@ -324,7 +335,7 @@
 	return u.Fingerprint() == other.Fingerprint() && max(warmUpChange, -warmUpChange) < maxWarmUpDrift
 }
 
-// Fingerprint returns a hash of an announcement's incarnation, URL, state, kind, failure
+// Fingerprint returns a hash of an announcement's incarnation, URL, state, version, kind, failure
 // domain, preemptibility, slots and served names. It is the same in all processes.
 func (u *Upstream) Fingerprint() uint64 {
 	digest := xxhash.New()
@@ -334,6 +345,9 @@
 	}, u.Serves...) {
 		_, _ = digest.WriteString(text + "\x00")
 	}
+	if u.Version != "" {
+		_, _ = digest.WriteString("version\x00" + string(u.Version) + "\x00")
+	}
 	return digest.Sum64()
 }
 
