--- /dev/null
+++ b/test/integration/versions_test.go
@@ -0,0 +1,273 @@
+package integration
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/comfreybend/comfreybend/internal/emulator"
+	"github.com/comfreybend/comfreybend/internal/router"
+	"github.com/comfreybend/comfreybend/schema/settings"
+)
+
+const (
+	versionTokens        = 40
+	versionTokenInterval = 25 * time.Millisecond
+)
+
+// tokenPattern matches the tokens of emulated engines: a number and the engine's version.
+var tokenPattern = regexp.MustCompile(`^token(\d+)(\S*) $`)
+
+// resumableStream is a streamed completion of a client that takes it up again when it breaks.
+type resumableStream struct {
+	key, body string
+	// attempt is the one that brought the first event.
+	attempt string
+	// lastEvent is the id of the last event received.
+	lastEvent int
+	// versions holds, for each token received, the version of the engine that made it.
+	versions []string
+	complete bool
+	problem  error
+}
+
+func newResumableStream(key string) *resumableStream {
+	return &resumableStream{key: key, body: completionBody(versionTokens)}
+}
+
+// read sends the request, as the one that resumes the stream if events have been received, and
+// reads until the stream ends or breaks. It returns the status, zero if there is none. onEvent is
+// called after each event.
+func (s *resumableStream) read(ctx context.Context, e *entryProcess, onEvent func()) int {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.clientAddress+"/v1/chat/completions", strings.NewReader(s.body))
+	if err != nil {
+		s.problem = err
+		return 0
+	}
+	request.Header.Set("Authorization", "Bearer "+s.key)
+	if s.lastEvent > 0 {
+		request.Header.Set("Last-Event-ID", strconv.Itoa(s.lastEvent))
+		request.Header.Set("Comfreybend-Resumes", s.attempt)
+	}
+	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return response.StatusCode
+	}
+	lines := bufio.NewScanner(response.Body)
+	id := 0
+	for lines.Scan() && !s.complete && s.problem == nil {
+		if lines.Text() == "event: error" {
+			// The stream ends here although it is not complete.
+			break
+		}
+		if text, found := strings.CutPrefix(lines.Text(), "id: "); found {
+			id, _ = strconv.Atoi(text)
+		} else if data, found := strings.CutPrefix(lines.Text(), "data: "); found {
+			s.addEvent(id, data, response.Header.Get(router.HeaderAttempt))
+			onEvent()
+		}
+	}
+	return response.StatusCode
+}
+
+// addEvent checks and records an event.
+func (s *resumableStream) addEvent(id int, data, attempt string) {
+	if id != s.lastEvent+1 {
+		s.problem = fmt.Errorf("event %d follows event %d", id, s.lastEvent)
+		return
+	}
+	if s.lastEvent == 0 {
+		s.attempt = attempt
+	}
+	s.lastEvent = id
+	if data == "[DONE]" {
+		s.complete = true
+		return
+	}
+	var chunk struct {
+		Choices []struct{ Delta struct{ Content string } }
+	}
+	if err := json.Unmarshal([]byte(data), &chunk); err != nil || len(chunk.Choices) == 0 {
+		return
+	}
+	if token := tokenPattern.FindStringSubmatch(chunk.Choices[0].Delta.Content); token != nil {
+		s.versions = append(s.versions, token[2])
+	}
+}
+
+// joined reports whether the stream holds tokens of two versions.
+func (s *resumableStream) joined() bool {
+	for _, v := range s.versions {
+		if v != s.versions[0] {
+			return true
+		}
+	}
+	return false
+}
+
+// startVersions starts a number of engines of each version, spread over the failure domains of
+// the entry processes.
+func (s *system) startVersions(engines int, versions ...string) map[string][]*upstreamProcess {
+	s.t.Helper()
+	out := map[string][]*upstreamProcess{}
+	for _, version := range versions {
+		for i := range engines {
+			u := s.startUpstream(fmt.Sprintf("engine-%s-%d", version, i), s.entries[i%len(s.entries)].domain, "model", "m", s.entries,
+				"--software-version", version, "--slots", "64", "--token-interval", versionTokenInterval.String(), "--first-token", "10ms")
+			out[version] = append(out[version], u)
+		}
+	}
+	return out
+}
+
+// allowRetries lets as many requests be retried as there are.
+func allowRetries(s *settings.Settings) {
+	s.Entry.UpstreamLimits = &settings.UpstreamLimits{RetryPercent: 100}
+}
+
+// checkStreams fails the test if streams were joined, and returns how many are complete.
+func checkStreams(t *testing.T, streams []*resumableStream) int {
+	t.Helper()
+	complete, joined := 0, 0
+	for _, s := range streams {
+		if s.problem != nil {
+			t.Error(s.problem)
+		}
+		if s.joined() {
+			joined++
+		}
+		if s.complete {
+			complete++
+		}
+	}
+	if joined > 0 {
+		t.Errorf("%d of %d streams hold tokens of two versions", joined, len(streams))
+	}
+	return complete
+}
+
+// TestResumedStreamKeepsItsVersion guards against streams that break and are resumed by the
+// router at an upstream of another software version: their two parts do not fit together.
+func TestResumedStreamKeepsItsVersion(t *testing.T) {
+	const streams = 40
+	s := startSystem(t, layout{controls: 3, entries: []string{"a", "b"}, adjustEntry: allowRetries})
+	s.configure()
+	engines := s.startVersions(2, "v1", "v2")
+	s.startUpstream("orders-1", "a", "service", "orders", s.entries)
+	key := s.grant("one").Key
+	s.awaitKey(key, s.entries...)
+	for _, e := range s.entries {
+		s.awaitCompletion(e, key)
+	}
+	for _, ofVersion := range engines {
+		ofVersion[0].setFaults(t, emulator.InjectedFaults{CutAfterEvents: 5})
+	}
+	var (
+		wait sync.WaitGroup
+		all  []*resumableStream
+	)
+	for i := range streams {
+		stream := newResumableStream(key)
+		all = append(all, stream)
+		wait.Go(func() { stream.read(t.Context(), s.entries[i%len(s.entries)], func() {}) })
+	}
+	wait.Wait()
+	if complete := checkStreams(t, all); complete < streams {
+		t.Errorf("%d of %d streams are complete, although each version has an upstream that works", complete, streams)
+	}
+}
+
+// TestStreamTakenUpKeepsItsVersion guards against streams that break with their entry host, are
+// taken up by their clients at another one, and go on at an upstream of another software
+// version. All entry processes end at the same time, and with them what they know.
+func TestStreamTakenUpKeepsItsVersion(t *testing.T) {
+	const streams = 40
+	s := startSystem(t, layout{controls: 3, entries: []string{"a", "b"}})
+	s.configure()
+	s.startVersions(2, "v1", "v2")
+	s.startUpstream("orders-1", "a", "service", "orders", s.entries)
+	key := s.grant("one").Key
+	s.awaitKey(key, s.entries...)
+	for _, e := range s.entries {
+		s.awaitCompletion(e, key)
+	}
+	all := s.breakStreams(key, streams)
+	for _, e := range s.entries {
+		e.start()
+	}
+	s.awaitKey(key, s.entries...)
+	s.takeUp(all)
+	if complete := checkStreams(t, all); complete < streams {
+		t.Errorf("%d of %d streams are complete, although each version has two upstreams", complete, streams)
+	}
+}
+
+// breakStreams begins streams at all entry processes and kills these in the middle of them.
+func (s *system) breakStreams(key string, streams int) []*resumableStream {
+	s.t.Helper()
+	var (
+		wait, begun sync.WaitGroup
+		all         []*resumableStream
+	)
+	for i := range streams {
+		stream := newResumableStream(key)
+		all = append(all, stream)
+		begun.Add(1)
+		wait.Go(func() {
+			var once sync.Once
+			stream.read(s.t.Context(), s.entries[i%len(s.entries)], func() { once.Do(begun.Done) })
+			once.Do(begun.Done)
+		})
+	}
+	begun.Wait()
+	for _, e := range s.entries {
+		e.kill()
+	}
+	wait.Wait()
+	for _, stream := range all {
+		if stream.complete || stream.lastEvent == 0 {
+			s.t.Fatalf("a stream has %d events and is complete: %t, want one that broke", stream.lastEvent, stream.complete)
+		}
+	}
+	return all
+}
+
+// takeUp takes up streams, each at another entry process than the one that it began at, and again
+// while it is told to come back. It returns the number of streams that were refused.
+func (s *system) takeUp(streams []*resumableStream) (refused int) {
+	s.t.Helper()
+	var (
+		wait sync.WaitGroup
+		mu   sync.Mutex
+	)
+	for i, stream := range streams {
+		wait.Go(func() {
+			eventually(s.t, waitTimeout, func() error {
+				status := stream.read(s.t.Context(), s.entries[(i+1)%len(s.entries)], func() {})
+				if status == http.StatusServiceUnavailable || status == 0 {
+					return fmt.Errorf("status %d", status)
+				}
+				if status != http.StatusOK {
+					mu.Lock()
+					defer mu.Unlock()
+					refused++
+				}
+				return nil
+			})
+		})
+	}
+	wait.Wait()
+	return refused
+}
