--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/comfreybend/comfreybend/internal/messenger"
+	"github.com/comfreybend/comfreybend/internal/queuer"
 	"github.com/comfreybend/comfreybend/pkg/replicator"
 	"github.com/comfreybend/comfreybend/schema/replication"
 	"github.com/comfreybend/comfreybend/schema/settings"
@@ -39,7 +40,7 @@
 	peer struct {
 		host   string
 		client *messenger.Client
-		outbox *outbox
+		outbox *queuer.Queue
 		// stop is closed when the peer is removed or its address changes.
 		stop chan struct{}
 	}
@@ -92,7 +93,7 @@
 	added := &peer{
 		host:   host,
 		client: messenger.NewClient(address, p.security, requestTimeout),
-		outbox: newOutbox(),
+		outbox: queuer.New(),
 		stop:   make(chan struct{}),
 	}
 	p.byHost[host] = added
@@ -220,7 +221,7 @@
 		to := p.byHost[p.hostByMember[replicator.MemberID(m.GetTo())]]
 		p.mu.Unlock()
 		if to != nil {
-			to.outbox.add(m)
+			to.outbox.Add(m)
 		}
 	}
 }
@@ -235,9 +236,9 @@
 			return
 		case <-to.stop:
 			return
-		case <-to.outbox.added:
+		case <-to.outbox.Added:
 		}
-		messages := to.outbox.take()
+		messages := to.outbox.Take()
 		if len(messages) == 0 {
 			continue
 		}
--- a/internal/router/budget.go
+++ b/internal/router/budget.go
@@ -52,12 +52,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.budget.setProcesses(max(1, n))
-	d.clusterLoad.entryProcesses = n
+	d.entryProcessCount = n
 }
 
 // entryProcesses returns the number of entry processes; zero if it is not known yet.
 func (d *dispatcher) entryProcesses() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.clusterLoad.entryProcesses
+	return d.entryProcessCount
 }
--- a/internal/router/control_poller_test.go
+++ b/internal/router/control_poller_test.go
@@ -153,13 +153,13 @@
 	for id, want := range map[registrar.UpstreamID]gatherer.Load{
 		"near": {Requests: 3, PendingTokens: 100, UncachedTokens: 200}, "far-1": mean, "far-2": mean,
 	} {
-		if got, known := d.clusterLoad.loadOfOthers(d.now(), d.registry.Get(id)); !known || got != want {
+		if got, known := d.clusterLoad.LoadOfOthers(d.now(), d.registry.Get(id)); !known || got != want {
 			t.Errorf("load of the others on %s is %+v, want %+v", id, got, want)
 		}
 	}
 	reply.DomainLoads = nil
 	d.applyClusterLoad(share, reply)
-	if got, _ := d.clusterLoad.loadOfOthers(d.now(), d.registry.Get("far-2")); got != (gatherer.Load{}) {
+	if got, _ := d.clusterLoad.LoadOfOthers(d.now(), d.registry.Get("far-2")); got != (gatherer.Load{}) {
 		t.Errorf("load of the others on far-2 is %+v after rows came in place of sums, want none", got)
 	}
 }
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/comfreybend/comfreybend/internal/configurer"
+	"github.com/comfreybend/comfreybend/internal/estimator"
 	"github.com/comfreybend/comfreybend/internal/restrainer"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
@@ -143,7 +144,9 @@
 		cacheIndex     *picker.CacheIndex
 		budget         retryBudget
 		peerDemands    *demandTable
-		clusterLoad    clusterLoad
+		clusterLoad    *estimator.Estimator
+		// entryProcessCount is the number of entry processes.
+		entryProcessCount int
 		// draining holds the upstreams that are about to be stopped, as reported by a
 		// control process. They get no new requests.
 		draining map[registrar.UpstreamID]bool
@@ -197,7 +200,7 @@
 		placer:         picker.NewPlacer(),
 		budget:         newRetryBudget(e),
 		peerDemands:    newDemandTable(len(e.GetPeerAddresses())),
-		clusterLoad:    newClusterLoad(),
+		clusterLoad:    estimator.New(),
 		withdrawn:      map[registrar.UpstreamID]registrar.Upstream{},
 		onWithdrawn:    func(registrar.Upstream) {},
 	}
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -115,11 +115,11 @@
 	g.placement.candidates = len(candidates)
 	g.placement.loadAge = measurementAge(now, max(g.state.reportedLoad.MeasuredAt, g.upstream.Load.MeasuredAt))
 	if w.request.prompt != nil {
-		if _, known := d.clusterLoad.loadOfOthers(now, g.upstream); known {
-			g.placement.loadAge = measurementAge(now, d.clusterLoad.updatedAt)
+		if _, known := d.clusterLoad.LoadOfOthers(now, g.upstream); known {
+			g.placement.loadAge = measurementAge(now, d.clusterLoad.UpdatedAt())
 		}
 		if part, report := d.placer.RecordPlacement(now, *w.request.prompt, g.upstream.ID); report {
-			d.clusterLoad.recordCachedPart(now, part)
+			d.clusterLoad.RecordCachedPart(now, part)
 		}
 		g.prefillStartsImmediately = g.state.pendingTokens == 0
 		g.state.pendingTokens += g.uncachedTokens
@@ -173,7 +173,7 @@
 		c := &candidates[i]
 		running, uncached := c.Load(), d.upstreamStates[u.ID].uncachedTokens
 		othersPending := d.meanPendingTokens * float64(max(0, c.ReportedLoad-c.InFlightAtReport))
-		if others, known := d.clusterLoad.loadOfOthers(now, u); known {
+		if others, known := d.clusterLoad.LoadOfOthers(now, u); known {
 			running = c.InFlight + others.Requests
 			othersPending = float64(others.PendingTokens)
 			uncached += float64(others.UncachedTokens)
