--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -27,6 +27,7 @@
 	"github.com/comfreybend/comfreybend/internal/instrumenter"
 	"github.com/comfreybend/comfreybend/internal/keeper"
 	"github.com/comfreybend/comfreybend/internal/messenger"
+	"github.com/comfreybend/comfreybend/internal/tabulator"
 	"github.com/comfreybend/comfreybend/pkg/journaler"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/replicator"
@@ -78,7 +79,7 @@
 		usage         *usageCollector
 		entries       *entryTable
 		dialect       Dialect
-		upstreamTable *upstreamTable
+		upstreamTable *tabulator.Table
 		clusterView   *clusterView
 		loads         *loadTable
 		windows       *windowCollector
@@ -115,7 +116,7 @@
 		usage:           newUsageCollector(),
 		entries:         newEntryTable(),
 		dialect:         dialect,
-		upstreamTable:   newUpstreamTable(s.GetControl().GetAnnouncementLease().AsDuration()),
+		upstreamTable:   tabulator.New(s.GetControl().GetAnnouncementLease().AsDuration()),
 		clusterView:     newClusterView(),
 		loads:           newLoadTable(),
 		windows:         newWindowCollector(s.GetControl()),
@@ -125,11 +126,11 @@
 		failedProposals: instruments.Scope.Counter("commands_refused"),
 	}
 	c.peers = newPeers(s, security, log)
-	c.upstreamTable.onLeaving = func(u *registrar.Upstream, source leaveSource) {
+	c.upstreamTable.OnLeaving = func(u *registrar.Upstream, source tabulator.LeaveSource) {
 		log.Info("upstream is leaving", zap.String("upstream", string(u.ID)), zap.Uint64("incarnation", uint64(u.Incarnation)),
 			zap.String("source", string(source)), zap.Duration("age", timer.Now()-u.AnnouncedAt))
 	}
-	c.stateMachine.OnDeparture = c.upstreamTable.depart
+	c.stateMachine.OnDeparture = c.upstreamTable.Depart
 	return c, nil
 }
 
--- a/internal/controller/counts.go
+++ b/internal/controller/counts.go
@@ -21,9 +21,7 @@
 func (a *autoscaler) runScaling(ctx context.Context) error {
 	c := a.agent.controller
 	s := c.settings.GetControl().GetOrdering()
-	if timer.Now()-c.upstreamTable.createdAt < c.upstreamTable.lease/2 {
-		// A new table is incomplete until every upstream has renewed its announcement;
-		// half an announcement lease is allowed for that.
+	if !c.upstreamTable.IsComplete() {
 		return nil
 	}
 	if a.sizer == nil {
@@ -35,7 +33,7 @@
 		if pool.GetScaling() == nil {
 			continue
 		}
-		for _, order := range a.sizer.Step(timer.Now(), describePool(pool, busy[pool.GetName()], c.upstreamTable.all(), c.evidence.Limits())) {
+		for _, order := range a.sizer.Step(timer.Now(), describePool(pool, busy[pool.GetName()], c.upstreamTable.All(), c.evidence.Limits())) {
 			if !a.agent.refreshLease() {
 				return nil
 			}
--- a/internal/controller/fetch.go
+++ b/internal/controller/fetch.go
@@ -38,12 +38,12 @@
 }
 
 func (c *Controller) serveTableFetch(f *wire.Fetch) *wire.Reply {
-	table, age, err := c.upstreamTable.encodedUpstreams(f.GetDigest())
+	table, age, err := c.upstreamTable.EncodedUpstreams(f.GetDigest())
 	if err != nil {
 		return failureReply(ReasonInvalid, err.Error())
 	}
-	reply := partOf(f, table.data, table.digest)
-	reply.TablePosition, reply.TableAgeMillis = table.position, age.Milliseconds()
+	reply := partOf(f, table.Data, table.Digest)
+	reply.TablePosition, reply.TableAgeMillis = table.Position, age.Milliseconds()
 	return &wire.Reply{Kind: &wire.Reply_Fetch{Fetch: reply}}
 }
 
@@ -63,16 +63,16 @@
 // addWholeTable adds the whole table of upstreams to the reply to a poll, or says that it is
 // to be fetched.
 func (c *Controller) addWholeTable(reply *wire.FollowReply, f *wire.Follow) error {
-	table, age, err := c.upstreamTable.encodedUpstreams(0)
+	table, age, err := c.upstreamTable.EncodedUpstreams(0)
 	if err != nil {
 		return err
 	}
-	if f.GetFetchesChanges() && len(table.data) > maxInlineTableBytes {
+	if f.GetFetchesChanges() && len(table.Data) > maxInlineTableBytes {
 		reply.TableFetchable = true
 		return nil
 	}
-	reply.Position = table.position
-	reply.EncodedUpstreams, reply.EncodedAgeMillis = table.data, age.Milliseconds()
+	reply.Position = table.Position
+	reply.EncodedUpstreams, reply.EncodedAgeMillis = table.Data, age.Milliseconds()
 	return nil
 }
 
--- a/internal/controller/follow.go
+++ b/internal/controller/follow.go
@@ -220,7 +220,7 @@
 		}
 	}
 	if f.GetWantRenewals() {
-		reply.Renewals = c.upstreamTable.renewalsNow()
+		reply.Renewals = c.upstreamTable.RenewalsNow()
 	}
 	if f.GetLoadShare() != nil {
 		loadPosition, cachedPartsPosition := f.GetLoadPosition(), f.GetHeldPosition()
@@ -228,7 +228,7 @@
 			// The positions were given by another process, so everything is sent.
 			loadPosition, cachedPartsPosition = 0, 0
 		}
-		c.loads.fillReply(reply, loadPosition, cachedPartsPosition, registrar.FailureDomain(f.GetFailureDomain()), c.upstreamTable.places())
+		c.loads.fillReply(reply, loadPosition, cachedPartsPosition, registrar.FailureDomain(f.GetFailureDomain()), c.upstreamTable.Places())
 	}
 	reply.RevisionAgeMillis = c.revisionAge().Milliseconds()
 	reply.LagMillis = c.lag().Milliseconds()
@@ -248,13 +248,13 @@
 func (c *Controller) awaitUpdates(ctx context.Context, f *wire.Follow, knownRevision uint64) *wire.FollowReply {
 	until := timer.Now() + min(time.Duration(f.GetWaitMillis())*time.Millisecond, maxPollWait)
 	table := f.GetTable()
-	if !f.GetAcceptsRenewals() && c.upstreamTable.wholeTableDue(f.GetHost()) {
+	if !f.GetAcceptsRenewals() && c.upstreamTable.WholeTableDue(f.GetHost()) {
 		table = 0
 	}
 	for {
 		configurationChanged := c.stateMachine.Changed()
-		reply, tableUpdated := c.upstreamTable.changesSince(table, f.GetPosition(), !f.GetAcceptsRenewals())
-		c.upstreamTable.addLacking(reply, f.GetLacking())
+		reply, tableUpdated := c.upstreamTable.ChangesSince(table, f.GetPosition(), !f.GetAcceptsRenewals())
+		c.upstreamTable.AddLacking(reply, f.GetLacking())
 		evidenceUpdated := c.addEvidence(reply, f)
 		reply.Revision = uint64(c.stateMachine.Revision())
 		remaining := until - timer.Now()
@@ -313,10 +313,10 @@
 	c.mergeEvidence(s.GetEvidence())
 	now := timer.Now()
 	for _, u := range s.GetUpstreams() {
-		c.upstreamTable.update(announcer.FromWire(u, now), false)
+		c.upstreamTable.Update(announcer.FromWire(u, now), false)
 	}
 	for _, r := range s.GetRenewals() {
-		if !c.upstreamTable.renew(r) {
+		if !c.upstreamTable.Renew(r) {
 			c.clusterView.requestAll(s.GetHost())
 		}
 	}
@@ -342,7 +342,7 @@
 		}
 		lag = c.logLag(lag)
 		now := timer.Now()
-		updates := c.upstreamTable.takeUnsent()
+		updates := c.upstreamTable.TakeUnsent()
 		periodicDue := now-lastPeriodic >= maxGossipInterval
 		var (
 			renewals   []*wire.Renewal
@@ -350,7 +350,7 @@
 		)
 		if periodicDue {
 			lastPeriodic = now
-			renewals = c.upstreamTable.takeRenewals()
+			renewals = c.upstreamTable.TakeRenewals()
 			entryHosts = c.clusterView.localEntryHosts()
 		}
 		evidence := gossip.Next(c.evidence, periodicDue)
@@ -366,7 +366,7 @@
 			added := sentTo[host] != client || c.clusterView.takeRequestForAll(host)
 			if added {
 				sentTo[host] = client
-				message.Upstreams = c.upstreamTable.all()
+				message.Upstreams = c.upstreamTable.All()
 				message.Evidence, _, _ = c.evidence.Since(0)
 			}
 			if len(message.GetUpstreams())+len(renewals) == 0 && load == nil && evidence == nil && !periodicDue && !added && !message.GetWantAll() {
--- a/internal/controller/leave.go
+++ b/internal/controller/leave.go
@@ -35,7 +35,7 @@
 // announce applies an announcement of an upstream. One that says that the upstream leaves
 // may be acknowledged only if the error is nil.
 func (c *Controller) announce(ctx context.Context, u registrar.Upstream) error {
-	c.upstreamTable.update(u, true)
+	c.upstreamTable.Update(u, true)
 	if u.State != registrar.Leaving {
 		return nil
 	}
@@ -46,7 +46,7 @@
 // withdraw marks an upstream as leaving. The error is an *UnknownUpstreamError or a
 // *RequestFailedError; the leave may then not be acknowledged.
 func (c *Controller) withdraw(ctx context.Context, id registrar.UpstreamID, incarnation registrar.Incarnation) error {
-	departure, known := c.upstreamTable.withdraw(id, incarnation)
+	departure, known := c.upstreamTable.Withdraw(id, incarnation)
 	if !known && incarnation == 0 {
 		return errors.WithStack(&UnknownUpstreamError{ID: id})
 	}
@@ -57,7 +57,7 @@
 // recordReportedLeave applies a leave that an entry process has learnt from a response. The
 // entry process does not wait until it is committed.
 func (c *Controller) recordReportedLeave(ctx context.Context, d registrar.Departure) {
-	if _, known := c.upstreamTable.withdraw(d.ID, d.Incarnation); !known || c.stateMachine.HasDeparted(d.ID, d.Incarnation) {
+	if _, known := c.upstreamTable.Withdraw(d.ID, d.Incarnation); !known || c.stateMachine.HasDeparted(d.ID, d.Incarnation) {
 		return
 	}
 	c.wakeGossip()
--- a/internal/controller/loads.go
+++ b/internal/controller/loads.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/comfreybend/comfreybend/internal/announcer"
+	"github.com/comfreybend/comfreybend/internal/tabulator"
 	"github.com/comfreybend/comfreybend/pkg/gatherer"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
@@ -47,18 +48,9 @@
 		// unsentCachedParts are to be sent to the other control processes.
 		unsentCachedParts []picker.CachedPart
 		// domainLoads is the result of sumByPlace at domainLoadsAt.
-		domainLoads   map[upstreamPlace]*wire.DomainLoad
+		domainLoads   map[tabulator.Place]*wire.DomainLoad
 		domainLoadsAt time.Duration
 	}
-
-	// upstreamPlace is a failure domain and what is served there.
-	upstreamPlace struct {
-		domain registrar.FailureDomain
-		serves string
-	}
-
-	// upstreamPlaces holds the place of each upstream.
-	upstreamPlaces map[registrar.UpstreamID]upstreamPlace
 )
 
 func newLoadTable() *loadTable {
@@ -108,7 +100,7 @@
 // fillReply adds to a reply the load sums and cached parts that changed after the given
 // positions. If there are too many upstreams, it adds them only for those in the failure
 // domain of the entry process, and the sums by domain for the others.
-func (t *loadTable) fillReply(reply *wire.FollowReply, loadsAfter, cachedPartsAfter uint64, domain registrar.FailureDomain, places upstreamPlaces) {
+func (t *loadTable) fillReply(reply *wire.FollowReply, loadsAfter, cachedPartsAfter uint64, domain registrar.FailureDomain, places tabulator.Places) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := timer.Now()
@@ -118,13 +110,13 @@
 	reply.HeldPosition = uint64(position)
 	if len(places) > maxDetailedUpstreams {
 		for id := range sums {
-			if places[id].domain != domain {
+			if places[id].Domain != domain {
 				delete(sums, id)
 			}
 		}
-		parts = slices.DeleteFunc(parts, func(p picker.CachedPart) bool { return places[p.Upstream].domain != domain })
+		parts = slices.DeleteFunc(parts, func(p picker.CachedPart) bool { return places[p.Upstream].Domain != domain })
 		for place, load := range t.sumByPlace(now, places) {
-			if place.domain != domain {
+			if place.Domain != domain {
 				reply.DomainLoads = append(reply.DomainLoads, load)
 			}
 		}
@@ -135,16 +127,16 @@
 
 // sumByPlace returns the load of all entry processes by failure domain and service. The
 // result is kept for domainLoadCacheTime.
-func (t *loadTable) sumByPlace(now time.Duration, places upstreamPlaces) map[upstreamPlace]*wire.DomainLoad {
+func (t *loadTable) sumByPlace(now time.Duration, places tabulator.Places) map[tabulator.Place]*wire.DomainLoad {
 	if t.domainLoads != nil && now-t.domainLoadsAt < domainLoadCacheTime {
 		return t.domainLoads
 	}
-	t.domainLoads, t.domainLoadsAt = map[upstreamPlace]*wire.DomainLoad{}, now
+	t.domainLoads, t.domainLoadsAt = map[tabulator.Place]*wire.DomainLoad{}, now
 	sums, _ := t.total.Since(now, 0)
 	for id, place := range places {
 		load := t.domainLoads[place]
 		if load == nil {
-			load = &wire.DomainLoad{FailureDomain: string(place.domain), Serves: place.serves}
+			load = &wire.DomainLoad{FailureDomain: string(place.Domain), Serves: place.Serves}
 			t.domainLoads[place] = load
 		}
 		load.Upstreams++
--- a/internal/controller/loads_test.go
+++ b/internal/controller/loads_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"github.com/comfreybend/comfreybend/internal/tabulator"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
@@ -72,11 +73,11 @@
 		upstreams = 3000
 		domains   = 6
 	)
-	table, places := newLoadTable(), upstreamPlaces{}
+	table, places := newLoadTable(), tabulator.Places{}
 	share := &wire.LoadShare{}
 	for i := range upstreams {
 		id := fmt.Sprint("engine-", i)
-		places[registrar.UpstreamID(id)] = upstreamPlace{domain: registrar.FailureDomain(fmt.Sprint(i % domains)), serves: "m"}
+		places[registrar.UpstreamID(id)] = tabulator.Place{Domain: registrar.FailureDomain(fmt.Sprint(i % domains)), Serves: "m"}
 		share.Loads = append(share.Loads, &wire.UpstreamLoad{Upstream: id, Requests: 2, Tokens: 3000, BegunTokens: 4000})
 		share.Held = append(share.Held, &wire.HeldPart{Part: "part", Upstream: id})
 	}
--- a/internal/controller/requests.go
+++ b/internal/controller/requests.go
@@ -222,10 +222,10 @@
 // upstreams returns the upstreams that announce themselves to the control
 // processes or, if there are none, those that the entry processes report.
 func (c *Controller) upstreams() []*wire.Upstream {
-	if c.upstreamTable.isEmpty() {
+	if c.upstreamTable.IsEmpty() {
 		return c.entries.latestUpstreams()
 	}
-	return c.upstreamTable.all()
+	return c.upstreamTable.All()
 }
 
 // withoutHashes returns copies of the keys without their hashes, for operators.
--- a/internal/controller/table.go
+++ b/internal/tabulator/tabulator.go
@@ -1,14 +1,13 @@
-package controller
+// Package tabulator holds the table of the upstreams that announce themselves to the control
+// processes: what one has received, what it has to pass on to the others, and what has changed for
+// each entry process that polls it.
+package tabulator
 
 import (
 	"math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/pkg/errors"
-	"google.golang.org/protobuf/proto"
-
 	"github.com/comfreybend/comfreybend/internal/announcer"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/timer"
@@ -30,20 +29,15 @@
 	removalRetention = time.Minute
 	// renewalCacheTime is the time for which the renewals for entry processes are computed once.
 	renewalCacheTime = 200 * time.Millisecond
-	// encodedCacheTime is the time for which the encoded table is used.
-	encodedCacheTime = time.Second
-	// maxEncodedTables is the number of encoded tables that are kept for entry processes that
-	// are fetching them.
-	maxEncodedTables = 16
 )
 
-// upstreamTable holds the upstreams that announce themselves to the control
+// Table holds the upstreams that announce themselves to the control
 // processes. It numbers their changes, so that entry processes that poll it get
 // only what has changed since their last request. An announcement without a change
 // is passed on as a renewal. The table is kept in memory only: a
 // restarted process begins with an empty table, and entry processes keep the
 // upstreams that they know.
-type upstreamTable struct {
+type Table struct {
 	lease time.Duration
 	now   func() time.Duration
 	// createdAt is the time at which the empty table was created.
@@ -70,40 +64,40 @@
 	// sent to the other control processes, renewalSentAt the time of that by upstream.
 	renewable     map[registrar.UpstreamID]bool
 	renewalSentAt map[registrar.UpstreamID]time.Duration
-	// renewals is the cached result of renewalsNow, computed at renewalsAtTime.
+	// renewals is the cached result of RenewalsNow, computed at renewalsAtTime.
 	renewals       *wire.Renewals
 	renewalsAtTime time.Duration
 	// encoded holds the latest encoded tables, oldest first.
-	encoded []*encodedTable
+	encoded []*Encoded
 	// placesCache is the result of places at placesPosition.
-	placesCache    upstreamPlaces
+	placesCache    Places
 	placesPosition uint64
 	// wholeSentAt holds, by host, when an entry process that does not accept renewals last
 	// got the whole table.
 	wholeSentAt map[string]time.Duration
-	// onLeaving is called, with the mutex held, when an upstream is found to be leaving, with
+	// OnLeaving is called, with the mutex held, when an upstream is found to be leaving, with
 	// how that was learnt.
-	onLeaving func(u *registrar.Upstream, source leaveSource)
+	OnLeaving func(u *registrar.Upstream, source LeaveSource)
 }
 
-// encodedTable holds all upstreams as an encoded wire.Upstreams.
-type encodedTable struct {
-	data   []byte
-	digest uint64
-	// position and at are the position and the time of the encoding.
-	position uint64
-	at       time.Duration
+// Place is a failure domain and what is served there.
+type Place struct {
+	Domain registrar.FailureDomain
+	Serves string
 }
 
-// leaveSource is how a control process has learnt that an upstream is leaving.
-type leaveSource string
+// Places holds the place of each upstream.
+type Places map[registrar.UpstreamID]Place
+
+// LeaveSource is how a control process has learnt that an upstream is leaving.
+type LeaveSource string
 
-// The values of leaveSource.
+// The values of LeaveSource.
 const (
-	leaveAnnounced leaveSource = "announcement"
-	leaveWithdrawn leaveSource = "withdrawal"
-	leaveGossiped  leaveSource = "gossip"
-	leaveCommitted leaveSource = "log"
+	LeaveAnnounced LeaveSource = "announcement"
+	LeaveWithdrawn LeaveSource = "withdrawal"
+	LeaveGossiped  LeaveSource = "gossip"
+	LeaveCommitted LeaveSource = "log"
 )
 
 // upstreamRemoval is the position and time of the removal of an upstream.
@@ -112,8 +106,9 @@
 	removedAt time.Duration
 }
 
-func newUpstreamTable(lease time.Duration) *upstreamTable {
-	return &upstreamTable{
+// New returns an empty table of upstreams whose announcements hold for a lease.
+func New(lease time.Duration) *Table {
+	return &Table{
 		lease:     lease,
 		now:       timer.Now,
 		createdAt: timer.Now(),
@@ -127,13 +122,17 @@
 		renewable:     map[registrar.UpstreamID]bool{},
 		renewalSentAt: map[registrar.UpstreamID]time.Duration{},
 		wholeSentAt:   map[string]time.Duration{},
-		onLeaving:     func(*registrar.Upstream, leaveSource) {},
+		OnLeaving:     func(*registrar.Upstream, LeaveSource) {},
 	}
 }
 
-// update applies an announcement. A direct one, received from the upstream itself,
+// IsComplete reports whether every upstream has had time to announce itself since the table was
+// created, for which half of the lease is allowed.
+func (t *Table) IsComplete() bool { return t.now()-t.createdAt >= t.lease/2 }
+
+// Update applies an announcement. A direct one, received from the upstream itself,
 // is passed on to the other control processes.
-func (t *upstreamTable) update(u registrar.Upstream, direct bool) {
+func (t *Table) Update(u registrar.Upstream, direct bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
@@ -144,11 +143,11 @@
 	after := t.registry.Get(u.ID)
 	changed := before == nil || !before.EquivalentTo(after)
 	if after.State == registrar.Leaving && (before == nil || before.State != after.State || before.Incarnation != after.Incarnation) {
-		source := leaveGossiped
+		source := LeaveGossiped
 		if direct {
-			source = leaveAnnounced
+			source = LeaveAnnounced
 		}
-		t.onLeaving(after, source)
+		t.OnLeaving(after, source)
 	}
 	if direct {
 		// Leaving upstreams are few, and each lost message about them matters.
@@ -163,9 +162,9 @@
 	}
 }
 
-// renew applies the renewal of an announcement by another control process. It returns
+// Renew applies the renewal of an announcement by another control process. It returns
 // false if this process does not hold the same announcement.
-func (t *upstreamTable) renew(r *wire.Renewal) bool {
+func (t *Table) Renew(r *wire.Renewal) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.registry.Get(registrar.UpstreamID(r.GetId()))
@@ -189,7 +188,7 @@
 
 // recordChange gives the change of an upstream the next position and wakes the polls
 // that wait for one.
-func (t *upstreamTable) recordChange(id registrar.UpstreamID) {
+func (t *Table) recordChange(id registrar.UpstreamID) {
 	t.position++
 	t.changes[id] = t.position
 	delete(t.removals, id)
@@ -197,10 +196,10 @@
 	t.updated = make(chan struct{})
 }
 
-// withdraw marks an upstream as leaving and passes that on to the other control
+// Withdraw marks an upstream as leaving and passes that on to the other control
 // processes. An incarnation of zero means the current one. It returns the departure, or
 // false if the upstream or its incarnation is not known.
-func (t *upstreamTable) withdraw(id registrar.UpstreamID, incarnation registrar.Incarnation) (registrar.Departure, bool) {
+func (t *Table) Withdraw(id registrar.UpstreamID, incarnation registrar.Incarnation) (registrar.Departure, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.registry.Get(id)
@@ -212,29 +211,29 @@
 		return departure, true
 	}
 	if u, accepted := t.registry.Withdraw(t.now(), id, incarnation); accepted {
-		t.onLeaving(&u, leaveWithdrawn)
+		t.OnLeaving(&u, LeaveWithdrawn)
 		t.unsent[id] = true
 		t.recordChange(id)
 	}
 	return departure, true
 }
 
-// depart records a committed departure.
-func (t *upstreamTable) depart(d registrar.Departure) {
+// Depart records a committed departure.
+func (t *Table) Depart(d registrar.Departure) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.registry.Depart(t.now(), d) {
-		t.onLeaving(t.registry.Get(d.ID), leaveCommitted)
+		t.OnLeaving(t.registry.Get(d.ID), LeaveCommitted)
 		t.recordChange(d.ID)
 	}
 }
 
-// changesSince returns the upstreams that changed after a position of a table and those
+// ChangesSince returns the upstreams that changed after a position of a table and those
 // that were removed, and a channel that is closed at the next change. A position of
 // another table, or one whose removals are not known any more, counts as zero; the reply
 // is then for the whole table, which holds its rows only if withRows is set; see
 // encodedUpstreams.
-func (t *upstreamTable) changesSince(table, position uint64, withRows bool) (reply *wire.FollowReply, updated <-chan struct{}) {
+func (t *Table) ChangesSince(table, position uint64, withRows bool) (reply *wire.FollowReply, updated <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
@@ -262,9 +261,9 @@
 	return reply, t.updated
 }
 
-// renewalsNow returns the renewals of the leases of all upstreams in the table. The result
+// RenewalsNow returns the renewals of the leases of all upstreams in the table. The result
 // must not be modified.
-func (t *upstreamTable) renewalsNow() *wire.Renewals {
+func (t *Table) RenewalsNow() *wire.Renewals {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
@@ -283,9 +282,9 @@
 	return t.renewals
 }
 
-// wholeTableDue reports whether the whole table has to be sent to an entry process that
+// WholeTableDue reports whether the whole table has to be sent to an entry process that
 // does not accept renewals.
-func (t *upstreamTable) wholeTableDue(host string) bool {
+func (t *Table) WholeTableDue(host string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
@@ -297,7 +296,7 @@
 }
 
 // expire removes the upstreams whose lease has expired, and forgets old removals.
-func (t *upstreamTable) expire(now time.Duration) {
+func (t *Table) expire(now time.Duration) {
 	for _, id := range t.registry.Expire(now) {
 		t.position++
 		t.removals[id] = upstreamRemoval{position: t.position, removedAt: now}
@@ -314,9 +313,9 @@
 	}
 }
 
-// takeUnsent returns the changed announcements to send to the other control processes and
+// TakeUnsent returns the changed announcements to send to the other control processes and
 // clears them.
-func (t *upstreamTable) takeUnsent() []*wire.Upstream {
+func (t *Table) TakeUnsent() []*wire.Upstream {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
@@ -330,9 +329,9 @@
 	return changed
 }
 
-// takeRenewals returns the renewals of unchanged announcements that are due for the other
+// TakeRenewals returns the renewals of unchanged announcements that are due for the other
 // control processes, a few within each lease.
-func (t *upstreamTable) takeRenewals() []*wire.Renewal {
+func (t *Table) TakeRenewals() []*wire.Renewal {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
@@ -352,63 +351,27 @@
 	return renewals
 }
 
-// places returns the place of each upstream. The result must not be modified.
-func (t *upstreamTable) places() upstreamPlaces {
+// Places returns the place of each upstream. The result must not be modified.
+func (t *Table) Places() Places {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.placesCache != nil && t.placesPosition == t.position {
 		return t.placesCache
 	}
-	t.placesCache, t.placesPosition = upstreamPlaces{}, t.position
+	t.placesCache, t.placesPosition = Places{}, t.position
 	for id := range t.changes {
 		u := t.registry.Get(id)
-		place := upstreamPlace{domain: u.FailureDomain}
+		place := Place{Domain: u.FailureDomain}
 		if len(u.Serves) > 0 {
-			place.serves = u.Serves[0]
+			place.Serves = u.Serves[0]
 		}
 		t.placesCache[id] = place
 	}
 	return t.placesCache
 }
 
-// encodedUpstreams returns all upstreams in their encoded form, and how long ago they were
-// encoded: the one with a digest if that is still kept, or else the latest. Changes after its
-// position have to be sent as well. It is encoded at most once within encodedCacheTime:
-// hundreds of entry processes that start at a time need the same bytes, and a slow one has
-// time to fetch them all.
-func (t *upstreamTable) encodedUpstreams(digest uint64) (*encodedTable, time.Duration, error) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.now()
-	for _, e := range t.encoded {
-		if e.digest == digest {
-			return e, now - e.at, nil
-		}
-	}
-	if n := len(t.encoded); n > 0 && now-t.encoded[n-1].at < encodedCacheTime {
-		return t.encoded[n-1], now - t.encoded[n-1].at, nil
-	}
-	all := &wire.Upstreams{}
-	for _, u := range t.registry.All() {
-		all.Upstreams = append(all.Upstreams, announcer.ToWire(u, now))
-	}
-	data, err := proto.Marshal(all)
-	if err != nil {
-		return nil, 0, errors.Wrap(err, "encoding the upstreams")
-	}
-	e := &encodedTable{data: data, digest: xxhash.Sum64(data), position: t.position, at: now}
-	if len(data) == 0 {
-		return e, 0, nil
-	}
-	t.encoded = append(t.encoded, e)
-	if len(t.encoded) > maxEncodedTables {
-		t.encoded = append([]*encodedTable(nil), t.encoded[1:]...)
-	}
-	return e, 0, nil
-}
-
-// addLacking adds the upstreams with the given ids to a reply, as far as they are in the table.
-func (t *upstreamTable) addLacking(reply *wire.FollowReply, ids []string) {
+// AddLacking adds the upstreams with the given ids to a reply, as far as they are in the table.
+func (t *Table) AddLacking(reply *wire.FollowReply, ids []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, id := range ids {
@@ -418,15 +381,15 @@
 	}
 }
 
-// isEmpty reports whether the table holds no upstream.
-func (t *upstreamTable) isEmpty() bool {
+// IsEmpty reports whether the table holds no upstream.
+func (t *Table) IsEmpty() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return len(t.registry.All()) == 0
 }
 
-// all returns all upstreams whose lease has not expired.
-func (t *upstreamTable) all() []*wire.Upstream {
+// All returns all upstreams whose lease has not expired.
+func (t *Table) All() []*wire.Upstream {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
--- a/internal/controller/table_test.go
+++ b/internal/tabulator/tabulator_test.go
@@ -1,4 +1,4 @@
-package controller
+package tabulator
 
 import (
 	"fmt"
@@ -23,27 +23,27 @@
 }
 
 // TestUpstreamTableLeaseExpiry lets the lease of every upstream end, as when a
-// failure domain is cut off. It guards against a nil pointer in changesSince,
+// failure domain is cut off. It guards against a nil pointer in ChangesSince,
 // which occurred when the method all removed an expired upstream from the registry
 // but not from changes.
 func TestUpstreamTableLeaseExpiry(t *testing.T) {
-	tests := map[string]func(*upstreamTable){
-		"expired by changesSince":         func(table *upstreamTable) { table.changesSince(0, 0, true) },
-		"expired by all":                  func(table *upstreamTable) { table.all() },
-		"expired by all after takeUnsent": func(table *upstreamTable) { table.takeUnsent(); table.all() },
+	tests := map[string]func(*Table){
+		"expired by ChangesSince":         func(table *Table) { table.ChangesSince(0, 0, true) },
+		"expired by all":                  func(table *Table) { table.All() },
+		"expired by all after takeUnsent": func(table *Table) { table.TakeUnsent(); table.All() },
 	}
 	for name, expire := range tests {
 		t.Run(name, func(t *testing.T) {
-			table := newUpstreamTable(tableLease)
-			table.update(announcement("a", 1, registrar.Serving), true)
-			if reply, _ := table.changesSince(0, 0, true); len(reply.GetUpstreams()) != 1 {
+			table := New(tableLease)
+			table.Update(announcement("a", 1, registrar.Serving), true)
+			if reply, _ := table.ChangesSince(0, 0, true); len(reply.GetUpstreams()) != 1 {
 				t.Fatalf("%d upstreams before the end of the lease, want 1", len(reply.GetUpstreams()))
 			}
 			for end := timer.Now() + 2*tableLease; timer.Now() < end; {
 				time.Sleep(tableLease / 10)
 			}
 			expire(table)
-			if reply, _ := table.changesSince(0, 0, true); len(reply.GetUpstreams()) != 0 {
+			if reply, _ := table.ChangesSince(0, 0, true); len(reply.GetUpstreams()) != 0 {
 				t.Errorf("%d upstreams after the end of the lease, want 0", len(reply.GetUpstreams()))
 			}
 		})
@@ -53,23 +53,23 @@
 // TestUpstreamTableChangesSince checks that a poll gets only the changes after its
 // position, and everything if its position belongs to another table.
 func TestUpstreamTableChangesSince(t *testing.T) {
-	table := newUpstreamTable(time.Minute)
-	table.update(announcement("a", 1, registrar.Serving), true)
-	first, updated := table.changesSince(0, 0, true)
-	if reply, _ := table.changesSince(first.GetTable(), first.GetPosition(), true); len(reply.GetUpstreams()) != 0 {
+	table := New(time.Minute)
+	table.Update(announcement("a", 1, registrar.Serving), true)
+	first, updated := table.ChangesSince(0, 0, true)
+	if reply, _ := table.ChangesSince(first.GetTable(), first.GetPosition(), true); len(reply.GetUpstreams()) != 0 {
 		t.Errorf("%d upstreams without a change, want 0", len(reply.GetUpstreams()))
 	}
-	table.withdraw("a", 0)
+	table.Withdraw("a", 0)
 	select {
 	case <-updated:
 	default:
 		t.Error("channel is not closed after a change")
 	}
-	reply, _ := table.changesSince(first.GetTable(), first.GetPosition(), true)
+	reply, _ := table.ChangesSince(first.GetTable(), first.GetPosition(), true)
 	if len(reply.GetUpstreams()) != 1 || reply.GetUpstreams()[0].GetState() != string(registrar.Leaving) {
 		t.Errorf("upstreams after the withdrawal are %v, want one that is leaving", reply.GetUpstreams())
 	}
-	if reply, _ = table.changesSince(first.GetTable()+1, first.GetPosition(), true); len(reply.GetUpstreams()) != 1 {
+	if reply, _ = table.ChangesSince(first.GetTable()+1, first.GetPosition(), true); len(reply.GetUpstreams()) != 1 {
 		t.Errorf("%d upstreams for a position of another table, want 1", len(reply.GetUpstreams()))
 	}
 }
@@ -88,31 +88,31 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			table := newUpstreamTable(time.Minute)
-			table.update(announcement("a", 1, registrar.Serving), true)
-			table.withdraw("a", 1)
+			table := New(time.Minute)
+			table.Update(announcement("a", 1, registrar.Serving), true)
+			table.Withdraw("a", 1)
 			test.later.Sequence = 5
-			table.update(test.later, true)
+			table.Update(test.later, true)
 			serving := false
-			for _, u := range table.all() {
+			for _, u := range table.All() {
 				serving = serving || u.GetState() == string(registrar.Serving)
 			}
 			if serving != test.serving {
-				t.Errorf("serving upstream in the table: %t, want %t; table: %v", serving, test.serving, table.all())
+				t.Errorf("serving upstream in the table: %t, want %t; table: %v", serving, test.serving, table.All())
 			}
 		})
 	}
 }
 
 // gossip passes what one table has to send on to another one, and returns whether that has
-// all it needs.
-func gossip(from, to *upstreamTable) bool {
+// All it needs.
+func gossip(from, to *Table) bool {
 	complete := true
-	for _, u := range from.takeUnsent() {
-		to.update(announcer.FromWire(u, timer.Now()), false)
+	for _, u := range from.TakeUnsent() {
+		to.Update(announcer.FromWire(u, timer.Now()), false)
 	}
-	for _, r := range from.takeRenewals() {
-		complete = to.renew(r) && complete
+	for _, r := range from.TakeRenewals() {
+		complete = to.Renew(r) && complete
 	}
 	return complete
 }
@@ -122,27 +122,27 @@
 // other control processes as whole rows.
 func TestRenewalsAreCompact(t *testing.T) {
 	const upstreams = 3000
-	near, far := newUpstreamTable(time.Minute), newUpstreamTable(time.Minute)
+	near, far := New(time.Minute), New(time.Minute)
 	announce := func(sequence registrar.Sequence) {
 		for i := range upstreams {
 			u := announcement(fmt.Sprint("engine-", i), 1, registrar.Serving)
 			u.Sequence = sequence
-			near.update(u, true)
+			near.Update(u, true)
 		}
 	}
 	announce(1)
 	gossip(near, far)
-	first, _ := near.changesSince(0, 0, true)
-	if len(first.GetUpstreams()) != upstreams || !first.GetWholeTable() || len(far.all()) != upstreams {
-		t.Fatalf("%d upstreams in the first reply and %d at the other process, want %d", len(first.GetUpstreams()), len(far.all()), upstreams)
+	first, _ := near.ChangesSince(0, 0, true)
+	if len(first.GetUpstreams()) != upstreams || !first.GetWholeTable() || len(far.All()) != upstreams {
+		t.Fatalf("%d upstreams in the first reply and %d at the other process, want %d", len(first.GetUpstreams()), len(far.All()), upstreams)
 	}
 	announce(2)
-	reply, _ := near.changesSince(first.GetTable(), first.GetPosition(), true)
-	reply.Renewals = near.renewalsNow()
+	reply, _ := near.ChangesSince(first.GetTable(), first.GetPosition(), true)
+	reply.Renewals = near.RenewalsNow()
 	if size := proto.Size(reply); size > 100 {
 		t.Errorf("a reply without changes has %d bytes, want at most 100", size)
 	}
-	changed, renewals := near.takeUnsent(), near.takeRenewals()
+	changed, renewals := near.TakeUnsent(), near.TakeRenewals()
 	if len(changed) != 0 || len(renewals) != 0 {
 		t.Errorf("%d changes and %d renewals are sent before a renewal is due", len(changed), len(renewals))
 	}
@@ -164,15 +164,15 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			// A lease so short that every renewal is due.
-			near, far := newUpstreamTable(time.Minute), newUpstreamTable(time.Minute)
+			near, far := New(time.Minute), New(time.Minute)
 			near.lease, near.registry = 0, registrar.NewExclusive(time.Minute)
-			near.update(announcement("a", 1, registrar.Serving), true)
+			near.Update(announcement("a", 1, registrar.Serving), true)
 			gossip(near, far)
 			test.lost.Sequence = 2
-			near.update(test.lost, true)
-			near.takeUnsent()
+			near.Update(test.lost, true)
+			near.TakeUnsent()
 			test.lost.Sequence = 3
-			near.update(test.lost, true)
+			near.Update(test.lost, true)
 			if complete := gossip(near, far); complete != test.complete {
 				t.Errorf("the other process has all it needs: %t, want %t", complete, test.complete)
 			}
@@ -189,21 +189,21 @@
 // TestRemovalsReachPollers checks that an entry process learns which upstreams were removed
 // from the table, and gets the whole table if that is not known any more.
 func TestRemovalsReachPollers(t *testing.T) {
-	table := newUpstreamTable(tableLease)
-	table.update(announcement("a", 1, registrar.Serving), true)
-	first, _ := table.changesSince(0, 0, true)
+	table := New(tableLease)
+	table.Update(announcement("a", 1, registrar.Serving), true)
+	first, _ := table.ChangesSince(0, 0, true)
 	var reply *wire.FollowReply
 	for end := timer.Now() + time.Minute; timer.Now() < end && len(reply.GetRemoved()) == 0; {
-		reply, _ = table.changesSince(first.GetTable(), first.GetPosition(), true)
+		reply, _ = table.ChangesSince(first.GetTable(), first.GetPosition(), true)
 	}
 	if len(reply.GetRemoved()) != 1 || reply.GetRemoved()[0] != "a" || reply.GetWholeTable() {
 		t.Fatalf("reply %v, want the removal of one upstream", reply)
 	}
 	table.expire(timer.Now() + 2*removalRetention)
-	if reply, _ = table.changesSince(first.GetTable(), first.GetPosition(), true); !reply.GetWholeTable() {
+	if reply, _ = table.ChangesSince(first.GetTable(), first.GetPosition(), true); !reply.GetWholeTable() {
 		t.Errorf("reply %v to a position from before the removal, want the whole table", reply)
 	}
-	if reply, _ = table.changesSince(reply.GetTable(), reply.GetPosition(), true); reply.GetWholeTable() {
+	if reply, _ = table.ChangesSince(reply.GetTable(), reply.GetPosition(), true); reply.GetWholeTable() {
 		t.Errorf("reply %v to the latest position, want no whole table", reply)
 	}
 }
@@ -212,12 +212,12 @@
 // itself gets no renewal from the others.
 func TestOverdueUpstreamsAreNotRenewed(t *testing.T) {
 	const lease = time.Minute
-	table := newUpstreamTable(lease)
+	table := New(lease)
 	silent := announcement("silent", 1, registrar.Serving)
 	silent.AnnouncedAt -= lease * 2 / 3
-	table.update(silent, true)
-	table.update(announcement("a", 1, registrar.Serving), true)
-	renewals := table.renewalsNow()
+	table.Update(silent, true)
+	table.Update(announcement("a", 1, registrar.Serving), true)
+	renewals := table.RenewalsNow()
 	if len(renewals.GetOverdue()) != 1 || renewals.GetOverdue()[0] != "silent" || renewals.GetAgeMillis() > (lease/overdueDivisor).Milliseconds() {
 		t.Errorf("renewals %v, want the silent upstream overdue and a small age", renewals)
 	}
@@ -232,9 +232,11 @@
 		lease     = 10 * heartbeat
 		upstreams = 20
 		step      = 50 * time.Millisecond
+		// gossipInterval is the time between two gossip messages with renewals.
+		gossipInterval = time.Second
 	)
 	now := time.Hour
-	near, far := newUpstreamTable(lease), newUpstreamTable(lease)
+	near, far := New(lease), New(lease)
 	near.now, far.now = func() time.Duration { return now }, func() time.Duration { return now }
 	for end := now + 10*lease; now < end; now += step {
 		for i := range upstreams {
@@ -245,26 +247,26 @@
 			}
 			u := announcement(fmt.Sprint("engine-", i), 1, registrar.Serving)
 			u.Sequence, u.AnnouncedAt = registrar.Sequence(now/heartbeat), now
-			near.update(u, true)
+			near.Update(u, true)
 		}
-		for _, u := range near.takeUnsent() {
-			far.update(announcer.FromWire(u, now), false)
+		for _, u := range near.TakeUnsent() {
+			far.Update(announcer.FromWire(u, now), false)
 		}
-		if now%maxGossipInterval != 0 {
+		if now%gossipInterval != 0 {
 			continue
 		}
-		for _, r := range near.takeRenewals() {
-			if !far.renew(r) {
+		for _, r := range near.TakeRenewals() {
+			if !far.Renew(r) {
 				t.Fatalf("%v: the other process lacks %s", now-time.Hour, r.GetId())
 			}
 		}
-		for name, table := range map[string]*upstreamTable{"near": near, "far": far} {
-			if overdue := table.renewalsNow().GetOverdue(); len(overdue) > 0 {
+		for name, table := range map[string]*Table{"near": near, "far": far} {
+			if overdue := table.RenewalsNow().GetOverdue(); len(overdue) > 0 {
 				t.Fatalf("%v: %s counts %v as overdue", now-time.Hour, name, overdue)
 			}
 		}
 	}
-	if reply, _ := far.changesSince(0, 0, true); len(reply.GetUpstreams()) != upstreams {
+	if reply, _ := far.ChangesSince(0, 0, true); len(reply.GetUpstreams()) != upstreams {
 		t.Errorf("the other process knows %d upstreams, want %d", len(reply.GetUpstreams()), upstreams)
 	}
 }
@@ -273,45 +275,45 @@
 // bytes, that no change after them is lost, and that single rows can be asked for.
 func TestTableIsEncodedOnce(t *testing.T) {
 	now := time.Hour
-	table := newUpstreamTable(time.Minute)
+	table := New(time.Minute)
 	table.now = func() time.Duration { return now }
 	announce := func(id string) {
 		u := announcement(id, 1, registrar.Serving)
 		u.AnnouncedAt = now
-		table.update(u, true)
+		table.Update(u, true)
 	}
 	announce("a")
-	first, _, err := table.encodedUpstreams(0)
+	first, _, err := table.EncodedUpstreams(0)
 	if err != nil {
 		t.Fatal(err)
 	}
 	now += encodedCacheTime / 2
-	second, age, err := table.encodedUpstreams(0)
+	second, age, err := table.EncodedUpstreams(0)
 	if err != nil || first != second || age != encodedCacheTime/2 {
 		t.Errorf("age %v, error %v; want the same bytes, encoded %v ago", age, err, encodedCacheTime/2)
 	}
 	announce("b")
-	second, _, err = table.encodedUpstreams(0)
+	second, _, err = table.EncodedUpstreams(0)
 	if err != nil || first != second {
 		t.Errorf("error %v; want the same bytes within %v", err, encodedCacheTime)
 	}
-	if reply, _ := table.changesSince(table.tableID, second.position, false); len(reply.GetUpstreams()) != 1 || reply.GetUpstreams()[0].GetId() != "b" {
+	if reply, _ := table.ChangesSince(table.tableID, second.Position, false); len(reply.GetUpstreams()) != 1 || reply.GetUpstreams()[0].GetId() != "b" {
 		t.Errorf("changes after these bytes are %v, want the new upstream", reply.GetUpstreams())
 	}
 	now += encodedCacheTime / 2
-	third, age, err := table.encodedUpstreams(0)
+	third, age, err := table.EncodedUpstreams(0)
 	decoded := &wire.Upstreams{}
-	if err != nil || proto.Unmarshal(third.data, decoded) != nil || len(decoded.GetUpstreams()) != 2 || age != 0 {
+	if err != nil || proto.Unmarshal(third.Data, decoded) != nil || len(decoded.GetUpstreams()) != 2 || age != 0 {
 		t.Errorf("%v, age %v, error %v; want two upstreams, just encoded", decoded, age, err)
 	}
-	if kept, _, err := table.encodedUpstreams(first.digest); err != nil || kept != first {
+	if kept, _, err := table.EncodedUpstreams(first.Digest); err != nil || kept != first {
 		t.Errorf("error %v; want the bytes that an entry process is fetching", err)
 	}
-	if reply, _ := table.changesSince(0, 0, false); !reply.GetWholeTable() || len(reply.GetUpstreams()) != 0 {
+	if reply, _ := table.ChangesSince(0, 0, false); !reply.GetWholeTable() || len(reply.GetUpstreams()) != 0 {
 		t.Errorf("reply %v, want one for the whole table without rows", reply)
 	}
 	reply := &wire.FollowReply{}
-	if table.addLacking(reply, []string{"a", "gone"}); len(reply.GetUpstreams()) != 1 || reply.GetUpstreams()[0].GetId() != "a" {
+	if table.AddLacking(reply, []string{"a", "gone"}); len(reply.GetUpstreams()) != 1 || reply.GetUpstreams()[0].GetId() != "a" {
 		t.Errorf("rows %v, want that of the known upstream", reply.GetUpstreams())
 	}
 }
