--- a/pkg/matcher/matcher.go
+++ b/pkg/matcher/matcher.go
@@ -14,6 +14,7 @@
 import (
 	"crypto/sha256"
 	"io"
+	"strconv"
 	"time"
 	"unique"
 
@@ -71,7 +72,7 @@
 // behalf of an organisation. The same attempt of another organisation is another stream.
 func StreamOf(attempt, organisation string) Stream {
 	h := sha256.New()
-	_, _ = io.WriteString(h, organisation+"\x00"+attempt)
+	_, _ = io.WriteString(h, strconv.Itoa(len(organisation))+":"+organisation+attempt)
 	return Stream(h.Sum(nil)[:len(Stream{})])
 }
 
