--- a/pkg/picker/picker.go
+++ b/pkg/picker/picker.go
@@ -54,6 +54,8 @@
 		// Local reports that the upstream is in the failure domain of this process.
 		Local       bool
 		Preemptible bool
+		// Version is the version of the upstream's software.
+		Version registrar.Version
 		// Free reports that the upstream has a slot for one more request of this process.
 		Free bool
 		// Ready is Free without regard to the slow start of the upstream.
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -3,7 +3,8 @@
 // Every request belongs to a class, a tier and an organisation. Tiers are strict
 // for admission: no request is refused or shed in favour of one of a lower tier,
 // except that requeued requests, which were dispatched before and interrupted, are
-// never shed. Requeued requests are dispatched before all others. Of the others,
+// never shed. Requeued requests are dispatched before all others. Bound requests, which only some
+// of the upstreams can serve, are dispatched by the caller when one of these is free. Of the others,
 // the highest tier is dispatched first, except that every class and tier with
 // waiting requests is guaranteed a small share of the dispatched cost. The
 // guarantee delays requests of higher tiers but sheds none of them. Within a class
@@ -57,6 +58,9 @@
 		// the work already done is not lost. Config.FirstComeFirstServed disables
 		// this.
 		Requeued bool
+		// Bound marks a request that only some of the pool's upstreams can serve. It is neither
+		// refused nor shed. Next passes over it; Take dispatches it.
+		Bound bool
 		// charged is what the organisation was charged for the request at dispatch.
 		charged Cost
 	}
@@ -95,6 +99,8 @@
 		// queues holds the values of byKey, in order of creation.
 		queues []*classQueue
 		items  map[ItemID]*Item
+		// bound holds the bound requests, the highest tier first, in order of arrival.
+		bound []*Item
 		// requeued holds the requeued requests in order of arrival. arrivals holds
 		// all requests in order of arrival if Config.FirstComeFirstServed is set.
 		// Both may hold requests that no longer wait.
@@ -121,7 +127,7 @@
 }
 
 // Waiting returns the number of waiting requests.
-func (s *Scheduler) Waiting() int { return len(s.items) }
+func (s *Scheduler) Waiting() int { return len(s.items) + len(s.bound) }
 
 // WaitingUpTo returns the number of waiting requests of a tier and of higher ones.
 func (s *Scheduler) WaitingUpTo(tier Tier) int {
@@ -140,6 +146,10 @@
 // Config.FirstComeFirstServed is set.
 func (s *Scheduler) Add(now time.Duration, item Item) Admission {
 	q := s.queue(item.Class, item.Tier)
+	if item.Bound {
+		s.insertBound(item)
+		return Admission{Accepted: true}
+	}
 	if s.config.FirstComeFirstServed {
 		return s.addByArrival(q, item)
 	}
@@ -169,7 +179,7 @@
 func (s *Scheduler) Remove(id ItemID) bool {
 	item, ok := s.items[id]
 	if !ok {
-		return false
+		return s.removeBound(id) != nil
 	}
 	delete(s.items, id)
 	s.byKey[item.key()].remove(item)
@@ -185,6 +195,11 @@
 			expired = append(expired, id)
 		}
 	}
+	for _, item := range s.bound {
+		if item.Deadline <= now {
+			expired = append(expired, item.ID)
+		}
+	}
 	for _, id := range expired {
 		s.Remove(id)
 	}
@@ -192,7 +207,7 @@
 }
 
 // Next removes and returns the request to dispatch. It returns false if none
-// waits. The organisation is charged the average cost of a request of the class
+// waits that is not bound. The organisation is charged the average cost of a request of the class
 // and tier; RecordCost corrects the charge.
 func (s *Scheduler) Next(now time.Duration) (Item, bool) {
 	if len(s.items) == 0 {
@@ -201,12 +216,17 @@
 	}
 	item := s.selectNext(now)
 	s.Remove(item.ID)
+	s.dispatch(now, item)
+	return *item, true
+}
+
+// dispatch charges the organisation of a request that is dispatched.
+func (s *Scheduler) dispatch(now time.Duration, item *Item) {
 	s.observeDispatch(now)
 	q := s.byKey[item.key()]
 	item.charged = q.estimatedCost()
 	q.charge(item.Organisation, item.charged)
 	s.addCredit(q, item.charged)
-	return *item, true
 }
 
 // RecordCost replaces the charge for a request that Next returned by its measured
--- a/pkg/scheduler/scheduler_test.go
+++ b/pkg/scheduler/scheduler_test.go
@@ -329,3 +329,40 @@
 		})
 	}
 }
+
+// TestBoundRequests guards against requests that wait for some of the upstreams only and hold up
+// the others, are dispatched by Next, shed, refused, or never expire.
+func TestBoundRequests(t *testing.T) {
+	s := New(Config{MaxWaiting: 1, GuaranteedPercent: 3})
+	bound := func(id ItemID, tier Tier, deadline time.Duration) Item {
+		return Item{ID: id, Class: "c", Tier: tier, Organisation: "o", Deadline: deadline, Bound: true}
+	}
+	for _, item := range []Item{bound(1, 2, time.Hour), bound(2, 2, time.Second), bound(3, 1, time.Hour)} {
+		if !s.Add(0, item).Accepted {
+			t.Fatalf("bound request %d was refused", item.ID)
+		}
+	}
+	if !s.Add(0, Item{ID: 4, Class: "c", Tier: 3, Organisation: "o", DispatchBy: time.Hour, Deadline: time.Hour}).Accepted {
+		t.Error("a request was refused because of bound ones")
+	}
+	if got := s.Bound(); len(got) != 3 || got[0] != 3 || got[1] != 1 || got[2] != 2 {
+		t.Errorf("bound requests %v, want those of the highest tier first, in order of arrival", got)
+	}
+	if item, found := s.Next(0); !found || item.ID != 4 {
+		t.Errorf("Next returns %d, %t; want the request that is not bound", item.ID, found)
+	}
+	if _, found := s.Next(0); found {
+		t.Error("Next returns a bound request")
+	}
+	if got := s.Expire(2 * time.Second); len(got) != 1 || got[0] != 2 {
+		t.Errorf("expired %v, want the request whose deadline has passed", got)
+	}
+	item, found := s.Take(0, 3)
+	if !found || item.ID != 3 {
+		t.Errorf("Take returns %d, %t; want request 3", item.ID, found)
+	}
+	s.RecordCost(item, 10)
+	if _, again := s.Take(0, 3); again || !s.Remove(1) || s.Waiting() != 0 {
+		t.Errorf("%d requests wait, want none", s.Waiting())
+	}
+}
