--- /dev/null
+++ b/internal/assembler/assembler.go
@@ -0,0 +1,59 @@
+// Package assembler fetches a content that is too large for one message from a control process, in
+// parts.
+package assembler
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/comfreybend/comfreybend/internal/messenger"
+	"github.com/comfreybend/comfreybend/schema/wire"
+)
+
+const (
+	// PartBytes is the size of the parts. On a slow link a part delays other messages of the
+	// control processes by little.
+	PartBytes = 32 << 10
+	// partTimeout bounds the fetch of one part.
+	partTimeout = time.Second
+	// maxBytes bounds the size of a content.
+	maxBytes = 256 << 20
+)
+
+// Transfer collects the parts of a content.
+type Transfer struct {
+	digest uint64
+	size   int64
+	// Data holds the parts that have been added.
+	Data []byte
+}
+
+// FetchPart sends a request for the next part.
+func (t *Transfer) FetchPart(ctx context.Context, client *messenger.Client, request *wire.Fetch) (*wire.FetchReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, partTimeout)
+	defer cancel()
+	request.Digest, request.Offset, request.MaxBytes = t.digest, int64(len(t.Data)), PartBytes
+	reply, err := client.Call(ctx, &wire.Request{Kind: &wire.Request_Fetch{Fetch: request}})
+	return reply.GetFetch(), err
+}
+
+// Add adds a part. If it belongs to another content than the parts before, for example
+// because the control process does not keep that any more, the transfer begins again with it.
+func (t *Transfer) Add(part *wire.FetchReply) error {
+	if part.GetSize() > maxBytes || len(part.GetData()) == 0 {
+		return errors.Errorf("a part of %d bytes of a content of %d bytes", len(part.GetData()), part.GetSize())
+	}
+	if part.GetDigest() != t.digest || part.GetSize() != t.size {
+		*t = Transfer{digest: part.GetDigest(), size: part.GetSize()}
+	}
+	if part.GetOffset() != int64(len(t.Data)) || part.GetOffset()+int64(len(part.GetData())) > t.size {
+		return errors.Errorf("a part at %d of a content of %d bytes follows %d bytes", part.GetOffset(), t.size, len(t.Data))
+	}
+	t.Data = append(t.Data, part.GetData()...)
+	return nil
+}
+
+// Complete reports whether all parts have been added.
+func (t *Transfer) Complete() bool { return t.size > 0 && int64(len(t.Data)) == t.size }
--- a/internal/router/configuration_test.go
+++ b/internal/router/configuration_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"github.com/comfreybend/comfreybend/internal/assembler"
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/controller"
 	"github.com/comfreybend/comfreybend/internal/instrumenter"
@@ -337,7 +338,7 @@
 	group.announce(upstreams)
 	// The next reply to each poll says that the whole table is to be fetched.
 	before := link.received.Load()
-	awaitCondition(t, "no table is fetched", func() bool { return link.received.Load() > before+fetchPartBytes })
+	awaitCondition(t, "no table is fetched", func() bool { return link.received.Load() > before+assembler.PartBytes })
 	group.commit(&state.Command{Kind: &state.Command_Departure{Departure: &state.Departure{Upstream: announcedID(0), Incarnation: announcedIncarnation}}})
 	acknowledged := timer.Now()
 	awaitCondition(t, "the leave is not known", func() bool { return !r.isServing(announcedID(0)) })
--- a/internal/router/control_poller.go
+++ b/internal/router/control_poller.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/comfreybend/comfreybend/internal/announcer"
+	"github.com/comfreybend/comfreybend/internal/assembler"
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/messenger"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
@@ -216,18 +217,18 @@
 func (p *controlPoller) fetchTable(ctx context.Context, client *messenger.Client, reply *wire.FollowReply) error {
 	p.tableMu.Lock()
 	defer p.tableMu.Unlock()
-	table := &transfer{}
-	for !table.complete() {
-		part, err := table.fetchPart(ctx, client, &wire.Fetch{Upstreams: true})
+	table := &assembler.Transfer{}
+	for !table.Complete() {
+		part, err := table.FetchPart(ctx, client, &wire.Fetch{Upstreams: true})
 		if err != nil {
 			return err
 		}
-		if err = table.add(part); err != nil {
+		if err = table.Add(part); err != nil {
 			return err
 		}
 		reply.Position, reply.EncodedAgeMillis = part.GetTablePosition(), part.GetTableAgeMillis()
 	}
-	reply.EncodedUpstreams = table.data
+	reply.EncodedUpstreams = table.Data
 	return nil
 }
 
--- a/internal/router/fetcher.go
+++ b/internal/router/fetcher.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/comfreybend/comfreybend/internal/assembler"
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/messenger"
 	"github.com/comfreybend/comfreybend/pkg/timer"
@@ -16,15 +17,8 @@
 )
 
 const (
-	// fetchPartBytes is the size of the parts in which a content is fetched. On a slow link a
-	// part delays other messages of the control processes by little.
-	fetchPartBytes = 32 << 10
-	// fetchPartTimeout bounds the fetch of one part.
-	fetchPartTimeout = time.Second
 	// fetchPause is the pause after no control process has sent a part.
 	fetchPause = 100 * time.Millisecond
-	// maxFetchedBytes bounds the size of a content.
-	maxFetchedBytes = 256 << 20
 )
 
 type (
@@ -50,14 +44,7 @@
 		// least is the earliest revision that may be applied.
 		least    configurer.Revision
 		revision configurer.Revision
-		transfer
-	}
-
-	// transfer collects the parts of a content.
-	transfer struct {
-		digest uint64
-		size   int64
-		data   []byte
+		assembler.Transfer
 	}
 
 	// noLaterRevisionError reports a control process that has no revision that may be applied.
@@ -132,7 +119,7 @@
 			return &fetch{from: f.router.controlPlane.revision()}
 		}
 		f.router.log.Debug("fetching configuration changes failed", zap.String("control", client.Address()),
-			zap.Int("bytes", len(current.data)), zap.Error(err))
+			zap.Int("bytes", len(current.Data)), zap.Error(err))
 		if errors.As(err, new(*messenger.UnreachableError)) && ctx.Err() == nil {
 			f.router.controlClients.MarkFailed(client)
 		}
@@ -165,14 +152,14 @@
 		if err = current.addChanges(reply); err != nil {
 			return 0, err
 		}
-		if current.complete() {
+		if current.Complete() {
 			return millis(reply.GetRevisionAgeMillis()), nil
 		}
 	}
 }
 
 func (f *configurationFetcher) fetchPart(ctx context.Context, client *messenger.Client, current *fetch) (*wire.FetchReply, error) {
-	return current.fetchPart(ctx, client, &wire.Fetch{HaveRevision: uint64(current.from), Revision: uint64(current.revision)})
+	return current.FetchPart(ctx, client, &wire.Fetch{HaveRevision: uint64(current.from), Revision: uint64(current.revision)})
 }
 
 // addChanges adds a part of configuration changes.
@@ -181,47 +168,19 @@
 	if revision < f.least {
 		return &noLaterRevisionError{Revision: revision}
 	}
-	if err := f.add(part); err != nil {
+	if err := f.Add(part); err != nil {
 		return err
 	}
 	f.revision = revision
 	return nil
 }
 
-// fetchPart sends a request for the next part.
-func (t *transfer) fetchPart(ctx context.Context, client *messenger.Client, request *wire.Fetch) (*wire.FetchReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, fetchPartTimeout)
-	defer cancel()
-	request.Digest, request.Offset, request.MaxBytes = t.digest, int64(len(t.data)), fetchPartBytes
-	reply, err := client.Call(ctx, &wire.Request{Kind: &wire.Request_Fetch{Fetch: request}})
-	return reply.GetFetch(), err
-}
-
-// add adds a part. If it belongs to another content than the parts before, for example
-// because the control process does not keep that any more, the transfer begins again with it.
-func (t *transfer) add(part *wire.FetchReply) error {
-	if part.GetSize() > maxFetchedBytes || len(part.GetData()) == 0 {
-		return errors.Errorf("a part of %d bytes of a content of %d bytes", len(part.GetData()), part.GetSize())
-	}
-	if part.GetDigest() != t.digest || part.GetSize() != t.size {
-		*t = transfer{digest: part.GetDigest(), size: part.GetSize()}
-	}
-	if part.GetOffset() != int64(len(t.data)) || part.GetOffset()+int64(len(part.GetData())) > t.size {
-		return errors.Errorf("a part at %d of a content of %d bytes follows %d bytes", part.GetOffset(), t.size, len(t.data))
-	}
-	t.data = append(t.data, part.GetData()...)
-	return nil
-}
-
-// complete reports whether all parts have been added.
-func (t *transfer) complete() bool { return t.size > 0 && int64(len(t.data)) == t.size }
-
 // apply applies complete changes.
 func (f *configurationFetcher) apply(control string, current *fetch, age time.Duration) {
 	reply := &wire.SyncReply{}
-	err := errors.Wrap(proto.Unmarshal(current.data, reply), "decoding the changes")
+	err := errors.Wrap(proto.Unmarshal(current.Data, reply), "decoding the changes")
 	if err == nil {
-		err = f.router.controlPlane.applyConfiguration(reply, delivery{control: control, request: "fetch", bytes: len(current.data), age: age})
+		err = f.router.controlPlane.applyConfiguration(reply, delivery{control: control, request: "fetch", bytes: len(current.Data), age: age})
 	}
 	var earlier *earlierRevisionError
 	if err != nil && !errors.As(err, &earlier) {
--- a/internal/router/fetcher_test.go
+++ b/internal/router/fetcher_test.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"github.com/comfreybend/comfreybend/internal/assembler"
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/instrumenter"
 	"github.com/comfreybend/comfreybend/internal/validator"
@@ -82,7 +83,7 @@
 // process fails, so that a large configuration never arrives over a slow link.
 func TestInterruptedFetchContinues(t *testing.T) {
 	data := encodedConfiguration(t, 7, 2000)
-	if len(data) < 4*fetchPartBytes {
+	if len(data) < 4*assembler.PartBytes {
 		t.Fatalf("the configuration has %d bytes, want several parts", len(data))
 	}
 	tests := map[string]struct {
@@ -92,16 +93,16 @@
 	}{
 		"nothing fails": {servers: []*partServer{{revision: 7, data: data}}, most: len(data)},
 		"the first control process hangs": {
-			servers: []*partServer{{revision: 7, data: data, failAt: 2 * fetchPartBytes}, {revision: 7, data: data}}, most: len(data),
+			servers: []*partServer{{revision: 7, data: data, failAt: 2 * assembler.PartBytes}, {revision: 7, data: data}}, most: len(data),
 		},
 		"the first one lags behind": {
 			servers: []*partServer{{revision: 0, data: data[:1]}, {revision: 7, data: data}}, most: len(data) + 1,
 		},
 		"the second one has other changes": {
 			servers: []*partServer{
-				{revision: 6, data: encodedConfiguration(t, 6, 1000), failAt: 2 * fetchPartBytes}, {revision: 7, data: data},
+				{revision: 6, data: encodedConfiguration(t, 6, 1000), failAt: 2 * assembler.PartBytes}, {revision: 7, data: data},
 			},
-			most: len(data) + 2*fetchPartBytes,
+			most: len(data) + 2*assembler.PartBytes,
 		},
 	}
 	for name, test := range tests {
