router: resume a broken stream only at the version that began it

What callers saw: streams that were answered 200 and ran to their end, with the first part of one software version and the rest of another.

Cause: a stream that broke went on at any upstream of its pool. Class: two parts of one response from sources that do not fit together, chosen by what they are called, not by what they are.

Change: before its first event is relayed, a stream is bound to the version of the run that wrote it. If another run of the upstream, or another version, has become known since it was chosen, the version is not certain, and the stream cannot be resumed. A bound stream waits for upstreams of its version, before new requests and without holding them up; what is decided about the pool as a whole does not change with it. If none serves, it ends at once (410 versionGone on the own interface, 503 without Retry-After on the platform if nothing was sent). Before the first event any version may serve.

With the binding removed, and with its certainty removed, TestBrokenStreamKeepsItsVersion fails.

--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -74,7 +74,10 @@
 		// interrupted reports that an earlier attempt of the call may have run at an
 		// upstream and failed.
 		interrupted bool
-		pick        picker.Request
+		// version is that of the software that has begun the stream that the request goes on
+		// with; nil if any version may serve it.
+		version *registrar.Version
+		pick    picker.Request
 		// prompt is set if the prompt is known; the placer then chooses the upstream.
 		prompt *picker.PromptRequest
 		// probe reports that the request may be sent although a part of its prompt is held.
@@ -132,6 +135,8 @@
 		// the pool.
 		retryAfter func() time.Duration
 		restrainer *restrainer.Restrainer
+		// startedAt is when this process began to learn of upstreams.
+		startedAt time.Duration
 
 		mu             sync.Mutex
 		registry       *registrar.Registry
@@ -189,6 +194,7 @@
 		settings:       s,
 		metrics:        m,
 		now:            timer.Now,
+		startedAt:      timer.Now(),
 		restrainer:     restrainer.New(s.GetHost().GetId(), time.Now),
 		registry:       newRegistry(e),
 		upstreamStates: map[registrar.UpstreamID]*upstreamState{},
@@ -239,9 +245,7 @@
 		delete(d.withdrawn, id)
 	}
 	for key, p := range d.pools {
-		if p.scheduler.Waiting() > 0 && !d.hasUpstream(key) {
-			d.refuseAll(key, p)
-		}
+		d.refuseUnserved(key, p)
 		for _, id := range p.scheduler.Expire(now) {
 			item := d.waiters[id].item
 			d.refuseWaiter(id, refuseWithRetryAfter(http.StatusServiceUnavailable, CodeDeadline,
@@ -319,8 +323,8 @@
 func (d *dispatcher) enqueue(r dispatchRequest) (*waiter, *RefusalError) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.hasUpstream(r.pool) {
-		return nil, d.noUpstreamRefusal(r.pool)
+	if refusal := d.unservedRefusal(r); refusal != nil {
+		return nil, refusal
 	}
 	if refusal := d.pausedRefusal(r); refusal != nil {
 		return nil, refusal
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -15,6 +15,7 @@
 	"github.com/comfreybend/comfreybend/internal/restrainer"
 	"github.com/comfreybend/comfreybend/internal/scanner"
 	"github.com/comfreybend/comfreybend/pkg/isolator"
+	"github.com/comfreybend/comfreybend/pkg/matcher"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/reporter"
@@ -71,6 +72,10 @@
 		// startRecorded reports that the call was counted in its usage window.
 		startRecorded bool
 
+		// bound reports that the stream is bound to the version that began it, which is in origin;
+		// that is nil if the version is not certain, so that the stream cannot be resumed.
+		bound  bool
+		origin *matcher.Origin
 		// lastEventID is the id of the last stream event that the client has received.
 		lastEventID scanner.EventID
 		// inputTokens and outputTokens are the token counts of the call that have not
@@ -178,6 +183,7 @@
 		arrived:      c.arrived,
 		deadline:     c.deadline,
 		interrupted:  h.mayHaveRun,
+		version:      h.boundVersion(),
 		prompt:       h.prompt(),
 		probe:        c.probe,
 		pick: picker.Request{
--- a/internal/router/notice.go
+++ b/internal/router/notice.go
@@ -132,10 +132,7 @@
 func (d *dispatcher) pausedRefusal(r dispatchRequest) *RefusalError {
 	now := d.now()
 	var earliest time.Duration
-	for _, u := range d.registry.Serving(r.pool.kind, r.pool.name) {
-		if d.draining[u.ID] {
-			continue
-		}
+	for _, u := range d.serving(r.pool, r.version) {
 		until := d.upstreamStates[u.ID].circuit.PausedUntil(now)
 		if until < r.deadline {
 			return nil
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -35,7 +35,7 @@
 func (d *dispatcher) schedulerItem(r dispatchRequest, p *pool) scheduler.Item {
 	expected := min(p.averageDurations[scheduler.Class(r.class.GetName())], (r.deadline-r.arrived)/2)
 	deadline := r.deadline - expected
-	if r.interrupted {
+	if r.interrupted || r.version != nil {
 		deadline = r.deadline
 	}
 	dispatchBy := deadline
@@ -50,19 +50,10 @@
 		DispatchBy:   dispatchBy,
 		Deadline:     deadline,
 		Requeued:     r.interrupted,
+		Bound:        r.version != nil,
 	}
 }
 
-// hasUpstream reports whether any upstream of a pool accepts new requests.
-func (d *dispatcher) hasUpstream(key poolKey) bool {
-	for _, u := range d.registry.Serving(key.kind, key.name) {
-		if !d.draining[u.ID] {
-			return true
-		}
-	}
-	return false
-}
-
 // setDraining replaces the set of upstreams that get no new requests.
 func (d *dispatcher) setDraining(ids []string) {
 	d.mu.Lock()
@@ -75,6 +66,7 @@
 
 // dispatchWaiting dispatches requests until none waits or no upstream is free.
 func (d *dispatcher) dispatchWaiting(key poolKey, p *pool) {
+	d.dispatchBound(key, p)
 	for p.scheduler.Waiting() > 0 {
 		upstreams, candidates := d.candidates(key, p)
 		if !anyFree(candidates) {
@@ -259,6 +251,7 @@
 			Domain:           u.FailureDomain,
 			Local:            u.FailureDomain == domain,
 			Preemptible:      u.Preemptible,
+			Version:          u.Version,
 			Free:             s.free(now) && restraint.Available,
 			Ready:            s.ready(now) && restraint.Available,
 			ReportedLoad:     load.Running + load.Waiting,
@@ -282,7 +275,7 @@
 // refuseOvercommitted refuses a model request whose prompt the upstreams cannot process in
 // time beside the prompts in progress. It never refuses an interrupted request.
 func (d *dispatcher) refuseOvercommitted(r dispatchRequest, p *pool) *RefusalError {
-	if r.prompt == nil || r.interrupted {
+	if r.prompt == nil || r.interrupted || r.version != nil {
 		return nil
 	}
 	upstreams, candidates := d.candidates(r.pool, p)
@@ -302,15 +295,6 @@
 	return wait + rand.N(wait)
 }
 
-// refuseAll refuses all waiting requests of a pool that has no upstream any more.
-func (d *dispatcher) refuseAll(key poolKey, p *pool) {
-	for id, w := range d.waiters {
-		if w.request.pool == key && p.scheduler.Remove(id) {
-			d.refuseWaiter(id, d.noUpstreamRefusal(key))
-		}
-	}
-}
-
 // refuseWaiting refuses the waiting requests for which a function returns a refusal.
 func (d *dispatcher) refuseWaiting(refusalOf func(dispatchRequest) *RefusalError) {
 	d.mu.Lock()
@@ -323,10 +307,6 @@
 	}
 }
 
-func (d *dispatcher) noUpstreamRefusal(key poolKey) *RefusalError {
-	return refuseWithRetryAfter(http.StatusServiceUnavailable, CodeNoUpstream, "no upstream serves "+key.name, d.retryAfter())
-}
-
 func (d *dispatcher) refuseWaiter(id scheduler.ItemID, refusal *RefusalError) {
 	w := d.waiters[id]
 	delete(d.waiters, id)
--- a/internal/router/refusal.go
+++ b/internal/router/refusal.go
@@ -75,6 +75,7 @@
 	CodeTooManyClaims    = "tooManyClaims"
 	CodePartHeld         = "promptPartHeld"
 	CodeRequestHeld      = "requestHeld"
+	CodeVersionGone      = "versionGone"
 )
 
 type (
--- a/internal/router/request_limit.go
+++ b/internal/router/request_limit.go
@@ -70,12 +70,12 @@
 	}
 }
 
-// limitedUpstreams returns the upstreams of a pool that may get requests before a time, or nil
-// if one of them has no request limit.
-func (d *dispatcher) limitedUpstreams(key poolKey, before time.Duration) []*registrar.Upstream {
+// limitedUpstreams returns the upstreams of a pool, of all versions or of one, that may get
+// requests before a time, or nil if one of them has no request limit.
+func (d *dispatcher) limitedUpstreams(key poolKey, version *registrar.Version, before time.Duration) []*registrar.Upstream {
 	var out []*registrar.Upstream
-	for _, u := range d.registry.Serving(key.kind, key.name) {
-		if d.draining[u.ID] || d.upstreamStates[u.ID].circuit.PausedUntil(d.now()) >= before {
+	for _, u := range d.serving(key, version) {
+		if d.upstreamStates[u.ID].circuit.PausedUntil(d.now()) >= before {
 			continue
 		}
 		if !d.restrainer.RestraintOf(u).Limited {
@@ -90,11 +90,11 @@
 // limits, if these leave it no turn before its deadline, or nil.
 func (d *dispatcher) limitedRefusal(r dispatchRequest, p *pool) *RefusalError {
 	ahead := p.scheduler.WaitingUpTo(scheduler.Tier(r.rank))
-	upstreams := d.limitedUpstreams(r.pool, r.deadline)
+	upstreams := d.limitedUpstreams(r.pool, r.version, r.deadline)
 	if upstreams == nil {
 		return nil
 	}
-	if r.interrupted {
+	if r.interrupted || r.version != nil {
 		ahead = 0
 	}
 	latest := d.schedulerItem(r, p).Deadline - turnMargin
@@ -121,15 +121,31 @@
 	if p.scheduler.Waiting() == 0 {
 		return
 	}
-	var waiting []*waiter
-	longest := time.Duration(0)
+	waiting := map[registrar.Version][]*waiter{}
+	var unbound []*waiter
 	for _, w := range d.waiters {
-		if w.request.pool == key {
-			waiting = append(waiting, w)
-			longest = max(longest, w.request.deadline)
+		switch {
+		case w.request.pool != key:
+		case w.request.version == nil:
+			unbound = append(unbound, w)
+		default:
+			waiting[*w.request.version] = append(waiting[*w.request.version], w)
 		}
 	}
-	upstreams := d.limitedUpstreams(key, longest)
+	d.refuseWithoutTurn(key, p, nil, unbound)
+	for version, bound := range waiting {
+		d.refuseWithoutTurn(key, p, &version, bound)
+	}
+}
+
+// refuseWithoutTurn refuses those of the waiting requests, which upstreams of all versions or of one
+// may serve, that get no turn before their deadlines.
+func (d *dispatcher) refuseWithoutTurn(key poolKey, p *pool, version *registrar.Version, waiting []*waiter) {
+	longest := time.Duration(0)
+	for _, w := range waiting {
+		longest = max(longest, w.request.deadline)
+	}
+	upstreams := d.limitedUpstreams(key, version, longest)
 	if len(upstreams) == 0 {
 		return
 	}
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -104,6 +104,7 @@
 			return err, nil
 		}
 		done := bytes.Equal(e.Data, doneMarker)
+		h.bindVersion()
 		h.startStream(w)
 		at.writingToClient.Store(true)
 		err = w.write(e.Raw)
@@ -164,9 +165,9 @@
 	h.log.Info("upstream stream was interrupted", h.requestIDField(), zap.String("attempt", string(at.id)),
 		zap.String("upstream", string(at.grant.upstream.ID)), zap.String("version", string(at.grant.upstream.Version)), h.partsField(),
 		zap.Uint64("delivered", uint64(h.lastEventID)), zap.Error(cause))
-	if h.lastEventID == scanner.NoEventID && at.eventsRelayed.Load() > 0 {
-		// The client has received events without ids, so the position to resume at
-		// is not known.
+	unnumbered := h.lastEventID == scanner.NoEventID && at.eventsRelayed.Load() > 0
+	if unnumbered || h.bound && h.origin == nil {
+		// The position to resume at, or the version, is not known.
 		return h.giveUp(failure)
 	}
 	if !h.call.route.GetEventStream() {
--- /dev/null
+++ b/internal/router/version_test.go
@@ -0,0 +1,166 @@
+package router
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/comfreybend/comfreybend/internal/configurer"
+	"github.com/comfreybend/comfreybend/pkg/registrar"
+	"github.com/comfreybend/comfreybend/schema/state"
+	"github.com/comfreybend/comfreybend/schema/wire"
+)
+
+const (
+	streamService = "streams"
+	streamEvents  = 6
+	// cutEvents is the number of events after which the first upstream breaks off.
+	cutEvents = 3
+)
+
+// versionUpstream is an upstream of one software version with numbered events that name it.
+type versionUpstream struct {
+	server *httptest.Server
+	calls  atomic.Int64
+	// cutAfter is the number of events after which it breaks off, streamEvents for none.
+	cutAfter atomic.Int64
+	// beforeCut is called before it breaks off, beforeFirst before its first event.
+	beforeCut, beforeFirst func()
+}
+
+func newVersionUpstream(t *testing.T, version string) *versionUpstream {
+	u := &versionUpstream{beforeCut: func() {}, beforeFirst: func() {}}
+	u.cutAfter.Store(streamEvents)
+	u.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		u.calls.Add(1)
+		after, _ := strconv.Atoi(r.Header.Get(HeaderLastEventID))
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.WriteHeader(http.StatusOK)
+		u.beforeFirst()
+		for n := after + 1; n <= int(u.cutAfter.Load()); n++ {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, version)
+		}
+		_ = http.NewResponseController(w).Flush()
+		if u.cutAfter.Load() < streamEvents {
+			u.beforeCut()
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	t.Cleanup(u.server.Close)
+	return u
+}
+
+func (u *versionUpstream) announcement(id, version string, incarnation registrar.Incarnation, now time.Duration) registrar.Upstream {
+	return registrar.Upstream{
+		ID: registrar.UpstreamID(id), Incarnation: incarnation, Sequence: 1, URL: u.server.URL, FailureDomain: "a", Kind: registrar.KindService,
+		Serves: []string{streamService}, State: registrar.Serving, Version: registrar.Version(version), AnnouncedAt: now, Load: registrar.Load{Slots: 8},
+	}
+}
+
+// newVersionRouter returns an entry process with a route for streams that may be resumed, and its
+// server.
+func newVersionRouter(t *testing.T) (*Router, *httptest.Server) {
+	t.Helper()
+	r := newTestRouter(t)
+	err := r.controlPlane.applyConfiguration(&wire.SyncReply{Revision: 1, Whole: true, Configuration: &state.Configuration{
+		Classes: []*state.Class{{Name: "c", Tier: 1}},
+		Routes: []*state.Route{{
+			Name: "r", PathPrefix: "/", Kind: configurer.KindService, Service: streamService, Classes: []string{"c"},
+			OpenToAll: true, EventStream: true, Resumable: true, Attempts: 4, Timeout: durationpb.New(10 * time.Second),
+		}},
+	}}, delivery{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewServer(r.clientHandler())
+	t.Cleanup(server.Close)
+	return r, server
+}
+
+// readStream sends a request and returns the status and the data of the events received.
+func readStream(t *testing.T, url string, headers ...string) (status int, events []string) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, url+"/stream", http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Add(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	for lines := bufio.NewScanner(response.Body); lines.Scan(); {
+		if data, found := strings.CutPrefix(lines.Text(), "data: "); found {
+			events = append(events, data)
+		}
+	}
+	return response.StatusCode, events
+}
+
+// TestBrokenStreamKeepsItsVersion guards against streams that go on at another software version
+// than the one that began them.
+func TestBrokenStreamKeepsItsVersion(t *testing.T) {
+	begun := strings.Repeat("v1 ", cutEvents)
+	tests := map[string]struct {
+		// arrange changes the upstreams: the one that begins the stream, and another one.
+		arrange func(r *Router, first, second *versionUpstream)
+		// second is the version of the other upstream.
+		second, want string
+	}{
+		"at another upstream of the version": {second: "v1", want: strings.Repeat("v1 ", streamEvents)},
+		"another version alone is left":      {second: "v2", want: begun},
+		"an upstream without a version":      {second: "", want: begun},
+		"before the first event": {second: "v2", want: strings.Repeat("v2 ", streamEvents), arrange: func(_ *Router, first, _ *versionUpstream) {
+			first.cutAfter.Store(0)
+		}},
+		"the upstream started again before its first event": {second: "v1", want: begun, arrange: func(r *Router, first, _ *versionUpstream) {
+			first.beforeFirst = func() {
+				u := first.announcement("one", "v1", 2, r.dispatcher.now())
+				r.dispatcher.applyAnnouncement(u)
+			}
+		}},
+		"the version changed within the run": {second: "v1", want: begun, arrange: func(r *Router, first, _ *versionUpstream) {
+			first.beforeFirst = func() {
+				u := first.announcement("one", "v9", 1, r.dispatcher.now())
+				u.Sequence = 2
+				r.dispatcher.applyAnnouncement(u)
+			}
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r, server := newVersionRouter(t)
+			first, second := newVersionUpstream(t, "v1"), newVersionUpstream(t, test.second)
+			first.cutAfter.Store(cutEvents)
+			first.beforeCut = func() {
+				r.dispatcher.applyAnnouncement(second.announcement("two", test.second, 1, r.dispatcher.now()))
+				r.dispatcher.withdraw(&registrar.Upstream{ID: "one", Incarnation: 1})
+			}
+			if test.arrange != nil {
+				test.arrange(r, first, second)
+			}
+			r.dispatcher.applyAnnouncement(first.announcement("one", "v1", 1, r.dispatcher.now()))
+			r.dispatcher.startedAt -= startupTime
+			before := r.dispatcher.now()
+			_, events := readStream(t, server.URL)
+			if got := strings.Join(events, " "); got != strings.TrimSpace(test.want) {
+				t.Errorf("events %q, want %q", got, strings.TrimSpace(test.want))
+			}
+			if took := r.dispatcher.now() - before; took > time.Second {
+				t.Errorf("the stream ended after %v, want at once", took)
+			}
+		})
+	}
+}
--- a/pkg/picker/versions.go
+++ b/pkg/picker/versions.go
@@ -8,18 +8,25 @@
 
 // OnlyVersion returns the candidates for a stream that a version of the upstreams' software has
 // begun: the others are not free. All are returned, since what is decided about a pool, such as which
-// of its engines serve light classes, must not depend on one request. If none is free, one in its
-// slow start is: nobody else can go on with the stream.
-func OnlyVersion(candidates []Candidate, version registrar.Version) []Candidate {
+// of its engines serve light classes, must not depend on one request. An upstream at which the
+// stream has failed is used again only if no other one is ready. If none is free, one in its slow
+// start is: nobody else can go on with the stream.
+func OnlyVersion(candidates []Candidate, version registrar.Version, failedAt []registrar.UpstreamID) []Candidate {
 	out := slices.Clone(candidates)
-	free := false
+	free, ready := false, false
 	for i := range out {
 		c := &out[i]
 		c.Free, c.Ready = c.Free && c.Version == version, c.Ready && c.Version == version
-		free = free || c.Free
+		if !contains(failedAt, c.ID) {
+			free, ready = free || c.Free, ready || c.Ready
+		}
+	}
+	if !free && !ready {
+		return out
 	}
 	for i := range out {
-		out[i].Free = out[i].Free || !free && out[i].Ready
+		c := &out[i]
+		c.Free = !contains(failedAt, c.ID) && (c.Free || !free && c.Ready)
 	}
 	return out
 }
--- a/pkg/picker/versions_test.go
+++ b/pkg/picker/versions_test.go
@@ -15,6 +15,7 @@
 	}
 	tests := map[string]struct {
 		candidates []Candidate
+		failedAt   []registrar.UpstreamID
 		want       string
 	}{
 		"one is free":                   {candidates: []Candidate{candidate("1", "v1", true, true), candidate("2", "v2", true, true)}, want: "[1]"},
@@ -23,11 +24,19 @@
 		"one is free, one in slow start": {
 			candidates: []Candidate{candidate("1", "v1", true, true), candidate("2", "v1", false, true), candidate("3", "v2", true, true)}, want: "[1]",
 		},
+		"failed at the free one": {
+			candidates: []Candidate{candidate("1", "v1", true, true), candidate("2", "v1", false, true), candidate("3", "v2", true, true)},
+			failedAt:   []registrar.UpstreamID{"1"}, want: "[2]",
+		},
+		"failed at the only one that is ready": {
+			candidates: []Candidate{candidate("1", "v1", true, true), candidate("2", "v1", false, false), candidate("3", "v2", true, true)},
+			failedAt:   []registrar.UpstreamID{"1"}, want: "[1]",
+		},
 		"without a version": {candidates: []Candidate{candidate("1", "", true, true), candidate("2", "v2", true, true)}, want: "[]"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			out := OnlyVersion(test.candidates, "v1")
+			out := OnlyVersion(test.candidates, "v1", test.failedAt)
 			LeaveFailedDomains(nil, out)
 			free := []string{}
 			for _, c := range out {
--- a/test/integration/versions_test.go
+++ b/test/integration/versions_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/types/known/durationpb"
+
 	"github.com/comfreybend/comfreybend/internal/emulator"
 	"github.com/comfreybend/comfreybend/internal/router"
 	"github.com/comfreybend/comfreybend/schema/settings"
@@ -132,9 +134,9 @@
 	return out
 }
 
-// allowRetries lets as many requests be retried as there are.
+// allowRetries lets every request of a test be retried.
 func allowRetries(s *settings.Settings) {
-	s.Entry.UpstreamLimits = &settings.UpstreamLimits{RetryPercent: 100}
+	s.Entry.SharedBudget = &settings.SharedBudget{Ratio: 1, Allowance: 1000, Window: durationpb.New(10 * time.Second)}
 }
 
 // checkStreams fails the test if streams were joined, and returns how many are complete.
