controller, keeper, versioner: know which versions serve a pool and which began a stream

The versions that serve each pool are committed before entry processes hear of such an upstream (an announcement of another version is acknowledged only then), kept through restarts of all, and retired ten minutes after the last announcement. Which version began a stream is kept in memory, 200,000 streams at most, for a minute or two; entry processes report it and ask for it by a hash that reveals nothing.

Ruled out: an entry of the log for each stream.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -28,6 +28,7 @@
 	"github.com/comfreybend/comfreybend/internal/keeper"
 	"github.com/comfreybend/comfreybend/internal/messenger"
 	"github.com/comfreybend/comfreybend/internal/tabulator"
+	"github.com/comfreybend/comfreybend/internal/versioner"
 	"github.com/comfreybend/comfreybend/pkg/journaler"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/replicator"
@@ -86,6 +87,7 @@
 		// gossipWanted makes runGossip send without delay.
 		gossipWanted chan struct{}
 		evidence     *collector.Table
+		versions     *versioner.Versioner
 		// autoscaler is nil until runPlatformAgent starts.
 		autoscaler atomic.Pointer[autoscaler]
 
@@ -122,6 +124,7 @@
 		windows:         newWindowCollector(s.GetControl()),
 		gossipWanted:    make(chan struct{}, 1),
 		evidence:        collector.NewTable(),
+		versions:        versioner.New(),
 		appliedCommands: instruments.Scope.Counter("commands_committed"),
 		failedProposals: instruments.Scope.Counter("commands_refused"),
 	}
@@ -254,6 +257,7 @@
 	group.Go(func() error { return n.Run(ctx) })
 	group.Go(func() error { return c.membership.run(ctx) })
 	group.Go(func() error { return c.runUsage(ctx) })
+	group.Go(func() error { return c.runVersions(ctx) })
 	group.Go(func() error { return c.runPlatformAgent(ctx) })
 	return group.Wait()
 }
--- a/internal/controller/leave.go
+++ b/internal/controller/leave.go
@@ -35,6 +35,11 @@
 // announce applies an announcement of an upstream. One that says that the upstream leaves
 // may be acknowledged only if the error is nil.
 func (c *Controller) announce(ctx context.Context, u registrar.Upstream) error {
+	if u.State != registrar.Leaving {
+		if err := c.commitVersions(ctx, &u); err != nil {
+			return err
+		}
+	}
 	c.upstreamTable.Update(u, true)
 	if u.State != registrar.Leaving {
 		return nil
--- a/internal/controller/requests.go
+++ b/internal/controller/requests.go
@@ -9,7 +9,9 @@
 
 	"github.com/comfreybend/comfreybend/internal/announcer"
 	"github.com/comfreybend/comfreybend/internal/messenger"
+	"github.com/comfreybend/comfreybend/internal/versioner"
 	"github.com/comfreybend/comfreybend/pkg/replicator"
+	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/state"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
@@ -35,6 +37,7 @@
 	ReadUpstreams     = "upstreams"
 	ReadDocument      = "document"
 	ReadParts         = "parts"
+	ReadVersions      = "versions"
 )
 
 // leastBytesPerSecond is the rate at which a large request is expected to be committed at
@@ -57,6 +60,8 @@
 		return nil
 	case *wire.Request_Fetch:
 		return c.serveFetch(kind.Fetch)
+	case *wire.Request_Origins:
+		return &wire.Reply{Kind: &wire.Reply_Origins{Origins: c.versions.Serve(timer.Now(), kind.Origins)}}
 	case *wire.Request_Spread:
 		c.receiveGossip(kind.Spread)
 		return nil
@@ -196,6 +201,8 @@
 		reply.Upstreams = c.upstreams()
 	case ReadParts:
 		reply.Parts = c.evidence.Accused()
+	case ReadVersions:
+		reply.Versions = versioner.Served(c.stateMachine.Versions(), c.upstreams())
 	case ReadDocument:
 		reply.Version = c.stateMachine.Document().GetVersion()
 		reply.Document = c.stateMachine.Document().GetContent()
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/comfreybend/comfreybend/internal/configurer"
+	"github.com/comfreybend/comfreybend/pkg/matcher"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/state"
 	"github.com/comfreybend/comfreybend/schema/wire"
@@ -88,6 +89,8 @@
 
 	// departures holds the runs of upstreams that leave.
 	departures *registrar.Departures
+	// versions holds the software versions that serve each pool.
+	versions *matcher.History
 
 	contentMu sync.Mutex
 	// contents holds the latest results of ContentBetween, oldest first. contentMu guards it.
@@ -141,6 +144,8 @@
 		return m.applyDocument(kind.Document, command.GetLimits())
 	case *state.Command_Departure:
 		return m.applyDeparture(kind.Departure)
+	case *state.Command_PoolVersion:
+		return m.applyPoolVersion(kind.PoolVersion)
 	default:
 		return refused("invalid", "unknown command")
 	}
@@ -171,6 +176,7 @@
 		Departures:        departuresToState(m.departures),
 
 		DeparturesCommitted: uint64(m.departures.Position()),
+		PoolVersions:        versionsToState(m.versions),
 	}
 	for _, u := range m.latestPushes {
 		s.Usage = append(s.Usage, u)
@@ -230,6 +236,9 @@
 		m.departures.Add(departureOf(d))
 	}
 	m.departures.Restore(registrar.Position(s.GetDeparturesCommitted()))
+	for _, v := range s.GetPoolVersions() {
+		m.versions.Add(originOf(v))
+	}
 }
 
 func (m *StateMachine) reset() {
@@ -244,6 +253,7 @@
 	m.pendingRows = map[usageRowKey]*state.UsageRow{}
 	m.document = nil
 	m.departures = registrar.NewDepartures(maxDepartures)
+	m.versions = matcher.NewHistory(maxVersions)
 }
 
 func refused(reason, detail string) *wire.ProposeReply {
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -307,3 +307,39 @@
 		t.Errorf("departures %v until position %d after position %d, want the last one until %d", got, reached, position, position+1)
 	}
 }
+
+// TestPoolVersions guards against a version that a restarted control process does not know any
+// more, so that a stream of it seems to be one of the only other version.
+func TestPoolVersions(t *testing.T) {
+	m := New()
+	apply := func(v *state.PoolVersion) bool {
+		data, err := proto.Marshal(&state.Command{Kind: &state.Command_PoolVersion{PoolVersion: v}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return m.Apply(data).GetOutcome().GetAccepted()
+	}
+	for _, version := range []string{"v1", "v2", "v2", "v3"} {
+		if !apply(&state.PoolVersion{Pool: "model/m", Version: version}) {
+			t.Errorf("version %s was refused", version)
+		}
+	}
+	apply(&state.PoolVersion{Pool: "model/m", Version: "v3", Retired: true})
+	snapshot, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	m = New()
+	if err = m.Restore(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	if got := fmt.Sprint(m.Versions()); got != "[{model/m v1} {model/m v2}]" {
+		t.Errorf("versions %s after a restart, want v1 and v2", got)
+	}
+	for i := range maxVersions {
+		apply(&state.PoolVersion{Pool: "model/m", Version: fmt.Sprint("w", i)})
+	}
+	if apply(&state.PoolVersion{Pool: "model/m", Version: "another"}) {
+		t.Errorf("a pool has %d versions, want at most %d", len(m.Versions()), maxVersions)
+	}
+}
