router, tracker: let clients take up streams only at the version that began them

What callers saw: a stream whose entry host lost power was taken up by its client at another host, answered 200 and ran to its end, joined from two versions.

Cause: a request that takes up a stream was a new one to the router: it named the attempt that brought its first event, and nobody read or knew that.

Change: before the first event of a stream that may be resumed is passed on, two control processes (the nearest and the farthest) are told which version began it; while a pool has several versions the event waits for one of them, 0.1 s at most. A host at which a client takes up a stream asks all of them. Unknown means the only version of the pool, if a majority confirms that there is and was but one (pkg/matcher), or else the end: 410 versionGone on the own interface, 503 without Retry-After on the platform, not run. If it cannot be told now, 503 with Retry-After. The own interface takes up streams too (Last-Event-ID, Comfreybend-Resumes). A stream of another organisation is found by nobody, and goes on at the service that began it, not at another one of a split route.

All entry and control processes killed together: with one version all 20 go on, with two all 20 are refused.

--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -3,6 +3,7 @@
 package ranker
 
 import (
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -42,6 +43,8 @@
 	backoffUntil map[string]time.Duration
 	// backoff holds, by address, the latest backoff time.
 	backoff map[string]time.Duration
+	// reported holds the addresses that control processes have reported last.
+	reported []string
 }
 
 // New returns a ranker of the control processes in the settings.
@@ -60,6 +63,7 @@
 func (c *Ranker) SetAddresses(addresses []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.reported = addresses
 	known := map[string]*messenger.Client{}
 	for _, client := range c.order {
 		known[client.Address()] = client
@@ -126,6 +130,27 @@
 	return append([]*messenger.Client(nil), c.order...)
 }
 
+// Apart returns the preferred control process and the last one of those that have not failed
+// lately, which is in another failure domain if there is one. There may be fewer.
+func (c *Ranker) Apart() []*messenger.Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := timer.Now()
+	var usable []*messenger.Client
+	for _, client := range c.order {
+		if now >= c.backoffUntil[client.Address()] && (len(c.reported) == 0 || slices.Contains(c.reported, client.Address())) {
+			usable = append(usable, client)
+		}
+	}
+	if len(usable) == 0 {
+		return slices.Clone(c.order[:min(1, len(c.order))])
+	}
+	if len(usable) == 1 {
+		return usable
+	}
+	return []*messenger.Client{usable[0], usable[len(usable)-1]}
+}
+
 // MarkSucceeded resets the backoff of a control process: the next one is minBackoff again.
 func (c *Ranker) MarkSucceeded(client *messenger.Client) {
 	c.mu.Lock()
--- a/internal/router/announcement.go
+++ b/internal/router/announcement.go
@@ -81,11 +81,16 @@
 
 // announceEndpoint applies an announcement of an upstream and forwards it to every peer if
 // it is new.
-func (r *Router) announceEndpoint(_ context.Context, request any) (any, error) {
+func (r *Router) announceEndpoint(ctx context.Context, request any) (any, error) {
 	u, _ := request.(*wire.Upstream)
 	// The announcement comes from the upstream itself, so it has no age.
 	u.AgeMillis = 0
 	announced := announcer.FromWire(u, r.dispatcher.now())
+	if announced.State != registrar.Leaving {
+		if err := r.tracker.Commit(ctx, &announced); err != nil {
+			return nil, refuseWithRetryAfter(http.StatusServiceUnavailable, CodeNoQuorum, err.Error(), inDoubtRetryAfter)
+		}
+	}
 	if r.applyAnnouncement(announced, leaveAnnounced, u.GetUrl()) {
 		r.peers.queueAnnouncement(announced)
 	}
--- a/internal/router/dialect.go
+++ b/internal/router/dialect.go
@@ -151,6 +151,13 @@
 		}
 		info.Timeout = time.Duration(millis) * time.Millisecond
 	}
+	if text := request.Header.Get(HeaderLastEventID); text != "" {
+		lastEventID, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			return info, fmt.Errorf("%s is no number", HeaderLastEventID)
+		}
+		info.LastEventID = scanner.EventID(lastEventID)
+	}
 	info.Resumes = ResumedAttempt(request.Header.Values(HeaderResumes))
 	info.Prompt.Parts = ParsePromptParts(request.Header.Get(HeaderPromptParts))
 	for _, part := range info.Prompt.Parts {
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -76,6 +76,9 @@
 		// that is nil if the version is not certain, so that the stream cannot be resumed.
 		bound  bool
 		origin *matcher.Origin
+		// stream identifies the stream, and reportedAt is when its origin was reported last.
+		stream     matcher.Stream
+		reportedAt time.Duration
 		// lastEventID is the id of the last stream event that the client has received.
 		lastEventID scanner.EventID
 		// inputTokens and outputTokens are the token counts of the call that have not
@@ -129,6 +132,9 @@
 	if refusal := r.resolve(c); refusal != nil {
 		return nil, h.recordRefusal(refusal)
 	}
+	if refusal := h.findOrigin(ctx); refusal != nil {
+		return nil, h.recordRefusal(refusal)
+	}
 	r.isolation.awaitVerdict(ctx, c)
 	if refusal := r.isolation.admit(c); refusal != nil {
 		return nil, h.recordRefusal(refusal)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -24,6 +24,7 @@
 	"github.com/comfreybend/comfreybend/internal/ranker"
 	"github.com/comfreybend/comfreybend/internal/restrainer"
 	"github.com/comfreybend/comfreybend/internal/server"
+	"github.com/comfreybend/comfreybend/internal/tracker"
 	"github.com/comfreybend/comfreybend/internal/windower"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/settings"
@@ -64,6 +65,7 @@
 	isolation      *isolation
 	restrainer     *restrainer.Restrainer
 	identifier     *identifier.Identifier
+	tracker        *tracker.Tracker
 	dispatcher     *dispatcher
 	upstreamClient *upstreamClient
 	usage          *usageCounters
@@ -94,6 +96,7 @@
 		usage:       newUsageCounters(),
 		metrics:     newMetrics(instruments.Scope),
 		identifier:  identifier.New(),
+		tracker:     tracker.New(),
 	}
 	r.restrainer = restrainer.New(s.GetHost().GetId(), r.windows.Now)
 	r.dispatcher = newDispatcher(s, r.metrics)
@@ -105,6 +108,8 @@
 	r.upstreamClient.checkLeaving = r.dispatcher.checkLeaving
 	r.controlClients = ranker.New(s.GetEntry(), security)
 	r.controlPlane = newControlPlane(r)
+	r.tracker.Targets, r.tracker.All = r.controlClients.Apart, r.controlClients.All
+	r.tracker.Unreachable, r.tracker.Propose = r.controlClients.MarkFailed, r.controlPlane.propose
 	r.fetcher = newConfigurationFetcher(r)
 	r.isolation = newIsolation(r)
 	r.controlPoller = newControlPoller(r)
@@ -132,6 +137,7 @@
 	group.Go(func() error { return peerServer.Run(running) })
 	group.Go(func() error { return r.controlPlane.run(running) })
 	group.Go(func() error { return r.fetcher.run(running) })
+	group.Go(func() error { return r.tracker.Run(running) })
 	group.Go(func() error { return r.peers.run(running) })
 	group.Go(func() error { return r.controlPoller.run(running) })
 	group.Go(func() error { return r.dispatcher.run(running) })
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -104,7 +104,7 @@
 			return err, nil
 		}
 		done := bytes.Equal(e.Data, doneMarker)
-		h.bindVersion()
+		h.bindVersion(at.response.Request.Context())
 		h.startStream(w)
 		at.writingToClient.Store(true)
 		err = w.write(e.Raw)
@@ -133,6 +133,7 @@
 	if e.ID != scanner.NoEventID {
 		h.lastEventID = e.ID
 	}
+	h.renewOrigin()
 	if done || len(e.Data) == 0 {
 		return
 	}
--- a/internal/router/version.go
+++ b/internal/router/version.go
@@ -1,8 +1,15 @@
 package router
 
 import (
+	"context"
 	"net/http"
+	"slices"
+	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/comfreybend/comfreybend/internal/scanner"
+	"github.com/comfreybend/comfreybend/internal/tracker"
 	"github.com/comfreybend/comfreybend/pkg/matcher"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
@@ -80,16 +87,109 @@
 	return matcher.Origin{Pool: matcher.Pool(g.pool.String()), Version: g.upstream.Version}, certain
 }
 
+// hasOtherVersions reports whether upstreams of other versions than an origin's are known in its pool,
+// also ones that are leaving.
+func (d *dispatcher) hasOtherVersions(key poolKey, o matcher.Origin) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, u := range d.registry.All() {
+		if u.Kind == key.kind && u.Version != o.Version && slices.Contains(u.Serves, key.name) {
+			return true
+		}
+	}
+	return false
+}
+
+// findOrigin finds out which version has begun the stream that a client takes up, and binds the call
+// to it. It returns a refusal if no version may go on with the stream.
+func (h *callHandler) findOrigin(ctx context.Context) *RefusalError {
+	c, r := h.call, h.router
+	if !c.stream || c.LastEventID == scanner.NoEventID {
+		return nil
+	}
+	answer := matcher.Answer{Complete: true}
+	if c.Resumes != "" {
+		h.stream = matcher.StreamOf(string(c.Resumes), string(c.client.organisation))
+		answer = r.tracker.Find(ctx, h.stream)
+	}
+	pool := matcher.Pool(c.pool.String())
+	var (
+		versions  []registrar.Version
+		confirmed bool
+	)
+	if !answer.Known {
+		versions, confirmed = r.tracker.Versions(ctx, pool)
+	}
+	outcome, origin := matcher.Decide(answer, pool, versions, confirmed)
+	h.log.Info("client takes up a stream", h.requestIDField(), zap.String("resumes", string(c.Resumes)), zap.Uint64("resumedAfter", uint64(c.LastEventID)),
+		zap.Bool("known", answer.Known), zap.Bool("complete", answer.Complete), zap.Bool("confirmed", confirmed), zap.Int("versions", len(versions)),
+		zap.Bool("goesOn", outcome == matcher.Continue), zap.String("pool", string(origin.Pool)), zap.String("version", string(origin.Version)))
+	switch {
+	case outcome == matcher.Later:
+		return refuseWithRetryAfter(http.StatusServiceUnavailable, CodeNoQuorum, "it cannot be told now which version began the stream", r.retryAfter())
+	case outcome == matcher.Unknown:
+		return refuse(http.StatusGone, CodeVersionGone, "it is not known which version began the stream")
+	case !c.mayUse(origin.Pool):
+		return refuse(http.StatusGone, CodeVersionGone, "the route does not lead to the service that began the stream any more")
+	}
+	h.bound, h.origin = true, &origin
+	return nil
+}
+
+// mayUse reports whether the route leads to a pool, and chooses it.
+func (c *call) mayUse(pool matcher.Pool) bool {
+	names := []string{c.pool.name}
+	for _, s := range c.route.GetSplits() {
+		names = append(names, s.GetService())
+	}
+	for _, name := range names {
+		if key := (poolKey{kind: c.pool.kind, name: name}); matcher.Pool(key.String()) == pool {
+			c.pool = key
+			return true
+		}
+	}
+	return false
+}
+
 // bindVersion binds a stream, before its first event is relayed to the client, to the version that
-// has begun it.
-func (h *callHandler) bindVersion() {
+// has begun it, and reports that to the control processes. While the pool has several versions, the
+// event waits until one of them knows.
+func (h *callHandler) bindVersion(ctx context.Context) {
 	if h.bound {
+		h.renewOrigin()
 		return
 	}
 	h.bound = true
-	if origin, certain := h.router.dispatcher.originOf(h.current.grant); certain {
-		h.origin = &origin
+	origin, certain := h.router.dispatcher.originOf(h.current.grant)
+	if !certain || !h.call.retryable {
+		return
+	}
+	h.origin = &origin
+	h.stream = matcher.StreamOf(string(h.current.id), string(h.call.client.organisation))
+	h.reportedAt = h.router.dispatcher.now()
+	urgent := h.router.dispatcher.hasOtherVersions(h.current.grant.pool, origin)
+	reported := h.router.tracker.Report(h.stream, origin, urgent)
+	if !urgent {
+		return
+	}
+	timeout := time.NewTimer(tracker.ReportTimeout)
+	defer timeout.Stop()
+	select {
+	case <-reported:
+	case <-ctx.Done():
+	case <-timeout.C:
+		h.log.Warn("the version that began a stream was not reported in time", h.requestIDField(), zap.String("version", string(origin.Version)))
+	}
+}
+
+// renewOrigin reports the origin of a stream again while it goes on.
+func (h *callHandler) renewOrigin() {
+	now := h.router.dispatcher.now()
+	if h.origin == nil || h.stream == (matcher.Stream{}) || h.reportedAt != 0 && now-h.reportedAt < tracker.RenewalInterval {
+		return
 	}
+	h.reportedAt = now
+	h.router.tracker.Report(h.stream, *h.origin, false)
 }
 
 // boundVersion returns the version that may go on with the call's stream, or nil if any may.
--- a/internal/router/version_test.go
+++ b/internal/router/version_test.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/comfreybend/comfreybend/internal/configurer"
+	"github.com/comfreybend/comfreybend/pkg/matcher"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/state"
 	"github.com/comfreybend/comfreybend/schema/wire"
@@ -164,3 +165,68 @@
 		})
 	}
 }
+
+// TestResumedAttempt guards against requests that name the stream that they resume in ways that
+// cannot be relied on.
+func TestResumedAttempt(t *testing.T) {
+	tests := map[string]struct {
+		values []string
+		want   AttemptID
+	}{
+		"none":               {},
+		"one":                {values: []string{"a-1"}, want: "a-1"},
+		"doubled":            {values: []string{"a-1", "a-1"}, want: "a-1"},
+		"two":                {values: []string{"a-1", "a-2"}},
+		"the first is empty": {values: []string{"", "a-2"}},
+		"without end":        {values: []string{strings.Repeat("a", maxResumedBytes+1)}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := ResumedAttempt(test.values); got != test.want {
+				t.Errorf("attempt %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
+// TestTakenUpStream guards against streams that a client takes up and that go on at another version
+// or service than the one that began them, and against requests that are bound although they take up
+// nothing.
+func TestTakenUpStream(t *testing.T) {
+	const stream = AttemptID("begun")
+	known := matcher.Origin{Pool: "service/" + streamService, Version: "v1"}
+	tests := map[string]struct {
+		headers []string
+		origin  matcher.Origin
+		status  int
+		want    string
+	}{
+		"known":                       {headers: []string{HeaderLastEventID, "2", HeaderResumes, string(stream)}, origin: known, status: http.StatusOK, want: "v1 v1 v1 v1"},
+		"of another version":          {headers: []string{HeaderLastEventID, "2", HeaderResumes, string(stream)}, origin: matcher.Origin{Pool: known.Pool, Version: "v2"}, status: http.StatusOK, want: "v2 v2 v2 v2"},
+		"of a version that has left":  {headers: []string{HeaderLastEventID, "2", HeaderResumes, string(stream)}, origin: matcher.Origin{Pool: known.Pool, Version: "v3"}, status: http.StatusGone},
+		"of another service":          {headers: []string{HeaderLastEventID, "2", HeaderResumes, string(stream)}, origin: matcher.Origin{Pool: "service/other", Version: "v1"}, status: http.StatusGone},
+		"unknown, without a majority": {headers: []string{HeaderLastEventID, "2", HeaderResumes, "another"}, origin: known, status: http.StatusServiceUnavailable},
+		"named by two values":         {headers: []string{HeaderLastEventID, "2", HeaderResumes, string(stream), HeaderResumes, "another"}, origin: known, status: http.StatusServiceUnavailable},
+		"the attempt is not named":    {headers: []string{HeaderLastEventID, "2"}, origin: known, status: http.StatusServiceUnavailable},
+		"no event is named":           {headers: []string{HeaderResumes, string(stream)}, origin: known, status: http.StatusOK, want: "6"},
+		"the event is no number":      {headers: []string{HeaderLastEventID, "two", HeaderResumes, string(stream)}, origin: known, status: http.StatusBadRequest},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r, server := newVersionRouter(t)
+			for id, version := range map[string]string{"one": "v1", "two": "v2"} {
+				r.dispatcher.applyAnnouncement(newVersionUpstream(t, version).announcement(id, version, 1, r.dispatcher.now()))
+			}
+			r.dispatcher.startedAt -= startupTime
+			r.tracker.Report(matcher.StreamOf(string(stream), ""), test.origin, false)
+			status, events := readStream(t, server.URL, test.headers...)
+			got := strings.Join(events, " ")
+			if test.want == strconv.Itoa(len(events)) {
+				got = test.want
+			}
+			if status != test.status || status == http.StatusOK && got != test.want {
+				t.Errorf("status %d, events %q; want %d, %q", status, got, test.status, test.want)
+			}
+		})
+	}
+}
--- a/test/integration/versions_test.go
+++ b/test/integration/versions_test.go
@@ -273,3 +273,110 @@
 	wait.Wait()
 	return refused
 }
+
+// TestStreamsAfterLossOfAllMemory guards against streams that are joined when all entry and control
+// processes have been killed at the same time: which version began a stream is not known any more,
+// unless there was only one. That there were two must not be forgotten.
+func TestStreamsAfterLossOfAllMemory(t *testing.T) {
+	const streams = 20
+	tests := map[string]struct {
+		versions []string
+		goOn     bool
+	}{
+		"one version":  {versions: []string{"v1"}, goOn: true},
+		"two versions": {versions: []string{"v1", "v2"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := startSystem(t, layout{controls: 3, entries: []string{"a", "b"}})
+			s.configure()
+			s.startVersions(2, test.versions...)
+			s.startUpstream("orders-1", "a", "service", "orders", s.entries)
+			key := s.grant("one").Key
+			s.awaitKey(key, s.entries...)
+			for _, e := range s.entries {
+				s.awaitCompletion(e, key)
+			}
+			all := s.breakStreams(key, streams)
+			for _, c := range s.controls {
+				c.kill()
+			}
+			for _, c := range s.controls {
+				c.start()
+			}
+			for _, e := range s.entries {
+				e.start()
+			}
+			s.awaitKey(key, s.entries...)
+			refused := s.takeUp(all)
+			complete := checkStreams(t, all)
+			if test.goOn && complete < streams || !test.goOn && refused < streams {
+				t.Errorf("%d of %d streams are complete, %d were refused", complete, streams, refused)
+			}
+		})
+	}
+}
+
+// TestStreamOfVersionThatLeft guards against streams that go on at another version because theirs
+// has left, and against clients that are told to come back for them.
+func TestStreamOfVersionThatLeft(t *testing.T) {
+	const streams = 20
+	s := startSystem(t, layout{controls: 3, entries: []string{"a", "b"}})
+	s.configure()
+	engines := s.startVersions(2, "v1", "v2")
+	s.startUpstream("orders-1", "a", "service", "orders", s.entries)
+	key := s.grant("one").Key
+	s.awaitKey(key, s.entries...)
+	for _, e := range s.entries {
+		s.awaitCompletion(e, key)
+	}
+	all := s.breakStreams(key, streams)
+	for _, u := range engines["v1"] {
+		u.kill()
+	}
+	for _, e := range s.entries {
+		e.start()
+	}
+	s.awaitKey(key, s.entries...)
+	refused := s.takeUp(all)
+	checkStreams(t, all)
+	for _, stream := range all {
+		if stream.complete != (stream.versions[0] == "v2") {
+			t.Errorf("a stream of %s is complete: %t", stream.versions[0], stream.complete)
+		}
+	}
+	if refused == 0 {
+		t.Error("no stream was refused for good although a version has left")
+	}
+}
+
+// TestStreamOfAnotherOrganisation guards against a client that takes up a stream of another
+// organisation, or that learns from the response whether there is one.
+func TestStreamOfAnotherOrganisation(t *testing.T) {
+	s := startSystem(t, layout{controls: 3, entries: []string{"a", "b"}})
+	s.configure()
+	s.startVersions(2, "v1", "v2")
+	s.startUpstream("orders-1", "a", "service", "orders", s.entries)
+	key, foreign := s.grant("one").Key, s.grant("two").Key
+	s.awaitKey(key, s.entries...)
+	s.awaitKey(foreign, s.entries...)
+	for _, e := range s.entries {
+		s.awaitCompletion(e, key)
+	}
+	stream := s.breakStreams(key, 1)[0]
+	for _, e := range s.entries {
+		e.start()
+	}
+	s.awaitKey(key, s.entries...)
+	takeUp := func(key, attempt string) clientResponse {
+		return s.entries[1].do(t.Context(), http.MethodPost, "/v1/chat/completions", key, stream.body,
+			"Last-Event-ID", strconv.Itoa(stream.lastEvent), router.HeaderResumes, attempt)
+	}
+	existing, invented := takeUp(foreign, stream.attempt), takeUp(foreign, "invented")
+	if existing.status != http.StatusGone || existing.body != invented.body || existing.run() != router.NotRun {
+		t.Errorf("status %d with body %s, want the same refusal as for an invented attempt: %d, %s", existing.status, existing.body, invented.status, invented.body)
+	}
+	if own := takeUp(key, stream.attempt); own.status != http.StatusOK {
+		t.Errorf("status %d for the client's own stream, body %s", own.status, own.body)
+	}
+}
