--- a/internal/router/usage.go
+++ b/internal/counter/counter.go
@@ -1,4 +1,6 @@
-package router
+// Package counter counts the calls and tokens that an entry process has relayed, by organisation and
+// class, until the control processes have committed them.
+package counter
 
 import (
 	"sort"
@@ -17,26 +19,27 @@
 		class        configurer.ClassName
 	}
 
-	// usageCounters holds the cumulative usage counters of this incarnation of the process,
-	// by organisation and class.
-	usageCounters struct {
+	// Counters holds the cumulative usage counters of one incarnation of a process, by
+	// organisation and class. It is safe for concurrent use.
+	Counters struct {
 		mu       sync.Mutex
 		counters map[usageKey]*state.UsageCounter
 	}
 )
 
-func newUsageCounters() *usageCounters {
-	return &usageCounters{counters: map[usageKey]*state.UsageCounter{}}
+// New returns counters at zero.
+func New() *Counters {
+	return &Counters{counters: map[usageKey]*state.UsageCounter{}}
 }
 
-// add counts one call and its tokens.
-func (u *usageCounters) add(client identity, class configurer.ClassName, in, out TokenCount) {
+// Add counts one call and its tokens.
+func (u *Counters) Add(organisation configurer.OrganisationID, class configurer.ClassName, in, out TokenCount) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	key := usageKey{organisation: client.organisation, class: class}
+	key := usageKey{organisation: organisation, class: class}
 	c := u.counters[key]
 	if c == nil {
-		c = &state.UsageCounter{Organisation: string(client.organisation), Class: string(class)}
+		c = &state.UsageCounter{Organisation: string(organisation), Class: string(class)}
 		u.counters[key] = c
 	}
 	c.Calls++
@@ -44,8 +47,8 @@
 	c.TokensOut += uint64(out)
 }
 
-// snapshot returns a copy of the counters for a push to the control processes.
-func (u *usageCounters) snapshot(host, incarnation string, final bool) *state.Usage {
+// Snapshot returns a copy of the counters for a push to the control processes.
+func (u *Counters) Snapshot(host, incarnation string, final bool) *state.Usage {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	out := &state.Usage{Host: host, Incarnation: incarnation, Final: final}
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -18,6 +18,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/comfreybend/comfreybend/internal/configurer"
+	"github.com/comfreybend/comfreybend/internal/counter"
 	"github.com/comfreybend/comfreybend/pkg/isolator"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
@@ -366,12 +367,12 @@
 
 // estimatedInputTokens returns the prompt's tokens as declared by the client, or
 // an estimate from the body's size; zero for services.
-func (c *call) estimatedInputTokens() TokenCount {
+func (c *call) estimatedInputTokens() counter.TokenCount {
 	if c.Prompt.InputTokens > 0 {
 		return c.Prompt.InputTokens
 	}
 	if c.pool.kind != registrar.KindModel {
 		return 0
 	}
-	return TokenCount(len(c.body) / bytesPerToken)
+	return counter.TokenCount(len(c.body) / bytesPerToken)
 }
--- a/internal/router/controlplane.go
+++ b/internal/router/controlplane.go
@@ -215,7 +215,7 @@
 		Host:          host.GetId(),
 		FailureDomain: host.GetFailureDomain(),
 		HaveRevision:  uint64(p.revision()),
-		Usage:         p.router.usage.snapshot(host.GetId(), p.router.incarnation, final),
+		Usage:         p.router.usage.Snapshot(host.GetId(), p.router.incarnation, final),
 		Upstreams:     p.router.dispatcher.announcedUpstreams(),
 		Demands:       p.router.dispatcher.poolDemands(),
 		Windows:       p.router.windows.Recent(),
--- a/internal/router/dialect.go
+++ b/internal/router/dialect.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/comfreybend/comfreybend/internal/counter"
 	"github.com/comfreybend/comfreybend/internal/scanner"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
@@ -75,9 +76,9 @@
 		// request or its session, the others may be shared between requests.
 		Parts []picker.PromptPart
 		// InputTokens is the number of tokens of the prompt.
-		InputTokens TokenCount
+		InputTokens counter.TokenCount
 		// MaxOutputTokens is the maximum number of tokens to generate.
-		MaxOutputTokens TokenCount
+		MaxOutputTokens counter.TokenCount
 	}
 
 	// AttemptInfo describes an attempt for SetAttemptHeaders.
@@ -161,7 +162,7 @@
 	info.Resumes = ResumedAttempt(request.Header.Values(HeaderResumes))
 	info.Prompt.Parts = ParsePromptParts(request.Header.Get(HeaderPromptParts))
 	for _, part := range info.Prompt.Parts {
-		info.Prompt.InputTokens += TokenCount(part.Tokens)
+		info.Prompt.InputTokens += counter.TokenCount(part.Tokens)
 	}
 	return info, nil
 }
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -10,6 +10,7 @@
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/estimator"
 	"github.com/comfreybend/comfreybend/internal/restrainer"
+	"github.com/comfreybend/comfreybend/pkg/limiter"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/retrier"
@@ -148,7 +149,7 @@
 		placer         *picker.Placer
 		cacheIndex     *picker.CacheIndex
 		budget         retryBudget
-		peerDemands    *demandTable
+		peerDemands    *limiter.Demands
 		clusterLoad    *estimator.Estimator
 		// entryProcessCount is the number of entry processes.
 		entryProcessCount int
@@ -205,7 +206,7 @@
 		cacheIndex:     picker.NewCacheIndex(),
 		placer:         picker.NewPlacer(),
 		budget:         newRetryBudget(e),
-		peerDemands:    newDemandTable(len(e.GetPeerAddresses())),
+		peerDemands:    limiter.NewDemands(len(e.GetPeerAddresses())),
 		clusterLoad:    estimator.New(),
 		withdrawn:      map[registrar.UpstreamID]registrar.Upstream{},
 		onWithdrawn:    func(registrar.Upstream) {},
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/comfreybend/comfreybend/internal/configurer"
+	"github.com/comfreybend/comfreybend/internal/counter"
 	"github.com/comfreybend/comfreybend/internal/restrainer"
 	"github.com/comfreybend/comfreybend/internal/scanner"
 	"github.com/comfreybend/comfreybend/pkg/isolator"
@@ -83,8 +84,8 @@
 		lastEventID scanner.EventID
 		// inputTokens and outputTokens are the token counts of the call that have not
 		// been added to the usage counters yet.
-		inputTokens  TokenCount
-		outputTokens TokenCount
+		inputTokens  counter.TokenCount
+		outputTokens counter.TokenCount
 	}
 
 	// clientResponse is the result of handleCall, which encodeResponse writes to the client.
@@ -447,7 +448,7 @@
 
 // recordUsage adds the call and its tokens to the usage counters.
 func (h *callHandler) recordUsage() {
-	h.router.usage.add(h.call.client, configurer.ClassName(h.call.class.GetName()), h.inputTokens, h.outputTokens)
+	h.router.usage.Add(h.call.client.organisation, configurer.ClassName(h.call.class.GetName()), h.inputTokens, h.outputTokens)
 	h.inputTokens = 0
 	h.outputTokens = 0
 }
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -9,16 +9,12 @@
 
 	"github.com/comfreybend/comfreybend/internal/announcer"
 	"github.com/comfreybend/comfreybend/internal/messenger"
-	"github.com/comfreybend/comfreybend/pkg/limiter"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
 const (
-	// demandLifetime is the age at which the demand that a peer reported last is considered
-	// unknown.
-	demandLifetime = 2 * time.Second
 	// peerTimeout bounds one exchange with a peer.
 	peerTimeout = time.Second
 	// maxQueuedCacheEvents bounds the queue of cache events for one peer.
@@ -43,21 +39,6 @@
 		// the sequence numbers.
 		pendingCacheEvents [][]*wire.CacheEvent
 	}
-
-	// demandTable holds the demand of the other entry processes. It is guarded by the
-	// mutex of the dispatcher.
-	demandTable struct {
-		// peerCount is the number of configured peers.
-		peerCount int
-		// byHost holds the latest demand by the host of the peer.
-		byHost map[string]peerDemand
-	}
-
-	// peerDemand is the latest demand of one peer.
-	peerDemand struct {
-		updatedAt time.Duration
-		byPool    map[string]int
-	}
 )
 
 func newPeerExchanger(r *Router, security messenger.Security) *peerExchanger {
@@ -195,10 +176,6 @@
 	d.setPeerDemand(exchange.GetHost(), exchange.GetDemands())
 }
 
-func newDemandTable(peers int) *demandTable {
-	return &demandTable{peerCount: peers, byHost: map[string]peerDemand{}}
-}
-
 func (d *dispatcher) setPeerDemand(host string, demands []*wire.PoolDemand) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -206,22 +183,5 @@
 	for _, demand := range demands {
 		byPool[demand.GetPool()] = int(demand.GetRequests())
 	}
-	d.peerDemands.byHost[host] = peerDemand{updatedAt: d.now(), byPool: byPool}
-}
-
-// forPool returns, for one pool, the demand of each peer that reported recently, and
-// unknown demand for the rest of the configured peers.
-func (t *demandTable) forPool(now time.Duration, key poolKey) []limiter.Demand {
-	out := make([]limiter.Demand, 0, t.peerCount)
-	for host, p := range t.byHost {
-		if now-p.updatedAt > demandLifetime {
-			delete(t.byHost, host)
-			continue
-		}
-		out = append(out, limiter.Demand{Requests: p.byPool[key.String()], Known: true})
-	}
-	for len(out) < t.peerCount {
-		out = append(out, limiter.Demand{})
-	}
-	return out
+	d.peerDemands.Record(d.now(), host, byPool)
 }
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -226,7 +226,7 @@
 	now := d.now()
 	domain := registrar.FailureDomain(d.settings.GetHost().GetFailureDomain())
 	demand := p.inProgress + p.scheduler.Waiting()
-	others := d.peerDemands.forPool(now, key)
+	others := d.peerDemands.Of(now, key.String())
 	var (
 		upstreams  []*registrar.Upstream
 		candidates []picker.Candidate
--- a/internal/router/response.go
+++ b/internal/router/response.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/comfreybend/comfreybend/internal/configurer"
+	"github.com/comfreybend/comfreybend/internal/counter"
 )
 
 const (
@@ -197,8 +198,8 @@
 	}
 	var response struct {
 		Usage *struct {
-			PromptTokens     TokenCount `json:"prompt_tokens"`
-			CompletionTokens TokenCount `json:"completion_tokens"`
+			PromptTokens     counter.TokenCount `json:"prompt_tokens"`
+			CompletionTokens counter.TokenCount `json:"completion_tokens"`
 		} `json:"usage"`
 	}
 	if json.Unmarshal(document, &response) != nil || response.Usage == nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -18,6 +18,7 @@
 
 	"github.com/comfreybend/comfreybend/internal/bufferer"
 	"github.com/comfreybend/comfreybend/internal/certifier"
+	"github.com/comfreybend/comfreybend/internal/counter"
 	"github.com/comfreybend/comfreybend/internal/identifier"
 	"github.com/comfreybend/comfreybend/internal/instrumenter"
 	"github.com/comfreybend/comfreybend/internal/messenger"
@@ -68,7 +69,7 @@
 	tracker        *tracker.Tracker
 	dispatcher     *dispatcher
 	upstreamClient *upstreamClient
-	usage          *usageCounters
+	usage          *counter.Counters
 	peers          *peerExchanger
 	metrics        *metrics
 	buffers        *bufferer.Pool
@@ -93,7 +94,7 @@
 		log:         log,
 		instruments: instruments,
 		incarnation: uuid.NewString(),
-		usage:       newUsageCounters(),
+		usage:       counter.New(),
 		metrics:     newMetrics(instruments.Scope),
 		identifier:  identifier.New(),
 		tracker:     tracker.New(),
