--- a/cmd/comfreybend/load.go
+++ b/cmd/comfreybend/load.go
@@ -27,6 +27,7 @@
 	rate     float64
 	duration time.Duration
 	tokens   int32
+	takeUps  int32
 	output   string
 }
 
@@ -42,6 +43,7 @@
 		c.Flag("rate", "Requests a second.").Default("10").Float64Var(&f.rate)
 		c.Flag("duration", "Length of the run.").Default("10s").DurationVar(&f.duration)
 		c.Flag("tokens", "Tokens of each response.").Default("100").Int32Var(&f.tokens)
+		c.Flag("take-ups", "Times that a response which breaks is taken up at the next URL.").Int32Var(&f.takeUps)
 		c.Flag("output", "Form of the output: text or json.").Default("json").EnumVar(&f.output, "text", "json")
 		actions[c.FullCommand()] = func(ctx context.Context) error { return runLoad(ctx, f) }
 	})
@@ -76,7 +78,7 @@
 	}
 	stream := &experiment.Stream{
 		Name: "load", Urls: f.urls, Class: f.class, Model: f.model, Rate: f.rate,
-		MinimumTokens: f.tokens, MaximumTokens: f.tokens,
+		MinimumTokens: f.tokens, MaximumTokens: f.tokens, TakeUps: f.takeUps,
 	}
 	if f.keyFile != "" {
 		key, err := os.ReadFile(f.keyFile)
--- a/internal/generator/generator.go
+++ b/internal/generator/generator.go
@@ -91,9 +91,27 @@
 		if err != nil {
 			return
 		}
-		second := int(at / time.Second)
-		wait.Go(func() { r.recorder.sendAndRecord(second, r.client, request) })
+		second, url := int(at/time.Second), r.next
+		again := func() (*http.Request, error) {
+			defer func() { url++ }()
+			return cloneTo(ctx, request, r.stream.GetUrls()[url%len(r.stream.GetUrls())])
+		}
+		wait.Go(func() { r.recorder.sendAndRecord(second, r.client, request, again) })
+	}
+}
+
+// cloneTo returns a copy of a request that goes to another base URL.
+func cloneTo(ctx context.Context, request *http.Request, baseURL string) (*http.Request, error) {
+	body, err := request.GetBody()
+	if err != nil {
+		return nil, err
+	}
+	clone, err := http.NewRequestWithContext(ctx, request.Method, baseURL+request.URL.Path, body)
+	if err != nil {
+		return nil, err
 	}
+	clone.Header = request.Header.Clone()
+	return clone, nil
 }
 
 // rateAt returns the rate of the stream, bursts included, at a time after its start.
--- a/internal/generator/recorder.go
+++ b/internal/generator/recorder.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"io"
 	"net/http"
+	"regexp"
+	"strconv"
 	"sync"
 	"time"
 
@@ -20,13 +22,19 @@
 	readBuffer        = 16 << 10
 	microsPerMilli    = 1000
 	headerRun         = "Comfreybend-Run"
+	headerAttempt     = "Comfreybend-Attempt"
+	headerResumes     = "Comfreybend-Resumes"
+	headerLastEventID = "Last-Event-ID"
 	notRun            = "notRun"
 )
 
 var (
 	dataField  = []byte("data: ")
 	deltaField = []byte(`"delta"`)
+	idField    = []byte("id: ")
 	doneLine   = []byte("data: [DONE]")
+	// tokenPattern matches a token of an emulated engine: a number and the engine's version.
+	tokenPattern = regexp.MustCompile(`"token\d+([^" ]*) "`)
 )
 
 type (
@@ -41,15 +49,23 @@
 		wholeAnswer   *hdrhistogram.Histogram
 	}
 
-	// outcome is the result of one request.
+	// outcome is the result of one request, with those that take up its response.
 	outcome struct {
-		status        int
-		notRun        bool
-		complete      bool
-		tokens        int
-		firstToken    time.Duration
-		wholeAnswer   time.Duration
-		betweenTokens []time.Duration
+		status   int
+		notRun   bool
+		complete bool
+		tokens   int
+		// attempt is the one that brought the first event, lastEvent the number of the last one.
+		attempt   string
+		lastEvent int
+		// version is that of the first token of an emulated engine.
+		version string
+		// joined reports that a later token has another one, or that an event is missing or comes twice.
+		joined          bool
+		takenUp, wentOn int
+		firstToken      time.Duration
+		wholeAnswer     time.Duration
+		betweenTokens   []time.Duration
 	}
 )
 
@@ -65,11 +81,23 @@
 }
 
 // sendAndRecord sends a request that starts in the given second of the run and records
-// its outcome.
-func (r *recorder) sendAndRecord(second int, client *http.Client, request *http.Request) {
+// its outcome. again returns the requests that take it up.
+func (r *recorder) sendAndRecord(second int, client *http.Client, request *http.Request, again func() (*http.Request, error)) {
 	o := perform(client, request)
+	for !o.complete && o.lastEvent > 0 && o.takenUp < int(r.stream.GetTakeUps()) {
+		next, err := again()
+		if err != nil {
+			break
+		}
+		o.takeUp(client, next)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.result.TakenUp += uint32(o.takenUp)
+	r.result.WentOn += uint32(o.wentOn)
+	if o.joined {
+		r.result.Joined++
+	}
 	r.result.SentBySecond = incrementSecond(r.result.SentBySecond, second)
 	r.result.Sent++
 	r.result.Tokens += uint64(o.tokens)
@@ -137,7 +165,7 @@
 		return outcome{}
 	}
 	defer func() { _ = response.Body.Close() }()
-	o := outcome{status: response.StatusCode}
+	o := outcome{status: response.StatusCode, attempt: response.Header.Get(headerAttempt)}
 	if response.StatusCode != http.StatusOK {
 		o.notRun = response.Header.Get(headerRun) == notRun
 		_, _ = io.Copy(io.Discard, response.Body)
@@ -148,6 +176,44 @@
 	return o
 }
 
+// takeUp sends a request that takes up the response where it broke, and reads on.
+func (o *outcome) takeUp(client *http.Client, request *http.Request) {
+	o.takenUp++
+	request.Header.Set(headerLastEventID, strconv.Itoa(o.lastEvent))
+	request.Header.Set(headerResumes, o.attempt)
+	start := time.Now()
+	response, err := client.Do(request)
+	if err != nil {
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		_, _ = io.Copy(io.Discard, response.Body)
+		return
+	}
+	o.wentOn++
+	o.readEvents(start, response.Body)
+	o.wholeAnswer += time.Since(start)
+}
+
+// checkLine checks that an event follows the one before, and that a token is of the first one's
+// version.
+func (o *outcome) checkLine(line []byte) {
+	if number, found := bytes.CutPrefix(line, idField); found {
+		id, _ := strconv.Atoi(string(bytes.TrimSpace(number)))
+		o.joined = o.joined || id != o.lastEvent+1
+		o.lastEvent = id
+	}
+	token := tokenPattern.FindSubmatch(line)
+	switch {
+	case token == nil:
+	case o.tokens == 0:
+		o.version = string(token[1])
+	default:
+		o.joined = o.joined || string(token[1]) != o.version
+	}
+}
+
 // readEvents reads the events of an event stream and records its token times. The
 // outcome is complete if the event stream has the end marker and ends normally.
 func (o *outcome) readEvents(start time.Time, body io.Reader) {
@@ -160,6 +226,7 @@
 			o.complete = done && err == io.EOF
 			return
 		}
+		o.checkLine(line)
 		switch {
 		case bytes.HasPrefix(line, doneLine):
 			done = true
