--- a/internal/controller/autoscaler.go
+++ b/internal/controller/autoscaler.go
@@ -325,6 +325,7 @@
 				ID:            planner.UpstreamID(u.GetId()),
 				FailureDomain: planner.FailureDomain(u.GetFailureDomain()),
 				Preemptible:   u.GetPreemptible(),
+				Version:       u.GetVersion(),
 				Slots:         int(u.GetLoad().GetSlots()),
 				Load:          int(u.GetLoad().GetRunning() + u.GetLoad().GetWaiting()),
 				Leaving:       u.GetState() == "leaving",
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -37,6 +37,8 @@
 	lowObservations  = 12
 	// onDemandShare is the share of a pool's upstreams that should be on-demand.
 	onDemandShare = 0.5
+	// keptPerVersion is the number of upstreams of a version that are stopped last.
+	keptPerVersion = 2
 	// assumedSlots is used for upstreams that do not report their slots.
 	assumedSlots = 8
 )
@@ -56,6 +58,8 @@
 		ID            UpstreamID
 		FailureDomain FailureDomain
 		Preemptible   bool
+		// Version is the version of the upstream's software.
+		Version string
 		// Slots is the number of requests that the upstream can run at once, zero if it does not
 		// report that.
 		Slots int
@@ -261,16 +265,18 @@
 
 // stopOrder orders the stop of a surplus upstream, if the pool has any. The upstream is on-demand
 // if the pool has more on-demand upstreams than required, since they cost most, and preemptible
-// otherwise. Of these it is the least loaded one in the domain with the most upstreams.
+// otherwise. Of these it is the least loaded one in the domain with the most upstreams, and one of the
+// last upstreams of a version only if there is no other: streams that it has begun go on nowhere else.
 func stopOrder(pool Pool) (Order, bool) {
 	serving := servingUpstreams(pool)
 	if len(serving) <= max(1, neededUpstreams(pool)) {
 		return Order{}, false
 	}
-	counts := map[FailureDomain]int{}
+	counts, ofVersion := map[FailureDomain]int{}, map[string]int{}
 	onDemand := 0
 	for _, u := range serving {
 		counts[u.FailureDomain]++
+		ofVersion[u.Version]++
 		if !u.Preemptible {
 			onDemand++
 		}
@@ -287,6 +293,9 @@
 	}
 	sort.SliceStable(candidates, func(i, j int) bool {
 		a, b := candidates[i], candidates[j]
+		if rare := ofVersion[a.Version] <= keptPerVersion; rare != (ofVersion[b.Version] <= keptPerVersion) {
+			return !rare
+		}
 		if counts[a.FailureDomain] != counts[b.FailureDomain] {
 			return counts[a.FailureDomain] > counts[b.FailureDomain]
 		}
--- a/pkg/planner/planner_test.go
+++ b/pkg/planner/planner_test.go
@@ -155,3 +155,34 @@
 		t.Errorf("orders: %v, want starts in domain b", orders)
 	}
 }
+
+// TestLastUpstreamsOfVersionStopLast guards against orders that stop the last upstreams of a version
+// while there are others to stop: streams that they have begun would have to end.
+func TestLastUpstreamsOfVersionStopLast(t *testing.T) {
+	upstream := func(id, version string, load int) Upstream {
+		return Upstream{ID: UpstreamID(id), FailureDomain: "a", Version: version, Slots: 8, Load: load}
+	}
+	tests := map[string]struct {
+		upstreams []Upstream
+		want      UpstreamID
+	}{
+		"two of the old version, idle": {
+			upstreams: []Upstream{upstream("old-1", "v1", 0), upstream("old-2", "v1", 0), upstream("new-1", "v2", 1), upstream("new-2", "v2", 2), upstream("new-3", "v2", 3)},
+			want:      "new-1",
+		},
+		"three of the old version": {
+			upstreams: []Upstream{upstream("old-1", "v1", 1), upstream("old-2", "v1", 0), upstream("old-3", "v1", 1), upstream("new-1", "v2", 1), upstream("new-2", "v2", 2)},
+			want:      "old-2",
+		},
+		"nothing else is left": {upstreams: []Upstream{upstream("old-1", "v1", 1), upstream("new-1", "v2", 0)}, want: "new-1"},
+		"one version":          {upstreams: []Upstream{upstream("1", "v1", 1), upstream("2", "v1", 0)}, want: "2"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			order, found := stopOrder(Pool{Name: "model/m", Upstreams: test.upstreams})
+			if !found || order.Upstream != test.want {
+				t.Errorf("order %+v, found %t; want the stop of %s", order, found, test.want)
+			}
+		})
+	}
+}
