router, assembler: fetch whole tables beside the polls

Cause: a poll that is told to fetch a whole table did so before it applied what else its reply brought, and the second poll waited for the first one's fetch. With 12,000 upstreams on a slow link that is seconds in which no change of the configuration arrives, when the control group has lost its quorum and the polls are all that brings one.

Change: a reply is applied at once. A table is fetched in the background, one at a time, and applied at its end; the polls go on meanwhile. Renewals are asked for only by a poll that holds the table.

--- /dev/null
+++ b/internal/assembler/table.go
@@ -0,0 +1,106 @@
+package assembler
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/comfreybend/comfreybend/internal/messenger"
+	"github.com/comfreybend/comfreybend/pkg/timer"
+	"github.com/comfreybend/comfreybend/schema/wire"
+)
+
+type (
+	// Tables fetches whole tables of upstreams, one at a time, since they share the link.
+	Tables struct {
+		// Apply applies a table that was fetched from a control process.
+		Apply func(control string, table *wire.FollowReply)
+
+		busy atomic.Bool
+	}
+
+	// TableFetch is a fetch of the table of a control process, in the background.
+	TableFetch struct {
+		// Table identifies the table.
+		Table uint64
+
+		// done is closed at the end; reply and err are set then.
+		done  chan struct{}
+		reply *wire.FollowReply
+		err   error
+	}
+)
+
+// Start begins to fetch the table of a control process and returns the fetch, or nil if there is one
+// in progress.
+func (t *Tables) Start(ctx context.Context, client *messenger.Client, table uint64) *TableFetch {
+	if !t.busy.CompareAndSwap(false, true) {
+		return nil
+	}
+	f := &TableFetch{Table: table, done: make(chan struct{}), reply: &wire.FollowReply{Table: table, WholeTable: true}}
+	go func() {
+		defer close(f.done)
+		defer t.busy.Store(false)
+		if f.err = f.fetch(ctx, client); f.err == nil {
+			t.Apply(client.Address(), f.reply)
+		}
+	}()
+	return f
+}
+
+func (f *TableFetch) fetch(ctx context.Context, client *messenger.Client) error {
+	table := &Transfer{}
+	for !table.Complete() {
+		part, err := table.FetchPart(ctx, client, &wire.Fetch{Upstreams: true})
+		if err != nil {
+			return err
+		}
+		if err = table.Add(part); err != nil {
+			return err
+		}
+		f.reply.Position, f.reply.EncodedAgeMillis = part.GetTablePosition(), part.GetTableAgeMillis()
+	}
+	f.reply.EncodedUpstreams = table.Data
+	return DecodeUpstreams(f.reply)
+}
+
+// Wait waits for the end of the fetch, at most for a time. It returns nil if the fetch goes on, and
+// else a reply to a poll with the whole table, or the error.
+func (f *TableFetch) Wait(ctx context.Context, longest time.Duration) (*wire.FollowReply, error) {
+	if f == nil {
+		timer.Sleep(ctx, longest)
+		return nil, nil
+	}
+	timeout := time.NewTimer(longest)
+	defer timeout.Stop()
+	select {
+	case <-f.done:
+		if f.err != nil {
+			return nil, f.err
+		}
+		return f.reply, nil
+	case <-ctx.Done():
+	case <-timeout.C:
+	}
+	return nil, nil
+}
+
+// DecodeUpstreams moves the encoded upstreams of a reply to its list of upstreams.
+func DecodeUpstreams(reply *wire.FollowReply) error {
+	if len(reply.GetEncodedUpstreams()) == 0 {
+		return nil
+	}
+	all := &wire.Upstreams{}
+	if err := proto.Unmarshal(reply.GetEncodedUpstreams(), all); err != nil {
+		return errors.Wrap(err, "decoding the upstreams")
+	}
+	for _, u := range all.GetUpstreams() {
+		u.AgeMillis += reply.GetEncodedAgeMillis()
+	}
+	reply.Upstreams = append(reply.GetUpstreams(), all.GetUpstreams()...)
+	reply.EncodedUpstreams = nil
+	return nil
+}
--- a/internal/router/configuration_test.go
+++ b/internal/router/configuration_test.go
@@ -67,8 +67,9 @@
 		t        *testing.T
 		settings []*settings.Settings
 		clients  []*messenger.Client
-		// stop stops all control processes.
-		stop func()
+		// stop stops all control processes, stopOne one of them.
+		stop    func()
+		stopOne []func()
 	}
 )
 
@@ -141,25 +142,38 @@
 // start starts all control processes.
 func (g *controlGroup) start() {
 	g.t.Helper()
-	ctx, cancel := context.WithCancel(context.Background())
-	running := &sync.WaitGroup{}
+	g.stopOne = nil
 	for _, s := range g.settings {
 		c, err := controller.New(s, controller.Dialect{}, zap.NewNop(), instrumenter.New("control"))
 		if err != nil {
 			g.t.Fatal(err)
 		}
-		running.Go(func() {
-			if err := c.Run(ctx); err != nil {
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- c.Run(ctx) }()
+		g.stopOne = append(g.stopOne, sync.OnceFunc(func() {
+			cancel()
+			if err := <-done; err != nil {
 				g.t.Error(err)
 			}
-		})
+		}))
 	}
 	g.stop = func() {
-		cancel()
-		running.Wait()
+		for _, stop := range g.stopOne {
+			stop()
+		}
 	}
 }
 
+// poll returns the reply of a control process to the poll of an entry process that has just
+// started, or nil.
+func (g *controlGroup) poll(number int) *wire.FollowReply {
+	ctx, cancel := context.WithTimeout(g.t.Context(), 5*time.Second)
+	defer cancel()
+	reply, _ := g.clients[number].Call(ctx, &wire.Request{Kind: &wire.Request_Follow{Follow: &wire.Follow{Host: "other", AcceptsRenewals: true, FetchesChanges: true}}})
+	return reply.GetFollow()
+}
+
 func (g *controlGroup) addresses() []string {
 	var out []string
 	for _, c := range g.clients {
@@ -352,6 +366,28 @@
 	}
 }
 
+// TestChangeWhileTablesAreFetched guards against a change that was acknowledged and is not in force
+// in time, since the control group has lost its quorum meanwhile, and the polls that bring the
+// change wait until they have fetched whole tables over a slow link.
+func TestChangeWhileTablesAreFetched(t *testing.T) {
+	const upstreams = 12_000
+	group := startControlGroup(t)
+	revision := group.put(documentWithRoutes(1, 10))
+	group.announce(1)
+	link := &slowLink{}
+	r := startEntryBehind(t, link, group.addresses())
+	r.awaitRevision(t, revision, setupTimeout)
+	group.stop()
+	group.start()
+	group.announce(upstreams)
+	before := link.received.Load()
+	awaitCondition(t, "no table is fetched", func() bool { return link.received.Load() > before+assembler.PartBytes })
+	// The entry process does not hear of the change until the quorum is lost.
+	next := group.putUnheard(r, documentWithRoutes(2, 11))
+	nextAt := timer.Now()
+	r.awaitRevision(t, next, inForceTimeout-(timer.Now()-nextAt))
+}
+
 // TestLeaveReachesAllHosts guards against the sum of the delays on the way of a leave: its commit,
 // the sync interval, and control processes that do not answer and are tried first. Nothing
 // comes by polls, as while a table is fetched. The time counts at the last of all hosts.
@@ -433,3 +469,20 @@
 func (r *Router) isServing(id string) bool {
 	return r.dispatcher.isServing(&registrar.Upstream{ID: registrar.UpstreamID(id), Incarnation: announcedIncarnation})
 }
+
+// putUnheard commits a document while an entry process sends no requests, and then stops all control
+// processes that have applied it but the last one.
+func (g *controlGroup) putUnheard(r *Router, d *state.Document) configurer.Revision {
+	g.t.Helper()
+	r.controlPlane.syncMu.Lock()
+	defer r.controlPlane.syncMu.Unlock()
+	revision := g.put(d)
+	last := len(g.clients) - 1
+	awaitCondition(g.t, "the last control process has not applied the change", func() bool {
+		return configurer.Revision(g.poll(last).GetRevision()) >= revision
+	})
+	for _, stop := range g.stopOne[:last] {
+		stop()
+	}
+	return revision
+}
--- a/internal/router/control_poller.go
+++ b/internal/router/control_poller.go
@@ -30,6 +30,9 @@
 	// pollPause is the pause between two polls. Updates in that time arrive with the next
 	// poll.
 	pollPause = 100 * time.Millisecond
+	// tableWait is the time for which a poll waits for a table that is being fetched, before it
+	// polls again.
+	tableWait = 300 * time.Millisecond
 	// changeDelay is the time after which the configuration changes that another control
 	// process has are taken from it, if the preferred one has not sent them.
 	changeDelay = 300 * time.Millisecond
@@ -50,8 +53,7 @@
 		startedAt time.Duration
 		// loadSentAt is when the load was last sent. Only poll with index 0 uses it.
 		loadSentAt time.Duration
-		// tableMu is held while a table is fetched.
-		tableMu sync.Mutex
+		tables     assembler.Tables
 	}
 
 	// tableView is what this process holds of the table of a control process.
@@ -66,6 +68,8 @@
 		lacking []string
 		// lagging reports that the control process lags behind the majority.
 		lagging bool
+		// fetch is the fetch of the whole table in progress, nil if there is none.
+		fetch *assembler.TableFetch
 	}
 
 	// cursor is how far this process has read the updates of a control process.
@@ -88,7 +92,9 @@
 )
 
 func newControlPoller(r *Router) *controlPoller {
-	return &controlPoller{router: r, startedAt: timer.Now()}
+	p := &controlPoller{router: r, startedAt: timer.Now()}
+	p.tables.Apply = p.applyUpstreams
+	return p
 }
 
 // run polls control processes until ctx is done.
@@ -125,41 +131,70 @@
 		var reported evidencePosition
 		request.Evidence, reported = p.router.evidenceSince(cursors[client.Address()].reportedEvidence)
 		request.Lacking = view.lacking
-		request.WantRenewals = timer.Now()-view.renewedAt > p.router.settings.GetEntry().GetAnnouncementLease().AsDuration()/renewalsPerLease
+		request.WantRenewals = request.GetPosition() > 0 && timer.Now()-view.renewedAt > p.router.settings.GetEntry().GetAnnouncementLease().AsDuration()/renewalsPerLease
 		reply, err := p.send(ctx, client, request)
-		if err == nil && reply.GetFollow().GetTableFetchable() {
-			err = p.fetchTable(ctx, client, reply.GetFollow())
-		}
 		if err != nil {
 			p.router.controlClients.MarkFailed(client)
 			p.router.dispatcher.requeueCachedParts(request.GetLoadShare())
 			p.router.log.Debug("polling a control process failed", zap.String("control", client.Address()), zap.Error(err))
-		} else {
-			p.rankControl(client, view, reply.GetFollow())
-			if err = decodeUpstreams(reply.GetFollow()); err != nil {
-				p.router.log.Error("upstreams of a control process cannot be read", zap.String("control", client.Address()), zap.Error(err))
-				timer.Sleep(ctx, pollPause)
-				continue
-			}
-			next := cursorAfter(request, reply.GetFollow())
-			if request.GetTable() == 0 || request.GetTable() == next.tableID {
-				// Otherwise the control process was restarted and has nothing of it yet.
-				next.reportedEvidence = reported
-			}
-			p.apply(client.Address(), request, reply.GetFollow())
-			if configurer.Revision(reply.GetFollow().GetRevision()) > p.router.controlPlane.revision() {
-				next.behindSince = cursors[client.Address()].behindSince
-				if next.behindSince == 0 {
-					next.behindSince = timer.Now()
-				}
+			timer.Sleep(ctx, pollPause)
+			continue
+		}
+		p.rankControl(client, view, reply.GetFollow())
+		next := cursorAfter(request, reply.GetFollow())
+		if request.GetTable() == 0 || request.GetTable() == next.tableID {
+			// Otherwise the control process was restarted and has nothing of it yet.
+			next.reportedEvidence = reported
+		}
+		if err = assembler.DecodeUpstreams(reply.GetFollow()); err != nil {
+			p.router.log.Error("upstreams of a control process cannot be read", zap.String("control", client.Address()), zap.Error(err))
+			timer.Sleep(ctx, pollPause)
+			continue
+		}
+		p.apply(client.Address(), request, reply.GetFollow())
+		if configurer.Revision(reply.GetFollow().GetRevision()) > p.router.controlPlane.revision() {
+			next.behindSince = cursors[client.Address()].behindSince
+			if next.behindSince == 0 {
+				next.behindSince = timer.Now()
 			}
-			cursors[client.Address()] = next
-			p.renewLeases(view, reply.GetFollow())
 		}
+		next.position = p.awaitTable(ctx, client, view, reply.GetFollow())
+		cursors[client.Address()] = next
 		timer.Sleep(ctx, pollPause)
 	}
 }
 
+// awaitTable has the whole table of a control process fetched if the reply says so, and renews
+// leases. It returns the position reached in the table: zero while the table is being fetched,
+// beside which the polls go on, so that the next reply says so again.
+func (p *controlPoller) awaitTable(ctx context.Context, client *messenger.Client, view *tableView, reply *wire.FollowReply) uint64 {
+	if !reply.GetTableFetchable() {
+		p.renewLeases(view, reply)
+		return reply.GetPosition()
+	}
+	if view.fetch == nil || view.fetch.Table != reply.GetTable() {
+		view.fetch = p.tables.Start(ctx, client, reply.GetTable())
+	}
+	table, err := view.fetch.Wait(ctx, tableWait)
+	switch {
+	case err != nil:
+		view.fetch = nil
+		p.router.controlClients.MarkFailed(client)
+		p.router.log.Debug("fetching the upstreams of a control process failed", zap.String("control", client.Address()), zap.Error(err))
+	case table != nil:
+		view.fetch = nil
+		p.renewLeases(view, table)
+	}
+	return table.GetPosition()
+}
+
+func (p *controlPoller) applyUpstreams(control string, reply *wire.FollowReply) {
+	now := timer.Now()
+	for _, u := range reply.GetUpstreams() {
+		p.router.applyAnnouncement(announcer.FromWire(u, now), leavePolled, control)
+	}
+}
+
 // rankControl prefers other control processes to one that lags behind the majority.
 func (p *controlPoller) rankControl(client *messenger.Client, view *tableView, reply *wire.FollowReply) {
 	lag := millis(reply.GetLagMillis())
@@ -212,43 +247,6 @@
 	return client.Call(ctx, &wire.Request{Kind: &wire.Request_Follow{Follow: request}})
 }
 
-// fetchTable fetches the whole table of a control process and adds it to a reply. Only one
-// poll at a time does so, since both share the link.
-func (p *controlPoller) fetchTable(ctx context.Context, client *messenger.Client, reply *wire.FollowReply) error {
-	p.tableMu.Lock()
-	defer p.tableMu.Unlock()
-	table := &assembler.Transfer{}
-	for !table.Complete() {
-		part, err := table.FetchPart(ctx, client, &wire.Fetch{Upstreams: true})
-		if err != nil {
-			return err
-		}
-		if err = table.Add(part); err != nil {
-			return err
-		}
-		reply.Position, reply.EncodedAgeMillis = part.GetTablePosition(), part.GetTableAgeMillis()
-	}
-	reply.EncodedUpstreams = table.Data
-	return nil
-}
-
-// decodeUpstreams moves the encoded upstreams of a reply to its list of upstreams.
-func decodeUpstreams(reply *wire.FollowReply) error {
-	if len(reply.GetEncodedUpstreams()) == 0 {
-		return nil
-	}
-	all := &wire.Upstreams{}
-	if err := proto.Unmarshal(reply.GetEncodedUpstreams(), all); err != nil {
-		return errors.Wrap(err, "decoding the upstreams")
-	}
-	for _, u := range all.GetUpstreams() {
-		u.AgeMillis += reply.GetEncodedAgeMillis()
-	}
-	reply.Upstreams = append(reply.GetUpstreams(), all.GetUpstreams()...)
-	reply.EncodedUpstreams = nil
-	return nil
-}
-
 // renewLeases updates what is held of a control process's table by a reply, and renews the
 // leases of the upstreams in it. Those that the registry lacks, since their leases have
 // ended here, are asked for with the next poll.
@@ -356,9 +354,7 @@
 		r.dispatcher.withdrawalReported(registrar.UpstreamID(u.GetId()), registrar.Incarnation(u.GetIncarnation()))
 	}
 	r.restrainer.SetHosts(reply.GetEntryIds())
-	for _, u := range reply.GetUpstreams() {
-		r.applyAnnouncement(announcer.FromWire(u, now), leavePolled, control)
-	}
+	p.applyUpstreams(control, reply)
 	if request.GetLoadShare() != nil {
 		r.dispatcher.applyClusterLoad(request.GetLoadShare(), reply)
 	}
