tabulator: send changes of upstreams in pages

Cause: a reply to a poll held all changes since the last one. When thousands of upstreams announce themselves at a time, as after the restart of a failure domain, that is half a megabyte and more, which does not arrive on a slow link within the timeout of the poll; the poll fails, is repeated and takes the link from everything else. Seen when the fetch of whole tables was traced: a poll of 4.2 s that failed.

Change: a reply holds the earliest 512 changes after its position. The rest comes with the next one, at once.

--- a/internal/router/configuration_test.go
+++ b/internal/router/configuration_test.go
@@ -29,6 +29,8 @@
 )
 
 const (
+	// recoveryTime is the time within which processes that were restarted serve again.
+	recoveryTime = 12 * time.Second
 	// slowLinkRate is what client traffic leaves of a link of 10 Mbit/s, in bytes per second.
 	slowLinkRate = 250_000
 	// packetBytes is the payload of a packet.
@@ -291,6 +293,19 @@
 	}
 }
 
+// awaitUpstreams waits until upstreams are known.
+func (r *Router) awaitUpstreams(t *testing.T, upstreams int, timeout time.Duration) {
+	t.Helper()
+	for end, known := timer.Now()+timeout, 0; known < upstreams; timer.Sleep(t.Context(), 5*time.Millisecond) {
+		r.dispatcher.mu.Lock()
+		known = len(r.dispatcher.registry.All())
+		r.dispatcher.mu.Unlock()
+		if timer.Now() > end {
+			t.Fatalf("%d of %d upstreams are known after %v", known, upstreams, timeout)
+		}
+	}
+}
+
 // TestGrownConfigurationOnSlowLink guards against acknowledged changes that are not in
 // force in time because an entry process fetches the whole configuration over and over.
 func TestGrownConfigurationOnSlowLink(t *testing.T) {
@@ -318,28 +333,34 @@
 // TestManyUpstreamsOnSlowLink guards against an entry process that never learns the upstreams
 // after its start because all of them do not arrive within the timeout of a poll.
 func TestManyUpstreamsOnSlowLink(t *testing.T) {
-	const (
-		upstreams = 12_000
-		// recoveryTime is the time within which processes that were restarted serve again.
-		recoveryTime = 12 * time.Second
-	)
+	const upstreams = 12_000
 	group := startControlGroup(t)
 	revision := group.put(documentWithRoutes(1, 10))
 	group.announce(upstreams)
 	r := startEntryBehind(t, &slowLink{}, group.addresses())
 	startedAt := timer.Now()
 	r.awaitRevision(t, revision, setupTimeout)
-	for known := 0; known < upstreams; timer.Sleep(t.Context(), 5*time.Millisecond) {
-		r.dispatcher.mu.Lock()
-		known = len(r.dispatcher.registry.All())
-		r.dispatcher.mu.Unlock()
-		if timer.Now() > startedAt+recoveryTime {
-			t.Fatalf("%d of %d upstreams are known %v after the start", known, upstreams, recoveryTime)
-		}
-	}
+	r.awaitUpstreams(t, upstreams, recoveryTime-(timer.Now()-startedAt))
 	t.Logf("all are known after %v", timer.Now()-startedAt)
 }
 
+// TestManyChangesOnSlowLink guards against an entry process that never learns the upstreams that
+// announced themselves after its start, as after the restart of a failure domain, because these
+// changes do not arrive within the timeout of a poll.
+func TestManyChangesOnSlowLink(t *testing.T) {
+	const upstreams = 12_000
+	group := startControlGroup(t)
+	revision := group.put(documentWithRoutes(1, 10))
+	group.announce(1)
+	r := startEntryBehind(t, &slowLink{}, group.addresses())
+	r.awaitRevision(t, revision, setupTimeout)
+	r.awaitUpstreams(t, 1, setupTimeout)
+	group.announce(upstreams)
+	announcedAt := timer.Now()
+	r.awaitUpstreams(t, upstreams, recoveryTime)
+	t.Logf("all are known after %v", timer.Now()-announcedAt)
+}
+
 // TestLeaveWhileTablesAreFetched guards against requests to an upstream whose leave was
 // acknowledged, while an entry process fetches the whole tables of the control processes that
 // it polls over a slow link, as after their restart.
--- a/internal/tabulator/tabulator.go
+++ b/internal/tabulator/tabulator.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +28,9 @@
 	// removalRetention is the time for which the removal of an upstream is kept for the
 	// entry processes that poll.
 	removalRetention = time.Minute
+	// maxRows is the number of upstreams in one reply to a poll, unless that is for the whole
+	// table: on a slow link the reply arrives within the timeout of the poll.
+	maxRows = 512
 	// renewalCacheTime is the time for which the renewals for entry processes are computed once.
 	renewalCacheTime = 200 * time.Millisecond
 )
@@ -232,7 +236,7 @@
 // that were removed, and a channel that is closed at the next change. A position of
 // another table, or one whose removals are not known any more, counts as zero; the reply
 // is then for the whole table, which holds its rows only if withRows is set; see
-// encodedUpstreams.
+// EncodedUpstreams. Otherwise it is for the earliest maxRows changes, up to its position.
 func (t *Table) ChangesSince(table, position uint64, withRows bool) (reply *wire.FollowReply, updated <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -246,14 +250,17 @@
 	if position == t.position || reply.WholeTable && !withRows {
 		return reply, t.updated
 	}
+	if !reply.WholeTable {
+		reply.Position = t.pageEnd(position)
+	}
 	for id, changed := range t.changes {
-		if changed > position {
+		if changed > position && changed <= reply.GetPosition() {
 			reply.Upstreams = append(reply.Upstreams, announcer.ToWire(t.registry.Get(id), now))
 		}
 	}
 	if !reply.WholeTable {
 		for id, r := range t.removals {
-			if r.position > position {
+			if r.position > position && r.position <= reply.GetPosition() {
 				reply.Removed = append(reply.Removed, string(id))
 			}
 		}
@@ -261,6 +268,30 @@
 	return reply, t.updated
 }
 
+// pageEnd returns the position of the last of the earliest maxRows changes after a position, or the
+// current one if there are not more.
+func (t *Table) pageEnd(position uint64) uint64 {
+	if t.position-position <= maxRows {
+		return t.position
+	}
+	var later []uint64
+	for _, changed := range t.changes {
+		if changed > position {
+			later = append(later, changed)
+		}
+	}
+	for _, r := range t.removals {
+		if r.position > position {
+			later = append(later, r.position)
+		}
+	}
+	if len(later) <= maxRows {
+		return t.position
+	}
+	slices.Sort(later)
+	return later[maxRows-1]
+}
+
 // RenewalsNow returns the renewals of the leases of all upstreams in the table. The result
 // must not be modified.
 func (t *Table) RenewalsNow() *wire.Renewals {
--- a/internal/tabulator/tabulator_test.go
+++ b/internal/tabulator/tabulator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -317,3 +318,44 @@
 		t.Errorf("rows %v, want that of the known upstream", reply.GetUpstreams())
 	}
 }
+
+// TestChangesComeInPages checks that a reply holds a bounded number of changes, and that an entry
+// process that goes on from its position gets all of them, removals too.
+func TestChangesComeInPages(t *testing.T) {
+	now := time.Hour
+	table := New(time.Minute)
+	table.now = func() time.Duration { return now }
+	announce := func(i int, incarnation registrar.Incarnation) {
+		u := announcement(strconv.Itoa(i), incarnation, registrar.Serving)
+		u.AnnouncedAt = now
+		table.Update(u, true)
+	}
+	announce(0, 1)
+	start := table.position
+	for i := range 3 * maxRows {
+		announce(i, 2)
+	}
+	now += table.lease * 2
+	table.All()
+	for i := range 2 * maxRows {
+		announce(i, 3)
+	}
+	position, rows, removed := start, map[string]bool{}, map[string]bool{}
+	for position != table.position {
+		reply, _ := table.ChangesSince(table.tableID, position, false)
+		if reply.GetWholeTable() || reply.GetPosition() <= position || len(reply.GetUpstreams())+len(reply.GetRemoved()) > maxRows {
+			t.Fatalf("%d rows and %d removals up to %d after %d, whole table: %t; want at most %d changes",
+				len(reply.GetUpstreams()), len(reply.GetRemoved()), reply.GetPosition(), position, reply.GetWholeTable(), maxRows)
+		}
+		position = reply.GetPosition()
+		for _, u := range reply.GetUpstreams() {
+			rows[u.GetId()] = true
+		}
+		for _, id := range reply.GetRemoved() {
+			removed[id] = true
+		}
+	}
+	if len(rows) != 2*maxRows || len(removed) != maxRows {
+		t.Errorf("%d rows and %d removals, want %d and %d", len(rows), len(removed), 2*maxRows, maxRows)
+	}
+}
