router: charge organisations the cost of their requests only

Cause: a grant kept the description of its request from before the scheduler chose it, without what the organisation was charged then. So the measured cost was added to the average that had been charged, instead of replacing it: organisations with small requests got fewer tokens than others, and a request that did not run was charged the average. A request whose caller left as it was granted an upstream was not charged back at all.

Change: the grant takes the description that the scheduler returns, and every end of a grant records the cost.

--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -313,7 +313,7 @@
 	// A grant may have been sent before the lock was taken.
 	select {
 	case g := <-w.granted:
-		d.finish(g, outcomeAbandoned)
+		d.finish(g, outcomeAbandoned, 0)
 	default:
 	}
 	return nil, refuseWithRetryAfter(http.StatusServiceUnavailable, CodeDeadline,
@@ -407,14 +407,14 @@
 func (d *dispatcher) release(g *grant, outcome attemptOutcome, cost scheduler.Cost) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.pools[g.pool].scheduler.RecordCost(g.item, cost)
-	d.finish(g, outcome)
+	d.finish(g, outcome, cost)
 }
 
-// finish updates the state of the upstream and of the pool, and dispatches waiting
-// requests.
-func (d *dispatcher) finish(g *grant, outcome attemptOutcome) {
+// finish charges the cost, updates the state of the upstream and of the pool, and dispatches
+// waiting requests.
+func (d *dispatcher) finish(g *grant, outcome attemptOutcome, cost scheduler.Cost) {
 	p := d.pools[g.pool]
+	p.scheduler.RecordCost(g.item, cost)
 	p.inProgress--
 	d.finishPrefill(g)
 	g.state.uncachedTokens -= g.uncachedTokens
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -79,6 +79,7 @@
 			return
 		}
 		w := d.waiters[item.ID]
+		w.item = item
 		delete(d.waiters, item.ID)
 		w.granted <- d.grantUpstream(w, key, upstreams, candidates)
 	}
