test: release software versions in the soak and take streams up

A quarter of the soak's requests are streams that clients take up at any entry process when they break; engines are released with another version every two seconds. A stream whose events do not follow each other or come from two versions fails the run.

--- a/test/integration/soak_test.go
+++ b/test/integration/soak_test.go
@@ -32,6 +32,10 @@
 	soakLimit       = 1
 	soakLimitLength = 9 * time.Second
 	soakLimitPause  = time.Second
+	// soakReleasePause is the time between two releases of an engine with another software version.
+	soakReleasePause = 2 * time.Second
+	// soakTakeUps is how often a client takes up a stream that breaks.
+	soakTakeUps = 5
 	// soakRequestTimeout bounds one request of a client.
 	soakRequestTimeout = 15 * time.Second
 	// withdrawalTimeout bounds the time until a withdrawn key works nowhere: freshness,
@@ -47,11 +51,16 @@
 	"freeze during a restart": 3019,
 }
 
+// soakVersions holds the software versions of engines.
+var soakVersions = []string{"v1", "v2"}
+
 type (
 	// soak is one run: a system, its upstreams, and what clients observed.
 	soak struct {
 		*system
-		random        *rand.Rand
+		random *rand.Rand
+		// releaseRandom is a source of its own, so that the other faults of a seed stay the same.
+		releaseRandom *rand.Rand
 		engines       []*upstreamProcess
 		orderServices []*upstreamProcess
 		// limited names a request limit now and then, and has no other fault.
@@ -115,13 +124,14 @@
 	s := &soak{
 		system:        startSystem(t, layout{controls: 3, entries: []string{"a", "a", "b"}}),
 		random:        rand.New(rand.NewSource(seed)),
+		releaseRandom: rand.New(rand.NewSource(seed + 1)),
 		orderOutcomes: map[string]router.RunStatus{}, withdrawnAt: map[string]time.Time{},
 		acknowledged: map[string]bool{}, statusCounts: map[string]int{},
 	}
 	s.configure()
 	for i, domain := range []string{"a", "a", "b"} {
 		id := fmt.Sprintf("engine-%d", i+1)
-		s.engines = append(s.engines, s.startUpstream(id, domain, "model", "m", s.entries, "--token-interval", "20ms"))
+		s.engines = append(s.engines, s.startUpstream(id, domain, "model", "m", s.entries, "--token-interval", "20ms", "--software-version", soakVersions[i%len(soakVersions)]))
 	}
 	for i, domain := range []string{"a", "b"} {
 		id := fmt.Sprintf("orders-%d", i+1)
@@ -144,6 +154,7 @@
 	}
 	clients.Go(func() { s.runOperator(ctx) })
 	clients.Go(func() { s.limitRequests(ctx) })
+	clients.Go(func() { s.releaseVersions(ctx) })
 	s.injectRandomFaults(ctx)
 	clients.Wait()
 	s.awaitRecovery()
@@ -157,10 +168,13 @@
 	random := rand.New(rand.NewSource(seed))
 	for n := 0; ctx.Err() == nil; n++ {
 		e := s.entries[random.Intn(len(s.entries))]
-		if random.Intn(2) == 0 {
+		switch random.Intn(4) {
+		case 0, 1:
 			s.placeOrder(e, key, fmt.Sprintf("soak-%d-%d", client, n))
-		} else {
+		case 2:
 			s.requestCompletion(e, key)
+		default:
+			s.readStream(ctx, random, key)
 		}
 	}
 }
@@ -201,6 +215,37 @@
 	s.checkGracefulStop(e, start, a)
 }
 
+// readStream reads a stream, takes it up at any entry process while it breaks, and fails the test if
+// its events do not follow each other or come from two software versions.
+func (s *soak) readStream(ctx context.Context, random *rand.Rand, key string) {
+	stream := newResumableStream(key)
+	takenUp := 0
+	for try := 0; try <= soakTakeUps && ctx.Err() == nil && !stream.complete && stream.problem == nil; try++ {
+		before := stream.lastEvent
+		reading, cancel := context.WithTimeout(context.Background(), soakRequestTimeout)
+		status := stream.read(reading, s.entries[random.Intn(len(s.entries))], func() {})
+		cancel()
+		if before > 0 && stream.lastEvent > before {
+			takenUp++
+		}
+		if status >= http.StatusBadRequest && status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests {
+			break
+		}
+	}
+	if stream.problem != nil {
+		s.t.Error(stream.problem)
+	}
+	if stream.joined() {
+		s.t.Errorf("a stream of attempt %s, taken up %d times, holds tokens of the versions %v", stream.attempt, takenUp, stream.versions)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if stream.complete {
+		s.statusCounts["complete streams"]++
+	}
+	s.statusCounts["streams taken up"] += takenUp
+}
+
 // checkGracefulStop fails the test if an accepted request was cut off and a planned
 // stop of the entry process is the only possible cause.
 func (s *soak) checkGracefulStop(e *entryProcess, start time.Time, a clientResponse) {
@@ -292,6 +337,21 @@
 	}
 }
 
+// releaseVersions restarts engines with another software version until ctx is done.
+func (s *soak) releaseVersions(ctx context.Context) {
+	for timer.Sleep(ctx, soakReleasePause) {
+		engine := s.engines[s.releaseRandom.Intn(len(s.engines))]
+		version := soakVersions[s.releaseRandom.Intn(len(soakVersions))]
+		signal := []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL}[s.releaseRandom.Intn(2)]
+		s.mu.Lock()
+		s.faultNames = append(s.faultNames, fmt.Sprintf("release %s on %s", version, engine.id))
+		s.mu.Unlock()
+		// The version is the last argument.
+		last := len(engine.args) - 1
+		s.restart(engine.process, engine.id, signal, append(engine.args[:last:last], version)...)
+	}
+}
+
 // injectRandomFaults injects faults that follow and overlap each other until ctx is done.
 func (s *soak) injectRandomFaults(ctx context.Context) {
 	var running sync.WaitGroup
@@ -364,8 +424,9 @@
 	})
 }
 
-// restart ends a process and starts it again, unless a disruption of the process is still in progress.
-func (s *soak) restart(p *process, id string, signal syscall.Signal) {
+// restart ends a process and starts it again, with other arguments if there are any, unless a
+// disruption of the process is still in progress.
+func (s *soak) restart(p *process, id string, signal syscall.Signal, args ...string) {
 	s.mu.Lock()
 	for _, d := range s.disruptions {
 		if d.target == id && time.Now().Before(d.to) {
@@ -377,6 +438,9 @@
 	s.recordDisruption(id, signal == syscall.SIGTERM, func() {
 		p.signal(signal)
 		p.awaitExit()
+		if len(args) > 0 {
+			p.args = args
+		}
 		p.start()
 	})
 }
