--- a/internal/controller/dialect.go
+++ b/internal/controller/dialect.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/comfreybend/comfreybend/internal/keeper"
@@ -43,6 +44,8 @@
 		// PutDocument commits a document. The error is an *InvalidDocumentError or a
 		// *RequestFailedError.
 		PutDocument func(context.Context, *state.Document) error
+		// RejectDocument logs a document that cannot be read.
+		RejectDocument func(content []byte, reason error)
 		// Document returns the content of the current document, as the operator sent it,
 		// after a majority has confirmed the leader. The content is nil if there is no
 		// document. The error is a *RequestFailedError.
@@ -88,10 +91,11 @@
 		return c.operatorHandler()
 	}
 	return c.dialect.Handler(Backend{
-		Announce:    c.announce,
-		Withdraw:    c.withdraw,
-		PutDocument: c.putDocument,
-		Document:    c.readDocument,
+		Announce:       c.announce,
+		Withdraw:       c.withdraw,
+		PutDocument:    c.putDocument,
+		RejectDocument: c.rejectDocument,
+		Document:       c.readDocument,
 	})
 }
 
@@ -109,6 +113,9 @@
 		return errors.WithStack(&RequestFailedError{Reason: f.GetReason(), Detail: f.GetDetail()})
 	}
 	outcome := reply.GetPropose().GetOutcome()
+	c.log.Info("processed a document", zap.Uint64("version", d.GetVersion()), zap.Int("bytes", len(d.GetContent())),
+		zap.Bool("accepted", outcome.GetAccepted()), zap.Uint64("revision", outcome.GetRevision()),
+		zap.String("reason", outcome.GetReason()), zap.String("detail", outcome.GetDetail()))
 	if !outcome.GetAccepted() && outcome.GetReason() == keeper.ReasonInvalid {
 		return &InvalidDocumentError{Detail: outcome.GetDetail()}
 	}
@@ -118,6 +125,10 @@
 	return nil
 }
 
+func (c *Controller) rejectDocument(content []byte, reason error) {
+	c.log.Warn("rejected a document", zap.Int("bytes", len(content)), zap.Error(reason))
+}
+
 func (c *Controller) readDocument(ctx context.Context) ([]byte, error) {
 	ctx, cancel := withTimeoutFor(ctx, documentCallTimeout, len(c.stateMachine.Document().GetContent()))
 	defer cancel()
