router, dialer: discard what a given-up attempt has not sent

Cause: closing a connection does not take back what the kernel has not delivered yet; it goes on sending it. After a cut, or once an upstream reads again, a request arrives whole that was given up seconds before and is being run, or was answered, elsewhere.

Change: connections to upstreams discard unacknowledged data when they are closed, and reset the connection.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -175,7 +175,7 @@
 	l := e.GetUpstreamLimits()
 	direct := &net.Dialer{
 		Timeout: l.GetConnectTimeout().AsDuration(),
-		Control: dialer.UserTimeout(tcpUserTimeout),
+		Control: dialer.DiscardOnClose(dialer.UserTimeout(tcpUserTimeout)),
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     tcpKeepAliveIdle,
