controller, caller: discard what an expired platform call has not sent

A call to the platform that is given up at the end of the lease goes on being sent by the kernel, so that an order can arrive after a later one of the next lease holder. Found by reading.

Change: the calls have a package of their own, internal/caller; what the platform has not acknowledged by the time limit is discarded.

--- a/internal/controller/platform.go
+++ b/internal/controller/platform.go
@@ -1,9 +1,7 @@
 package controller
 
 import (
-	"bytes"
 	"context"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -11,6 +9,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/comfreybend/comfreybend/internal/caller"
 	"github.com/comfreybend/comfreybend/pkg/leaser"
 	"github.com/comfreybend/comfreybend/pkg/replicator"
 	"github.com/comfreybend/comfreybend/pkg/timer"
@@ -27,13 +26,6 @@
 	headerReportWindow  = "Comfreybend-Report-Window"
 )
 
-// expiringConn is a connection that refuses writes after a deadline on the
-// monotonic clock.
-type expiringConn struct {
-	net.Conn
-	deadline time.Duration
-}
-
 // platformAgent calls the platform while this process holds the platform lease:
 // it reports usage and runs the autoscaler.
 //
@@ -225,42 +217,11 @@
 }
 
 // send makes one request to the platform and returns the response status. The
-// request times out before the platform lease ends.
+// request does not arrive after the end of the platform lease.
 func (p *platformAgent) send(ctx context.Context, method, url string, body []byte, header http.Header) (int, error) {
-	remaining := p.holder.OperationTimeout(timer.Now())
-	deadline := timer.Now() + remaining
-	ctx, cancel := context.WithTimeout(ctx, remaining)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
-	if err != nil {
-		return 0, errors.Wrap(err, "creating a request to the platform")
-	}
-	// Without GetBody the HTTP client cannot send the request a second time, after
-	// a lost connection or a redirect.
-	request.GetBody = nil
-	request.Header = header
-	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set(headerFencingNumber, strconv.FormatUint(p.fencingNumber, 10))
-	client := &http.Client{Transport: &http.Transport{
-		DisableKeepAlives: true,
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, dialErr := (&net.Dialer{}).DialContext(ctx, network, address)
-			return &expiringConn{Conn: conn, deadline: deadline}, dialErr
-		},
-	}}
-	response, err := client.Do(request)
-	if err != nil {
-		return 0, errors.Wrap(err, "calling the platform")
-	}
-	defer func() { _ = response.Body.Close() }()
-	return response.StatusCode, nil
-}
-
-// Write fails once the deadline has passed. It checks the clock itself, since
-// after a pause of the process the timer of the context may not have fired yet.
-func (c *expiringConn) Write(data []byte) (int, error) {
-	if timer.Now() >= c.deadline {
-		return 0, errors.New("the platform lease has ended")
-	}
-	return c.Conn.Write(data)
+	header.Set("Content-Type", "application/json")
+	header.Set(headerFencingNumber, strconv.FormatUint(p.fencingNumber, 10))
+	request := &caller.Request{Method: method, URL: url, Header: header, Body: body}
+	status, err := caller.Send(ctx, request, p.holder.OperationTimeout(timer.Now()))
+	return status, errors.Wrap(err, "calling the platform")
 }
