dialer, router: reset a connection whose data are not acknowledged

Cause: a request into a failure domain that was cut off ended with the kernel's TCP_USER_TIMEOUT and went elsewhere, or failed. The kernel does not reset such a connection, so that what it has sent was still delivered when the cut ended.

Change: connections to upstreams are watched: if nothing is acknowledged for 1.5 s the connection is reset. The kernel's timeout, 2 s, remains for a process that stands still. The platform's calls end before the kernel's timeout too. The code moves to internal/dialer, with the options of connections.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -15,6 +15,9 @@
 	"github.com/comfreybend/comfreybend/pkg/timer"
 )
 
+// kernelMargin is the time by which the timeout of the kernel is longer than the limit.
+const kernelMargin = 500 * time.Millisecond
+
 type (
 	// Request is what Send sends.
 	Request struct {
@@ -54,7 +57,8 @@
 	// connection or a redirect.
 	request.GetBody = nil
 	request.Header = r.Header
-	direct := &net.Dialer{Control: dialer.DiscardOnClose(dialer.UserTimeout(limit))}
+	// The timeout of the kernel is for a process that stands still when the limit passes.
+	direct := &net.Dialer{Control: dialer.DiscardOnClose(dialer.UserTimeout(limit + kernelMargin))}
 	client := &http.Client{Transport: &http.Transport{
 		DisableKeepAlives: true,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -1,7 +1,9 @@
-// Package dialer sets options of TCP connections that net.Dialer does not support.
+// Package dialer opens TCP connections with options that net.Dialer does not support.
 package dialer
 
 import (
+	"context"
+	"net"
 	"syscall"
 	"time"
 
@@ -9,8 +11,45 @@
 	"golang.org/x/sys/unix"
 )
 
-// Control is a function for net.Dialer.Control.
-type Control func(network, address string, c syscall.RawConn) error
+const (
+	// A connection is given up if the other end does not acknowledge data for unacknowledgedTimeout,
+	// or answers no keep-alive probes of an idle connection: within 2 to 3 s, before clients give up.
+	// The timeout of the kernel is for processes that stand still meanwhile.
+	keepAliveIdle         = time.Second
+	keepAliveInterval     = time.Second
+	keepAliveCount        = 2
+	unacknowledgedTimeout = 1500 * time.Millisecond
+	userTimeout           = 2 * time.Second
+)
+
+type (
+	// Control is a function for net.Dialer.Control.
+	Control func(network, address string, c syscall.RawConn) error
+
+	// DialFunc is a function for http.Transport.DialContext.
+	DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+)
+
+// Resetting returns a function that opens connections for requests that may be given up. A request
+// does not arrive after its connection was closed or has failed because the other end was
+// unreachable: what has not been acknowledged is discarded, and the connection reset.
+func Resetting(connectTimeout time.Duration) DialFunc {
+	direct := &net.Dialer{
+		Timeout:         connectTimeout,
+		Control:         DiscardOnClose(UserTimeout(userTimeout)),
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := direct.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			return watch(tcp, unacknowledgedTimeout)
+		}
+		return conn, nil
+	}
+}
 
 // UserTimeout returns a function that sets TCP_USER_TIMEOUT: the kernel closes the connection if
 // sent data is not acknowledged for d.
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -24,14 +24,6 @@
 )
 
 const (
-	// These settings detect an unreachable upstream within 2 to 3 s, before clients
-	// give up: by TCP keep-alive probes on an idle connection, by the user timeout
-	// while data are unacknowledged.
-	tcpKeepAliveIdle     = time.Second
-	tcpKeepAliveInterval = time.Second
-	tcpKeepAliveCount    = 2
-	tcpUserTimeout       = 1500 * time.Millisecond
-
 	maxIdleConnsPerUpstream = 256
 	upstreamIdleTimeout     = 30 * time.Second
 	// bodyEndTimeout bounds the wait for the end of a body after its last content byte.
@@ -173,20 +165,10 @@
 // newUpstreamClient returns a client that connects directly, without a proxy.
 func newUpstreamClient(e *settings.Entry, dialect Dialect) *upstreamClient {
 	l := e.GetUpstreamLimits()
-	direct := &net.Dialer{
-		Timeout: l.GetConnectTimeout().AsDuration(),
-		Control: dialer.DiscardOnClose(dialer.UserTimeout(tcpUserTimeout)),
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     tcpKeepAliveIdle,
-			Interval: tcpKeepAliveInterval,
-			Count:    tcpKeepAliveCount,
-		},
-	}
 	u := &upstreamClient{limits: l, dialect: dialect, now: timer.Now, nonRetryableSingleUse: !e.GetFollowControl(), onResponse: func(*attempt, ResponseInfo) {}, onStart: func(*call, *attempt) {}}
 	transport := func() *http.Transport {
 		return &http.Transport{
-			DialContext:         u.dialWith(direct),
+			DialContext:         u.dialWith(dialer.Resetting(l.GetConnectTimeout().AsDuration())),
 			MaxIdleConnsPerHost: maxIdleConnsPerUpstream,
 			IdleConnTimeout:     upstreamIdleTimeout,
 			DisableCompression:  true,
@@ -206,9 +188,9 @@
 
 // dialWith returns a function that establishes connections, and closes one whose upstream is found
 // to be leaving.
-func (u *upstreamClient) dialWith(d *net.Dialer) func(context.Context, string, string) (net.Conn, error) {
+func (u *upstreamClient) dialWith(dial dialer.DialFunc) dialer.DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := d.DialContext(ctx, network, address)
+		conn, err := dial(ctx, network, address)
 		upstream, known := ctx.Value(upstreamKey{}).(*registrar.Upstream)
 		if err != nil || !known {
 			return conn, err
