--- a/pkg/journaler/file.go
+++ b/pkg/journaler/file.go
@@ -68,11 +68,8 @@
 
 // writeFrame appends a frame to a file and syncs it. The error is a *NoSpaceError or a *WriteError.
 func writeFrame(disk Disk, file *os.File, payload []byte) error {
-	if _, err := disk.Write(file, EncodeFrame(payload)); err != nil {
-		if isNoSpace(err) {
-			return &NoSpaceError{File: file.Name(), Cause: err}
-		}
-		return &WriteError{File: file.Name(), Cause: err}
+	if err := writeUnsynced(disk, file, EncodeFrame(payload)); err != nil {
+		return err
 	}
 	if err := disk.Sync(file); err != nil {
 		return &WriteError{File: file.Name(), Cause: err}
@@ -80,6 +77,18 @@
 	return nil
 }
 
+// writeUnsynced writes data to a file. The error is a *NoSpaceError or a *WriteError.
+func writeUnsynced(disk Disk, file *os.File, data []byte) error {
+	_, err := disk.Write(file, data)
+	if isNoSpace(err) {
+		return &NoSpaceError{File: file.Name(), Cause: err}
+	}
+	if err != nil {
+		return &WriteError{File: file.Name(), Cause: err}
+	}
+	return nil
+}
+
 // syncFolder makes the names of files in a folder durable. The error is a *WriteError.
 func syncFolder(disk Disk, path string) error {
 	folder, err := os.Open(path)
--- a/pkg/journaler/journaler.go
+++ b/pkg/journaler/journaler.go
@@ -2,11 +2,11 @@
 // written as a checksummed frame and synced before it is acknowledged. A
 // snapshot replaces the log entries up to its index.
 //
-// The data folder holds three kinds of files: "identity", which is written once;
-// "snapshot-N", the state machine at log index N; and "journal-N", segment N of
-// the journal. Each snapshot starts a new segment, after which the older files
-// are removed. A file is written and synced under a temporary name before it
-// gets its final name.
+// The data folder holds four kinds of files: "identity", which is written once;
+// "snapshot-N", the state machine at log index N; "journal-N", segment N of
+// the journal; and "synced", how much of the journal has been synced. Each snapshot
+// starts a new segment, after which the older files are removed. A file is written and
+// synced under a temporary name before it gets its final name.
 package journaler
 
 import (
@@ -51,6 +51,8 @@
 		segmentNumber uint64
 		// segmentSize is the length of the complete frames in the segment, in bytes.
 		segmentSize int64
+		// mark is the file with the synced length of the journal, nil before it is written.
+		mark *os.File
 		// failed is the *WriteError that every further write returns, nil if none has
 		// occurred.
 		failed error
@@ -78,10 +80,10 @@
 }
 
 // Open recovers the journal in folder, or creates one for host if the folder is
-// empty or absent. A torn tail, which an interrupted write leaves, is removed. A
-// changed or shortened last frame of the latest segment cannot be distinguished from
-// a torn tail and is removed too, even if it was synced; see
-// Recovered.TruncatedBytes.
+// empty or absent. A torn tail, which an interrupted write leaves, is removed; see
+// Recovered.TruncatedBytes. If the file "synced" was lost or lags behind, as after a loss
+// of power, a changed or shortened last frame of the latest segment cannot be
+// distinguished from a torn tail and is removed too, even if it was synced.
 //
 // The error is a *CorruptionError if other synced content is found to have changed
 // or to be missing, a *NoSpaceError if the disk has no space for a new file, and a
@@ -107,6 +109,9 @@
 			return nil, nil, err
 		}
 	}
+	if err := j.markSynced(); err != nil {
+		return nil, nil, err
+	}
 	return j, r, nil
 }
 
@@ -125,7 +130,7 @@
 		return j.discardPartialFrame(err)
 	}
 	j.segmentSize += int64(headerBytes + len(payload))
-	return nil
+	return j.markSynced()
 }
 
 // SaveSnapshot stores a snapshot and starts a new journal segment with the hard
@@ -150,11 +155,17 @@
 	if err = j.startSegment(&replication.Record{HardState: hard, Entries: entries}); err != nil {
 		return err
 	}
+	if err = j.markSynced(); err != nil {
+		return err
+	}
 	return j.removeObsolete(name)
 }
 
 // Close closes the journal. The journal must not be used afterwards.
 func (j *Journal) Close() error {
+	if j.mark != nil {
+		_ = j.mark.Close()
+	}
 	return errors.Wrap(j.segment.Close(), "closing the journal")
 }
 
--- a/pkg/journaler/journaler_test.go
+++ b/pkg/journaler/journaler_test.go
@@ -78,6 +78,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	// The crash happens before the last record is synced.
+	mark := readTestFile(t, filepath.Join(folder, markName))
 	appendEntries(t, folder, entry(2, 1))
 	both, err := os.ReadFile(segmentFile(t, folder))
 	if err != nil {
@@ -86,9 +88,8 @@
 	for size := len(first); size < len(both); size++ {
 		for name, tail := range map[string][]byte{"short": {}, "zeros": make([]byte, len(both)-size)} {
 			torn := append(append([]byte(nil), both[:size]...), tail...)
-			if err = os.WriteFile(segmentFile(t, folder), torn, fileMode); err != nil {
-				t.Fatal(err)
-			}
+			writeTestFile(t, segmentFile(t, folder), torn)
+			writeTestFile(t, filepath.Join(folder, markName), mark)
 			j, r, openErr := Open(folder, "host", OSDisk())
 			if openErr != nil {
 				t.Fatalf("truncated at byte %d, tail %s: %v", size, name, openErr)
@@ -160,13 +161,13 @@
 		t.Errorf("snapshot %v, entries %v, hard state %v; want a snapshot at index 10, entry 11 and commit index 10", r.Snapshot.GetHeader(), r.Entries, r.HardState)
 	}
 	names, _ := os.ReadDir(folder)
-	if len(names) != 3 {
-		t.Errorf("files are %v, want the identity, one snapshot and one journal segment", names)
+	if len(names) != 4 {
+		t.Errorf("files are %v, want the identity, one snapshot, one journal segment and the synced length", names)
 	}
 }
 
-// TestCrashDuringSnapshot stores a snapshot on a disk that fails from the n-th
-// write or sync on, for increasing n until none fails. Either the state before or
+// TestCrashDuringSnapshot opens a journal and stores a snapshot on a disk that fails from
+// the n-th write or sync on, for increasing n until none fails. Either the state before or
 // the one after must be recovered; entry 3 is the last in both.
 func TestCrashDuringSnapshot(t *testing.T) {
 	for firstFailure := 1; ; firstFailure++ {
@@ -191,11 +192,10 @@
 			Sync: func(*os.File) error { return crash() },
 		}
 		j, _, err := Open(folder, "host", disk)
-		if err != nil {
-			t.Fatal(err)
+		if err == nil {
+			header := &replication.SnapshotHeader{Index: 2, Term: 1}
+			err = j.SaveSnapshot(&replication.Snapshot{Header: header}, &replication.HardState{Term: 1}, []*replication.Entry{entry(3, 1)})
 		}
-		header := &replication.SnapshotHeader{Index: 2, Term: 1}
-		err = j.SaveSnapshot(&replication.Snapshot{Header: header}, &replication.HardState{Term: 1}, []*replication.Entry{entry(3, 1)})
 		_, r, openErr := Open(folder, "host", OSDisk())
 		if openErr != nil {
 			t.Fatalf("crash at call %d: %v", firstFailure, openErr)
--- a/pkg/journaler/recovery.go
+++ b/pkg/journaler/recovery.go
@@ -68,6 +68,13 @@
 		if r.Snapshot != nil && r.Snapshot.GetHeader().GetIndex() > 0 {
 			return &CorruptionError{File: j.folder, Detail: "snapshot without a journal segment"}
 		}
+		mark, markErr := j.readMark()
+		if markErr != nil {
+			return markErr
+		}
+		if mark != nil {
+			return &CorruptionError{File: j.folder, Detail: "journal without a segment, although one was synced"}
+		}
 		return j.startSegment(&replication.Record{HardState: r.HardState})
 	}
 	name := names[len(names)-1]
@@ -83,6 +90,9 @@
 	if err != nil {
 		return err
 	}
+	if err = j.checkSynced(path, validBytes); err != nil {
+		return err
+	}
 	return j.openSegment(path, validBytes, r)
 }
 
