messenger: end a call when its context ends

What callers saw: nothing directly; entry processes that ask a frozen control process, or one that is slow, turned to the next one 2 s later than meant, with every poll and sync request. That is part of the sum of delays after which a host knows of a leave or a change (DRAIN, CONFIG).

Cause: at the end of its context a call closed its stream. yamux closes a stream for writes only; the read went on until the close timeout of 2 s. Seen when polls on a slow link were traced: "took 3167 ms" with a timeout of 1 s.

Change: the end of the context sets the deadlines of the stream.

--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -84,7 +84,7 @@
 		return nil, &UnreachableError{Address: c.address, Cause: err}
 	}
 	defer func() { _ = stream.Close() }()
-	defer closeWhenDone(ctx, stream)()
+	defer endWhenDone(ctx, stream)()
 	if _, err = protodelim.MarshalTo(stream, request); err != nil {
 		return nil, &UnreachableError{Address: c.address, MayHaveArrived: true, Cause: err}
 	}
@@ -109,7 +109,7 @@
 		return &UnreachableError{Address: c.address, Cause: err}
 	}
 	defer func() { _ = stream.Close() }()
-	defer closeWhenDone(ctx, stream)()
+	defer endWhenDone(ctx, stream)()
 	if _, err = protodelim.MarshalTo(stream, request); err != nil {
 		return &UnreachableError{Address: c.address, MayHaveArrived: true, Cause: err}
 	}
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -41,6 +41,12 @@
 	return c
 }
 
+// endWhenDone ends the reads and writes of a stream once ctx is done. Closing it would end the writes
+// only. The returned function is the stop function of context.AfterFunc.
+func endWhenDone(ctx context.Context, stream *yamux.Stream) func() bool {
+	return context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Now()) })
+}
+
 // closeWhenDone closes c once ctx is done. The returned function is the stop function of
 // context.AfterFunc: it cancels the closing and reports whether it did.
 func closeWhenDone(ctx context.Context, c io.Closer) func() bool {
--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -73,7 +73,7 @@
 
 func (s *Server) serveStream(ctx context.Context, stream *yamux.Stream) {
 	defer func() { _ = stream.Close() }()
-	defer closeWhenDone(ctx, stream)()
+	defer endWhenDone(ctx, stream)()
 	request := &wire.Request{}
 	options := protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}
 	if err := options.UnmarshalFrom(bufio.NewReader(stream), request); err != nil {
