assembler: keep what has arrived of a table when a part is late

Cause: one part that did not arrive within a second ended the fetch of the whole table, which began again at its first byte: over a slow link that other messages use too, or beside busy processes, a table of a megabyte may never arrive. Seen while TestManyChangesOnSlowLink was traced beside busy processes: parts of 985 and 1,226 ms.

Change: a part is asked for up to three times, and the parts before it are kept.

Measured: TestLatePartKeepsProgress fails without the change.

--- a/internal/assembler/table.go
+++ b/internal/assembler/table.go
@@ -13,6 +13,9 @@
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
+// maxPartFailures is how often in a row a part of a table may fail before the fetch does.
+const maxPartFailures = 2
+
 type (
 	// Tables fetches whole tables of upstreams, one at a time, since they share the link.
 	Tables struct {
@@ -51,13 +54,19 @@
 	return f
 }
 
+// fetch fetches the parts. What has arrived is kept when a part does not arrive in time, since all of
+// it takes seconds on a slow link.
 func (f *TableFetch) fetch(ctx context.Context, client *messenger.Client) error {
 	table := &Transfer{}
-	for !table.Complete() {
+	for failures := 0; !table.Complete(); {
 		part, err := table.FetchPart(ctx, client, &wire.Fetch{Upstreams: true})
 		if err != nil {
-			return err
+			if failures++; failures > maxPartFailures || ctx.Err() != nil {
+				return err
+			}
+			continue
 		}
+		failures = 0
 		if err = table.Add(part); err != nil {
 			return err
 		}
