router, registrar: let the tests on a slow link measure the link only

A log of polls, parts and bytes shows that three faults of the test were in it: it counted the upstreams every 5 ms by sorting all 12,000 under the lock that the announcements need (64 % of its processor time); the control processes of the test dropped announcements after the default lease of 5 s, although the bound is 12 s and nothing renews them, so that a fetch that ended later could not bring them (the table was empty then, "position 24000"), and named all 12,000 in each renewal (144 KB); and the link stood still while a read returned late, where a real one fills the receive buffer.

Change: Registry.Len; the lease of these tests is a minute at all processes; the link goes on with what was there to be received. Bounds, sizes and rate are unchanged. Registry.Any, Len also replace two sorts in the product, one under the lock of the dispatcher when a client takes up a stream.

--- a/internal/router/configuration_test.go
+++ b/internal/router/configuration_test.go
@@ -45,6 +45,8 @@
 	platformConnectTimeout = 300 * time.Millisecond
 	// announcedIncarnation is the incarnation of all upstreams that announce makes known.
 	announcedIncarnation = 1_700_000_000_000
+	// announcementLease is longer than a test, in which upstreams announce themselves once.
+	announcementLease = time.Minute
 	// setupTimeout bounds the waits for what the test does not measure.
 	setupTimeout = 60 * time.Second
 )
@@ -62,6 +64,8 @@
 	slowConn struct {
 		net.Conn
 		link *slowLink
+		// late is how much later than the link the last read has returned.
+		late time.Duration
 	}
 
 	// controlGroup is a group of control processes that run in the test.
@@ -83,15 +87,20 @@
 	return &slowConn{Conn: conn, link: l}, nil
 }
 
-// Read receives at most one packet and takes as long as the link needs for it.
+// Read receives at most one packet and takes as long as the link needs for it. The link goes on
+// with what is to be received while a read returns late, for lack of processor time.
 func (c *slowConn) Read(p []byte) (int, error) {
+	began := timer.Now()
 	n, err := c.Conn.Read(p[:min(len(p), packetBytes)])
 	c.link.received.Add(int64(n))
+	now := timer.Now()
+	waited := now - began
 	c.link.mu.Lock()
-	c.link.freeAt = max(c.link.freeAt, timer.Now()) + time.Duration(n)*time.Second/slowLinkRate
-	wait := c.link.freeAt - timer.Now()
+	c.link.freeAt = max(c.link.freeAt, now-max(0, c.late-waited)) + time.Duration(n)*time.Second/slowLinkRate
+	arrivesAt := c.link.freeAt
 	c.link.mu.Unlock()
-	timer.Sleep(context.Background(), wait)
+	timer.Sleep(context.Background(), arrivesAt-now)
+	c.late = timer.Now() - arrivesAt
 	return n, err
 }
 
@@ -128,6 +137,7 @@
 			Control: &settings.Control{
 				PeerListen: m.GetAddress(), OperatorListen: reserveAddress(t), StatusListen: reserveAddress(t),
 				DataFolder: filepath.Join(t.TempDir(), m.GetId()), Peers: members,
+				AnnouncementLease: durationpb.New(announcementLease),
 			},
 		}
 		validator.FillDefaults(s)
@@ -256,7 +266,7 @@
 	s := &settings.Settings{
 		Host: &settings.Host{Id: "e", FailureDomain: "a"},
 		Entry: &settings.Entry{
-			FollowControl: true, ServeStale: true, AnnouncementLease: durationpb.New(12 * time.Second),
+			FollowControl: true, ServeStale: true, AnnouncementLease: durationpb.New(announcementLease),
 			SyncInterval: durationpb.New(time.Second), Freshness: durationpb.New(5 * time.Second),
 		},
 	}
@@ -298,7 +308,7 @@
 	t.Helper()
 	for end, known := timer.Now()+timeout, 0; known < upstreams; timer.Sleep(t.Context(), 5*time.Millisecond) {
 		r.dispatcher.mu.Lock()
-		known = len(r.dispatcher.registry.All())
+		known = r.dispatcher.registry.Len()
 		r.dispatcher.mu.Unlock()
 		if timer.Now() > end {
 			t.Fatalf("%d of %d upstreams are known after %v", known, upstreams, timeout)
--- a/internal/router/version.go
+++ b/internal/router/version.go
@@ -92,12 +92,9 @@
 func (d *dispatcher) hasOtherVersions(key poolKey, o matcher.Origin) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, u := range d.registry.All() {
-		if u.Kind == key.kind && u.Version != o.Version && slices.Contains(u.Serves, key.name) {
-			return true
-		}
-	}
-	return false
+	return d.registry.Any(func(u *registrar.Upstream) bool {
+		return u.Kind == key.kind && u.Version != o.Version && slices.Contains(u.Serves, key.name)
+	})
 }
 
 // findOrigin finds out which version has begun the stream that a client takes up, and binds the call
--- a/internal/tabulator/tabulator.go
+++ b/internal/tabulator/tabulator.go
@@ -424,7 +424,7 @@
 func (t *Table) IsEmpty() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.registry.All()) == 0
+	return t.registry.Len() == 0
 }
 
 // All returns all upstreams whose lease has not expired.
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -241,6 +241,19 @@
 	return r.upstreams[id]
 }
 
+// Len returns the number of upstreams.
+func (r *Registry) Len() int { return len(r.upstreams) }
+
+// Any reports whether match returns true for an upstream. It must not modify it.
+func (r *Registry) Any(match func(*Upstream) bool) bool {
+	for _, u := range r.upstreams {
+		if match(u) {
+			return true
+		}
+	}
+	return false
+}
+
 // All returns all upstreams, ordered by ID. The caller must not modify them.
 func (r *Registry) All() []*Upstream {
 	out := make([]*Upstream, 0, len(r.upstreams))
