assembler: ask for two parts of a table at a time

Change: once the size is known, two parts are asked for at the same time.

TestChangeWhileTablesAreFetched and TestLeaveWhileTablesAreFetched pass.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -32,9 +32,13 @@
 
 // FetchPart sends a request for the next part.
 func (t *Transfer) FetchPart(ctx context.Context, client *messenger.Client, request *wire.Fetch) (*wire.FetchReply, error) {
+	return t.fetchPartAt(ctx, client, request, int64(len(t.Data)))
+}
+
+func (t *Transfer) fetchPartAt(ctx context.Context, client *messenger.Client, request *wire.Fetch, offset int64) (*wire.FetchReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, partTimeout)
 	defer cancel()
-	request.Digest, request.Offset, request.MaxBytes = t.digest, int64(len(t.Data)), PartBytes
+	request.Digest, request.Offset, request.MaxBytes = t.digest, offset, PartBytes
 	reply, err := client.Call(ctx, &wire.Request{Kind: &wire.Request_Fetch{Fetch: request}})
 	return reply.GetFetch(), err
 }
--- a/internal/assembler/table.go
+++ b/internal/assembler/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,8 +14,12 @@
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
-// maxPartFailures is how often in a row a part of a table may fail before the fetch does.
-const maxPartFailures = 2
+const (
+	// maxPartFailures is how often in a row a part of a table may fail before the fetch does.
+	maxPartFailures = 2
+	// partsInFlight is the number of parts that are asked for at the same time.
+	partsInFlight = 2
+)
 
 type (
 	// Tables fetches whole tables of upstreams, one at a time, since they share the link.
@@ -59,23 +64,51 @@
 func (f *TableFetch) fetch(ctx context.Context, client *messenger.Client) error {
 	table := &Transfer{}
 	for failures := 0; !table.Complete(); {
-		part, err := table.FetchPart(ctx, client, &wire.Fetch{Upstreams: true})
-		if err != nil {
-			if failures++; failures > maxPartFailures || ctx.Err() != nil {
-				return err
-			}
+		before := len(table.Data)
+		err := f.fetchParts(ctx, client, table)
+		if len(table.Data) > before {
+			failures = 0
+		}
+		if err == nil {
 			continue
 		}
-		failures = 0
-		if err = table.Add(part); err != nil {
+		if failures++; failures > maxPartFailures || ctx.Err() != nil {
 			return err
 		}
-		f.reply.Position, f.reply.EncodedAgeMillis = part.GetTablePosition(), part.GetTableAgeMillis()
 	}
 	f.reply.EncodedUpstreams = table.Data
 	return DecodeUpstreams(f.reply)
 }
 
+// fetchParts fetches the next parts at the same time and adds them in their order.
+func (f *TableFetch) fetchParts(ctx context.Context, client *messenger.Client, table *Transfer) error {
+	var (
+		parts   [partsInFlight]*wire.FetchReply
+		errs    [partsInFlight]error
+		running sync.WaitGroup
+		asked   int
+	)
+	// The size is known after the first part.
+	for offset := int64(len(table.Data)); asked < partsInFlight && (asked == 0 || offset < table.size); offset += PartBytes {
+		i := asked
+		running.Go(func() {
+			parts[i], errs[i] = table.fetchPartAt(ctx, client, &wire.Fetch{Upstreams: true}, offset)
+		})
+		asked++
+	}
+	running.Wait()
+	for i, part := range parts[:asked] {
+		if errs[i] != nil {
+			return errs[i]
+		}
+		if err := table.Add(part); err != nil {
+			return err
+		}
+		f.reply.Position, f.reply.EncodedAgeMillis = part.GetTablePosition(), part.GetTableAgeMillis()
+	}
+	return nil
+}
+
 // Wait waits for the end of the fetch, at most for a time. It returns nil if the fetch goes on, and
 // else a reply to a poll with the whole table, or the error.
 func (f *TableFetch) Wait(ctx context.Context, longest time.Duration) (*wire.FollowReply, error) {
