controller: do not encode a large table for each poll beside its fetch

Cause: while an entry process fetched a whole table, each of its polls was answered that the table is to be fetched, and the control process encoded all of it, once a second, only to find that out: a quarter of the processor time of TestManyChangesOnSlowLink, by its profile.

Change: a table of more than 1,024 upstreams is fetched without looking at its size.

--- a/internal/controller/fetch.go
+++ b/internal/controller/fetch.go
@@ -16,6 +16,9 @@
 	// maxInlineTableBytes is the size up to which the whole table of upstreams is part of the
 	// reply to a poll.
 	maxInlineTableBytes = 32 << 10
+	// maxInlineRows is the number of upstreams above which a table is larger than that without
+	// looking.
+	maxInlineRows = 1024
 	// maxFetchBytes bounds the data in the reply to a fetch.
 	maxFetchBytes = 64 << 10
 )
@@ -63,6 +66,11 @@
 // addWholeTable adds the whole table of upstreams to the reply to a poll, or says that it is
 // to be fetched.
 func (c *Controller) addWholeTable(reply *wire.FollowReply, f *wire.Follow) error {
+	// A large table is encoded for a fetch only, not for each poll beside that.
+	if f.GetFetchesChanges() && c.upstreamTable.Len() > maxInlineRows {
+		reply.TableFetchable = true
+		return nil
+	}
 	table, age, err := c.upstreamTable.EncodedUpstreams(0)
 	if err != nil {
 		return err
--- a/internal/controller/requests.go
+++ b/internal/controller/requests.go
@@ -229,7 +229,7 @@
 // upstreams returns the upstreams that announce themselves to the control
 // processes or, if there are none, those that the entry processes report.
 func (c *Controller) upstreams() []*wire.Upstream {
-	if c.upstreamTable.IsEmpty() {
+	if c.upstreamTable.Len() == 0 {
 		return c.entries.latestUpstreams()
 	}
 	return c.upstreamTable.All()
--- a/internal/tabulator/tabulator.go
+++ b/internal/tabulator/tabulator.go
@@ -420,11 +420,11 @@
 	}
 }
 
-// IsEmpty reports whether the table holds no upstream.
-func (t *Table) IsEmpty() bool {
+// Len returns the number of upstreams in the table.
+func (t *Table) Len() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.registry.Len() == 0
+	return t.registry.Len()
 }
 
 // All returns all upstreams whose lease has not expired.
