announcer: bound the durations that other processes state

Cause (found by FuzzDecodeUpstreams in its first second): an announcement with a negative age counted as one from the future and was kept longer than its lease; an age of 2^62 ms overflowed and counted as fresh. Sums of ages overflowed as well. Processes of this release send neither.

Change: negative durations count as zero, others are bounded to ten years.

Measured: the input is kept in testdata and failed before; 94,000 executions in 30 s found no other.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -10,9 +10,18 @@
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
+// maxStated bounds the durations that other processes state, so that sums do not overflow.
+const maxStated = 10 * 365 * 24 * time.Hour
+
+// Stated returns a duration that another process states in milliseconds. A negative one counts as
+// zero: what was received is not from the future.
+func Stated(millis int64) time.Duration {
+	return time.Duration(max(0, min(millis, maxStated.Milliseconds()))) * time.Millisecond
+}
+
 // FromWire decodes an announcement. Its times are on this process's monotonic clock.
 func FromWire(u *wire.Upstream, now time.Duration) registrar.Upstream {
-	announcedAt := now - time.Duration(u.GetAgeMillis())*time.Millisecond
+	announcedAt := now - Stated(u.GetAgeMillis())
 	return registrar.Upstream{
 		ID:            registrar.UpstreamID(u.GetId()),
 		Incarnation:   registrar.Incarnation(u.GetIncarnation()),
@@ -28,13 +37,13 @@
 			Running:    int(u.GetLoad().GetRunning()),
 			Waiting:    int(u.GetLoad().GetWaiting()),
 			Slots:      int(u.GetLoad().GetSlots()),
-			MeasuredAt: announcedAt - time.Duration(u.GetLoad().GetAgeMillis())*time.Millisecond,
+			MeasuredAt: announcedAt - Stated(u.GetLoad().GetAgeMillis()),
 		},
 		AnnouncedAt: announcedAt,
 
 		ShutdownAt:   shutdownAt(u, announcedAt),
 		StartedAt:    startedAt(u, announcedAt),
-		WarmUpEndsAt: announcedAt + time.Duration(u.GetWarmupMillis())*time.Millisecond,
+		WarmUpEndsAt: announcedAt + Stated(u.GetWarmupMillis()),
 	}
 }
 
@@ -70,7 +79,7 @@
 	if u.GetUpMillis() == 0 {
 		return 0
 	}
-	return announcedAt - time.Duration(u.GetUpMillis())*time.Millisecond
+	return announcedAt - Stated(u.GetUpMillis())
 }
 
 // upMillis returns how many milliseconds an upstream had been up when it was
@@ -87,5 +96,5 @@
 	if u.GetLeavesMillis() == 0 {
 		return 0
 	}
-	return announcedAt + time.Duration(u.GetLeavesMillis())*time.Millisecond
+	return announcedAt + Stated(u.GetLeavesMillis())
 }
--- a/internal/assembler/table.go
+++ b/internal/assembler/table.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/comfreybend/comfreybend/internal/announcer"
 	"github.com/comfreybend/comfreybend/internal/messenger"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/wire"
@@ -140,7 +141,7 @@
 		return errors.Wrap(err, "decoding the upstreams")
 	}
 	for _, u := range all.GetUpstreams() {
-		u.AgeMillis += reply.GetEncodedAgeMillis()
+		u.AgeMillis = (announcer.Stated(u.GetAgeMillis()) + announcer.Stated(reply.GetEncodedAgeMillis())).Milliseconds()
 	}
 	reply.Upstreams = append(reply.GetUpstreams(), all.GetUpstreams()...)
 	reply.EncodedUpstreams = nil
--- a/internal/router/control_poller.go
+++ b/internal/router/control_poller.go
@@ -270,7 +270,7 @@
 		overdue[registrar.UpstreamID(id)] = true
 	}
 	view.renewedAt = now
-	announcedAt := now - time.Duration(reply.GetRenewals().GetAgeMillis())*time.Millisecond
+	announcedAt := now - announcer.Stated(reply.GetRenewals().GetAgeMillis())
 	view.lacking = p.router.dispatcher.renewLeases(view.members, overdue, announcedAt)
 }
 
--- a/internal/tabulator/tabulator.go
+++ b/internal/tabulator/tabulator.go
@@ -182,7 +182,7 @@
 	now := t.now()
 	renewed := *known
 	renewed.Sequence = registrar.Sequence(r.GetSequence())
-	renewed.AnnouncedAt = max(known.AnnouncedAt, now-time.Duration(r.GetAgeMillis())*time.Millisecond)
+	renewed.AnnouncedAt = max(known.AnnouncedAt, now-announcer.Stated(r.GetAgeMillis()))
 	same := known.Fingerprint() == r.GetFingerprint()
 	if same || known.State == registrar.Leaving {
 		t.registry.Announce(now, renewed)
