--- a/pkg/journaler/journaler_test.go
+++ b/pkg/journaler/journaler_test.go
@@ -388,3 +388,36 @@
 		t.Errorf("error %v for changed content, want a *CorruptionError", err)
 	}
 }
+
+// FuzzOpen checks that a segment with any bytes after its valid frames yields these frames or an
+// error, and that a journal which opened opens again with the same entries.
+func FuzzOpen(f *testing.F) {
+	f.Add([]byte{})
+	f.Add(make([]byte, 40))
+	f.Add(EncodeFrame([]byte{0x12, 0x02, 0x08, 0x03}))
+	f.Add(EncodeFrame([]byte{0x12, 0x04, 0x08, 0xff, 0xff, 0x7f}))
+	f.Fuzz(func(t *testing.T, tail []byte) {
+		folder := t.TempDir()
+		appendEntries(t, folder, entry(1, 1), entry(2, 1))
+		path := segmentFile(t, folder)
+		writeTestFile(t, path, append(readTestFile(t, path), tail...))
+		j, r, err := Open(folder, "host", OSDisk())
+		if err != nil {
+			if !errors.As(err, new(*CorruptionError)) {
+				t.Fatal(err)
+			}
+			return
+		}
+		_ = j.Close()
+		for i, e := range r.Entries {
+			if e.GetIndex() != uint64(i+1) {
+				t.Fatalf("entry %d has the index %d", i+1, e.GetIndex())
+			}
+		}
+		j, again, err := Open(folder, "host", OSDisk())
+		if err != nil || len(again.Entries) != len(r.Entries) || again.TruncatedBytes != 0 {
+			t.Fatalf("%d entries when opened again, %d before; error %v", len(again.Entries), len(r.Entries), err)
+		}
+		_ = j.Close()
+	})
+}
