--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -1,4 +1,4 @@
-// Package caller makes HTTP requests that must not arrive after a time limit, such as those that a
+// Package caller makes HTTP requests that must not arrive after a deadline, such as those that a
 // lease allows.
 package caller
 
@@ -26,7 +26,7 @@
 		Body        []byte
 	}
 
-	// ExpiredError reports a write after the time limit.
+	// ExpiredError reports a write after the deadline.
 	ExpiredError struct {
 		// Late is the time since the limit.
 		Late time.Duration
@@ -40,10 +40,10 @@
 )
 
 // Error implements error.
-func (e *ExpiredError) Error() string { return "the time limit passed " + e.Late.String() + " ago" }
+func (e *ExpiredError) Error() string { return "the deadline passed " + e.Late.String() + " ago" }
 
 // Send makes one request on a connection of its own and returns the response status. Nothing is
-// sent after the time limit, also if the process stands still meanwhile, and what the other end has
+// sent after the deadline, also if the process stands still meanwhile, and what the other end has
 // not acknowledged by then is discarded.
 func Send(ctx context.Context, r *Request, limit time.Duration) (status int, err error) {
 	deadline := timer.Now() + limit
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -56,7 +56,7 @@
 		t.Fatal(err)
 	}
 	if received, err := io.Copy(io.Discard, conn); err == nil || received >= bodyBytes {
-		t.Errorf("%d bytes of a request with a body of %d arrived after the time limit, error %v", received, bodyBytes, err)
+		t.Errorf("%d bytes of a request with a body of %d arrived after the deadline, error %v", received, bodyBytes, err)
 	}
 }
 
--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -9,8 +9,10 @@
 	"go.uber.org/zap"
 
 	"github.com/comfreybend/comfreybend/internal/keeper"
+	"github.com/comfreybend/comfreybend/internal/messenger"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/state"
+	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
 const (
@@ -152,3 +154,34 @@
 	_, err := h.router.controlPlane.propose(ctx, &state.Command{Kind: &state.Command_ClaimOutcome{ClaimOutcome: outcome}})
 	return err == nil
 }
+
+// propose commits a command through the first control process that replies. If
+// one fails, the command is sent to the next although it may have been
+// committed, so commands must be idempotent.
+func (p *controlPlane) propose(ctx context.Context, command *state.Command) (*wire.ProposeReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	var lastErr error
+	for _, client := range p.controlClients.All() {
+		reply, err := proposeThrough(ctx, client, command)
+		if err == nil {
+			return reply, nil
+		}
+		lastErr = err
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, lastErr
+}
+
+// proposeThrough proposes a command to one control process.
+func proposeThrough(ctx context.Context, c *messenger.Client, command *state.Command) (*wire.ProposeReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeAttemptTimeout)
+	defer cancel()
+	reply, err := c.Call(ctx, &wire.Request{Kind: &wire.Request_Propose{Propose: command}})
+	if err != nil {
+		return nil, err
+	}
+	return reply.GetPropose(), nil
+}
--- a/internal/router/controlplane.go
+++ b/internal/router/controlplane.go
@@ -16,7 +16,6 @@
 	"github.com/comfreybend/comfreybend/internal/ranker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/timer"
-	"github.com/comfreybend/comfreybend/schema/state"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
@@ -409,37 +408,6 @@
 		refusal.Detail+", in a configuration that no quorum has confirmed lately", p.router.retryAfter())
 }
 
-// propose commits a command through the first control process that replies. If
-// one fails, the command is sent to the next although it may have been
-// committed, so commands must be idempotent.
-func (p *controlPlane) propose(ctx context.Context, command *state.Command) (*wire.ProposeReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
-	defer cancel()
-	var lastErr error
-	for _, client := range p.controlClients.All() {
-		reply, err := proposeThrough(ctx, client, command)
-		if err == nil {
-			return reply, nil
-		}
-		lastErr = err
-		if ctx.Err() != nil {
-			break
-		}
-	}
-	return nil, lastErr
-}
-
-// proposeThrough proposes a command to one control process.
-func proposeThrough(ctx context.Context, c *messenger.Client, command *state.Command) (*wire.ProposeReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, proposeAttemptTimeout)
-	defer cancel()
-	reply, err := c.Call(ctx, &wire.Request{Kind: &wire.Request_Propose{Propose: command}})
-	if err != nil {
-		return nil, err
-	}
-	return reply.GetPropose(), nil
-}
-
 // requestSync makes run send a sync request without delay. It does not block.
 func (p *controlPlane) requestSync() {
 	select {
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"syscall"
 	"time"
 
 	kithttp "github.com/go-kit/kit/transport/http"
@@ -301,30 +300,6 @@
 		zap.Bool("upstreamEnded", h.router.isolation.upstreamEnded(ctx, g, err)), zap.Int("attempts", h.attempts), zap.Error(err))...)
 }
 
-// failureOutcome returns outcomeAbandoned for an attempt that this process cancelled because
-// of its prompt, outcomeTimedOut for a connection whose upstream stopped
-// acknowledging data or keep-alive probes, and outcomeFailed for other failures.
-func failureOutcome(err error) attemptOutcome {
-	if errors.As(err, new(*heldPartError)) {
-		return outcomeAbandoned
-	}
-	if errors.Is(err, syscall.ETIMEDOUT) {
-		return outcomeTimedOut
-	}
-	return outcomeFailed
-}
-
-// isRetryableStatus is the IsRetryableStatus of NativeDialect: statuses that
-// upstreams and proxies use while overloaded or temporarily unavailable.
-func isRetryableStatus(status int) bool {
-	switch status {
-	case http.StatusTooManyRequests, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
-		return true
-	default:
-		return false
-	}
-}
-
 // allowRetry decides whether another attempt follows one that failed with err. It
 // must be called once for each failed attempt, because it updates the counts of
 // attempts and refusals and may take a retry from the budget.
