--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 TRY_LISTEN    ?= 127.0.0.1:8080
 TEST_TIMEOUT  ?= 20m
 
-.PHONY: build try test check format generate soak bench clean
+.PHONY: build try test check format generate soak fuzz bench clean
 
 build:
 	$(GO) build -o $(BIN)/comfreybend ./cmd/comfreybend
@@ -44,6 +44,15 @@
 soak:
 	SOAK_SEED=$(SEED) SOAK_SECONDS=$(SECONDS) $(GO) test -race -count=1 -v -timeout 30m -run 'TestSoak$$' ./test/integration
 
+# Fuzzes the decoders of what others wrote, one after the other: make fuzz FUZZ_TIME=10m.
+FUZZ_TIME ?= 30s
+fuzz:
+	set -e; for p in $$(grep -rl '^func Fuzz' --include='*_test.go' . | xargs -n 1 dirname | sort -u); do \
+		for f in $$($(GO) test -list '^Fuzz' $$p | grep '^Fuzz'); do \
+			$(GO) test -run '^$$' -fuzz "^$$f"'$$' -fuzztime $(FUZZ_TIME) $$p; \
+		done; \
+	done
+
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem -benchtime 1x -timeout 40m ./test/integration
 	$(GO) test -run '^$$' -bench . -benchmem ./pkg/... ./internal/...
