--- a/internal/router/endless_test.go
+++ b/internal/router/endless_test.go
@@ -31,7 +31,9 @@
 const (
 	// entryMemoryBytes is the memory limit of an entry process on a host of 184 MB.
 	entryMemoryBytes = 110 << 20
-	endlessTimeout   = 3 * time.Second
+	// daemonBytes is what an entry process without requests holds of its limit.
+	daemonBytes    = 10 << 20
+	endlessTimeout = 3 * time.Second
 	// endlessPatience is how long after its deadline a call may take to end.
 	endlessPatience = 10 * time.Second
 	responseLimit   = 4 << 20
@@ -254,8 +256,9 @@
 	debug.FreeOSMemory()
 	var before runtime.MemStats
 	runtime.ReadMemStats(&before)
-	// The daemon passes the limit in its settings to the runtime; what other tests hold is added.
-	held := int64(before.Sys - before.HeapReleased)
+	// The daemon passes the limit in its settings to the runtime. What other tests hold takes the
+	// place of what the daemon itself holds.
+	held := int64(before.Sys-before.HeapReleased) - daemonBytes
 	defer debug.SetMemoryLimit(debug.SetMemoryLimit(held + r.settings.GetResources().GetMemoryBytes()))
 	var group sync.WaitGroup
 	done := make(chan struct{})
