--- a/test/integration/process_test.go
+++ b/test/integration/process_test.go
@@ -9,14 +9,19 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 )
 
-// stopTimeout bounds the time until a process that was told to stop has exited.
-const stopTimeout = 30 * time.Second
+const (
+	// stopTimeout bounds the time until a process that was told to stop has exited.
+	stopTimeout = 30 * time.Second
+	// logFolderVariable names a folder in which the whole logs of failed tests are kept.
+	logFolderVariable = "TEST_LOGS"
+)
 
 // binary is the program under test. TestMain builds it, with the race detector unless benchmarks are run.
 var binary string
@@ -165,6 +170,7 @@
 }
 
 // checkLog fails the test if the log shows a data race or a panic, and prints the end of the log of a failed test.
+// The whole log is kept if there is a folder for it.
 func (p *process) checkLog() {
 	log := p.log()
 	for _, marker := range []string{"DATA RACE", "panic: ", "fatal error: "} {
@@ -175,5 +181,17 @@
 	if p.t.Failed() {
 		const maxBytes = 6000
 		p.t.Logf("log of %s:\n%s", p.name, log[max(0, len(log)-maxBytes):])
+		p.keepLog(log)
+	}
+}
+
+func (p *process) keepLog(log []byte) {
+	folder := os.Getenv(logFolderVariable)
+	if folder == "" {
+		return
+	}
+	name := strings.ReplaceAll(p.t.Name(), "/", "-") + "-" + p.name + ".log"
+	if err := os.WriteFile(filepath.Join(folder, name), log, 0o600); err != nil {
+		p.t.Logf("keeping the log of %s: %v", p.name, err)
 	}
 }
