router, emulator: name the upstream's run in each request

Callers saw: streams that ended well held tokens of two software versions (ORDER).

Cause: an upstream that is killed and starts again under its id and address with another version is held for the version that it had until its first announcement has arrived, which takes a second and more while entry processes are frozen or control has no majority. In a traced run engine-1 was replaced at 29.4 s, and a stream of v1 was taken up at it at 30.1 s, by an announcement that was 1.3 s old. The id and the address say nothing of the run.

Change: requests carry the incarnation that was announced, and an upstream of another one refuses them with 421; its responses name its own. A response of another run never goes on with a stream, and a stream that it begins counts as one of unknown version. The run that is over gets nothing more.

Ruled out: a wrong origin kept by the control processes (the take-up was known, as v1).

TestBrokenStreamKeepsItsVersion and TestResponseOfOtherRun fail with either check removed.

--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -98,7 +99,8 @@
 		EventsGenerated int `json:"tokensSent"`
 		// Orders maps the reference of each order to the number of times that it ran.
 		Orders map[string]int `json:"orders"`
-		// Headers lists the distinct request headers received, without the attempt header.
+		// Headers lists the distinct request headers received, without those that name the
+		// attempt and the upstream's run.
 		Headers []string `json:"headers"`
 		// Arrivals holds the times at which the latest requests arrived, in Unix milliseconds.
 		Arrivals []int64 `json:"arrivals"`
@@ -220,10 +222,25 @@
 		if limit := u.recordArrival(r); limit != "" {
 			w.Header().Set("Comfreybend-Request-Limit", limit)
 		}
+		if u.refuseOtherRun(w, r) {
+			return
+		}
 		mux.ServeHTTP(w, r)
 	})
 }
 
+// refuseOtherRun refuses a request that is meant for another run of the upstream.
+func (u *Upstream) refuseOtherRun(w http.ResponseWriter, r *http.Request) bool {
+	own := strconv.FormatUint(u.incarnation, 10)
+	w.Header().Set("Comfreybend-Incarnation", own)
+	wanted := r.Header.Get("Comfreybend-Incarnation")
+	if wanted == "" || wanted == own {
+		return false
+	}
+	http.Error(w, "this is another run of the upstream", http.StatusMisdirectedRequest)
+	return true
+}
+
 // recordArrival records a request that is not for the emulator itself, and returns the request
 // limit that its response names.
 func (u *Upstream) recordArrival(r *http.Request) string {
@@ -242,7 +259,7 @@
 
 func (u *Upstream) recordHeaders(r *http.Request) {
 	for name, values := range r.Header {
-		if name == "Comfreybend-Attempt" {
+		if name == "Comfreybend-Attempt" || name == "Comfreybend-Incarnation" {
 			continue
 		}
 		line := name + ": " + strings.Join(values, ", ")
--- a/internal/router/announcement.go
+++ b/internal/router/announcement.go
@@ -29,6 +29,7 @@
 	leaveCommitted  leaveSource = "sync"
 	leaveExchanged  leaveSource = "peer"
 	leaveInResponse leaveSource = "response"
+	leaveReplaced   leaveSource = "otherRun"
 )
 
 // announcementHandler serves the API on which upstreams announce themselves and report
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -86,6 +86,9 @@
 		startedAt time.Duration
 		// timeToHeaders is the time from the start of the attempt to the response headers.
 		timeToHeaders time.Duration
+		// otherRun reports that the response comes from another run of the upstream than the one
+		// that was chosen.
+		otherRun bool
 		// load is the upstream's load as reported in the response; nil if it was not.
 		load *registrar.Load
 		// connected reports that a connection was obtained, so that a part of the
@@ -132,6 +135,13 @@
 		EchoedAttempt string
 	}
 
+	// otherRunError reports a response of another run of the upstream than the one that the request
+	// was sent to.
+	otherRunError struct {
+		Upstream       registrar.UpstreamID
+		Expected, Runs registrar.Incarnation
+	}
+
 	// silentConnectionError reports a connection that was abandoned because a probe
 	// on a new connection failed or showed that the response had not arrived.
 	silentConnectionError struct {
@@ -160,6 +170,11 @@
 	return "answer carries the attempt id " + e.EchoedAttempt
 }
 
+// Error implements error.
+func (e *otherRunError) Error() string {
+	return fmt.Sprintf("run %d of upstream %s answered a request to run %d", e.Runs, e.Upstream, e.Expected)
+}
+
 // Error implements error.
 func (e *silentConnectionError) Error() string { return "connection fell silent: " + e.Reason }
 
@@ -248,7 +263,7 @@
 	at.response = response
 	at.timeToHeaders = u.now() - at.startedAt
 	at.recordActivity(u.now())
-	if err = u.checkResponse(at); err != nil {
+	if err = u.checkResponse(at, lastEventID); err != nil {
 		at.close(err)
 		return nil, err
 	}
@@ -265,13 +280,20 @@
 }
 
 // checkResponse takes the load from the response headers and returns an
-// *attemptError if the response must not be relayed.
-func (u *upstreamClient) checkResponse(at *attempt) error {
+// *attemptError if the response must not be relayed. One of another run must not go on with a
+// stream, since its version is not known.
+func (u *upstreamClient) checkResponse(at *attempt, lastEventID scanner.EventID) error {
 	info := u.dialect.ParseResponse(at.response)
 	at.load = info.Load
 	u.onResponse(at, info)
 	status := at.response.StatusCode
+	at.otherRun = at.isFromOtherRun(info)
+	misdirected := at.otherRun && status == http.StatusMisdirectedRequest
 	switch {
+	case misdirected, at.otherRun && lastEventID != scanner.NoEventID:
+		return &attemptError{Attempt: at.id, NotRun: misdirected, Refused: misdirected, Cause: &otherRunError{
+			Upstream: at.grant.upstream.ID, Expected: at.grant.upstream.Incarnation, Runs: info.Incarnation,
+		}}
 	case info.EchoedAttempt != "" && info.EchoedAttempt != at.id:
 		return &attemptError{Attempt: at.id, Cause: &attemptMismatchError{EchoedAttempt: string(info.EchoedAttempt)}}
 	case info.NotRun:
@@ -326,12 +348,20 @@
 		Ranks:        c.ranks,
 		Prefix:       c.prefixID(),
 		Upstream:     at.grant.upstream.ID,
+		Incarnation:  at.grant.upstream.Incarnation,
 		TimeLeft:     c.deadline - u.now(),
 		LastEventID:  lastEventID,
 	})
 	return request, nil
 }
 
+// isFromOtherRun reports whether a response comes from another run of the upstream than the one that
+// the attempt was sent to, or from another upstream at its address.
+func (at *attempt) isFromOtherRun(info ResponseInfo) bool {
+	expected := at.grant.upstream.Incarnation
+	return expected != 0 && info.Incarnation != 0 && info.Incarnation != expected
+}
+
 // startRelay keeps cancelUnlessRelayed from cancelling the attempt from now on. If it already
 // has, startRelay returns its cause and the response must not be relayed to the client.
 func (at *attempt) startRelay() error {
--- a/internal/router/dialect.go
+++ b/internal/router/dialect.go
@@ -92,8 +92,10 @@
 		// class; 1 is the most urgent of Ranks places.
 		Rank, Ranks int32
 		Prefix      picker.PrefixID
-		// Upstream is the upstream that the attempt is sent to.
-		Upstream registrar.UpstreamID
+		// Upstream is the upstream that the attempt is sent to, Incarnation its run; zero if the
+		// upstream does not number its runs.
+		Upstream    registrar.UpstreamID
+		Incarnation registrar.Incarnation
 		// TimeLeft is the time until the call's deadline.
 		TimeLeft time.Duration
 		// LastEventID is the id of the event after which the stream is resumed;
@@ -106,6 +108,8 @@
 		// EchoedAttempt is the id of the attempt that the response belongs to; empty if
 		// not reported.
 		EchoedAttempt AttemptID
+		// Incarnation is the run of the upstream that the response comes from; zero if not reported.
+		Incarnation registrar.Incarnation
 		// NotRun reports that the upstream has not run the request and will not run it.
 		NotRun bool
 		// FromIntermediary reports a response that was generated or altered by an intermediary.
@@ -208,6 +212,9 @@
 	if a.Prefix != "" {
 		h.Set(HeaderPrefix, string(a.Prefix))
 	}
+	if a.Incarnation != 0 {
+		h.Set(HeaderIncarnation, strconv.FormatUint(uint64(a.Incarnation), 10))
+	}
 	if a.LastEventID != scanner.NoEventID {
 		h.Set(HeaderLastEventID, strconv.FormatUint(uint64(a.LastEventID), 10))
 	}
@@ -219,6 +226,9 @@
 		Leaving:       response.Header.Get(HeaderState) == string(registrar.Leaving),
 		RequestLimit:  strings.Join(response.Header.Values(HeaderRequestLimit), ","),
 	}
+	// An upstream that reports no usable number cannot be told from one that reports none.
+	incarnation, _ := strconv.ParseUint(response.Header.Get(HeaderIncarnation), 10, 64)
+	info.Incarnation = registrar.Incarnation(incarnation)
 	if response.StatusCode == http.StatusServiceUnavailable {
 		info.RetryAfter = response.Header.Get(headerRetryAfter)
 	}
--- a/internal/router/notice.go
+++ b/internal/router/notice.go
@@ -21,10 +21,16 @@
 )
 
 // handleNotices passes on what the headers of a response say of the upstream besides its
-// load: that it is leaving, that it wants no requests of this process for a time, and how many
-// it takes from all processes.
+// load: that it is leaving or has been replaced by another run, that it wants no requests of this
+// process for a time, and how many it takes from all processes.
 func (r *Router) handleNotices(at *attempt, info ResponseInfo) {
 	g := at.grant
+	if at.isFromOtherRun(info) {
+		if r.dispatcher.withdraw(g.upstream) {
+			r.logLeave(*g.upstream, leaveReplaced, g.upstream.URL)
+		}
+		return
+	}
 	if info.Leaving && r.dispatcher.withdraw(g.upstream) {
 		r.logLeave(*g.upstream, leaveInResponse, g.upstream.URL)
 	}
--- a/internal/router/refusal.go
+++ b/internal/router/refusal.go
@@ -35,6 +35,9 @@
 	HeaderPriority     = "Comfreybend-Priority"
 	HeaderPrefix       = "Comfreybend-Prefix"
 	HeaderLastEventID  = "Last-Event-ID"
+	// HeaderIncarnation names the run of the upstream that a request is meant for, and in its
+	// response the run that answers. An upstream of another run refuses the request with 421.
+	HeaderIncarnation = "Comfreybend-Incarnation"
 	// HeaderState is set to "leaving" in the responses of an upstream that wants no further
 	// requests.
 	HeaderState = "Comfreybend-State"
--- a/internal/router/version.go
+++ b/internal/router/version.go
@@ -77,13 +77,14 @@
 }
 
 // originOf returns what has begun the response to an attempt. The second result is false if that is
-// not certain: another run of the upstream, or another version, has been announced since the
-// upstream was chosen, so either may have written the response.
-func (d *dispatcher) originOf(g *grant) (matcher.Origin, bool) {
+// not certain: another run of the upstream has written it, or another run or version has been
+// announced since the upstream was chosen, so either may have written it.
+func (d *dispatcher) originOf(at *attempt) (matcher.Origin, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	g := at.grant
 	known := d.registry.Get(g.upstream.ID)
-	certain := known == nil || known.Incarnation == g.upstream.Incarnation && known.Version == g.upstream.Version
+	certain := !at.otherRun && (known == nil || known.Incarnation == g.upstream.Incarnation && known.Version == g.upstream.Version)
 	return matcher.Origin{Pool: matcher.Pool(g.pool.String()), Version: g.upstream.Version}, certain
 }
 
@@ -157,7 +158,7 @@
 		return
 	}
 	h.bound = true
-	origin, certain := h.router.dispatcher.originOf(h.current.grant)
+	origin, certain := h.router.dispatcher.originOf(h.current)
 	if !certain || !h.call.retryable {
 		return
 	}
--- a/internal/router/version_test.go
+++ b/internal/router/version_test.go
@@ -36,6 +36,10 @@
 	cutAfter atomic.Int64
 	// beforeCut is called before it breaks off, beforeFirst before its first event.
 	beforeCut, beforeFirst func()
+	// run is the run that it says it is; empty for none. It refuses requests for others if
+	// refuseOthers is set.
+	run          string
+	refuseOthers bool
 }
 
 func newVersionUpstream(t *testing.T, version string) *versionUpstream {
@@ -43,6 +47,13 @@
 	u.cutAfter.Store(streamEvents)
 	u.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		u.calls.Add(1)
+		if u.run != "" {
+			w.Header().Set(HeaderIncarnation, u.run)
+		}
+		if u.refuseOthers && r.Header.Get(HeaderIncarnation) != u.run {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
 		after, _ := strconv.Atoi(r.Header.Get(HeaderLastEventID))
 		w.Header().Set("Content-Type", "text/event-stream")
 		w.WriteHeader(http.StatusOK)
@@ -132,6 +143,18 @@
 				r.dispatcher.applyAnnouncement(u)
 			}
 		}},
+		"another run that was not announced begins it": {second: "v1", want: begun, arrange: func(_ *Router, first, _ *versionUpstream) {
+			first.run = "2"
+		}},
+		"the announced run begins it": {second: "v1", want: strings.Repeat("v1 ", streamEvents), arrange: func(_ *Router, first, _ *versionUpstream) {
+			first.run = "1"
+		}},
+		"another run that was not announced would go on": {second: "v1", want: begun, arrange: func(_ *Router, _, second *versionUpstream) {
+			second.run = "2"
+		}},
+		"another run refuses to go on": {second: "v1", want: begun, arrange: func(_ *Router, _, second *versionUpstream) {
+			second.run, second.refuseOthers = "2", true
+		}},
 		"the version changed within the run": {second: "v1", want: begun, arrange: func(r *Router, first, _ *versionUpstream) {
 			first.beforeFirst = func() {
 				u := first.announcement("one", "v9", 1, r.dispatcher.now())
@@ -230,3 +253,44 @@
 		})
 	}
 }
+
+// TestResponseOfOtherRun guards against requests to an upstream that has started again and has not
+// announced itself: what it refuses goes elsewhere as not run, what it has run is delivered, and it gets
+// nothing more for the run that is over.
+func TestResponseOfOtherRun(t *testing.T) {
+	tests := map[string]struct {
+		run          string
+		refuseOthers bool
+		status       int
+		calls        int64
+	}{
+		"the announced run":                {run: "1", refuseOthers: true, status: http.StatusOK, calls: 2},
+		"says no run":                      {status: http.StatusOK, calls: 2},
+		"says one that cannot be read":     {run: "one", status: http.StatusOK, calls: 2},
+		"another run that refuses":         {run: "2", refuseOthers: true, status: http.StatusServiceUnavailable, calls: 1},
+		"another run that does not refuse": {run: "2", status: http.StatusOK, calls: 1},
+		"a run with the greatest number":   {run: "18446744073709551615", status: http.StatusOK, calls: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r, server := newVersionRouter(t)
+			u := newVersionUpstream(t, "v1")
+			u.run, u.refuseOthers = test.run, test.refuseOthers
+			r.dispatcher.applyAnnouncement(u.announcement("one", "v1", 1, r.dispatcher.now()))
+			if status, _ := readStream(t, server.URL); status != test.status {
+				t.Errorf("status %d, want %d", status, test.status)
+			}
+			if _, _ = readStream(t, server.URL); u.calls.Load() != test.calls {
+				t.Errorf("%d requests, want %d", u.calls.Load(), test.calls)
+			}
+			if test.calls > 1 {
+				return
+			}
+			r.dispatcher.applyAnnouncement(u.announcement("one", "v1", 2, r.dispatcher.now()))
+			u.run = "2"
+			if status, _ := readStream(t, server.URL); status != http.StatusOK {
+				t.Errorf("status %d from the run that has announced itself, want 200", status)
+			}
+		})
+	}
+}
--- a/test/integration/system_test.go
+++ b/test/integration/system_test.go
@@ -343,14 +343,20 @@
 	}
 	p := startProcess(s.t, id, append(args, flags...)...)
 	u := &upstreamProcess{process: p, id: id, url: "http://" + listen}
-	eventually(s.t, waitTimeout, func() error {
+	u.awaitStart()
+	return u
+}
+
+// awaitStart waits until an emulated upstream listens.
+func (u *upstreamProcess) awaitStart() {
+	u.t.Helper()
+	eventually(u.t, waitTimeout, func() error {
 		response, err := http.Get(u.url + "/emulator/v1/stats")
 		if err == nil {
 			_ = response.Body.Close()
 		}
 		return err
 	})
-	return u
 }
 
 // stats returns the statistics of an emulated upstream.
--- a/test/integration/versions_test.go
+++ b/test/integration/versions_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -210,7 +211,7 @@
 		e.start()
 	}
 	s.awaitKey(key, s.entries...)
-	s.takeUp(all)
+	s.takeUp(all, s.otherEntries()...)
 	if complete := checkStreams(t, all); complete < streams {
 		t.Errorf("%d of %d streams are complete, although each version has two upstreams", complete, streams)
 	}
@@ -246,9 +247,9 @@
 	return all
 }
 
-// takeUp takes up streams, each at another entry process than the one that it began at, and again
-// while it is told to come back. It returns the number of streams that were refused.
-func (s *system) takeUp(streams []*resumableStream) (refused int) {
+// takeUp takes up streams at entry processes, again while it is told to come back. It returns the
+// number of streams that were refused.
+func (s *system) takeUp(streams []*resumableStream, at ...*entryProcess) (refused int) {
 	s.t.Helper()
 	var (
 		wait sync.WaitGroup
@@ -257,7 +258,7 @@
 	for i, stream := range streams {
 		wait.Go(func() {
 			eventually(s.t, waitTimeout, func() error {
-				status := stream.read(s.t.Context(), s.entries[(i+1)%len(s.entries)], func() {})
+				status := stream.read(s.t.Context(), at[i%len(at)], func() {})
 				if status == http.StatusServiceUnavailable || status == 0 {
 					return fmt.Errorf("status %d", status)
 				}
@@ -274,6 +275,12 @@
 	return refused
 }
 
+// otherEntries returns the entry processes in the order in which streams of breakStreams, taken up
+// one after the other, each go to another one than they began at.
+func (s *system) otherEntries() []*entryProcess {
+	return append(slices.Clone(s.entries[1:]), s.entries[0])
+}
+
 // TestStreamsAfterLossOfAllMemory guards against streams that are joined when all entry and control
 // processes have been killed at the same time: which version began a stream is not known any more,
 // unless there was only one. That there were two must not be forgotten.
@@ -308,7 +315,7 @@
 				e.start()
 			}
 			s.awaitKey(key, s.entries...)
-			refused := s.takeUp(all)
+			refused := s.takeUp(all, s.otherEntries()...)
 			complete := checkStreams(t, all)
 			if test.goOn && complete < streams || !test.goOn && refused < streams {
 				t.Errorf("%d of %d streams are complete, %d were refused", complete, streams, refused)
@@ -338,7 +345,7 @@
 		e.start()
 	}
 	s.awaitKey(key, s.entries...)
-	refused := s.takeUp(all)
+	refused := s.takeUp(all, s.otherEntries()...)
 	checkStreams(t, all)
 	for _, stream := range all {
 		if stream.complete != (stream.versions[0] == "v2") {
@@ -380,3 +387,68 @@
 		t.Errorf("status %d for the client's own stream, body %s", own.status, own.body)
 	}
 }
+
+// TestStreamAvoidsUnannouncedRun guards against streams that are begun or taken up at an upstream
+// that has started again with another software version under its id and address, and has not
+// announced itself yet: the processes still hold it for the version that it had.
+func TestStreamAvoidsUnannouncedRun(t *testing.T) {
+	const (
+		streams = 20
+		// tokens makes the streams last until the end of the test.
+		tokens = 160
+	)
+	s := startSystem(t, layout{controls: 3, entries: []string{"a", "a"}, adjustEntry: allowRetries})
+	s.configure()
+	engines := s.startVersions(2, "v1", "v2")
+	s.startUpstream("orders-1", "a", "service", "orders", s.entries)
+	key := s.grant("one").Key
+	s.awaitKey(key, s.entries...)
+	for _, e := range s.entries {
+		s.awaitCompletion(e, key)
+	}
+	var all []*resumableStream
+	var reading sync.WaitGroup
+	begin := func() {
+		var begun sync.WaitGroup
+		for range streams {
+			stream := newResumableStream(key)
+			stream.body = completionBody(tokens)
+			all = append(all, stream)
+			begun.Add(1)
+			reading.Go(func() {
+				var once sync.Once
+				stream.read(t.Context(), s.entries[0], func() { once.Do(begun.Done) })
+				once.Do(begun.Done)
+			})
+		}
+		begun.Wait()
+	}
+	begin()
+	restarted := engines["v1"][0]
+	restarted.kill()
+	restarted.args = unannounced(restarted.args, freeAddress(t), "v2")
+	restarted.start()
+	restarted.awaitStart()
+	begin()
+	s.entries[0].kill()
+	reading.Wait()
+	s.takeUp(all, s.entries[1])
+	if complete := checkStreams(t, all); complete < len(all) {
+		t.Errorf("%d of %d streams are complete, although each version has an upstream that is known", complete, len(all))
+	}
+}
+
+// unannounced returns the arguments of an emulated upstream of a version whose announcements go to
+// an address at which nothing listens.
+func unannounced(args []string, address, version string) []string {
+	out := slices.Clone(args)
+	for i := range out[:len(out)-1] {
+		switch out[i] {
+		case "--announce":
+			out[i+1] = "http://" + address
+		case "--software-version":
+			out[i+1] = version
+		}
+	}
+	return out
+}
