registrar, controller, router: give up a run when a later one of another version is announced

Change: an announcement withdraws the runs of another version that it shows to be over before its own version is committed: the earlier run of the upstream, or another one at its URL. Late announcements and URLs that were left do not.

--- a/internal/controller/leave.go
+++ b/internal/controller/leave.go
@@ -36,6 +36,8 @@
 // may be acknowledged only if the error is nil.
 func (c *Controller) announce(ctx context.Context, u registrar.Upstream) error {
 	if u.State != registrar.Leaving {
+		// The commit may take long, or fail.
+		c.upstreamTable.WithdrawOutdated(&u)
 		if err := c.commitVersions(ctx, &u); err != nil {
 			return err
 		}
--- a/internal/router/announcement.go
+++ b/internal/router/announcement.go
@@ -88,6 +88,8 @@
 	u.AgeMillis = 0
 	announced := announcer.FromWire(u, r.dispatcher.now())
 	if announced.State != registrar.Leaving {
+		// The commit may take long, or fail.
+		r.withdrawOutdated(&announced)
 		if err := r.tracker.Commit(ctx, &announced); err != nil {
 			return nil, refuseWithRetryAfter(http.StatusServiceUnavailable, CodeNoQuorum, err.Error(), inDoubtRetryAfter)
 		}
@@ -98,6 +100,15 @@
 	return nil, nil
 }
 
+// withdrawOutdated withdraws the upstreams of another version that an announcement shows to be over.
+func (r *Router) withdrawOutdated(u *registrar.Upstream) {
+	for _, known := range r.dispatcher.outdated(u) {
+		if r.dispatcher.withdraw(known) {
+			r.logLeave(*known, leaveReplaced, u.URL)
+		}
+	}
+}
+
 // applyAnnouncement applies an announcement that a process has sent, and reports whether it is
 // newer than what was known. That a known upstream leaves is logged.
 func (r *Router) applyAnnouncement(u registrar.Upstream, source leaveSource, sender string) bool {
--- a/internal/router/version.go
+++ b/internal/router/version.go
@@ -88,6 +88,13 @@
 	return matcher.Origin{Pool: matcher.Pool(g.pool.String()), Version: g.upstream.Version}, certain
 }
 
+// outdated returns the upstreams of another version that an announcement shows to be over.
+func (d *dispatcher) outdated(u *registrar.Upstream) []*registrar.Upstream {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.registry.Outdated(u)
+}
+
 // hasOtherVersions reports whether upstreams of other versions than an origin's are known in its pool,
 // also ones that are leaving.
 func (d *dispatcher) hasOtherVersions(key poolKey, o matcher.Origin) bool {
--- a/internal/router/version_test.go
+++ b/internal/router/version_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -14,6 +15,7 @@
 
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"github.com/comfreybend/comfreybend/internal/announcer"
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/pkg/matcher"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
@@ -294,3 +296,34 @@
 		})
 	}
 }
+
+// TestAnnouncementOfUncommittedVersion guards against requests to an upstream for the version that it
+// had before it started again, while the control processes cannot commit the new one.
+func TestAnnouncementOfUncommittedVersion(t *testing.T) {
+	tests := map[string]struct {
+		version     string
+		incarnation registrar.Incarnation
+		serving     int
+	}{
+		"a later run of another version":    {version: "v2", incarnation: 2, serving: 0},
+		"a later run of the same version":   {version: "v1", incarnation: 2, serving: 1},
+		"an earlier run of another version": {version: "v2", incarnation: 0, serving: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r, _ := newVersionRouter(t)
+			r.tracker.Propose = func(context.Context, *state.Command) (*wire.ProposeReply, error) {
+				return nil, errors.New("no majority")
+			}
+			u := newVersionUpstream(t, "v1")
+			r.dispatcher.applyAnnouncement(u.announcement("one", "v1", 1, r.dispatcher.now()))
+			announced := u.announcement("one", test.version, test.incarnation, r.dispatcher.now())
+			if _, err := r.announceEndpoint(t.Context(), announcer.ToWire(&announced, r.dispatcher.now())); err == nil {
+				t.Error("the announcement is accepted although its version is not committed")
+			}
+			if serving := r.dispatcher.registry.Serving(registrar.KindService, streamService); len(serving) != test.serving {
+				t.Errorf("%d upstreams serve, want %d", len(serving), test.serving)
+			}
+		})
+	}
+}
--- a/internal/tabulator/tabulator.go
+++ b/internal/tabulator/tabulator.go
@@ -222,6 +222,17 @@
 	return departure, true
 }
 
+// WithdrawOutdated marks the upstreams of another version as leaving that an announcement shows to be
+// over, whether or not it can be applied itself.
+func (t *Table) WithdrawOutdated(u *registrar.Upstream) {
+	t.mu.Lock()
+	outdated := t.registry.Outdated(u)
+	t.mu.Unlock()
+	for _, known := range outdated {
+		t.Withdraw(known.ID, known.Incarnation)
+	}
+}
+
 // Depart records a committed departure.
 func (t *Table) Depart(d registrar.Departure) {
 	t.mu.Lock()
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -327,6 +327,24 @@
 	return true
 }
 
+// Outdated returns the serving upstreams of another version that an announcement shows to be over:
+// an earlier run of the same upstream and, if URLs are exclusive, another upstream at its URL that
+// started earlier. The caller must not modify them.
+func (r *Registry) Outdated(u *Upstream) []*Upstream {
+	var out []*Upstream
+	candidates := []*Upstream{r.upstreams[u.ID]}
+	if holder := r.byURL[u.URL]; holder != nil && holder.ID != u.ID {
+		candidates = append(candidates, r.upstreams[holder.ID])
+	}
+	for _, known := range candidates {
+		if known != nil && known.State == Serving && known.Incarnation < u.Incarnation && known.Version != u.Version &&
+			(known.ID == u.ID || known.URL == u.URL) {
+			out = append(out, known)
+		}
+	}
+	return out
+}
+
 // Renew extends the lease of an upstream as if it had made its latest announcement again
 // at a time. An earlier time has no effect. It returns false if the upstream is not known.
 func (r *Registry) Renew(id UpstreamID, announcedAt time.Duration) bool {
--- a/pkg/registrar/registrar_test.go
+++ b/pkg/registrar/registrar_test.go
@@ -182,3 +182,41 @@
 		})
 	}
 }
+
+// TestOutdated guards against an upstream that goes on for the version that it had, and against one
+// that is given up because of a late announcement or of an address that it has left.
+func TestOutdated(t *testing.T) {
+	known := Upstream{ID: "u", Incarnation: 5, Sequence: 1, URL: "http://a", Kind: KindModel, Serves: []string{"m"}, State: Serving, Version: "v1"}
+	moved := known
+	moved.Sequence, moved.URL = 2, "http://b"
+	left := known
+	left.Sequence, left.State = 2, Leaving
+	tests := map[string]struct {
+		known     []Upstream
+		announced Upstream
+		outdated  int
+	}{
+		"a later run":                        {known: []Upstream{known}, announced: Upstream{ID: "u", Incarnation: 6, URL: "http://a", Version: "v2"}, outdated: 1},
+		"a later run at another URL":         {known: []Upstream{known}, announced: Upstream{ID: "u", Incarnation: 6, URL: "http://c", Version: "v2"}, outdated: 1},
+		"a later run without a version":      {known: []Upstream{known}, announced: Upstream{ID: "u", Incarnation: 6, URL: "http://a"}, outdated: 1},
+		"a later run of the same version":    {known: []Upstream{known}, announced: Upstream{ID: "u", Incarnation: 6, URL: "http://a", Version: "v1"}},
+		"an earlier run":                     {known: []Upstream{known}, announced: Upstream{ID: "u", Incarnation: 4, URL: "http://a", Version: "v2"}},
+		"the same run":                       {known: []Upstream{known}, announced: Upstream{ID: "u", Incarnation: 5, URL: "http://a", Version: "v2"}},
+		"another upstream at the URL":        {known: []Upstream{known}, announced: Upstream{ID: "w", Incarnation: 6, URL: "http://a", Version: "v2"}, outdated: 1},
+		"an earlier upstream at the URL":     {known: []Upstream{known}, announced: Upstream{ID: "w", Incarnation: 4, URL: "http://a", Version: "v2"}},
+		"another one at a URL that was left": {known: []Upstream{known, moved}, announced: Upstream{ID: "w", Incarnation: 6, URL: "http://a", Version: "v2"}},
+		"one that is leaving":                {known: []Upstream{known, left}, announced: Upstream{ID: "u", Incarnation: 6, URL: "http://a", Version: "v2"}},
+		"one that is not known":              {announced: Upstream{ID: "u", Incarnation: 6, URL: "http://a", Version: "v2"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := NewExclusive(lease)
+			for _, u := range test.known {
+				r.Announce(0, u)
+			}
+			if got := r.Outdated(&test.announced); len(got) != test.outdated {
+				t.Errorf("%d upstreams are outdated, want %d", len(got), test.outdated)
+			}
+		})
+	}
+}
