--- /dev/null
+++ b/internal/parser/parser.go
@@ -0,0 +1,71 @@
+// Package parser parses values of headers that clients and upstreams send. What cannot be parsed is
+// bounded or left out, never trusted.
+package parser
+
+import (
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/comfreybend/comfreybend/pkg/picker"
+)
+
+const (
+	// DefaultRetryAfter is the pause that is kept if an upstream asks for one whose length
+	// cannot be read.
+	DefaultRetryAfter = time.Second
+	// MaxAttemptBytes bounds the id of an attempt that a client names.
+	MaxAttemptBytes = 256
+)
+
+// RetryAfter returns the pause that a Retry-After value asks for, at most longest.
+// The second result is false if the value is not a number of seconds from zero to
+// longest. No pause is kept for a negative one, and DefaultRetryAfter for a value that is
+// no number.
+func RetryAfter(text string, longest time.Duration) (time.Duration, bool) {
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	switch {
+	case err != nil && math.IsInf(seconds, 1), seconds > longest.Seconds():
+		return longest, false
+	case err != nil && !math.IsInf(seconds, -1), math.IsNaN(seconds):
+		return DefaultRetryAfter, false
+	case seconds < 0:
+		return 0, false
+	default:
+		return time.Duration(seconds * float64(time.Second)), true
+	}
+}
+
+// ResumedAttempt returns the attempt that brought the first event of the stream that a request
+// resumes, from the values of the header that names it. It is empty if there is none, if they differ, or if
+// it is too long to be an attempt of this system's clients.
+func ResumedAttempt(values []string) string {
+	if len(values) == 0 || len(values[0]) > MaxAttemptBytes {
+		return ""
+	}
+	for _, v := range values[1:] {
+		if v != values[0] {
+			return ""
+		}
+	}
+	return values[0]
+}
+
+// PromptParts parses a list of prompt parts: ID:TOKENS separated by commas. Numbers that
+// cannot be parsed count as zero, because the upstream reads the same list itself.
+func PromptParts(text string) []picker.PromptPart {
+	if text == "" {
+		return nil
+	}
+	var parts []picker.PromptPart
+	for _, entry := range strings.Split(text, ",") {
+		id, tokens, _ := strings.Cut(strings.TrimSpace(entry), ":")
+		n, err := strconv.ParseUint(strings.TrimSpace(tokens), 10, 31)
+		if err != nil {
+			n = 0
+		}
+		parts = append(parts, picker.PromptPart{ID: picker.PrefixID(id), Tokens: int(n)})
+	}
+	return parts
+}
--- a/internal/router/dialect.go
+++ b/internal/router/dialect.go
@@ -8,14 +8,12 @@
 	"time"
 
 	"github.com/comfreybend/comfreybend/internal/counter"
+	"github.com/comfreybend/comfreybend/internal/parser"
 	"github.com/comfreybend/comfreybend/internal/scanner"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 )
 
-// maxResumedBytes bounds the id of the attempt that a client names to resume a stream.
-const maxResumedBytes = 256
-
 type (
 	// Dialect adapts the router to the HTTP interface that clients and upstreams
 	// use: it translates their headers, status codes and refusals.
@@ -163,47 +161,14 @@
 		}
 		info.LastEventID = scanner.EventID(lastEventID)
 	}
-	info.Resumes = ResumedAttempt(request.Header.Values(HeaderResumes))
-	info.Prompt.Parts = ParsePromptParts(request.Header.Get(HeaderPromptParts))
+	info.Resumes = AttemptID(parser.ResumedAttempt(request.Header.Values(HeaderResumes)))
+	info.Prompt.Parts = parser.PromptParts(request.Header.Get(HeaderPromptParts))
 	for _, part := range info.Prompt.Parts {
 		info.Prompt.InputTokens += counter.TokenCount(part.Tokens)
 	}
 	return info, nil
 }
 
-// ResumedAttempt returns the attempt that brought the first event of the stream that a request
-// resumes, from the values of the header that names it. It is empty if there is none, if they differ, or if
-// it is too long to be an attempt of this system's clients.
-func ResumedAttempt(values []string) AttemptID {
-	if len(values) == 0 || len(values[0]) > maxResumedBytes {
-		return ""
-	}
-	for _, v := range values[1:] {
-		if v != values[0] {
-			return ""
-		}
-	}
-	return AttemptID(values[0])
-}
-
-// ParsePromptParts parses a list of prompt parts: ID:TOKENS separated by commas. Numbers that
-// cannot be parsed count as zero, because the upstream reads the same list itself.
-func ParsePromptParts(text string) []picker.PromptPart {
-	if text == "" {
-		return nil
-	}
-	var parts []picker.PromptPart
-	for _, entry := range strings.Split(text, ",") {
-		id, tokens, _ := strings.Cut(strings.TrimSpace(entry), ":")
-		n, err := strconv.ParseUint(strings.TrimSpace(tokens), 10, 31)
-		if err != nil {
-			n = 0
-		}
-		parts = append(parts, picker.PromptPart{ID: picker.PrefixID(id), Tokens: int(n)})
-	}
-	return parts
-}
-
 func setNativeAttemptHeaders(h http.Header, a AttemptInfo) {
 	h.Set(HeaderAttempt, string(a.ID))
 	h.Set(HeaderOrganisation, a.Organisation)
--- a/internal/router/isolation_test.go
+++ b/internal/router/isolation_test.go
@@ -353,23 +353,8 @@
 	awaitReport("after a restart")
 }
 
-// TestPromptParts checks the native header that lists the parts of a prompt.
-func TestPromptParts(t *testing.T) {
-	tests := map[string]struct {
-		text string
-		want []picker.PromptPart
-	}{
-		"none":      {},
-		"three":     {text: "a:10, b:20,c:3", want: []picker.PromptPart{{ID: "a", Tokens: 10}, {ID: "b", Tokens: 20}, {ID: "c", Tokens: 3}}},
-		"malformed": {text: "a,b:x,c:-4,d:99999999999999", want: []picker.PromptPart{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "d"}}},
-	}
-	for name, test := range tests {
-		t.Run(name, func(t *testing.T) {
-			if got := ParsePromptParts(test.text); fmt.Sprint(got) != fmt.Sprint(test.want) {
-				t.Errorf("parts %v, want %v", got, test.want)
-			}
-		})
-	}
+// TestSharedParts checks that the last part of a prompt does not count as shared.
+func TestSharedParts(t *testing.T) {
 	if ids := (&call{RequestInfo: RequestInfo{Prompt: promptOf("a", "b", "own")}}).sharedIDs(); fmt.Sprint(ids) != fmt.Sprint([]isolator.PartID{"a", "b"}) {
 		t.Errorf("shared parts %v, want all but the last", ids)
 	}
--- a/internal/router/notice.go
+++ b/internal/router/notice.go
@@ -1,24 +1,18 @@
 package router
 
 import (
-	"math"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/comfreybend/comfreybend/internal/parser"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 )
 
-const (
-	// defaultRetryAfter is the pause that is kept if an upstream asks for one whose length
-	// cannot be read.
-	defaultRetryAfter = time.Second
-	// maxLoggedBytes bounds what is logged of a header of an upstream.
-	maxLoggedBytes = 64
-)
+// maxLoggedBytes bounds what is logged of a header of an upstream.
+const maxLoggedBytes = 64
 
 // handleNotices passes on what the headers of a response say of the upstream besides its
 // load: that it is leaving or has been replaced by another run, that it wants no requests of this
@@ -39,7 +33,7 @@
 		return
 	}
 	longest := r.settings.GetEntry().GetUpstreamLimits().GetRetryAfter().AsDuration()
-	pause, ok := parseRetryAfter(info.RetryAfter, longest)
+	pause, ok := parser.RetryAfter(info.RetryAfter, longest)
 	if !ok {
 		r.log.Warn("upstream asks for a pause that is no usable number of seconds", zap.String("upstream", string(g.upstream.ID)),
 			zap.String("retryAfter", strconv.Quote(info.RetryAfter[:min(len(info.RetryAfter), maxLoggedBytes)])), zap.Duration("pause", pause))
@@ -49,24 +43,6 @@
 	}
 }
 
-// parseRetryAfter returns the pause that a Retry-After value asks for, at most longest.
-// The second result is false if the value is not a number of seconds from zero to
-// longest. No pause is kept for a negative one, and defaultRetryAfter for a value that is
-// no number.
-func parseRetryAfter(text string, longest time.Duration) (time.Duration, bool) {
-	seconds, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
-	switch {
-	case err != nil && math.IsInf(seconds, 1), seconds > longest.Seconds():
-		return longest, false
-	case err != nil && !math.IsInf(seconds, -1), math.IsNaN(seconds):
-		return defaultRetryAfter, false
-	case seconds < 0:
-		return 0, false
-	default:
-		return time.Duration(seconds * float64(time.Second)), true
-	}
-}
-
 // withdraw marks an upstream as leaving for the rest of its incarnation, also one whose lease
 // has ended here, and queues that for the control processes. It reports whether the upstream
 // was not leaving before.
--- a/internal/router/notice_test.go
+++ b/internal/router/notice_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -180,37 +179,6 @@
 	r.dispatcher.mu.Unlock()
 }
 
-// TestParseRetryAfter checks that absurd pauses are bounded.
-func TestParseRetryAfter(t *testing.T) {
-	const longest = 5 * time.Minute
-	tests := map[string]struct {
-		want time.Duration
-		ok   bool
-	}{
-		"0":                             {ok: true},
-		"2":                             {want: 2 * time.Second, ok: true},
-		" 0.25 ":                        {want: time.Second / 4, ok: true},
-		"300":                           {want: longest, ok: true},
-		"301":                           {want: longest},
-		"1e9":                           {want: longest},
-		"1e999":                         {want: longest},
-		"Inf":                           {want: longest},
-		"-1":                            {},
-		"-1e999":                        {},
-		"NaN":                           {want: defaultRetryAfter},
-		"soon":                          {want: defaultRetryAfter},
-		"Fri, 04 Dec 2026 12:00:00 GMT": {want: defaultRetryAfter},
-		strings.Repeat("9", 10_000):     {want: longest},
-	}
-	for text, test := range tests {
-		t.Run(text[:min(len(text), 40)], func(t *testing.T) {
-			if got, ok := parseRetryAfter(text, longest); got != test.want || ok != test.ok {
-				t.Errorf("parseRetryAfter() = %v, %t; want %v, %t", got, ok, test.want, test.ok)
-			}
-		})
-	}
-}
-
 // TestLeaveBeforeSend guards against a request to an upstream whose leave becomes known after
 // the upstream was chosen and before the request is sent: while a claim is committed or a
 // connection is established, which can take seconds.
--- a/internal/router/version_test.go
+++ b/internal/router/version_test.go
@@ -191,29 +191,6 @@
 	}
 }
 
-// TestResumedAttempt guards against requests that name the stream that they resume in ways that
-// cannot be relied on.
-func TestResumedAttempt(t *testing.T) {
-	tests := map[string]struct {
-		values []string
-		want   AttemptID
-	}{
-		"none":               {},
-		"one":                {values: []string{"a-1"}, want: "a-1"},
-		"doubled":            {values: []string{"a-1", "a-1"}, want: "a-1"},
-		"two":                {values: []string{"a-1", "a-2"}},
-		"the first is empty": {values: []string{"", "a-2"}},
-		"without end":        {values: []string{strings.Repeat("a", maxResumedBytes+1)}},
-	}
-	for name, test := range tests {
-		t.Run(name, func(t *testing.T) {
-			if got := ResumedAttempt(test.values); got != test.want {
-				t.Errorf("attempt %q, want %q", got, test.want)
-			}
-		})
-	}
-}
-
 // TestTakenUpStream guards against streams that a client takes up and that go on at another version
 // or service than the one that began them, and against requests that are bound although they take up
 // nothing.
