router: wait for a leader before a proposal fails

Cause: a proposal was sent to each control process once; while they elect a leader all refuse within milliseconds. Change: all are tried again for 1.5 s, longer than an election takes; a call without a majority is refused after that, as not run.

--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -157,22 +157,27 @@
 
 // propose commits a command through the first control process that replies. If
 // one fails, the command is sent to the next although it may have been
-// committed, so commands must be idempotent.
+// committed, so commands must be idempotent. All are tried again while there is no leader, for
+// leaderWait at most.
 func (p *controlPlane) propose(ctx context.Context, command *state.Command) (*wire.ProposeReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	var lastErr error
-	for _, client := range p.controlClients.All() {
-		reply, err := proposeThrough(ctx, client, command)
-		if err == nil {
-			return reply, nil
+	for end := timer.Now() + leaderWait; ; timer.Sleep(ctx, leaderWaitPause) {
+		for _, client := range p.controlClients.All() {
+			reply, err := proposeThrough(ctx, client, command)
+			if err == nil {
+				return reply, nil
+			}
+			lastErr = err
+			if ctx.Err() != nil {
+				return nil, lastErr
+			}
 		}
-		lastErr = err
-		if ctx.Err() != nil {
-			break
+		if timer.Now() >= end {
+			return nil, lastErr
 		}
 	}
-	return nil, lastErr
 }
 
 // proposeThrough proposes a command to one control process.
--- a/internal/router/controlplane.go
+++ b/internal/router/controlplane.go
@@ -30,6 +30,10 @@
 	// processes, and proposeAttemptTimeout one attempt.
 	proposeTimeout        = 4 * time.Second
 	proposeAttemptTimeout = time.Second
+	// leaderWait is the time for which a proposal waits for a leader, longer than the election
+	// that follows the planned stop of one.
+	leaderWait      = 1500 * time.Millisecond
+	leaderWaitPause = 50 * time.Millisecond
 )
 
 type (
--- a/internal/router/hedge_test.go
+++ b/internal/router/hedge_test.go
@@ -201,3 +201,39 @@
 	defer d.mu.Unlock()
 	return d.registry.Get(registrar.UpstreamID(id)) != nil
 }
+
+// TestProposalWaitsForLeader guards against calls that are refused while the control processes elect
+// a leader, as after a planned stop of the one before, and against refusals that are late when there
+// will be none.
+func TestProposalWaitsForLeader(t *testing.T) {
+	tests := map[string]struct {
+		// election is the time until there is a leader.
+		election time.Duration
+		accepted bool
+	}{
+		"a leader":                  {accepted: true},
+		"a short election":          {election: leaderWait / 2, accepted: true},
+		"no leader for a long time": {election: time.Minute},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			began := time.Now()
+			handle := func(context.Context, *wire.Request) *wire.Reply {
+				if time.Since(began) < test.election {
+					return &wire.Reply{Failure: &wire.Failure{Reason: "noLeader"}}
+				}
+				return &wire.Reply{Kind: &wire.Reply_Propose{Propose: &wire.ProposeReply{Outcome: &state.Outcome{Accepted: true}}}}
+			}
+			r := newTestRouter(t)
+			r.controlClients.SetSeeds([]string{startControl(t, handle), startControl(t, handle)})
+			t.Cleanup(r.controlClients.Close)
+			reply, err := r.controlPlane.propose(t.Context(), &state.Command{})
+			if reply.GetOutcome().GetAccepted() != test.accepted || (err == nil) != test.accepted {
+				t.Errorf("reply %v, error %v after %v", reply, err, time.Since(began))
+			}
+			if took := time.Since(began); !test.accepted && took > proposeTimeout {
+				t.Errorf("the failure took %v, want at most %v", took, proposeTimeout)
+			}
+		})
+	}
+}
