router: ignore unknown fields of what upstreams send

Cause: entry processes of the landed build reject announcements with version, a field of this build, so their upstreams are not used while both builds run (seen in the test of mixed versions). Change: fields that are not known are ignored, so that the next field does not repeat this. Measured: TestUnknownFields failed before (400) and passes.

--- a/internal/router/announcement.go
+++ b/internal/router/announcement.go
@@ -19,6 +19,9 @@
 // maxAnnouncementBytes bounds the body of an announcement.
 const maxAnnouncementBytes = 64 << 10
 
+// fromUpstream decodes what upstreams send. Later versions of them may send more.
+var fromUpstream = protojson.UnmarshalOptions{DiscardUnknown: true}
+
 // leaveSource is how an entry process has learnt that an upstream is leaving.
 type leaveSource string
 
@@ -51,7 +54,7 @@
 		return nil, refuse(http.StatusRequestEntityTooLarge, CodeTooLarge, err.Error())
 	}
 	u := &wire.Upstream{}
-	if err = protojson.Unmarshal(body, u); err != nil {
+	if err = fromUpstream.Unmarshal(body, u); err != nil {
 		return nil, refuse(http.StatusBadRequest, CodeMalformed, err.Error())
 	}
 	if err = validateAnnouncement(u); err != nil {
--- a/internal/router/cache.go
+++ b/internal/router/cache.go
@@ -5,8 +5,6 @@
 	"io"
 	"net/http"
 
-	"google.golang.org/protobuf/encoding/protojson"
-
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/wire"
@@ -21,7 +19,7 @@
 		return nil, refuse(http.StatusRequestEntityTooLarge, CodeTooLarge, err.Error())
 	}
 	e := &wire.CacheEvent{}
-	if err = protojson.Unmarshal(body, e); err != nil {
+	if err = fromUpstream.Unmarshal(body, e); err != nil {
 		return nil, refuse(http.StatusBadRequest, CodeMalformed, err.Error())
 	}
 	if e.GetUpstream() == "" || e.GetSequence() == 0 {
--- a/internal/router/version_test.go
+++ b/internal/router/version_test.go
@@ -304,3 +304,29 @@
 		})
 	}
 }
+
+// TestUnknownFields guards against upstreams of later versions that are rejected for what they send
+// besides.
+func TestUnknownFields(t *testing.T) {
+	tests := map[string]struct{ path, body string }{
+		"announcement": {
+			path: "/upstream/v1/announcements",
+			body: `{"id":"one","url":"http://127.0.0.1:1","kind":"service","serves":["s"],"state":"serving","load":{"slots":4,"later":1},"later":{"a":[1]}}`,
+		},
+		"cache event": {path: "/upstream/v1/cacheEvents", body: `{"upstream":"one","sequence":"1","stored":["p"],"later":true}`},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r, _ := newVersionRouter(t)
+			r.tracker.Propose = func(context.Context, *state.Command) (*wire.ProposeReply, error) {
+				return &wire.ProposeReply{Outcome: &state.Outcome{Accepted: true}}, nil
+			}
+			request := httptest.NewRequest(http.MethodPost, test.path, strings.NewReader(test.body))
+			response := httptest.NewRecorder()
+			r.announcementHandler().ServeHTTP(response, request)
+			if response.Code != http.StatusNoContent {
+				t.Errorf("status %d, body %s", response.Code, response.Body)
+			}
+		})
+	}
+}
