--- a/internal/testjudge/main.go
+++ b/internal/testjudge/main.go
@@ -132,6 +132,7 @@
 			passed++
 		case actionSkip:
 			skipped++
+			_, _ = fmt.Fprintf(w, "SKIPPED: %s %s\n%s", name.pkg, name.test, c.outputOf(name))
 		default:
 			if c.isKnown(name) {
 				knownFailures[name.pkg] = true
