--- a/test/integration/process_test.go
+++ b/test/integration/process_test.go
@@ -33,13 +33,7 @@
 	}
 	binary = filepath.Join(folder, "comfreybend")
 	flag.Parse()
-	arguments := []string{"build", "-o", binary}
-	if flag.Lookup("test.bench").Value.String() == "" {
-		arguments = append(arguments, "-race")
-	}
-	build := exec.Command("go", append(arguments, "../../cmd/comfreybend")...)
-	build.Stderr = os.Stderr
-	if err = build.Run(); err != nil {
+	if err = build("../..", binary); err != nil {
 		panic(err)
 	}
 	code := m.Run()
@@ -47,10 +41,23 @@
 	os.Exit(code)
 }
 
+// build builds the program from the sources in a folder.
+func build(folder, output string) error {
+	arguments := []string{"build", "-o", output}
+	if flag.Lookup("test.bench").Value.String() == "" {
+		arguments = append(arguments, "-race")
+	}
+	command := exec.Command("go", append(arguments, "./cmd/comfreybend")...)
+	command.Dir, command.Stderr = folder, os.Stderr
+	return command.Run()
+}
+
 // process is a running instance of the program.
 type process struct {
-	t       testing.TB
-	name    string
+	t    testing.TB
+	name string
+	// program is the program that start starts.
+	program string
 	args    []string
 	logPath string
 
@@ -61,11 +68,19 @@
 	exited chan struct{}
 }
 
-// startProcess starts the program and kills it at the end of the test. The log is shown if the test fails.
+// startProcess starts the program and kills it at the end of the test.
 func startProcess(t testing.TB, name string, args ...string) *process {
 	t.Helper()
-	p := &process{t: t, name: name, args: args, logPath: filepath.Join(t.TempDir(), name+".log")}
+	p := newProcess(t, binary, name, args...)
 	p.start()
+	return p
+}
+
+// newProcess returns a process of a program that is not started yet. It is killed at the end of the
+// test. The log is shown if the test fails.
+func newProcess(t testing.TB, program, name string, args ...string) *process {
+	t.Helper()
+	p := &process{t: t, name: name, program: program, args: args, logPath: filepath.Join(t.TempDir(), name+".log")}
 	t.Cleanup(func() {
 		p.kill()
 		p.checkLog()
@@ -79,7 +94,7 @@
 	if err != nil {
 		p.t.Fatal(err)
 	}
-	command := exec.Command(binary, p.args...)
+	command := exec.Command(p.program, p.args...)
 	command.Stdout = log
 	command.Stderr = log
 	if err = command.Start(); err != nil {
--- a/test/integration/system_test.go
+++ b/test/integration/system_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -38,6 +39,8 @@
 		controls int
 		// entries lists the failure domain of each entry process.
 		entries []string
+		// program is the one that the processes run, the one under test if it is empty.
+		program string
 		// adjustEntry and adjustControl change settings before the start.
 		adjustEntry   func(*settings.Settings)
 		adjustControl func(*settings.Settings)
@@ -146,11 +149,13 @@
 	}
 	for _, c := range s.controls {
 		c.settingsFile = s.writeSettings(c.id, s.controlSettings(c), l.adjustControl)
-		c.process = startProcess(t, c.id, "control", "--settings", c.settingsFile)
+		c.process = newProcess(t, cmp.Or(l.program, binary), c.id, "control", "--settings", c.settingsFile)
+		c.start()
 	}
 	for _, e := range s.entries {
 		e.settingsFile = s.writeSettings(e.id, s.entrySettings(e), l.adjustEntry)
-		e.process = startProcess(t, e.id, "entry", "--settings", e.settingsFile)
+		e.process = newProcess(t, cmp.Or(l.program, binary), e.id, "entry", "--settings", e.settingsFile)
+		e.start()
 	}
 	s.leader()
 	for _, e := range s.entries {
