sequencer, tabulator: find the changes of upstreams without looking at the whole table

Cause: each poll of an entry process went over all upstreams, all changes and all removals, also when nothing was new; every change wakes all polls.

Change: pkg/sequencer numbers changes and finds those after a position; leases that have ended are looked for a hundred times within a lease; places are computed five times a second. Upstreams that leave and have ended are removed when they are overdue, not listed as overdue with every renewal.

TestEndedUpstreamsAreRemoved failed before (listed as overdue).

--- a/internal/controller/loads.go
+++ b/internal/controller/loads.go
@@ -109,12 +109,17 @@
 	parts, position := t.cachedParts.Since(now, gatherer.Position(cachedPartsAfter))
 	reply.HeldPosition = uint64(position)
 	if len(places) > maxDetailedUpstreams {
+		// The place of an upstream that is new may not be known yet.
+		elsewhere := func(id registrar.UpstreamID) bool {
+			place, known := places[id]
+			return known && place.Domain != domain
+		}
 		for id := range sums {
-			if places[id].Domain != domain {
+			if elsewhere(id) {
 				delete(sums, id)
 			}
 		}
-		parts = slices.DeleteFunc(parts, func(p picker.CachedPart) bool { return places[p.Upstream].Domain != domain })
+		parts = slices.DeleteFunc(parts, func(p picker.CachedPart) bool { return elsewhere(p.Upstream) })
 		for place, load := range t.sumByPlace(now, places) {
 			if place.Domain != domain {
 				reply.DomainLoads = append(reply.DomainLoads, load)
--- a/internal/tabulator/encoded.go
+++ b/internal/tabulator/encoded.go
@@ -7,7 +7,6 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/comfreybend/comfreybend/internal/announcer"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
@@ -45,15 +44,11 @@
 	if n := len(t.encoded); n > 0 && now-t.encoded[n-1].at < encodedCacheTime {
 		return t.encoded[n-1], now - t.encoded[n-1].at, nil
 	}
-	all := &wire.Upstreams{}
-	for _, u := range t.registry.All() {
-		all.Upstreams = append(all.Upstreams, announcer.ToWire(u, now))
-	}
-	data, err := proto.Marshal(all)
+	data, err := proto.Marshal(&wire.Upstreams{Upstreams: t.rows(now)})
 	if err != nil {
 		return nil, 0, errors.Wrap(err, "encoding the upstreams")
 	}
-	e := &Encoded{Data: data, Digest: xxhash.Sum64(data), Position: t.position, at: now}
+	e := &Encoded{Data: data, Digest: xxhash.Sum64(data), Position: uint64(t.changes.Position()), at: now}
 	if len(data) == 0 {
 		return e, 0, nil
 	}
--- a/internal/tabulator/tabulator.go
+++ b/internal/tabulator/tabulator.go
@@ -5,12 +5,12 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/comfreybend/comfreybend/internal/announcer"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
+	"github.com/comfreybend/comfreybend/pkg/sequencer"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
@@ -31,8 +31,11 @@
 	// maxRows is the number of upstreams in one reply to a poll, unless that is for the whole
 	// table: on a slow link the reply arrives within the timeout of the poll.
 	maxRows = 512
-	// renewalCacheTime is the time for which the renewals for entry processes are computed once.
-	renewalCacheTime = 200 * time.Millisecond
+	// cacheTime is the time for which the renewals for entry processes and the places are
+	// computed once.
+	cacheTime = 200 * time.Millisecond
+	// expiriesPerLease is how often within a lease the table looks for leases that have ended.
+	expiriesPerLease = 100
 )
 
 // Table holds the upstreams that announce themselves to the control
@@ -51,15 +54,15 @@
 	registry *registrar.Registry
 	// tableID distinguishes this table from those of earlier processes on the same host.
 	tableID uint64
-	// position is the number of the latest change.
-	position uint64
-	// changes holds the position of the latest change of each upstream.
-	changes map[registrar.UpstreamID]uint64
-	// removals holds the upstreams that were removed lately.
-	removals map[registrar.UpstreamID]upstreamRemoval
+	// changes numbers the changes of upstreams. One that is not in the registry was removed.
+	changes *sequencer.Sequencer[registrar.UpstreamID]
+	// removals holds the latest removals, oldest first.
+	removals []upstreamRemoval
 	// forgottenPosition is the greatest position of a removal that is not kept any more.
 	// Who has not got further needs the whole table.
-	forgottenPosition uint64
+	forgottenPosition sequencer.Position
+	// expiredAt is when the table last looked for leases that have ended.
+	expiredAt time.Duration
 	// updated is closed and replaced at each change.
 	updated chan struct{}
 	// unsent holds the changed announcements to send to the other control processes.
@@ -73,9 +76,9 @@
 	renewalsAtTime time.Duration
 	// encoded holds the latest encoded tables, oldest first.
 	encoded []*Encoded
-	// placesCache is the result of places at placesPosition.
-	placesCache    Places
-	placesPosition uint64
+	// places is the cached result of Places, computed at placesAt.
+	places   Places
+	placesAt time.Duration
 	// wholeSentAt holds, by host, when an entry process that does not accept renewals last
 	// got the whole table.
 	wholeSentAt map[string]time.Duration
@@ -104,23 +107,26 @@
 	LeaveCommitted LeaveSource = "log"
 )
 
-// upstreamRemoval is the position and time of the removal of an upstream.
+// upstreamRemoval is the removal of an upstream.
 type upstreamRemoval struct {
-	position  uint64
+	id        registrar.UpstreamID
+	position  sequencer.Position
 	removedAt time.Duration
 }
 
 // New returns an empty table of upstreams whose announcements hold for a lease.
 func New(lease time.Duration) *Table {
+	registry := registrar.NewExclusive(lease)
+	// One that has ended is removed when it is overdue, rather than listed as overdue.
+	registry.LeavingLease = lease / overdueDivisor
 	return &Table{
 		lease:     lease,
 		now:       timer.Now,
 		createdAt: timer.Now(),
-		registry:  registrar.NewExclusive(lease),
+		registry:  registry,
 		// Never zero, the value in a request that names no table.
 		tableID:       rand.Uint64() | 1,
-		changes:       map[registrar.UpstreamID]uint64{},
-		removals:      map[registrar.UpstreamID]upstreamRemoval{},
+		changes:       sequencer.New[registrar.UpstreamID](),
 		updated:       make(chan struct{}),
 		unsent:        map[registrar.UpstreamID]bool{},
 		renewable:     map[registrar.UpstreamID]bool{},
@@ -193,9 +199,7 @@
 // recordChange gives the change of an upstream the next position and wakes the polls
 // that wait for one.
 func (t *Table) recordChange(id registrar.UpstreamID) {
-	t.position++
-	t.changes[id] = t.position
-	delete(t.removals, id)
+	t.changes.Record(id)
 	close(t.updated)
 	t.updated = make(chan struct{})
 }
@@ -212,60 +216,46 @@
 	defer t.mu.Unlock()
 	now := t.now()
 	t.expire(now)
-	reply = &wire.FollowReply{Table: t.tableID, Position: t.position}
-	if table != t.tableID || position < t.forgottenPosition || position == 0 {
-		position = 0
-		reply.WholeTable = true
+	after := sequencer.Position(position)
+	reply = &wire.FollowReply{
+		Table: t.tableID, Position: uint64(t.changes.Position()),
+		WholeTable: table != t.tableID || after < t.forgottenPosition || after == 0 || t.mostChangedSince(after),
 	}
-	end, most := t.pageEnd(position)
-	if most && !reply.WholeTable {
-		position = 0
-		reply.WholeTable = true
-	}
-	if position == t.position || reply.WholeTable && !withRows {
-		return reply, t.updated
-	}
-	if !reply.WholeTable {
-		reply.Position = end
-	}
-	for id, changed := range t.changes {
-		if changed > position && changed <= reply.GetPosition() {
-			reply.Upstreams = append(reply.Upstreams, announcer.ToWire(t.registry.Get(id), now))
+	if reply.WholeTable {
+		if withRows {
+			reply.Upstreams = t.rows(now)
 		}
+		return reply, t.updated
 	}
-	if !reply.WholeTable {
-		for id, r := range t.removals {
-			if r.position > position && r.position <= reply.GetPosition() {
-				reply.Removed = append(reply.Removed, string(id))
-			}
+	changed, reached := t.changes.Since(after, maxRows)
+	reply.Position = uint64(reached)
+	for _, id := range changed {
+		if u := t.registry.Get(id); u != nil {
+			reply.Upstreams = append(reply.Upstreams, announcer.ToWire(u, now))
+		} else {
+			reply.Removed = append(reply.Removed, string(id))
 		}
 	}
 	return reply, t.updated
 }
 
-// pageEnd returns the position of the last of the earliest maxRows changes after a position, or the
-// current one if there are not more. If there are, most reports whether they concern most of the
-// table.
-func (t *Table) pageEnd(position uint64) (end uint64, most bool) {
-	if t.position-position <= maxRows {
-		return t.position, false
-	}
-	var later []uint64
-	for _, changed := range t.changes {
-		if changed > position {
-			later = append(later, changed)
-		}
-	}
-	for _, r := range t.removals {
-		if r.position > position {
-			later = append(later, r.position)
-		}
+// mostChangedSince reports whether most of the table, and more than a page of it, has changed after a
+// position.
+func (t *Table) mostChangedSince(after sequencer.Position) bool {
+	if t.changes.Position()-min(after, t.changes.Position()) <= maxRows {
+		return false
 	}
-	if len(later) <= maxRows {
-		return t.position, false
+	most := max(maxRows, t.registry.Len()/2) + 1
+	return t.changes.CountSince(after, most) >= most
+}
+
+// rows returns the rows of all upstreams, ordered by id.
+func (t *Table) rows(now time.Duration) []*wire.Upstream {
+	out := make([]*wire.Upstream, 0, t.registry.Len())
+	for _, u := range t.registry.All() {
+		out = append(out, announcer.ToWire(u, now))
 	}
-	slices.Sort(later)
-	return later[maxRows-1], len(later) > len(t.changes)/2
+	return out
 }
 
 // RenewalsNow returns the renewals of the leases of all upstreams in the table. The result
@@ -274,18 +264,18 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	if t.renewals != nil && now-t.renewalsAtTime < renewalCacheTime {
+	if t.renewals != nil && now-t.renewalsAtTime < cacheTime {
 		return &wire.Renewals{AgeMillis: t.renewals.GetAgeMillis() + (now - t.renewalsAtTime).Milliseconds(), Overdue: t.renewals.GetOverdue()}
 	}
 	t.renewals, t.renewalsAtTime = &wire.Renewals{}, now
-	for _, u := range t.registry.All() {
+	t.registry.Each(func(u *registrar.Upstream) {
 		age := now - u.AnnouncedAt
 		if age > t.lease/overdueDivisor {
 			t.renewals.Overdue = append(t.renewals.Overdue, string(u.ID))
-			continue
+			return
 		}
 		t.renewals.AgeMillis = max(t.renewals.AgeMillis, age.Milliseconds())
-	}
+	})
 	return t.renewals
 }
 
@@ -302,22 +292,31 @@
 	return true
 }
 
-// expire removes the upstreams whose lease has expired, and forgets old removals.
+// expire removes the upstreams whose lease has expired, and forgets old removals. It does so a number of
+// times within a lease, since polls are many.
 func (t *Table) expire(now time.Duration) {
+	if now-t.expiredAt < t.lease/expiriesPerLease {
+		return
+	}
+	t.expiredAt = now
 	for _, id := range t.registry.Expire(now) {
-		t.position++
-		t.removals[id] = upstreamRemoval{position: t.position, removedAt: now}
-		delete(t.changes, id)
+		t.removals = append(t.removals, upstreamRemoval{id: id, position: t.changes.Record(id), removedAt: now})
 		delete(t.unsent, id)
 		delete(t.renewable, id)
 		delete(t.renewalSentAt, id)
 	}
-	for id, r := range t.removals {
-		if now-r.removedAt > removalRetention {
+	old := 0
+	for _, r := range t.removals {
+		if now-r.removedAt <= removalRetention {
+			break
+		}
+		old++
+		if t.changes.PositionOf(r.id) == r.position {
+			t.changes.Forget(r.id)
 			t.forgottenPosition = max(t.forgottenPosition, r.position)
-			delete(t.removals, id)
 		}
 	}
+	t.removals = t.removals[old:]
 }
 
 // TakeUnsent returns the changed announcements to send to the other control processes and
@@ -362,19 +361,19 @@
 func (t *Table) Places() Places {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.placesCache != nil && t.placesPosition == t.position {
-		return t.placesCache
+	now := t.now()
+	if t.places != nil && now-t.placesAt < cacheTime {
+		return t.places
 	}
-	t.placesCache, t.placesPosition = Places{}, t.position
-	for id := range t.changes {
-		u := t.registry.Get(id)
+	t.places, t.placesAt = make(Places, t.registry.Len()), now
+	t.registry.Each(func(u *registrar.Upstream) {
 		place := Place{Domain: u.FailureDomain}
 		if len(u.Serves) > 0 {
 			place.Serves = u.Serves[0]
 		}
-		t.placesCache[id] = place
-	}
-	return t.placesCache
+		t.places[u.ID] = place
+	})
+	return t.places
 }
 
 // AddLacking adds the upstreams with the given ids to a reply, as far as they are in the table.
@@ -401,9 +400,5 @@
 	defer t.mu.Unlock()
 	now := t.now()
 	t.expire(now)
-	var out []*wire.Upstream
-	for _, u := range t.registry.All() {
-		out = append(out, announcer.ToWire(u, now))
-	}
-	return out
+	return t.rows(now)
 }
--- a/internal/tabulator/tabulator_test.go
+++ b/internal/tabulator/tabulator_test.go
@@ -224,6 +224,38 @@
 	}
 }
 
+// TestEndedUpstreamsAreRemoved guards against lists of overdue upstreams that every entry process gets
+// with each renewal: upstreams that have left and ended are removed once they are overdue, and those that
+// go on to announce that they are leaving are kept.
+func TestEndedUpstreamsAreRemoved(t *testing.T) {
+	const lease = time.Minute
+	now := time.Hour
+	table := New(lease)
+	table.now = func() time.Duration { return now }
+	announce := func(id string, state registrar.State) {
+		u := announcement(id, 1, state)
+		u.AnnouncedAt, u.Sequence = now, registrar.Sequence(now)
+		table.Update(u, true)
+	}
+	for _, id := range []string{"ended", "finishing", "serving"} {
+		announce(id, registrar.Serving)
+	}
+	start := uint64(table.changes.Position())
+	announce("ended", registrar.Leaving)
+	for range 6 {
+		announce("finishing", registrar.Leaving)
+		announce("serving", registrar.Serving)
+		now += lease / overdueDivisor / 5
+	}
+	reply, _ := table.ChangesSince(table.tableID, start, false)
+	if len(reply.GetRemoved()) != 1 || reply.GetRemoved()[0] != "ended" || len(reply.GetUpstreams()) != 1 {
+		t.Errorf("removals %v and %d rows, want the one that has ended, and the other one that leaves", reply.GetRemoved(), len(reply.GetUpstreams()))
+	}
+	if overdue := table.RenewalsNow().GetOverdue(); len(overdue) > 0 {
+		t.Errorf("%v are overdue, want none", overdue)
+	}
+}
+
 // TestRenewalsKeepLeases runs two control processes at their real pace in simulated time.
 // Upstreams announce themselves to one of them only; neither may ever count one that goes on
 // announcing itself as overdue, or its lease would end at the entry processes.
@@ -337,7 +369,7 @@
 		}
 	}
 	unchanged()
-	start := table.position
+	start := uint64(table.changes.Position())
 	for i := range 3 * maxRows {
 		announce(i, 2)
 	}
@@ -350,7 +382,7 @@
 		announce(i, 3)
 	}
 	position, rows, removed := start, map[string]bool{}, map[string]bool{}
-	for position != table.position {
+	for position != uint64(table.changes.Position()) {
 		reply, _ := table.ChangesSince(table.tableID, position, false)
 		if reply.GetWholeTable() || reply.GetPosition() <= position || len(reply.GetUpstreams())+len(reply.GetRemoved()) > maxRows {
 			t.Fatalf("%d rows and %d removals up to %d after %d, whole table: %t; want at most %d changes",
@@ -383,7 +415,7 @@
 	for i := range 4 * maxRows {
 		announce(i, 1)
 	}
-	start := table.position
+	start := uint64(table.changes.Position())
 	for i := range 2 * maxRows {
 		announce(i, 2)
 	}
@@ -398,7 +430,7 @@
 	if reply, _ = table.ChangesSince(table.tableID, start, true); !reply.GetWholeTable() || len(reply.GetUpstreams()) != 4*maxRows {
 		t.Errorf("whole table: %t, with %d rows; want %d", reply.GetWholeTable(), len(reply.GetUpstreams()), 4*maxRows)
 	}
-	if reply, _ = table.ChangesSince(table.tableID, table.position, false); reply.GetWholeTable() {
+	if reply, _ = table.ChangesSince(table.tableID, uint64(table.changes.Position()), false); reply.GetWholeTable() {
 		t.Error("nothing has changed, and the whole table is to be fetched")
 	}
 }
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -86,6 +86,10 @@
 	// Registry holds the latest announcement of each upstream. It is not safe for
 	// concurrent use.
 	Registry struct {
+		// LeavingLease is the lease of upstreams that are leaving, the same as of the others at
+		// first. Those that have ended announce themselves no more.
+		LeavingLease time.Duration
+
 		lease     time.Duration
 		upstreams map[UpstreamID]*Upstream
 		// serving caches the results of Serving until an announcement changes them.
@@ -121,6 +125,8 @@
 // New returns an empty registry in which each lease lasts for the given duration.
 func New(lease time.Duration) *Registry {
 	return &Registry{
+		LeavingLease: lease,
+
 		lease:     lease,
 		upstreams: map[UpstreamID]*Upstream{},
 		serving:   map[servingKey][]*Upstream{},
@@ -224,7 +230,7 @@
 func (r *Registry) Expire(now time.Duration) []UpstreamID {
 	var expired []UpstreamID
 	for id, u := range r.upstreams {
-		if now-u.AnnouncedAt >= r.lease {
+		if age := now - u.AnnouncedAt; age >= r.lease || u.State == Leaving && age >= r.LeavingLease {
 			delete(r.upstreams, id)
 			r.invalidateServing(u)
 			if r.byURL[u.URL] == u {
@@ -254,6 +260,13 @@
 	return false
 }
 
+// Each calls visit with each upstream, in no particular order. It must not modify it.
+func (r *Registry) Each(visit func(*Upstream)) {
+	for _, u := range r.upstreams {
+		visit(u)
+	}
+}
+
 // All returns all upstreams, ordered by ID. The caller must not modify them.
 func (r *Registry) All() []*Upstream {
 	out := make([]*Upstream, 0, len(r.upstreams))
