gatherer, controller: serve polls by what has changed

Cause: the reply to a poll with load went over the sums of all upstreams, and twice over all live entry processes, whose ids were hashed and sorted each time. Change: gatherer numbers published sums with pkg/sequencer; the live entry processes are counted again after 0.2 s or when one comes.

--- a/internal/controller/follow.go
+++ b/internal/controller/follow.go
@@ -28,6 +28,8 @@
 	// entryPollTimeout is the time after which an entry process is no longer considered
 	// live if it has not polled and no gossip message has named it.
 	entryPollTimeout = 5 * time.Second
+	// countTime is the time for which the number of live entry processes is used.
+	countTime = 200 * time.Millisecond
 	// discoveryTime is the time from the start of a process in which all live entry processes
 	// have polled a control process and gossip has named them.
 	discoveryTime = 2 * maxGossipInterval
@@ -59,6 +61,13 @@
 	// lack announcements of this process.
 	lacking, lackedBy map[string]bool
 	createdAt         time.Duration
+	// counted is how many entry processes are live and, once all are known, the ids of their hosts;
+	// computed at countedAt.
+	counted struct {
+		entries int
+		ids     []uint64
+	}
+	countedAt time.Duration
 }
 
 func newClusterView() *clusterView {
@@ -109,7 +118,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := timer.Now()
-	v.entries[host] = now
+	v.addEntry(host, now)
 	v.localEntries[host] = now
 }
 
@@ -122,7 +131,7 @@
 	v.failureDomains[s.GetHost()] = s.GetFailureDomain()
 	v.gossipReceived[s.GetHost()] = now
 	for _, host := range s.GetEntryHosts() {
-		v.entries[host] = now
+		v.addEntry(host, now)
 	}
 }
 
@@ -137,19 +146,39 @@
 func (v *clusterView) entryCount() int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	dropSilent(v.entries)
-	return len(v.entries)
+	v.count()
+	return v.counted.entries
 }
 
 // entryIDs returns the ids of the hosts of the live entry processes, or nil until they are known.
 func (v *clusterView) entryIDs() []uint64 {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if timer.Now()-v.createdAt < discoveryTime {
-		return nil
+	v.count()
+	return v.counted.ids
+}
+
+// count counts the live entry processes, unless that was done within countTime and none was added
+// since: each poll asks for them.
+func (v *clusterView) count() {
+	now := timer.Now()
+	if v.counted.ids != nil && now-v.countedAt < countTime {
+		return
 	}
+	v.countedAt = now
 	dropSilent(v.entries)
-	return announcer.HostIDs(slices.Collect(maps.Keys(v.entries)))
+	v.counted.entries, v.counted.ids = len(v.entries), nil
+	if now-v.createdAt >= discoveryTime {
+		v.counted.ids = announcer.HostIDs(slices.Collect(maps.Keys(v.entries)))
+	}
+}
+
+// addEntry records that an entry process is live.
+func (v *clusterView) addEntry(host string, now time.Duration) {
+	if _, known := v.entries[host]; !known {
+		v.counted.ids = nil
+	}
+	v.entries[host] = now
 }
 
 // addEntryHosts adds the number of live entry processes to the reply to a poll, and their ids if
--- a/pkg/gatherer/gatherer.go
+++ b/pkg/gatherer/gatherer.go
@@ -12,7 +12,12 @@
 // Times are readings of one monotonic clock.
 package gatherer
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"github.com/comfreybend/comfreybend/pkg/sequencer"
+)
 
 const (
 	// minPublishedChange is the least change of a sum's pending tokens that is
@@ -49,8 +54,10 @@
 		lifetime time.Duration
 		reports  map[Source]report[K]
 		sums     map[K]*sum
-		// position is that of the latest published change.
-		position Position
+		// published numbers the published changes.
+		published *sequencer.Sequencer[K]
+		// expiredAt is when the sums that have long been zero were dropped last.
+		expiredAt time.Duration
 	}
 
 	report[K comparable] struct {
@@ -60,10 +67,8 @@
 
 	sum struct {
 		current Load
-		// published is the load that readers get; position and publishedAt are the
-		// position and the time of its publication.
+		// published is the load that readers get, publishedAt the time of its publication.
 		published   Load
-		position    Position
 		publishedAt time.Duration
 	}
 )
@@ -71,7 +76,7 @@
 // New returns an empty Gatherer that drops the report of a source that has not
 // reported again within lifetime.
 func New[K comparable](lifetime time.Duration) *Gatherer[K] {
-	return &Gatherer[K]{lifetime: lifetime, reports: map[Source]report[K]{}, sums: map[K]*sum{}}
+	return &Gatherer[K]{lifetime: lifetime, reports: map[Source]report[K]{}, sums: map[K]*sum{}, published: sequencer.New[K]()}
 }
 
 // Update replaces the report of source by loads. A key that is missing from loads
@@ -98,13 +103,12 @@
 // reader that calls Since less than once in five lifetimes can miss the zero.
 func (g *Gatherer[K]) Since(now time.Duration, after Position) (map[K]Load, Position) {
 	g.expire(now)
-	out := map[K]Load{}
-	for key, s := range g.sums {
-		if s.position > after {
-			out[key] = s.published
-		}
+	keys, position := g.published.Since(sequencer.Position(after), math.MaxInt)
+	out := make(map[K]Load, len(keys))
+	for _, key := range keys {
+		out[key] = g.sums[key].published
 	}
-	return out, g.position
+	return out, Position(position)
 }
 
 // applyDelta adds a change to a sum and publishes the sum if it has changed enough.
@@ -118,8 +122,8 @@
 	s.current.PendingTokens += delta.PendingTokens
 	s.current.UncachedTokens += delta.UncachedTokens
 	if s.current.needsPublishing(s.published) {
-		g.position++
-		s.published, s.position, s.publishedAt = s.current, g.position, now
+		g.published.Record(key)
+		s.published, s.publishedAt = s.current, now
 	}
 }
 
@@ -149,9 +153,14 @@
 			delete(g.reports, source)
 		}
 	}
+	if now-g.expiredAt < g.lifetime {
+		return
+	}
+	g.expiredAt = now
 	for key, s := range g.sums {
 		if s.current == (Load{}) && now-s.publishedAt > zeroRetentionLifetimes*g.lifetime {
 			delete(g.sums, key)
+			g.published.Forget(key)
 		}
 	}
 }
