tabulator, router: send the leaves of many upstreams as runs, pages by their bytes

Cause: an upstream that leaves was a whole row of its table for every poll, and when more than half of the table left within seconds every entry process fetched the whole table, again and again, from two control processes each.

Change: polls get the run of such an upstream, 28 bytes instead of 144, unless its shutdown time has to be told; a page is bounded by bytes. Earlier entry processes get rows.

--- a/internal/controller/follow.go
+++ b/internal/controller/follow.go
@@ -12,6 +12,7 @@
 	"github.com/comfreybend/comfreybend/internal/announcer"
 	"github.com/comfreybend/comfreybend/internal/collector"
 	"github.com/comfreybend/comfreybend/internal/messenger"
+	"github.com/comfreybend/comfreybend/internal/tabulator"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/synchronizer"
 	"github.com/comfreybend/comfreybend/pkg/timer"
@@ -282,12 +283,14 @@
 	}
 	for {
 		configurationChanged := c.stateMachine.Changed()
-		reply, tableUpdated := c.upstreamTable.ChangesSince(table, f.GetPosition(), !f.GetAcceptsRenewals())
+		reply, tableUpdated := c.upstreamTable.ChangesSince(tabulator.Reader{
+			Table: table, Position: f.GetPosition(), WithRows: !f.GetAcceptsRenewals(), AcceptsLeaving: f.GetAcceptsLeaving(),
+		})
 		c.upstreamTable.AddLacking(reply, f.GetLacking())
 		evidenceUpdated := c.addEvidence(reply, f)
 		reply.Revision = uint64(c.stateMachine.Revision())
 		remaining := until - timer.Now()
-		if reply.GetWholeTable() || reply.GetEvidence() != nil || len(reply.GetUpstreams())+len(reply.GetRemoved()) > 0 || reply.GetRevision() > knownRevision || remaining <= 0 {
+		if reply.GetWholeTable() || reply.GetEvidence() != nil || len(reply.GetUpstreams())+len(reply.GetLeaving())+len(reply.GetRemoved()) > 0 || reply.GetRevision() > knownRevision || remaining <= 0 {
 			return reply
 		}
 		select {
--- a/internal/router/announcement.go
+++ b/internal/router/announcement.go
@@ -125,13 +125,18 @@
 
 // applyDepartures applies the departures in a sync reply and returns the position reached.
 func (r *Router) applyDepartures(reply *wire.SyncReply, sender string) registrar.Position {
-	for _, run := range reply.GetDepartures() {
+	r.applyLeaving(reply.GetDepartures(), leaveCommitted, sender)
+	return registrar.Position(reply.GetDeparturePosition())
+}
+
+// applyLeaving applies that runs of upstreams are leaving, also of those that are not known here.
+func (r *Router) applyLeaving(runs []*wire.UpstreamRun, source leaveSource, sender string) {
+	for _, run := range runs {
 		d := registrar.Departure{ID: registrar.UpstreamID(run.GetId()), Incarnation: registrar.Incarnation(run.GetIncarnation())}
 		if u := r.dispatcher.depart(d); u != nil {
-			r.logLeave(*u, leaveCommitted, sender)
+			r.logLeave(*u, source, sender)
 		}
 	}
-	return registrar.Position(reply.GetDeparturePosition())
 }
 
 func (r *Router) logLeave(u registrar.Upstream, source leaveSource, sender string) {
--- a/internal/router/control_poller.go
+++ b/internal/router/control_poller.go
@@ -193,6 +193,7 @@
 	for _, u := range reply.GetUpstreams() {
 		p.router.applyAnnouncement(announcer.FromWire(u, now), leavePolled, control)
 	}
+	p.router.applyLeaving(reply.GetLeaving(), leavePolled, control)
 }
 
 // rankControl prefers other control processes to one that lags behind the majority.
@@ -302,6 +303,7 @@
 		Position:        from.position,
 		WaitMillis:      maxPollWait.Milliseconds(),
 		AcceptsRenewals: true,
+		AcceptsLeaving:  true,
 		WantUnconfirmed: p.router.controlPlane.hasConfiguration() || timer.Now()-p.startedAt > unconfirmedDelay,
 		FetchesChanges:  true,
 
--- a/internal/router/notice_test.go
+++ b/internal/router/notice_test.go
@@ -249,3 +249,28 @@
 		})
 	}
 }
+
+// TestPolledLeaves guards against requests to upstreams of which a control process tells only that their
+// runs are leaving, also when their rows arrive later.
+func TestPolledLeaves(t *testing.T) {
+	r, server, upstreams := newNoticeRouter(t, "one", "two")
+	urls := map[registrar.UpstreamID]string{}
+	for id := range upstreams {
+		urls[id] = r.dispatcher.registry.Get(id).URL
+	}
+	run := func(id string, incarnation uint64) *wire.UpstreamRun {
+		return &wire.UpstreamRun{Id: id, Incarnation: incarnation}
+	}
+	p := newControlPoller(r)
+	p.applyUpstreams("control", &wire.FollowReply{Leaving: []*wire.UpstreamRun{run("one", 1), run("two", 2), run("unknown", 3)}})
+	r.dispatcher.applyAnnouncement(noticeAnnouncement("one", urls["one"], 1, 9, r.dispatcher.now()))
+	r.dispatcher.applyAnnouncement(noticeAnnouncement("two", urls["two"], 1, 9, r.dispatcher.now()))
+	r.dispatcher.applyAnnouncement(noticeAnnouncement("unknown", urls["one"], 3, 1, r.dispatcher.now()))
+	if status, _ := get(t, server.URL); status != http.StatusServiceUnavailable || upstreams["one"].calls.Load()+upstreams["two"].calls.Load() > 0 {
+		t.Errorf("status %d, %d and %d requests; want 503 and none", status, upstreams["one"].calls.Load(), upstreams["two"].calls.Load())
+	}
+	r.dispatcher.applyAnnouncement(noticeAnnouncement("one", urls["one"], 2, 1, r.dispatcher.now()))
+	if status, _ := get(t, server.URL); status != http.StatusOK || upstreams["one"].calls.Load() != 1 {
+		t.Errorf("status %d, %d requests; want the next run to serve", status, upstreams["one"].calls.Load())
+	}
+}
--- a/internal/tabulator/tabulator.go
+++ b/internal/tabulator/tabulator.go
@@ -4,6 +4,7 @@
 package tabulator
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -31,6 +32,13 @@
 	// maxRows is the number of upstreams in one reply to a poll, unless that is for the whole
 	// table: on a slow link the reply arrives within the timeout of the poll.
 	maxRows = 512
+	// rowBytes, leavingBytes and removalBytes are about the sizes of a row, of the run of an
+	// upstream that is leaving, and of a removal.
+	rowBytes     = 144
+	leavingBytes = 28
+	removalBytes = 16
+	// maxPageBytes bounds the changes in one reply.
+	maxPageBytes = maxRows * rowBytes
 	// cacheTime is the time for which the renewals for entry processes and the places are
 	// computed once.
 	cacheTime = 200 * time.Millisecond
@@ -87,6 +95,17 @@
 	OnLeaving func(u *registrar.Upstream, source LeaveSource)
 }
 
+// Reader is a process that reads the changes of a table.
+type Reader struct {
+	// Table is the table that the reader has read, and Position the position that it has reached there.
+	Table, Position uint64
+	// WithRows is whether a reply for the whole table holds its rows.
+	WithRows bool
+	// AcceptsLeaving is whether the reader gets the runs of upstreams that are leaving in place of
+	// their rows.
+	AcceptsLeaving bool
+}
+
 // Place is a failure domain and what is served there.
 type Place struct {
 	Domain registrar.FailureDomain
@@ -204,49 +223,80 @@
 	t.updated = make(chan struct{})
 }
 
-// ChangesSince returns the upstreams that changed after a position of a table and those
+// ChangesSince returns the upstreams that changed after the reader's position and those
 // that were removed, and a channel that is closed at the next change. A position of
 // another table, or one whose removals are not known any more, counts as zero; the reply
-// is then for the whole table, which holds its rows only if withRows is set; see
-// EncodedUpstreams. The same holds if most of the table has changed: entry processes fetch one
+// is then for the whole table, which holds its rows only if the reader wants them; see
+// EncodedUpstreams. The same holds if the changes are most of the table: entry processes fetch one
 // whole table at a time, but read the changes of several control processes at once. Otherwise the
-// reply is for the earliest maxRows changes, up to its position.
-func (t *Table) ChangesSince(table, position uint64, withRows bool) (reply *wire.FollowReply, updated <-chan struct{}) {
+// reply is for the earliest changes, up to its position.
+func (t *Table) ChangesSince(r Reader) (reply *wire.FollowReply, updated <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
 	t.expire(now)
-	after := sequencer.Position(position)
+	after := sequencer.Position(r.Position)
 	reply = &wire.FollowReply{
 		Table: t.tableID, Position: uint64(t.changes.Position()),
-		WholeTable: table != t.tableID || after < t.forgottenPosition || after == 0 || t.mostChangedSince(after),
+		WholeTable: r.Table != t.tableID || after < t.forgottenPosition || after == 0 || t.mostChangedSince(after, r),
 	}
 	if reply.WholeTable {
-		if withRows {
+		if r.WithRows {
 			reply.Upstreams = t.rows(now)
 		}
 		return reply, t.updated
 	}
-	changed, reached := t.changes.Since(after, maxRows)
-	reply.Position = uint64(reached)
-	for _, id := range changed {
-		if u := t.registry.Get(id); u != nil {
-			reply.Upstreams = append(reply.Upstreams, announcer.ToWire(u, now))
-		} else {
+	changed, reached := t.changes.Since(after, maxPageBytes/removalBytes)
+	size := 0
+	for i, id := range changed {
+		if size += t.sizeOf(id, r); size > maxPageBytes {
+			reached = t.changes.PositionOf(changed[i-1])
+			break
+		}
+		switch u := t.registry.Get(id); {
+		case u == nil:
 			reply.Removed = append(reply.Removed, string(id))
+		case r.sendsRun(u):
+			reply.Leaving = append(reply.Leaving, &wire.UpstreamRun{Id: string(id), Incarnation: uint64(u.Incarnation)})
+		default:
+			reply.Upstreams = append(reply.Upstreams, announcer.ToWire(u, now))
 		}
 	}
+	reply.Position = uint64(reached)
 	return reply, t.updated
 }
 
-// mostChangedSince reports whether most of the table, and more than a page of it, has changed after a
-// position.
-func (t *Table) mostChangedSince(after sequencer.Position) bool {
+// sendsRun reports whether all that a reader has to know of an upstream is that its run is leaving.
+func (r Reader) sendsRun(u *registrar.Upstream) bool {
+	return r.AcceptsLeaving && u.State == registrar.Leaving && u.Incarnation != 0 && u.ShutdownAt == 0
+}
+
+// sizeOf returns the size of what a reader gets of an upstream that has changed.
+func (t *Table) sizeOf(id registrar.UpstreamID, r Reader) int {
+	switch u := t.registry.Get(id); {
+	case u == nil:
+		return removalBytes
+	case r.sendsRun(u):
+		return leavingBytes
+	default:
+		return rowBytes
+	}
+}
+
+// mostChangedSince reports whether the changes after a position are more than a page, and more than half of
+// the table.
+func (t *Table) mostChangedSince(after sequencer.Position, r Reader) bool {
 	if t.changes.Position()-min(after, t.changes.Position()) <= maxRows {
 		return false
 	}
-	most := max(maxRows, t.registry.Len()/2) + 1
-	return t.changes.CountSince(after, most) >= most
+	size, most := 0, max(maxPageBytes, t.registry.Len()*rowBytes/2)
+	changed, _ := t.changes.Since(after, math.MaxInt)
+	for _, id := range changed {
+		if size += t.sizeOf(id, r); size > most {
+			return true
+		}
+	}
+	return false
 }
 
 // rows returns the rows of all upstreams, ordered by id.
