router, controller: take the rows of many upstreams from one control process

Cause: an entry process polls two control processes and got every row, change and removal from both, one of them in another failure domain.

Change: beyond 256 upstreams the control process that is not the preferred one tells of leaves only. It tells of everything while the preferred one does not reply for 2 s, or says that it has not heard from a control process of which the other one hears. Up to 256 upstreams, as on all deployments of today, nothing changes. Weighed: no second poll (a leave or a new upstream waits for the failover); rows of upstreams that announce themselves to that control process only (those of a third one are missed while it is cut off from the preferred one).

--- a/internal/controller/follow.go
+++ b/internal/controller/follow.go
@@ -249,7 +249,7 @@
 			return failureReply(ReasonInvalid, err.Error())
 		}
 	}
-	if f.GetWantRenewals() {
+	if f.GetWantRenewals() && !reply.GetStandby() {
 		reply.Renewals = c.upstreamTable.RenewalsNow()
 	}
 	if f.GetLoadShare() != nil {
@@ -263,6 +263,7 @@
 	reply.RevisionAgeMillis = c.revisionAge().Milliseconds()
 	reply.LagMillis = c.lag().Milliseconds()
 	reply.ControlAddresses = c.controlAddresses(f.GetFailureDomain())
+	reply.Unheard = c.unheard()
 	c.addEntryHosts(reply, f)
 	reply.TrueMillis = c.clusterView.agreedTime(c.settings.GetHost().GetId()).UnixMilli()
 	if f.GetWantUnconfirmed() && reply.GetRevision() > knownRevision {
@@ -283,9 +284,7 @@
 	}
 	for {
 		configurationChanged := c.stateMachine.Changed()
-		reply, tableUpdated := c.upstreamTable.ChangesSince(tabulator.Reader{
-			Table: table, Position: f.GetPosition(), WithRows: !f.GetAcceptsRenewals(), AcceptsLeaving: f.GetAcceptsLeaving(),
-		})
+		reply, tableUpdated := c.upstreamChanges(f, table)
 		c.upstreamTable.AddLacking(reply, f.GetLacking())
 		evidenceUpdated := c.addEvidence(reply, f)
 		reply.Revision = uint64(c.stateMachine.Revision())
@@ -304,6 +303,17 @@
 	}
 }
 
+// upstreamChanges returns the changes of upstreams that a poll asks for. Where there are many, an entry
+// process that has them from another control process gets those that are leaving.
+func (c *Controller) upstreamChanges(f *wire.Follow, table uint64) (*wire.FollowReply, <-chan struct{}) {
+	if f.GetStandby() && c.upstreamTable.Len() > maxDetailedUpstreams {
+		return c.upstreamTable.LeavesSince(tabulator.Reader{Table: f.GetTable(), Position: f.GetLeavesPosition()})
+	}
+	return c.upstreamTable.ChangesSince(tabulator.Reader{
+		Table: table, Position: f.GetPosition(), WithRows: !f.GetAcceptsRenewals(), AcceptsLeaving: f.GetAcceptsLeaving(),
+	})
+}
+
 // addEvidence adds the evidence after the position of a poll to its reply, and returns a
 // channel that is closed when there is more.
 func (c *Controller) addEvidence(reply *wire.FollowReply, f *wire.Follow) <-chan struct{} {
--- a/internal/controller/lag.go
+++ b/internal/controller/lag.go
@@ -5,12 +5,18 @@
 
 	"go.uber.org/zap"
 
+	"github.com/comfreybend/comfreybend/internal/announcer"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 )
 
-// maxLagElections is the lag, in election timeouts, from which a control process counts as cut
-// off from the majority. An election usually takes less.
-const maxLagElections = 2
+const (
+	// maxLagElections is the lag, in election timeouts, from which a control process counts as cut
+	// off from the majority. An election usually takes less.
+	maxLagElections = 2
+	// unheardTime is the time without a gossip message after which entry processes are told that
+	// this process has not heard from another one.
+	unheardTime = 5 * maxGossipInterval / 2
+)
 
 // lag returns the time since this process knew all that was committed, or since its start if
 // it never has. It is zero while that is so short that an election may be the reason.
@@ -38,3 +44,15 @@
 	}
 	return lag
 }
+
+// unheard returns the ids of the other control hosts from which no gossip has arrived for some time.
+func (c *Controller) unheard() []uint64 {
+	var hosts []string
+	now := timer.Now()
+	for host := range c.peers.clientsByHost() {
+		if now-c.clusterView.lastGossip(host) > unheardTime {
+			hosts = append(hosts, host)
+		}
+	}
+	return announcer.HostIDs(hosts)
+}
--- a/internal/parser/parser.go
+++ b/internal/parser/parser.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -17,8 +18,20 @@
 	DefaultRetryAfter = time.Second
 	// MaxAttemptBytes bounds the id of an attempt that a client names.
 	MaxAttemptBytes = 256
+	// HeaderAPIKey is the header with the API key of a client that does not send it as a bearer token.
+	HeaderAPIKey = "X-Api-Key"
+
+	bearerPrefix = "Bearer "
 )
 
+// APIKey returns the API key of a request; empty if it has none.
+func APIKey(h http.Header) string {
+	if key, found := strings.CutPrefix(h.Get("Authorization"), bearerPrefix); found {
+		return strings.TrimSpace(key)
+	}
+	return h.Get(HeaderAPIKey)
+}
+
 // RetryAfter returns the pause that a Retry-After value asks for, at most longest.
 // The second result is false if the value is not a number of seconds from zero to
 // longest. No pause is kept for a negative one, and DefaultRetryAfter for a value that is
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -26,8 +26,6 @@
 )
 
 const (
-	bearerPrefix = "Bearer "
-	headerAPIKey = "X-Api-Key"
 	// prefixBytes is the length of the start of a request body that prefixID hashes.
 	prefixBytes = 512
 	// bytesPerToken is the assumed size of a token where the number of prompt tokens is
@@ -121,14 +119,6 @@
 	return strings.ToLower(header)
 }
 
-// requestKey returns the API key of a request; empty if it has none.
-func requestKey(h http.Header) string {
-	if key, found := strings.CutPrefix(h.Get("Authorization"), bearerPrefix); found {
-		return strings.TrimSpace(key)
-	}
-	return h.Get(headerAPIKey)
-}
-
 // resolve authenticates a call and sets its route, class, tier, pool and deadline.
 func (r *Router) resolve(c *call) *RefusalError {
 	catalog := r.controlPlane.catalog.Load()
--- a/internal/router/configuration_test.go
+++ b/internal/router/configuration_test.go
@@ -371,6 +371,37 @@
 	t.Logf("all are known after %v", timer.Now()-announcedAt)
 }
 
+// TestUpstreamsComeOnce guards against control traffic that is twice what is needed: of many upstreams an
+// entry process gets the rows from one of the two control processes that it polls. When that one ends, the
+// other one tells it of new upstreams.
+func TestUpstreamsComeOnce(t *testing.T) {
+	const (
+		upstreams = 3000
+		// rowBytes is more than the size of a row, and less than twice that.
+		rowBytes = 160
+	)
+	group := startControlGroup(t)
+	revision := group.put(documentWithRoutes(1, 10))
+	group.announce(upstreams)
+	link := &slowLink{}
+	r := startEntryBehind(t, link, group.addresses())
+	r.awaitRevision(t, revision, setupTimeout)
+	r.awaitUpstreams(t, upstreams, setupTimeout)
+	timer.Sleep(t.Context(), 2*pollTimeout)
+	if received := link.received.Load(); received > upstreams*rowBytes {
+		t.Errorf("%d bytes were received for %d upstreams, want at most %d each", received, upstreams, rowBytes)
+	}
+	for i, c := range group.clients {
+		if c.Address() == r.controlClients.Preferred().Address() {
+			group.stopOne[i]()
+			group.clients = slices.Delete(group.clients, i, i+1)
+			break
+		}
+	}
+	group.announce(upstreams + 1)
+	r.awaitUpstreams(t, upstreams+1, recoveryTime)
+}
+
 // TestLeaveWhileTablesAreFetched guards against requests to an upstream whose leave was
 // acknowledged, while an entry process fetches the whole tables of the control processes that
 // it polls over a slow link, as after their restart.
--- a/internal/router/control_poller.go
+++ b/internal/router/control_poller.go
@@ -13,6 +13,7 @@
 	"github.com/comfreybend/comfreybend/internal/assembler"
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/messenger"
+	"github.com/comfreybend/comfreybend/internal/ranker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/wire"
@@ -54,6 +55,10 @@
 		// loadSentAt is when the load was last sent. Only poll with index 0 uses it.
 		loadSentAt time.Duration
 		tables     assembler.Tables
+
+		// mu guards standby.
+		mu      sync.Mutex
+		standby *ranker.Standby
 	}
 
 	// tableView is what this process holds of the table of a control process.
@@ -68,6 +73,8 @@
 		lacking []string
 		// lagging reports that the control process lags behind the majority.
 		lagging bool
+		// unheard holds the control hosts from which the control process has not heard lately.
+		unheard []uint64
 		// fetch is the fetch of the whole table in progress, nil if there is none.
 		fetch *assembler.TableFetch
 	}
@@ -78,6 +85,8 @@
 		tableID uint64
 		// position is the position reached in the announcements of upstreams.
 		position uint64
+		// leavesPosition is the position reached in the leaves alone.
+		leavesPosition uint64
 		// loadPosition and cachedPartsPosition are the positions reached in the cluster
 		// load and in the cached parts.
 		loadPosition, cachedPartsPosition uint64
@@ -92,7 +101,7 @@
 )
 
 func newControlPoller(r *Router) *controlPoller {
-	p := &controlPoller{router: r, startedAt: timer.Now()}
+	p := &controlPoller{router: r, startedAt: timer.Now(), standby: ranker.NewStandby(timer.Now())}
 	p.tables.Apply = p.applyUpstreams
 	return p
 }
@@ -132,6 +141,7 @@
 		request.Evidence, reported = p.router.evidenceSince(cursors[client.Address()].reportedEvidence)
 		request.Lacking = view.lacking
 		request.WantRenewals = request.GetPosition() > 0 && timer.Now()-view.renewedAt > p.router.settings.GetEntry().GetAnnouncementLease().AsDuration()/renewalsPerLease
+		request.Standby = index > 0 && p.leavesSuffice(view)
 		reply, err := p.send(ctx, client, request)
 		if err != nil {
 			p.router.controlClients.MarkFailed(client)
@@ -141,6 +151,7 @@
 			continue
 		}
 		p.rankControl(client, view, reply.GetFollow())
+		p.recordUnheard(index, view, reply.GetFollow())
 		next := cursorAfter(request, reply.GetFollow())
 		if request.GetTable() == 0 || request.GetTable() == next.tableID {
 			// Otherwise the control process was restarted and has nothing of it yet.
@@ -158,7 +169,12 @@
 				next.behindSince = timer.Now()
 			}
 		}
-		next.position = p.awaitTable(ctx, client, view, reply.GetFollow())
+		if reply.GetFollow().GetStandby() {
+			view.lacking = nil
+		} else {
+			next.position = p.awaitTable(ctx, client, view, reply.GetFollow())
+			next.leavesPosition = next.position
+		}
 		cursors[client.Address()] = next
 		timer.Sleep(ctx, pollPause)
 	}
@@ -196,6 +212,25 @@
 	p.router.applyLeaving(reply.GetLeaving(), leavePolled, control)
 }
 
+// leavesSuffice reports whether a control process that is not the preferred one needs to tell only of
+// leaves.
+func (p *controlPoller) leavesSuffice(view *tableView) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.standby.LeavesSuffice(timer.Now(), view.unheard)
+}
+
+// recordUnheard records from which control hosts a control process has not heard.
+func (p *controlPoller) recordUnheard(index int, view *tableView, reply *wire.FollowReply) {
+	view.unheard = reply.GetUnheard()
+	if index > 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.standby.RecordReply(timer.Now(), view.unheard)
+}
+
 // rankControl prefers other control processes to one that lags behind the majority.
 func (p *controlPoller) rankControl(client *messenger.Client, view *tableView, reply *wire.FollowReply) {
 	lag := millis(reply.GetLagMillis())
@@ -280,6 +315,12 @@
 // load are kept as long as the table is the same.
 func cursorAfter(request *wire.Follow, reply *wire.FollowReply) cursor {
 	next := cursor{tableID: reply.GetTable(), position: reply.GetPosition(), evidencePosition: reply.GetEvidencePosition()}
+	if reply.GetStandby() {
+		next.leavesPosition = reply.GetLeavesPosition()
+		if request.GetTable() == reply.GetTable() {
+			next.position = request.GetPosition()
+		}
+	}
 	switch {
 	case request.GetLoadShare() != nil:
 		next.loadPosition, next.cachedPartsPosition = reply.GetLoadPosition(), reply.GetHeldPosition()
@@ -304,6 +345,7 @@
 		WaitMillis:      maxPollWait.Milliseconds(),
 		AcceptsRenewals: true,
 		AcceptsLeaving:  true,
+		LeavesPosition:  from.leavesPosition,
 		WantUnconfirmed: p.router.controlPlane.hasConfiguration() || timer.Now()-p.startedAt > unconfirmedDelay,
 		FetchesChanges:  true,
 
--- a/internal/router/dialect.go
+++ b/internal/router/dialect.go
@@ -131,7 +131,7 @@
 	return Dialect{
 		ParseRequest: parseNativeRequest,
 		DropsRequestHeader: func(name string) bool {
-			return name == headerAPIKey || strings.HasPrefix(name, "Comfreybend-")
+			return name == parser.HeaderAPIKey || strings.HasPrefix(name, "Comfreybend-")
 		},
 		SetAttemptHeaders:   setNativeAttemptHeaders,
 		ParseResponse:       parseNativeResponse,
@@ -143,7 +143,7 @@
 
 func parseNativeRequest(request *http.Request) (RequestInfo, error) {
 	info := RequestInfo{
-		Key:            requestKey(request.Header),
+		Key:            parser.APIKey(request.Header),
 		Class:          request.Header.Get(HeaderClass),
 		IdempotencyKey: request.Header.Get(HeaderIdempotencyKey),
 	}
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/comfreybend/comfreybend/internal/budgeter"
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/estimator"
 	"github.com/comfreybend/comfreybend/internal/restrainer"
@@ -148,7 +149,7 @@
 		picker         *picker.Picker
 		placer         *picker.Placer
 		cacheIndex     *picker.CacheIndex
-		budget         retryBudget
+		budget         budgeter.Budget
 		peerDemands    *limiter.Demands
 		clusterLoad    *estimator.Estimator
 		// entryProcessCount is the number of entry processes.
@@ -205,7 +206,7 @@
 		picker:         picker.New(picker.Policy(e.GetPolicy()), rand.IntN),
 		cacheIndex:     picker.NewCacheIndex(),
 		placer:         picker.NewPlacer(),
-		budget:         newRetryBudget(e),
+		budget:         budgeter.New(e),
 		peerDemands:    limiter.NewDemands(len(e.GetPeerAddresses())),
 		clusterLoad:    estimator.New(),
 		withdrawn:      map[registrar.UpstreamID]registrar.Upstream{},
@@ -341,7 +342,7 @@
 	d.nextItem++
 	if !r.interrupted && len(r.pick.Avoid) == 0 {
 		// A call is counted at its first attempt only.
-		d.budget.onRequest(d.now())
+		d.budget.OnRequest(d.now())
 		if r.prompt != nil {
 			p.promptAware = true
 			d.placer.RequestArrived(d.now(), *r.prompt)
@@ -423,7 +424,7 @@
 		d.failuresIn(g.upstream.FailureDomain).Add(d.now())
 	}
 	if outcome == outcomeAnswered {
-		d.budget.onSuccess()
+		d.budget.OnSuccess()
 		average := p.averageDurations[g.item.Class]
 		p.averageDurations[g.item.Class] = average + (d.now()-g.grantedAt-average)/durationAverageDivisor
 	}
--- a/internal/tabulator/leave.go
+++ b/internal/tabulator/leave.go
@@ -1,6 +1,39 @@
 package tabulator
 
-import "github.com/comfreybend/comfreybend/pkg/registrar"
+import (
+	"github.com/comfreybend/comfreybend/internal/announcer"
+	"github.com/comfreybend/comfreybend/pkg/registrar"
+	"github.com/comfreybend/comfreybend/pkg/sequencer"
+	"github.com/comfreybend/comfreybend/schema/wire"
+)
+
+// LeavesSince returns the upstreams that were found to be leaving after the reader's position in the
+// leaves, or all that are leaving if the reader has none in this table, and a channel that is closed at the
+// next change.
+func (t *Table) LeavesSince(r Reader) (reply *wire.FollowReply, updated <-chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	t.expire(now)
+	after := sequencer.Position(r.Position)
+	if r.Table != t.tableID {
+		after = 0
+	}
+	reply = &wire.FollowReply{Table: t.tableID, Standby: true}
+	r.AcceptsLeaving = true
+	changed, reached := t.changes.Since(after, len(t.removals)+t.registry.Len()+1)
+	for _, id := range changed {
+		switch u := t.registry.Get(id); {
+		case u == nil || u.State != registrar.Leaving:
+		case r.sendsRun(u):
+			reply.Leaving = append(reply.Leaving, &wire.UpstreamRun{Id: string(id), Incarnation: uint64(u.Incarnation)})
+		default:
+			reply.Upstreams = append(reply.Upstreams, announcer.ToWire(u, now))
+		}
+	}
+	reply.LeavesPosition = uint64(reached)
+	return reply, t.updated
+}
 
 // Withdraw marks an upstream as leaving and passes that on to the other control
 // processes. An incarnation of zero means the current one. It returns the departure, or
--- a/internal/tabulator/tabulator_test.go
+++ b/internal/tabulator/tabulator_test.go
@@ -487,3 +487,49 @@
 		t.Error("nothing has changed, and the whole table is to be fetched")
 	}
 }
+
+// TestLeavesSince guards against a leave that a reader misses since it asks for leaves only, and against
+// changes that it misses when it asks for all again.
+func TestLeavesSince(t *testing.T) {
+	table := New(time.Minute)
+	update := func(id string, incarnation registrar.Incarnation, state registrar.State) {
+		table.Update(announcement(id, incarnation, state), true)
+	}
+	leaving := func(r Reader) (ids []string, position uint64) {
+		reply, _ := table.LeavesSince(r)
+		for _, run := range reply.GetLeaving() {
+			ids = append(ids, run.GetId())
+		}
+		if len(reply.GetUpstreams())+len(reply.GetRemoved()) > 0 || reply.GetWholeTable() || reply.GetPosition() != 0 || !reply.GetStandby() {
+			t.Errorf("reply %v, want leaves only", reply)
+		}
+		return ids, reply.GetLeavesPosition()
+	}
+	update("a", 1, registrar.Serving)
+	update("b", 1, registrar.Leaving)
+	full := uint64(table.changes.Position())
+	ids, position := leaving(Reader{})
+	if fmt.Sprint(ids) != "[b]" {
+		t.Errorf("%v are leaving to a new reader, want b", ids)
+	}
+	update("c", 1, registrar.Serving)
+	if ids, _ = leaving(Reader{Table: table.tableID, Position: position}); len(ids) > 0 {
+		t.Errorf("%v are leaving, want none since", ids)
+	}
+	_, updated := table.LeavesSince(Reader{Table: table.tableID, Position: position})
+	update("a", 1, registrar.Leaving)
+	select {
+	case <-updated:
+	default:
+		t.Error("the reader is not told of a change")
+	}
+	if ids, _ = leaving(Reader{Table: table.tableID + 1, Position: position}); fmt.Sprint(ids) != "[b a]" {
+		t.Errorf("%v are leaving to a reader of another table, want b and a", ids)
+	}
+	if ids, _ = leaving(Reader{Table: table.tableID, Position: position}); fmt.Sprint(ids) != "[a]" {
+		t.Errorf("%v are leaving since, want a", ids)
+	}
+	if reply, _ := table.ChangesSince(Reader{Table: table.tableID, Position: full, AcceptsLeaving: true}); len(reply.GetUpstreams()) != 1 || len(reply.GetLeaving()) != 1 {
+		t.Errorf("%v since the last full reply, want one row and one leave", reply)
+	}
+}
