review: show streams lost after the core was killed

Cause: which version began a stream is kept in memory by control processes and is reported to one that has started again only after 20 s.

--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	apiKey = "n2ctnfzs989anu6wsjnb"
+	apiKey = "numberctnfzs989anu6wsjnb"
 	tenant = "hule930"
 	host   = "ficu95.example"
 )
@@ -33,11 +33,18 @@
 		replica string
 	}
 
+	// try is one attempt for a stream.
+	try struct {
+		sentAt       time.Time
+		eventsBefore int
+	}
+
 	// stream is a requester's stream over all its tries.
 	stream struct {
 		attempts []string
 		statuses []string
 		events   []event
+		tries    []try
 		// complete reports that an answer ended as one that is complete.
 		complete bool
 	}
@@ -103,7 +110,7 @@
 	defer cancel()
 	st := &stream{}
 	first := ""
-	for try := range 2 {
+	for number := range 2 {
 		attempt := newID()
 		headers := map[string]string{}
 		if len(st.events) > 0 {
@@ -112,12 +119,13 @@
 		st.attempts = append(st.attempts, attempt)
 		deadline, _ := ctx.Deadline()
 		before := len(st.events)
-		status := s.readStream(ctx, entries[(n+try)%len(entries)], path, attempt, time.Until(deadline), headers, st)
+		st.tries = append(st.tries, try{sentAt: time.Now(), eventsBefore: before})
+		status := s.readStream(ctx, entries[(n+number)%len(entries)], path, attempt, time.Until(deadline), headers, st)
 		if before == 0 && len(st.events) > 0 {
 			first = attempt
 		}
 		st.statuses = append(st.statuses, status)
-		s.rec.add("requester: attempt %s at %s: %s, %d events so far, versions %v", attempt, entries[(n+try)%len(entries)].name, status, len(st.events), st.versions())
+		s.rec.add("requester: attempt %s at %s: %s, %d events so far, versions %v", attempt, entries[(n+number)%len(entries)].name, status, len(st.events), st.versions())
 		if st.complete || ctx.Err() != nil || strings.HasPrefix(status, "4") {
 			break
 		}
