retirer, router: use no connection again on which an attempt has failed

Cause: the fact "not run" was taken from any answer that bears the id of the attempt. A copy of a refusal bears it too, and comes where the answer is due if the refused call was sent again on the same connection; the pool hands out the connection used last first, so that was the rule, not the exception. The refused attempt was then sent elsewhere while it ran, refused, or not counted as an attempt.

An attempt that fails retires its connection: it is closed, or carries nothing after the request that net/http has already given it. A connection remembers the requests that it has carried and does not carry one twice. A request for which net/http chose such a connection fails before its first byte and goes out on a new one. The id of an answer is now checked before anything else in it is believed: a pause, a named limit, load, a leave, and 421 from another run.

Ruled out: a connection of its own for a call that was refused at the same upstream: copies then still meet other calls, and end those that must run once with 502. A new connection for each call that must run once: dear when nothing is refused.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -18,6 +18,7 @@
 
 	"github.com/comfreybend/comfreybend/internal/dialer"
 	"github.com/comfreybend/comfreybend/internal/restrainer"
+	"github.com/comfreybend/comfreybend/internal/retirer"
 	"github.com/comfreybend/comfreybend/internal/scanner"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/timer"
@@ -91,9 +92,11 @@
 		otherRun bool
 		// load is the upstream's load as reported in the response; nil if it was not.
 		load *registrar.Load
-		// connected reports that a connection was obtained, so that a part of the
-		// request may have been sent.
+		// connected reports that a connection was obtained that carries the request, so that a part
+		// of it may have been sent.
 		connected atomic.Bool
+		// exchange is the latest one on a connection that is kept.
+		exchange atomic.Pointer[retirer.Exchange]
 		// lastActivity is the monotonic time in nanoseconds at which the upstream
 		// last sent headers or an event, at first the start of the attempt.
 		lastActivity atomic.Int64
@@ -193,6 +196,7 @@
 		}
 	}
 	u.keepAlive, u.singleUse = transport(), transport()
+	u.keepAlive.DialContext = retirer.Wrap(u.keepAlive.DialContext)
 	u.checkLeaving = func(*registrar.Upstream) error { return nil }
 	u.admit = func(*registrar.Upstream, restrainer.Reservation) (bool, error) { return false, nil }
 	u.singleUse.DisableKeepAlives = true
@@ -250,6 +254,11 @@
 		transport = u.singleUse
 	}
 	response, err := transport.RoundTrip(request) //nolint:bodyclose // attempt.close closes it.
+	if err != nil && at.exchange.Load().Blocked() && ctx.Err() == nil {
+		if request, err = u.newRequest(ctx, c, at, lastEventID); err == nil {
+			response, err = u.singleUse.RoundTrip(request) //nolint:bodyclose // attempt.close closes it.
+		}
+	}
 	if err != nil {
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
@@ -284,6 +293,9 @@
 // stream, since its version is not known.
 func (u *upstreamClient) checkResponse(at *attempt, lastEventID scanner.EventID) error {
 	info := u.dialect.ParseResponse(at.response)
+	if info.EchoedAttempt != "" && info.EchoedAttempt != at.id {
+		return &attemptError{Attempt: at.id, Cause: &attemptMismatchError{EchoedAttempt: string(info.EchoedAttempt)}}
+	}
 	at.load = info.Load
 	u.onResponse(at, info)
 	status := at.response.StatusCode
@@ -294,8 +306,6 @@
 		return &attemptError{Attempt: at.id, NotRun: misdirected, Refused: misdirected, Cause: &otherRunError{
 			Upstream: at.grant.upstream.ID, Expected: at.grant.upstream.Incarnation, Runs: info.Incarnation,
 		}}
-	case info.EchoedAttempt != "" && info.EchoedAttempt != at.id:
-		return &attemptError{Attempt: at.id, Cause: &attemptMismatchError{EchoedAttempt: string(info.EchoedAttempt)}}
 	case info.NotRun:
 		return &attemptError{
 			Attempt: at.id, NotRun: true, Refused: true,
@@ -324,7 +334,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "making the upstream request")
 	}
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { at.connected.Store(true) }}
+	trace := &httptrace.ClientTrace{GotConn: at.beginExchange}
 	ctx = context.WithValue(httptrace.WithClientTrace(ctx, trace), upstreamKey{}, at.grant.upstream)
 	request, err := http.NewRequestWithContext(ctx, c.method, at.grant.upstream.URL, bytes.NewReader(c.body))
 	if err != nil {
@@ -355,6 +365,15 @@
 	return request, nil
 }
 
+// beginExchange records that the request is about to be written to a connection.
+func (at *attempt) beginExchange(info httptrace.GotConnInfo) {
+	exchange := retirer.Begin(info.Conn, retirer.RequestID(at.id))
+	at.exchange.Store(exchange)
+	if !exchange.Blocked() {
+		at.connected.Store(true)
+	}
+}
+
 // isFromOtherRun reports whether a response comes from another run of the upstream than the one that
 // the attempt was sent to, or from another upstream at its address.
 func (at *attempt) isFromOtherRun(info ResponseInfo) bool {
@@ -390,8 +409,8 @@
 	_, _ = at.response.Body.Read(make([]byte, 1))
 }
 
-// close cancels the attempt. Its connection is closed too unless the body was
-// read to its end.
+// close cancels the attempt. Its connection is closed too if the attempt has failed, or unless the
+// body was read to its end.
 func (at *attempt) close(cause error) {
 	select {
 	case <-at.done:
@@ -401,6 +420,9 @@
 	}
 	at.deadlineTimer.Stop()
 	at.cancel(cause)
+	if cause != nil {
+		at.exchange.Load().Retire()
+	}
 	at.onClose()
 	if at.response != nil {
 		_ = at.response.Body.Close()
