dialer, settings: choose the local address of connections to upstreams

A host with addresses in several networks could not choose the one from which it connects to upstreams. Tests need it too: on the loopback interface an entry host with an address of its own can be cut off from upstreams while the others reach them.

entry.upstreamLocalAddress sets it, for attempts, for probes of silent connections and for the checks whether an upstream has ended. The system chooses, as before, if it is empty. TestLocalAddress and a case of TestParse pass.

--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -32,10 +32,12 @@
 
 // Resetting returns a function that opens connections for requests that may be given up. A request
 // does not arrive after its connection was closed or has failed because the other end was
-// unreachable: what has not been acknowledged is discarded, and the connection reset.
-func Resetting(connectTimeout time.Duration) DialFunc {
+// unreachable: what has not been acknowledged is discarded, and the connection reset. The system
+// chooses the local address if local is nil.
+func Resetting(connectTimeout time.Duration, local net.Addr) DialFunc {
 	direct := &net.Dialer{
 		Timeout:         connectTimeout,
+		LocalAddr:       local,
 		Control:         DiscardOnClose(UserTimeout(userTimeout)),
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
 	}
@@ -51,6 +53,15 @@
 	}
 }
 
+// LocalAddr returns the local address of connections from an IP address, or nil if that is empty or
+// malformed.
+func LocalAddr(ip string) net.Addr {
+	if address := net.ParseIP(ip); address != nil {
+		return &net.TCPAddr{IP: address}
+	}
+	return nil
+}
+
 // UserTimeout returns a function that sets TCP_USER_TIMEOUT: the kernel closes the connection if
 // sent data is not acknowledged for d.
 func UserTimeout(d time.Duration) Control {
--- a/internal/dialer/dialer_test.go
+++ b/internal/dialer/dialer_test.go
@@ -50,6 +50,32 @@
 	return watched, other
 }
 
+// TestLocalAddress guards against connections that leave a host with several addresses from another
+// one than that of the settings.
+func TestLocalAddress(t *testing.T) {
+	tests := map[string]struct{ local, wanted string }{
+		"set":   {local: "127.0.0.3", wanted: "127.0.0.3"},
+		"empty": {wanted: "127.0.0.1"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = l.Close() }()
+			conn, err := Resetting(awaitTimeout, LocalAddr(test.local))(t.Context(), "tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			if host, _, _ := net.SplitHostPort(conn.LocalAddr().String()); host != test.wanted {
+				t.Errorf("local address %s, want %s", host, test.wanted)
+			}
+		})
+	}
+}
+
 // TestUnacknowledgedDataIsDiscarded guards against data that arrives after the connection has
 // failed because the other end did not acknowledge it.
 func TestUnacknowledgedDataIsDiscarded(t *testing.T) {
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -23,6 +23,8 @@
 	// Prober checks runs of upstreams, each once. It is safe for concurrent use.
 	Prober struct {
 		now func() time.Duration
+		// local is the local address of checks; nil if the system chooses it.
+		local net.Addr
 
 		mu     sync.Mutex
 		checks map[isolator.RunID]*check
@@ -37,9 +39,10 @@
 	}
 )
 
-// New returns a prober. now reads a monotonic clock.
-func New(now func() time.Duration) *Prober {
-	return &Prober{now: now, checks: map[isolator.RunID]*check{}}
+// New returns a prober. now reads a monotonic clock. The system chooses the local address of checks
+// if local is nil.
+func New(now func() time.Duration, local net.Addr) *Prober {
+	return &Prober{now: now, local: local, checks: map[isolator.RunID]*check{}}
 }
 
 // HasEnded reports whether the upstream with a URL refuses connections. Attempts at the same
@@ -85,12 +88,12 @@
 		c = &check{startedAt: now, done: make(chan struct{})}
 		p.checks[run] = c
 		// The result is for other attempts too, so the check goes on if this one ends.
-		go c.run(context.WithoutCancel(ctx), address)
+		go c.run(context.WithoutCancel(ctx), p.local, address)
 	}
 	return c
 }
 
-func (c *check) run(ctx context.Context, address string) {
+func (c *check) run(ctx context.Context, local net.Addr, address string) {
 	defer close(c.done)
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
@@ -98,7 +101,7 @@
 	if err != nil {
 		return
 	}
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", target.Host)
+	conn, err := (&net.Dialer{LocalAddr: local}).DialContext(ctx, "tcp", target.Host)
 	if err == nil {
 		_ = conn.Close()
 	}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -187,7 +187,7 @@
 	u := &upstreamClient{limits: l, dialect: dialect, now: timer.Now, nonRetryableSingleUse: !e.GetFollowControl(), onResponse: func(*attempt, ResponseInfo) {}, onStart: func(*call, *attempt) {}}
 	transport := func() *http.Transport {
 		return &http.Transport{
-			DialContext:         u.dialWith(dialer.Resetting(l.GetConnectTimeout().AsDuration())),
+			DialContext:         u.dialWith(dialer.Resetting(l.GetConnectTimeout().AsDuration(), dialer.LocalAddr(e.GetUpstreamLocalAddress()))),
 			MaxIdleConnsPerHost: maxIdleConnsPerUpstream,
 			IdleConnTimeout:     upstreamIdleTimeout,
 			DisableCompression:  true,
--- a/internal/router/isolation.go
+++ b/internal/router/isolation.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/comfreybend/comfreybend/internal/announcer"
+	"github.com/comfreybend/comfreybend/internal/dialer"
 	"github.com/comfreybend/comfreybend/internal/identifier"
 	"github.com/comfreybend/comfreybend/internal/prober"
 	"github.com/comfreybend/comfreybend/pkg/isolator"
@@ -76,7 +77,7 @@
 		held:       map[isolator.PartID]bool{},
 		timer:      time.NewTimer(0),
 		inProgress: map[*attempt]*call{},
-		prober:     prober.New(timer.Now),
+		prober:     prober.New(timer.Now, dialer.LocalAddr(r.settings.GetEntry().GetUpstreamLocalAddress())),
 	}
 }
 
--- a/internal/validator/checks.go
+++ b/internal/validator/checks.go
@@ -43,6 +43,15 @@
 	}
 }
 
+func (c *collector) checkOptionalIP(path, value string) {
+	if value == "" {
+		return
+	}
+	if _, err := netip.ParseAddr(value); err != nil {
+		c.add(path, fmt.Sprintf("%q is not an IP address", value), `an IP address such as "10.0.0.1"`)
+	}
+}
+
 func (c *collector) checkAddresses(path string, values []string) {
 	for i, v := range values {
 		c.checkAddress(fmt.Sprintf("%s[%d]", path, i), v)
--- a/internal/validator/entry.go
+++ b/internal/validator/entry.go
@@ -115,6 +115,7 @@
 	}
 	c.checkAddresses("$.entry.controlAddresses", e.GetControlAddresses())
 	c.checkAddresses("$.entry.peerAddresses", e.GetPeerAddresses())
+	c.checkOptionalIP("$.entry.upstreamLocalAddress", e.GetUpstreamLocalAddress())
 	c.checkDuration("$.entry.freshness", e.GetFreshness(), time.Second, maxFreshness)
 	c.checkDuration("$.entry.syncInterval", e.GetSyncInterval(), 10*time.Millisecond, e.GetFreshness().AsDuration()/2)
 	c.checkDuration("$.entry.announcementLease", e.GetAnnouncementLease(), 100*time.Millisecond, time.Minute)
--- a/internal/validator/validator_test.go
+++ b/internal/validator/validator_test.go
@@ -39,6 +39,10 @@
 				`"freshness": "90s", "queue": {"guaranteedPercent": 50}, "policy": "best", "peerListen"`, 1),
 			paths: []string{"$.entry.freshness", "$.entry.queue.guaranteedPercent", "$.entry.policy"},
 		},
+		"malformed local address": {
+			document: strings.Replace(validSettings, `"peerListen"`, `"upstreamLocalAddress": "127.0.0.1:1", "peerListen"`, 1),
+			paths:    []string{"$.entry.upstreamLocalAddress"},
+		},
 		"missing addresses": {
 			document: `{"host": {"id": "x", "failureDomain": "a"}, "entry": {}}`,
 			paths:    []string{"$.entry.callerListen", "$.entry.upstreamListen", "$.entry.controlAddresses"},
