dialer: keep connections to upstreams that fall silent for a second

A sound upstream may fall silent for a second or so and go on. A call that waited for its answer then failed with ETIMEDOUT 1.1 to 2 s after the beginning of the silence: calls that must not run twice ended with 502, streams were cut off, and the upstream's circuit breaker opened.

Cause: TCP_USER_TIMEOUT also decides when keep-alive probes give up, whatever their count. With 2 s of it and a probe a second, one lost probe was enough.

The timeout of the kernel is now set only while sent data is not acknowledged, which is what it is for (a process that stands still must not deliver late), and three lost probes end an idle connection: no silence of less than 2 s loses three. An upstream whose host is gone is given up after 3 to 4 s instead of about 2 s if the call only waits, after 1.5 s as before if data is under way.

--- a/internal/dialer/conn.go
+++ b/internal/dialer/conn.go
@@ -27,6 +27,9 @@
 		timeout time.Duration
 		// unacknowledged returns the number of bytes that the other end has not acknowledged.
 		unacknowledged func() (int, error)
+		// limitKernel sets the timeout of the kernel, or clears it. It is cleared while everything is
+		// acknowledged: it would end an idle connection after the first lost keep-alive probe.
+		limitKernel func(bool) error
 
 		mu sync.Mutex
 		// written counts the bytes written, acknowledged those that the other end has
@@ -54,9 +57,10 @@
 // Unwrap returns the error of the kernel for this.
 func (e *UnacknowledgedError) Unwrap() error { return syscall.ETIMEDOUT }
 
-// watch returns a connection that is reset if the other end acknowledges nothing for a time. conn
-// must discard unacknowledged data when it is closed; see DiscardOnClose.
-func watch(conn *net.TCPConn, timeout time.Duration) (net.Conn, error) {
+// watch returns a connection that is reset if the other end acknowledges nothing for a time, or ended by
+// the kernel after kernelTimeout. conn must discard unacknowledged data when it is closed; see
+// DiscardOnClose.
+func watch(conn *net.TCPConn, timeout, kernelTimeout time.Duration) (net.Conn, error) {
 	raw, err := conn.SyscallConn()
 	if err != nil {
 		return nil, err
@@ -68,14 +72,22 @@
 		}
 		return n, err
 	}
-	return &watchedConn{Conn: conn, timeout: timeout, unacknowledged: unacknowledged}, nil
+	limitKernel := func(limited bool) error {
+		if limited {
+			return UserTimeout(kernelTimeout)("", "", raw)
+		}
+		return UserTimeout(0)("", "", raw)
+	}
+	return &watchedConn{Conn: conn, timeout: timeout, unacknowledged: unacknowledged, limitKernel: limitKernel}, limitKernel(false)
 }
 
 // Write writes data and watches that the other end acknowledges it.
 func (c *watchedConn) Write(data []byte) (n int, err error) {
 	for first := true; first || len(data) > 0 && err == nil; first = false {
 		part := data[:min(len(data), maxWriteBytes)]
-		c.beginWrite()
+		if err = c.beginWrite(); err != nil {
+			break
+		}
 		var written int
 		written, err = c.Conn.Write(part)
 		c.endWrite(written)
@@ -105,14 +117,18 @@
 	return err
 }
 
-func (c *watchedConn) beginWrite() {
+func (c *watchedConn) beginWrite() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.writes++
 	if !c.watching {
+		if err := c.limitKernel(true); err != nil {
+			return err
+		}
 		c.watching, c.progressAt = true, timer.Now()
 		time.AfterFunc(c.timeout/checksPerTimeout, c.check)
 	}
+	c.writes++
+	return nil
 }
 
 func (c *watchedConn) endWrite(written int) {
@@ -128,9 +144,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	pending, err := c.unacknowledged()
-	if err != nil || pending == 0 && c.writes == 0 {
-		// An error means that the connection is closed.
+	if err == nil && pending == 0 && c.writes == 0 {
+		err = c.limitKernel(false)
 		c.watching, c.acknowledged = false, c.written
+	}
+	if err != nil || !c.watching {
+		// An error means that the connection is closed.
+		c.watching = false
 		return
 	}
 	now := timer.Now()
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -13,11 +13,11 @@
 
 const (
 	// A connection is given up if the other end does not acknowledge data for unacknowledgedTimeout,
-	// or answers no keep-alive probes of an idle connection: within 2 to 3 s, before clients give up.
-	// The timeout of the kernel is for processes that stand still meanwhile.
+	// or, with no data on its way, answers none of keepAliveCount probes: 3 to 4 s after it has
+	// fallen silent. The timeout of the kernel is for processes that stand still meanwhile.
 	keepAliveIdle         = time.Second
 	keepAliveInterval     = time.Second
-	keepAliveCount        = 2
+	keepAliveCount        = 3
 	unacknowledgedTimeout = 1500 * time.Millisecond
 	userTimeout           = 2 * time.Second
 )
@@ -47,7 +47,7 @@
 			return nil, err
 		}
 		if tcp, ok := conn.(*net.TCPConn); ok {
-			return watch(tcp, unacknowledgedTimeout)
+			return watch(tcp, unacknowledgedTimeout, userTimeout)
 		}
 		return conn, nil
 	}
