--- a/test/integration/cutoff_test.go
+++ b/test/integration/cutoff_test.go
@@ -328,9 +328,27 @@
 // TestCutOffHostsServe guards against entry hosts that refuse what the others serve, because they alone
 // cannot reach any upstream.
 func TestCutOffHostsServe(t *testing.T) {
-	for _, fault := range []pathFault{pathHangs, pathResets, pathRefusesNew} {
-		t.Run(string(fault), func(t *testing.T) {
-			newCutoff(t, 3, "a", "a", "b", "b").run(fault, func() {}, 0, 2)
+	tests := map[string]struct {
+		fault pathFault
+		// cut holds the indexes of the entry processes that are cut off.
+		cut []int
+		// losesControl reports that the leader of the control processes ends when the cut begins.
+		losesControl bool
+	}{
+		"hang":                       {fault: pathHangs, cut: []int{0, 2}},
+		"reset":                      {fault: pathResets, cut: []int{0, 2}},
+		"refuse new":                 {fault: pathRefusesNew, cut: []int{0, 2}},
+		"whole failure domain":       {fault: pathHangs, cut: []int{0, 1}},
+		"with a lost control leader": {fault: pathHangs, cut: []int{0, 2}, losesControl: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newCutoff(t, 3, "a", "a", "b", "b")
+			during := func() {}
+			if test.losesControl {
+				during = c.leader().kill
+			}
+			c.run(test.fault, during, test.cut...)
 		})
 	}
 }
