--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -13,11 +13,11 @@
 
 const (
 	// A connection is given up if the other end does not acknowledge data for unacknowledgedTimeout,
-	// or answers no keep-alive probes of an idle connection: within 2 to 3 s, before clients give up.
-	// The timeout of the kernel is for processes that stand still meanwhile.
+	// or, with no data on its way, answers none of keepAliveCount probes: 3 to 4 s after it has
+	// fallen silent. The timeout of the kernel is for processes that stand still meanwhile.
 	keepAliveIdle         = time.Second
 	keepAliveInterval     = time.Second
-	keepAliveCount        = 2
+	keepAliveCount        = 3
 	unacknowledgedTimeout = 1500 * time.Millisecond
 	userTimeout           = 2 * time.Second
 )
@@ -32,10 +32,12 @@
 
 // Resetting returns a function that opens connections for requests that may be given up. A request
 // does not arrive after its connection was closed or has failed because the other end was
-// unreachable: what has not been acknowledged is discarded, and the connection reset.
-func Resetting(connectTimeout time.Duration) DialFunc {
+// unreachable: what has not been acknowledged is discarded, and the connection reset. The system
+// chooses the local address if local is nil.
+func Resetting(connectTimeout time.Duration, local net.Addr) DialFunc {
 	direct := &net.Dialer{
 		Timeout:         connectTimeout,
+		LocalAddr:       local,
 		Control:         DiscardOnClose(UserTimeout(userTimeout)),
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
 	}
@@ -45,12 +47,21 @@
 			return nil, err
 		}
 		if tcp, ok := conn.(*net.TCPConn); ok {
-			return watch(tcp, unacknowledgedTimeout)
+			return watch(tcp, unacknowledgedTimeout, userTimeout)
 		}
 		return conn, nil
 	}
 }
 
+// LocalAddr returns the local address of connections from an IP address, or nil if that is empty or
+// malformed.
+func LocalAddr(ip string) net.Addr {
+	if address := net.ParseIP(ip); address != nil {
+		return &net.TCPAddr{IP: address}
+	}
+	return nil
+}
+
 // UserTimeout returns a function that sets TCP_USER_TIMEOUT: the kernel closes the connection if
 // sent data is not acknowledged for d.
 func UserTimeout(d time.Duration) Control {
