--- a/pkg/diverter/choose.go
+++ b/pkg/diverter/choose.go
@@ -7,6 +7,9 @@
 )
 
 const (
+	// MaxTries is the number of hosts to which a request is passed one after another, while each
+	// replies that it is cut off too.
+	MaxTries = 4
 	// maxAge is the age from which what an entry host has said of itself is not used.
 	maxAge = 2 * time.Second
 	// cutHostsCarried is the number of hosts of its failure domain that are cut off of which a host
@@ -43,20 +46,20 @@
 // one with the smaller load of two random ones is chosen, so that hosts which are cut off together
 // do not all choose the same one.
 func Choose(self Host, hosts []Host, inProgress map[HostID]int, random func(n int) int) (Host, bool) {
-	var near, far []Host
+	// Indices of the hosts that can be chosen.
+	near, far := make([]int, 0, len(hosts)), make([]int, 0, len(hosts))
 	cut := 1
-	for _, h := range hosts {
-		switch {
-		case h.ID == self.ID || h.Age > maxAge:
-		case h.CutOff:
-			if h.FailureDomain == self.FailureDomain {
+	for i := range hosts {
+		switch h := &hosts[i]; {
+		case h.ID == self.ID:
+		case !h.usable():
+			if h.CutOff && h.Age <= maxAge && h.FailureDomain == self.FailureDomain {
 				cut++
 			}
-		case h.Address == "":
 		case h.FailureDomain == self.FailureDomain:
-			near = append(near, h)
+			near = append(near, i)
 		default:
-			far = append(far, h)
+			far = append(far, i)
 		}
 	}
 	candidates := near
@@ -66,10 +69,31 @@
 	if len(candidates) == 0 {
 		return Host{}, false
 	}
-	load := func(h Host) int { return h.Requests + inProgress[h.ID] }
-	first, second := candidates[random(len(candidates))], candidates[random(len(candidates))]
+	load := func(h *Host) int { return h.Requests + inProgress[h.ID] }
+	first, second := &hosts[candidates[random(len(candidates))]], &hosts[candidates[random(len(candidates))]]
 	if load(second) < load(first) {
-		return second, true
+		return *second, true
+	}
+	return *first, true
+}
+
+// Outside returns the hosts in other failure domains than a given one, or all if none of those can be
+// chosen. It serves the next try after a host has replied that it is cut off too: a cut often hits
+// many hosts of a failure domain, some of which have not said so yet.
+func Outside(domain registrar.FailureDomain, hosts []Host) []Host {
+	var others []Host
+	usable := false
+	for _, h := range hosts {
+		if h.FailureDomain == domain {
+			continue
+		}
+		others = append(others, h)
+		usable = usable || h.usable()
 	}
-	return first, true
+	if !usable {
+		return hosts
+	}
+	return others
 }
+
+func (h *Host) usable() bool { return !h.CutOff && h.Address != "" && h.Age <= maxAge }
--- a/pkg/diverter/detector.go
+++ b/pkg/diverter/detector.go
@@ -15,8 +15,9 @@
 	suspicionInterval = 300 * time.Millisecond
 	// cutInterval is the time between two probes while the host is cut off.
 	cutInterval = 200 * time.Millisecond
-	// probeTimeout is the time after which a probe is repeated although its outcome is unknown.
-	probeTimeout = time.Second
+	// repeatInterval is the least time between two probes to an upstream while the outcome of the
+	// first one is unknown.
+	repeatInterval = 200 * time.Millisecond
 	// pauseTimeout is the time without a call of Probes after which the host counts as having been
 	// suspended, so that connections that failed meanwhile show nothing.
 	pauseTimeout = 400 * time.Millisecond
@@ -24,7 +25,7 @@
 	maxEvidence = 16
 	// fewDuration is the least time between the first and the latest failure where fewer than
 	// maxEvidence upstreams are known: a sound upstream may be silent for a second.
-	fewDuration = 700 * time.Millisecond
+	fewDuration = 750 * time.Millisecond
 	// minDomains is the number of failure domains in which probes must have failed, if so many are
 	// known.
 	minDomains = 2
@@ -201,8 +202,8 @@
 	}
 }
 
-// choose returns up to count upstreams, recorded as probed: those of the failure domains with the
-// fewest probes first, within a failure domain those with the fewest.
+// choose returns up to count upstreams, recorded as probed: those with the fewest probes first, of
+// these the ones whose failure domain has the fewest.
 func (d *Detector) choose(now time.Duration, known []Upstream, count int) []Upstream {
 	byDomain := map[registrar.FailureDomain]int{d.suspectedDomain: 1}
 	for id, p := range d.probes {
@@ -217,8 +218,8 @@
 			}
 			order := -1
 			if best >= 0 {
-				order = cmp.Or(cmp.Compare(byDomain[u.Domain], byDomain[known[best].Domain]),
-					cmp.Compare(d.tries(u.ID), d.tries(known[best].ID)))
+				order = cmp.Or(cmp.Compare(d.tries(u.ID), d.tries(known[best].ID)),
+					cmp.Compare(byDomain[u.Domain], byDomain[known[best].Domain]))
 			}
 			switch {
 			case order < 0:
@@ -258,10 +259,10 @@
 	return 0
 }
 
-// inProgress reports whether the outcome of a probe to an upstream is not known yet.
+// inProgress reports whether an upstream was probed lately and the outcome is not known yet.
 func (d *Detector) inProgress(now time.Duration, id registrar.UpstreamID) bool {
 	p := d.probes[id]
-	return p != nil && !p.failed && now-p.at < probeTimeout
+	return p != nil && !p.failed && now-p.at < repeatInterval
 }
 
 // failed returns the number of known upstreams to which a probe has failed, and that of their
