lister, controller, locator, router: tell which entry processes reach upstreams

An entry host that is cut off from all upstreams has to learn which others are not. Entry processes say with each poll, and with each question for the others, what they are; a control process keeps that in memory with its age and answers EntryHosts. The poll's part is a hook that is not set yet, so nothing is said and nobody is chosen. The poll's cursor moves to a file of its own.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -26,6 +26,7 @@
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/instrumenter"
 	"github.com/comfreybend/comfreybend/internal/keeper"
+	"github.com/comfreybend/comfreybend/internal/lister"
 	"github.com/comfreybend/comfreybend/internal/messenger"
 	"github.com/comfreybend/comfreybend/internal/tabulator"
 	"github.com/comfreybend/comfreybend/internal/versioner"
@@ -87,6 +88,7 @@
 		// gossipWanted makes runGossip send without delay.
 		gossipWanted chan struct{}
 		evidence     *collector.Table
+		lister       *lister.Lister
 		versions     *versioner.Versioner
 		// autoscaler is nil until runPlatformAgent starts.
 		autoscaler atomic.Pointer[autoscaler]
@@ -125,6 +127,7 @@
 		gossipWanted:    make(chan struct{}, 1),
 		evidence:        collector.NewTable(),
 		versions:        versioner.New(timer.Now()),
+		lister:          lister.New(),
 		appliedCommands: instruments.Scope.Counter("commands_committed"),
 		failedProposals: instruments.Scope.Counter("commands_refused"),
 	}
--- a/internal/controller/follow.go
+++ b/internal/controller/follow.go
@@ -234,7 +234,7 @@
 // servePoll serves a long poll of an entry process. It replies as soon as there is a
 // change or the wait is over, and needs no confirmation by a majority.
 func (c *Controller) servePoll(ctx context.Context, f *wire.Follow) *wire.Reply {
-	c.clusterView.recordEntry(f.GetHost())
+	c.recordPoll(f)
 	c.loads.recordEntryLoad(f.GetHost(), f.GetLoadShare())
 	for _, u := range f.GetLeaving() {
 		c.recordReportedLeave(ctx, registrar.Departure{ID: registrar.UpstreamID(u.GetId()), Incarnation: registrar.Incarnation(u.GetIncarnation())})
--- a/internal/controller/requests.go
+++ b/internal/controller/requests.go
@@ -61,6 +61,8 @@
 		return nil
 	case *wire.Request_Fetch:
 		return c.serveFetch(kind.Fetch)
+	case *wire.Request_EntryHosts:
+		return c.serveEntryHosts(kind.EntryHosts)
 	case *wire.Request_Origins:
 		return &wire.Reply{Kind: &wire.Reply_Origins{Origins: c.versions.Serve(timer.Now(), kind.Origins)}}
 	case *wire.Request_Spread:
--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -39,6 +39,9 @@
 	Locator struct {
 		// Now returns the time since some fixed moment. It may be replaced before Run is called.
 		Now func() time.Duration
+		// Self returns what this process says of itself with each question, nil for nothing. It may be
+		// set before Run is called.
+		Self func() *wire.EntryHost
 		// Ask asks a control process. It may be replaced before Run is called.
 		Ask func(ctx context.Context, control *messenger.Client) (*wire.EntryHostsReply, error)
 
@@ -140,7 +143,11 @@
 		}
 		began := l.Now()
 		failed = l.askAll(ctx, failed)
-		timer.Sleep(ctx, askInterval-(l.Now()-began))
+		select {
+		case <-ctx.Done():
+		case <-l.wake:
+		case <-time.After(askInterval - (l.Now() - began)):
+		}
 	}
 	return nil
 }
@@ -166,6 +173,9 @@
 	places := make(chan struct{}, maxQuestions)
 	for _, client := range clients {
 		places <- struct{}{}
+		if ctx.Err() != nil || !l.isWanted() {
+			break
+		}
 		asked.Go(func() {
 			defer func() { <-places }()
 			began := l.Now()
@@ -195,7 +205,11 @@
 func (l *Locator) ask(ctx context.Context, control *messenger.Client) (*wire.EntryHostsReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	reply, err := control.Call(ctx, &wire.Request{Kind: &wire.Request_EntryHosts{EntryHosts: &wire.EntryHosts{Host: string(l.self)}}})
+	question := &wire.EntryHosts{Host: string(l.self)}
+	if l.Self != nil {
+		question.Self = l.Self()
+	}
+	reply, err := control.Call(ctx, &wire.Request{Kind: &wire.Request_EntryHosts{EntryHosts: question}})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/router/control_poller.go
+++ b/internal/router/control_poller.go
@@ -55,6 +55,9 @@
 		// loadSentAt is when the load was last sent. Only poll with index 0 uses it.
 		loadSentAt time.Duration
 		tables     assembler.Tables
+		// self returns what this process says of itself as one that takes requests of others, nil for
+		// nothing. It is set before run is called.
+		self func() *wire.EntryHost
 
 		// mu guards standby.
 		mu      sync.Mutex
@@ -78,26 +81,6 @@
 		// fetch is the fetch of the whole table in progress, nil if there is none.
 		fetch *assembler.TableFetch
 	}
-
-	// cursor is how far this process has read the updates of a control process.
-	cursor struct {
-		// tableID identifies the control process's table that the positions refer to.
-		tableID uint64
-		// position is the position reached in the announcements of upstreams.
-		position uint64
-		// leavesPosition is the position reached in the leaves alone.
-		leavesPosition uint64
-		// loadPosition and cachedPartsPosition are the positions reached in the cluster
-		// load and in the cached parts.
-		loadPosition, cachedPartsPosition uint64
-		// evidencePosition is the position reached in the evidence about prompt parts, and
-		// reportedEvidence that of this process's evidence that the control process has.
-		evidencePosition uint64
-		reportedEvidence evidencePosition
-		// behindSince is the time since which the control process has a later configuration
-		// than this process, zero if it has not.
-		behindSince time.Duration
-	}
 )
 
 func newControlPoller(r *Router) *controlPoller {
@@ -332,26 +315,6 @@
 	view.lacking = p.router.dispatcher.renewLeases(view.members, overdue, announcedAt)
 }
 
-// cursorAfter returns the cursor after a reply. A reply contains the cluster load only if
-// the request contained the load of this process. Otherwise the positions in the cluster
-// load are kept as long as the table is the same.
-func cursorAfter(request *wire.Follow, reply *wire.FollowReply) cursor {
-	next := cursor{tableID: reply.GetTable(), position: reply.GetPosition(), evidencePosition: reply.GetEvidencePosition()}
-	if reply.GetStandby() {
-		next.leavesPosition = reply.GetLeavesPosition()
-		if request.GetTable() == reply.GetTable() {
-			next.position = request.GetPosition()
-		}
-	}
-	switch {
-	case request.GetLoadShare() != nil:
-		next.loadPosition, next.cachedPartsPosition = reply.GetLoadPosition(), reply.GetHeldPosition()
-	case request.GetTable() == reply.GetTable():
-		next.loadPosition, next.cachedPartsPosition = request.GetLoadPosition(), request.GetHeldPosition()
-	}
-	return next
-}
-
 // newRequest returns a poll request for updates since a cursor. Only requests to the
 // control process at index 0 carry the load of this process. The load has an interval of
 // its own, since most polls return immediately: there is usually an update of some
@@ -375,6 +338,9 @@
 		EvidencePosition: from.evidencePosition,
 		EntryIdsDigest:   p.router.restrainer.HostsDigest(),
 	}
+	if p.self != nil {
+		request.Self = p.self()
+	}
 	fetched, _ := p.router.fetcher.wanted()
 	request.FetchedRevision = uint64(fetched)
 	if index > 0 && p.router.controlPlane.hasConfiguration() {
