--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -4,6 +4,7 @@
 package locator
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -26,6 +27,9 @@
 	askTimeout = 400 * time.Millisecond
 	// maxQuestions is the number of control processes that are asked at once.
 	maxQuestions = 4
+	// maxRetries is the number of control processes that are asked in a round although they did not
+	// answer when they were asked last.
+	maxRetries = 2
 	// statementTimeout is the age from which what a host has said is dropped.
 	statementTimeout = 5 * time.Second
 	// maxHosts bounds the number of hosts in the list.
@@ -131,7 +135,7 @@
 
 // Run asks the control processes while the list is wanted, until ctx is done.
 func (l *Locator) Run(ctx context.Context) error {
-	failed := map[string]bool{}
+	failedAt := map[string]time.Duration{}
 	for ctx.Err() == nil {
 		if !l.isWanted() {
 			select {
@@ -141,8 +145,12 @@
 			}
 			continue
 		}
+		select {
+		case <-l.wake:
+		default:
+		}
 		began := l.Now()
-		failed = l.askAll(ctx, failed)
+		l.askAll(ctx, failedAt)
 		select {
 		case <-ctx.Done():
 		case <-l.wake:
@@ -158,20 +166,15 @@
 	return l.wanted
 }
 
-// askAll asks all control processes, those that failed in the round before last, and returns those
-// that fail now.
-func (l *Locator) askAll(ctx context.Context, failedBefore map[string]bool) map[string]bool {
-	clients := l.clients()
-	slices.SortStableFunc(clients, func(a, b *messenger.Client) int {
-		return boolToInt(failedBefore[a.Address()]) - boolToInt(failedBefore[b.Address()])
-	})
+// askAll asks the control processes. failedAt holds when those that did not answer were asked last, by
+// address, and is updated.
+func (l *Locator) askAll(ctx context.Context, failedAt map[string]time.Duration) {
 	var (
-		mu     sync.Mutex
-		asked  sync.WaitGroup
-		failed = map[string]bool{}
+		mu    sync.Mutex
+		asked sync.WaitGroup
 	)
 	places := make(chan struct{}, maxQuestions)
-	for _, client := range clients {
+	for _, client := range due(l.clients(), failedAt) {
 		places <- struct{}{}
 		if ctx.Err() != nil || !l.isWanted() {
 			break
@@ -182,23 +185,42 @@
 			reply, err := l.Ask(ctx, client)
 			if err == nil {
 				l.merge(began, reply)
-				return
+			} else {
+				l.log.Debug("asking a control process for entry hosts failed", zap.String("control", client.Address()), zap.Error(err))
 			}
-			l.log.Debug("asking a control process for entry hosts failed", zap.String("control", client.Address()), zap.Error(err))
 			mu.Lock()
 			defer mu.Unlock()
-			failed[client.Address()] = true
+			if err == nil {
+				delete(failedAt, client.Address())
+			} else {
+				failedAt[client.Address()] = began
+			}
 		})
 	}
 	asked.Wait()
-	return failed
 }
 
-func boolToInt(b bool) int {
-	if b {
-		return 1
+// due returns the control processes to ask in a round: those that have not failed, and a few of the
+// others, so that the round does not take long. All are asked if none is left.
+func due(clients []*messenger.Client, failedAt map[string]time.Duration) []*messenger.Client {
+	var sound, failed []*messenger.Client
+	known := map[string]bool{}
+	for _, client := range clients {
+		known[client.Address()] = true
+		if _, found := failedAt[client.Address()]; found {
+			failed = append(failed, client)
+		} else {
+			sound = append(sound, client)
+		}
+	}
+	maps.DeleteFunc(failedAt, func(address string, _ time.Duration) bool { return !known[address] })
+	slices.SortStableFunc(failed, func(a, b *messenger.Client) int {
+		return cmp.Compare(failedAt[a.Address()], failedAt[b.Address()])
+	})
+	if len(sound) == 0 {
+		return failed
 	}
-	return 0
+	return append(sound, failed[:min(maxRetries, len(failed))]...)
 }
 
 // ask is the default of Ask.
