relayer, messenger: pass requests on between entry processes

It is to pass requests on to an entry host that reaches them. This adds the transport; nothing uses it yet.

--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -20,7 +20,10 @@
 	security Security
 	// handle processes a request. It returns nil if the request has no reply.
 	handle func(context.Context, *wire.Request) *wire.Reply
-	wg     sync.WaitGroup
+	// HandleRelay processes a request that another process passes on, if it is not nil. Its context
+	// is done once the other end has closed the exchange. It may be set before Run.
+	HandleRelay func(context.Context, *wire.Relay, *Exchange)
+	wg          sync.WaitGroup
 }
 
 // NewServer returns a server that passes the requests received on listener to handle.
@@ -75,8 +78,15 @@
 	defer func() { _ = stream.Close() }()
 	defer endWhenDone(ctx, stream)()
 	request := &wire.Request{}
+	reader := bufio.NewReader(stream)
 	options := protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}
-	if err := options.UnmarshalFrom(bufio.NewReader(stream), request); err != nil {
+	if err := options.UnmarshalFrom(reader, request); err != nil {
+		return
+	}
+	if request.GetRelay() != nil && s.HandleRelay != nil {
+		x := newExchange(ctx, stream, reader, "")
+		defer x.Close()
+		s.HandleRelay(x.untilClosed(), request.GetRelay(), x)
 		return
 	}
 	reply := s.handle(ctx, request)
