scrubber, router: move the removal of headers into a package of its own

The headers of a request that is passed on to another entry process need the same removal as those of a request to an upstream: without the connection's headers, without the key. Behaviour is unchanged.

--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -19,6 +19,7 @@
 
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/counter"
+	"github.com/comfreybend/comfreybend/internal/scrubber"
 	"github.com/comfreybend/comfreybend/pkg/isolator"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
@@ -283,23 +284,9 @@
 }
 
 // upstreamHeader returns the client's headers to forward to the upstream: all
-// but those of isDroppedRequestHeader, those named in Connection and those that
-// the dialect drops. A value that contains the API key is dropped too.
+// but those of scrubber.Request and isDroppedRequestHeader, and those that the dialect drops.
 func (c *call) upstreamHeader(dropsHeader func(string) bool) http.Header {
-	out := make(http.Header, len(c.header))
-	for name, values := range c.header {
-		if isDroppedRequestHeader(name) || dropsHeader(name) {
-			continue
-		}
-		for _, v := range values {
-			if c.Key == "" || !strings.Contains(v, c.Key) {
-				out.Add(name, v)
-			}
-		}
-	}
-	for _, name := range strings.Split(c.header.Get("Connection"), ",") {
-		out.Del(strings.TrimSpace(name))
-	}
+	out := scrubber.Request(c.header, c.Key, func(name string) bool { return isDroppedRequestHeader(name) || dropsHeader(name) })
 	if _, found := out["User-Agent"]; !found {
 		// An empty value keeps net/http from adding its default User-Agent.
 		out["User-Agent"] = []string{""}
@@ -307,14 +294,12 @@
 	return out
 }
 
-// isDroppedRequestHeader reports whether a client header is not forwarded to
-// the upstream. The idempotency keys are dropped because net/http treats a
-// request that has one as idempotent and may send it twice.
+// isDroppedRequestHeader reports whether a client header is only for the router. The idempotency
+// keys are dropped because net/http treats a request that has one as idempotent and may send it
+// twice.
 func isDroppedRequestHeader(name string) bool {
 	switch name {
-	case "Authorization", "Proxy-Authorization", "Cookie", HeaderIdempotencyKey, "X-Idempotency-Key",
-		"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-		"Content-Length", "Expect", "Accept-Encoding", HeaderLastEventID, headerLastEventIDCanonical:
+	case HeaderIdempotencyKey, "X-Idempotency-Key", HeaderLastEventID, headerLastEventIDCanonical:
 		return true
 	default:
 		return false
--- a/internal/router/response.go
+++ b/internal/router/response.go
@@ -15,6 +15,7 @@
 
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/counter"
+	"github.com/comfreybend/comfreybend/internal/scrubber"
 )
 
 const (
@@ -222,7 +223,7 @@
 // see, and adds the attempt id if the client did not provide one.
 func (h *callHandler) copyResponseHeader(to, from http.Header) {
 	for name, values := range from {
-		if !isDroppedResponseHeader(name) && !h.router.dialect.DropsResponseHeader(name) {
+		if !scrubber.DropsResponse(name) && !h.router.dialect.DropsResponseHeader(name) {
 			to[name] = values
 		}
 	}
@@ -231,17 +232,6 @@
 	}
 }
 
-// isDroppedResponseHeader reports whether an upstream's header is not relayed:
-// hop-by-hop headers, and Content-Length, which is set separately.
-func isDroppedResponseHeader(name string) bool {
-	switch name {
-	case "Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length":
-		return true
-	default:
-		return false
-	}
-}
-
 // write writes data with a deadline. The deadline is renewed only after a
 // fraction of the timeout, because a stream has many small writes.
 func (w *clientWriter) write(data []byte) error {
