forwarder, router: pass requests on from a host that reaches no upstream

The host had no one to turn to.

A host feeds diverter.Detector with the outcome of each connection to an upstream and with probes of its own. While it is cut off, it passes requests on to an entry host that reaches upstreams, over internal/relayer: new ones, those that wait in a queue, and those whose attempts could not be sent. Those that have run go on elsewhere only if they may be repeated, within their attempts and the retry budget; those that must run once never after a byte may have left. The receiver handles a request as if the client had sent it there: it checks the digest of the key again, keeps to the time left and to the attempts, and counts usage, windows and claims; it never passes it on again. If it is cut off too, or takes none, one other host is tried. Hosts tell control processes their address in each poll (Follow.self).

--- a/internal/relayer/receiver.go
+++ b/internal/relayer/receiver.go
@@ -23,12 +23,14 @@
 		Handler http.Handler
 		// CutOff reports whether this process cannot reach any upstream.
 		CutOff func() bool
+		// NotReady returns the reason why this process takes no requests, or an empty string.
+		NotReady func() string
 		// MaxHeaderBytes bounds the headers of a request.
 		MaxHeaderBytes int
 		Log            *zap.Logger
 
 		mu       sync.Mutex
-		stopping bool
+		stopped  bool
 		requests sync.WaitGroup
 	}
 
@@ -44,8 +46,8 @@
 // Handle handles a request that another process passes on, and sends its response. It is the
 // HandleRelay of a messenger.Server.
 func (v *Receiver) Handle(ctx context.Context, relay *wire.Relay, x *messenger.Exchange) {
-	if !v.begin() {
-		v.refuse(x, &refusedError{Reason: reasonShuttingDown, Detail: "the process shuts down"})
+	if reason := v.begin(); reason != "" {
+		v.refuse(x, &refusedError{Reason: reasonNotReady, Detail: reason})
 		return
 	}
 	defer v.requests.Done()
@@ -67,7 +69,9 @@
 
 // Stop makes the receiver refuse further requests and waits for those in progress until ctx is done.
 func (v *Receiver) Stop(ctx context.Context) {
-	v.Refuse()
+	v.mu.Lock()
+	v.stopped = true
+	v.mu.Unlock()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -79,20 +83,18 @@
 	}
 }
 
-// Refuse makes the receiver refuse further requests.
-func (v *Receiver) Refuse() {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.stopping = true
-}
-
-func (v *Receiver) begin() bool {
+// begin counts a request, or returns the reason why it is not taken.
+func (v *Receiver) begin() string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if !v.stopping {
-		v.requests.Add(1)
+	if v.stopped {
+		return "stopped"
+	}
+	if reason := v.NotReady(); reason != "" {
+		return reason
 	}
-	return !v.stopping
+	v.requests.Add(1)
+	return ""
 }
 
 func (v *Receiver) refuse(x *messenger.Exchange, refused *refusedError) {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -15,8 +15,8 @@
 
 // Reasons for which a receiver does not take a request, in wire.Failure.
 const (
-	reasonShuttingDown = "shuttingDown"
-	reasonInvalid      = "invalid"
+	reasonNotReady = "notReady"
+	reasonInvalid  = "invalid"
 )
 
 // maxPieceBytes bounds the data of a part of a response.
@@ -72,14 +72,12 @@
 	return relay
 }
 
-// HeaderFields returns the fields of a header for which keep returns true.
-func HeaderFields(h http.Header, keep func(name, value string) bool) []*wire.HeaderField {
+// HeaderFields returns the fields of a header.
+func HeaderFields(h http.Header) []*wire.HeaderField {
 	fields := make([]*wire.HeaderField, 0, len(h))
 	for name, values := range h {
 		for _, value := range values {
-			if keep(name, value) {
-				fields = append(fields, &wire.HeaderField{Name: name, Value: value})
-			}
+			fields = append(fields, &wire.HeaderField{Name: name, Value: value})
 		}
 	}
 	return fields
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -69,7 +69,7 @@
 		t.Fatal(err)
 	}
 	p := &testPeer{address: l.Addr().String(), receiver: &Receiver{
-		Handler: handle, CutOff: func() bool { return false }, MaxHeaderBytes: 1 << 10, Log: zap.NewNop(),
+		Handler: handle, CutOff: func() bool { return false }, NotReady: func() string { return "" }, MaxHeaderBytes: 1 << 10, Log: zap.NewNop(),
 	}}
 	server := messenger.NewServer(&trackingListener{Listener: l, peer: p}, messenger.Security{}, func(context.Context, *wire.Request) *wire.Reply {
 		return &wire.Reply{Failure: &wire.Failure{Reason: "invalid"}}
@@ -193,7 +193,7 @@
 		notTaken bool
 	}{
 		"cut off":                           {prepare: func(p *testPeer) { p.receiver.CutOff = func() bool { return true } }, notTaken: true},
-		"shutting down":                     {prepare: func(p *testPeer) { p.receiver.Refuse() }, notTaken: true},
+		"shutting down":                     {prepare: func(p *testPeer) { p.receiver.NotReady = func() string { return "shutting down" } }, notTaken: true},
 		"large headers":                     {large: true, notTaken: true},
 		"unreachable":                       {prepare: func(p *testPeer) { p.address = "127.0.0.1:1" }, notTaken: true},
 		"connection breaks before the head": {handle: func(p *testPeer, _ http.ResponseWriter) { p.breakConnections() }},
--- a/internal/relayer/writer.go
+++ b/internal/relayer/writer.go
@@ -24,8 +24,7 @@
 // WriteHeader sets the status. The header is sent with the first data.
 func (w *responseWriter) WriteHeader(status int) {
 	if w.head == nil && !w.sent {
-		all := func(string, string) bool { return true }
-		w.head = &wire.RelayPart{Status: int32(status), Headers: HeaderFields(w.header, all)}
+		w.head = &wire.RelayPart{Status: int32(status), Headers: HeaderFields(w.header)}
 	}
 }
 
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -52,6 +52,9 @@
 		singleUse *http.Transport
 		// probe asks upstreams about attempts whose connection is silent.
 		probe *http.Client
+		// dial establishes the connections. onDialled is called with the outcome for an upstream.
+		dial      dialer.DialFunc
+		onDialled func(*registrar.Upstream, error)
 		// nonRetryableSingleUse sends all calls that must not run twice through
 		// singleUse. If it is false, only those with a method that net/http resends
 		// on its own (see isResentByTransport) use singleUse.
@@ -185,9 +188,10 @@
 func newUpstreamClient(e *settings.Entry, dialect Dialect) *upstreamClient {
 	l := e.GetUpstreamLimits()
 	u := &upstreamClient{limits: l, dialect: dialect, now: timer.Now, nonRetryableSingleUse: !e.GetFollowControl(), onResponse: func(*attempt, ResponseInfo) {}, onStart: func(*call, *attempt) {}}
+	u.dial, u.onDialled = dialer.Resetting(l.GetConnectTimeout().AsDuration()), func(*registrar.Upstream, error) {}
 	transport := func() *http.Transport {
 		return &http.Transport{
-			DialContext:         u.dialWith(dialer.Resetting(l.GetConnectTimeout().AsDuration())),
+			DialContext:         u.dialUpstream,
 			MaxIdleConnsPerHost: maxIdleConnsPerUpstream,
 			IdleConnTimeout:     upstreamIdleTimeout,
 			DisableCompression:  true,
@@ -206,21 +210,21 @@
 	return u
 }
 
-// dialWith returns a function that establishes connections, and closes one whose upstream is found
-// to be leaving.
-func (u *upstreamClient) dialWith(dial dialer.DialFunc) dialer.DialFunc {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dial(ctx, network, address)
-		upstream, known := ctx.Value(upstreamKey{}).(*registrar.Upstream)
-		if err != nil || !known {
-			return conn, err
-		}
-		if err = u.checkLeaving(upstream); err != nil {
-			_ = conn.Close()
-			return nil, err
-		}
-		return conn, nil
+// dialUpstream establishes a connection, and closes it if its upstream is found to be leaving.
+func (u *upstreamClient) dialUpstream(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := u.dial(ctx, network, address)
+	upstream, known := ctx.Value(upstreamKey{}).(*registrar.Upstream)
+	if !known {
+		return conn, err
+	}
+	if u.onDialled(upstream, err); err != nil {
+		return nil, err
+	}
+	if err = u.checkLeaving(upstream); err != nil {
+		_ = conn.Close()
+		return nil, err
 	}
+	return conn, nil
 }
 
 // send sends a call to the granted upstream and waits for the response
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -19,11 +19,13 @@
 
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/counter"
+	"github.com/comfreybend/comfreybend/internal/relayer"
 	"github.com/comfreybend/comfreybend/internal/scrubber"
 	"github.com/comfreybend/comfreybend/pkg/isolator"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/state"
+	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
 const (
@@ -51,6 +53,9 @@
 		// requestURI is the path and query as received.
 		requestURI string
 		RequestInfo
+		// relay is what the call was passed on with by another entry process; nil if it came from
+		// the client.
+		relay *wire.Relay
 		// client and the following fields are set by resolve.
 		client identity
 		route  *state.Route
@@ -83,7 +88,7 @@
 )
 
 // decodeCall reads a client request with its whole body, within the body limit.
-func (r *Router) decodeCall(_ context.Context, request *http.Request) (any, error) {
+func (r *Router) decodeCall(ctx context.Context, request *http.Request) (any, error) {
 	limit := r.settings.GetEntry().GetCallerLimits().GetBodyBytes()
 	body, err := io.ReadAll(io.LimitReader(request.Body, limit+1))
 	if err != nil {
@@ -108,7 +113,8 @@
 		hostHeader:  request.Host,
 		requestURI:  request.RequestURI,
 		RequestInfo: d,
-		arrived:     r.dispatcher.now(),
+		relay:       relayer.From(ctx),
+		arrived:     r.dispatcher.now() - millis(relayer.From(ctx).GetAgeMillis()),
 	}, nil
 }
 
@@ -162,14 +168,14 @@
 // to all accept calls without a valid key.
 func (r *Router) authenticate(c *call) *RefusalError {
 	open := c.route.GetOpenToAll()
-	if c.Key == "" && !open {
+	if c.Key == "" && len(c.relay.GetKeyDigest()) == 0 && !open {
 		refusal := refuse(http.StatusUnauthorized, CodeUnauthorized, "a key is needed")
 		if c.route == nil {
 			return r.controlPlane.refuseUnknown(refusal)
 		}
 		return refusal
 	}
-	client, refusal := r.controlPlane.identify(c.Key)
+	client, refusal := r.controlPlane.identify(c.Key, c.relay.GetKeyDigest())
 	if refusal != nil && open {
 		// An open route needs no key, so the call runs anonymously if its key is
 		// invalid or cannot be verified.
@@ -256,6 +262,10 @@
 // setDeadline sets the deadline from the client's timeout, the class or the
 // default, in this order. The route's timeout is an upper bound.
 func (r *Router) setDeadline(c *call) {
+	if c.relay != nil {
+		c.deadline = r.dispatcher.now() + millis(c.relay.GetDeadlineMillis())
+		return
+	}
 	allowed := r.settings.GetEntry().GetCallerLimits().GetDefaultDeadline().AsDuration()
 	if target := configurer.ResponseTarget(c.class); target > 0 {
 		allowed = target
--- a/internal/router/control_poller.go
+++ b/internal/router/control_poller.go
@@ -374,6 +374,8 @@
 		WantsEvidence:    true,
 		EvidencePosition: from.evidencePosition,
 		EntryIdsDigest:   p.router.restrainer.HostsDigest(),
+
+		Self: p.router.entryHost(),
 	}
 	fetched, _ := p.router.fetcher.wanted()
 	request.FetchedRevision = uint64(fetched)
--- a/internal/router/controlplane.go
+++ b/internal/router/controlplane.go
@@ -367,12 +367,16 @@
 	return int64(p.now()) < p.freshUntil.Load()
 }
 
-// identify returns the identity of a key. Without a key it is anonymous.
-func (p *controlPlane) identify(key string) (identity, *RefusalError) {
-	if key == "" {
+// identify returns the identity of a key, or of a digest if there is no key. Without both it is
+// anonymous.
+func (p *controlPlane) identify(key string, digest []byte) (identity, *RefusalError) {
+	id := identity{hash: configurer.HashKey(key), hasKey: true}
+	switch {
+	case key == "" && len(digest) == 0:
 		return identity{}, nil
+	case key == "":
+		copy(id.hash[:], digest)
 	}
-	id := identity{hash: configurer.HashKey(key), hasKey: true}
 	if refusal := p.checkKey(&id); refusal != nil {
 		return identity{}, refusal
 	}
--- a/internal/router/controlplane_test.go
+++ b/internal/router/controlplane_test.go
@@ -113,7 +113,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			now = time.Hour + test.after
-			_, refusal := p.identify(test.key)
+			_, refusal := p.identify(test.key, nil)
 			if (refusal != nil) != (test.status != 0) {
 				t.Fatalf("refusal %v, want status %d (0: no refusal)", refusal, test.status)
 			}
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -84,6 +84,10 @@
 		prompt *picker.PromptRequest
 		// probe reports that the request may be sent although a part of its prompt is held.
 		probe bool
+		// mayLeave reports that the request may be passed on to another entry process.
+		mayLeave bool
+		// counted reports that the request has been counted in the retry budget.
+		counted bool
 	}
 
 	// waiter is a queued request. It receives either a grant or a refusal.
@@ -162,6 +166,8 @@
 		withdrawn map[registrar.UpstreamID]registrar.Upstream
 		// onWithdrawn is called, with the mutex held, for each such upstream.
 		onWithdrawn func(registrar.Upstream)
+		// onTimedOut is called, with the mutex held, for an upstream that has stopped acknowledging.
+		onTimedOut func(*registrar.Upstream)
 		// meanPendingTokens is the moving average of the pending prompt tokens of a
 		// request in progress.
 		meanPendingTokens float64
@@ -211,6 +217,7 @@
 		clusterLoad:    estimator.New(),
 		withdrawn:      map[registrar.UpstreamID]registrar.Upstream{},
 		onWithdrawn:    func(registrar.Upstream) {},
+		onTimedOut:     func(*registrar.Upstream) {},
 	}
 }
 
@@ -342,7 +349,9 @@
 	d.nextItem++
 	if !r.interrupted && len(r.pick.Avoid) == 0 {
 		// A call is counted at its first attempt only.
-		d.budget.OnRequest(d.now())
+		if !r.counted {
+			d.budget.OnRequest(d.now())
+		}
 		if r.prompt != nil {
 			p.promptAware = true
 			d.placer.RequestArrived(d.now(), *r.prompt)
@@ -423,6 +432,9 @@
 	if outcome == outcomeUnreachable || outcome == outcomeTimedOut {
 		d.failuresIn(g.upstream.FailureDomain).Add(d.now())
 	}
+	if outcome == outcomeTimedOut {
+		d.onTimedOut(g.upstream)
+	}
 	if outcome == outcomeAnswered {
 		d.budget.OnSuccess()
 		average := p.averageDurations[g.item.Class]
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -12,6 +12,7 @@
 
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/counter"
+	"github.com/comfreybend/comfreybend/internal/forwarder"
 	"github.com/comfreybend/comfreybend/internal/restrainer"
 	"github.com/comfreybend/comfreybend/internal/scanner"
 	"github.com/comfreybend/comfreybend/pkg/isolator"
@@ -85,6 +86,10 @@
 		// been added to the usage counters yet.
 		inputTokens  counter.TokenCount
 		outputTokens counter.TokenCount
+
+		// counted reports that the call was counted in the retry budget, refusedElsewhere that other
+		// entry processes did not take it.
+		counted, refusedElsewhere bool
 	}
 
 	// clientResponse is the result of handleCall, which encodeResponse writes to the client.
@@ -93,6 +98,8 @@
 		// stored is the response of an earlier call with the same idempotency key;
 		// nil if the response to the handler's current attempt is relayed.
 		stored *storedResponse
+		// passedOn is the response of another entry process; nil if there is none.
+		passedOn *forwarder.Response
 	}
 )
 
@@ -125,27 +132,54 @@
 		// the client disconnects.
 		_ = control.SetReadDeadline(time.Time{})
 	}
+	h := r.newCallHandler(c)
+	if refusal := r.resolve(c); refusal != nil {
+		return nil, h.recordRefusal(refusal)
+	}
+	out, refusal := h.passOn(ctx)
+	if out == nil && refusal == nil {
+		out, refusal = h.serveHere(ctx)
+	}
+	if refusal != nil {
+		h.releaseClaim(refusal)
+		return nil, h.recordRefusal(refusal)
+	}
+	return out, nil
+}
+
+// newCallHandler returns the handler of a call.
+func (r *Router) newCallHandler(c *call) *callHandler {
 	h := &callHandler{router: r, call: c, log: r.log, requestID: c.Attempt, lastEventID: c.LastEventID}
+	if c.relay != nil {
+		h.requestID, h.attempts = AttemptID(c.relay.GetRequestId()), int(c.relay.GetAttempts())
+		h.mayHaveRun, h.startRecorded, h.counted = h.attempts > 0, h.attempts > 0, c.relay.GetCounted()
+		h.log = r.log.With(zap.String("from", c.relay.GetHost()), zap.String("fromDomain", c.relay.GetFailureDomain()))
+	}
 	if h.requestID == "" {
 		h.requestID = AttemptID(uuid.NewString())
 	}
-	if refusal := r.resolve(c); refusal != nil {
-		return nil, h.recordRefusal(refusal)
-	}
+	return h
+}
+
+// serveHere sends attempts from this process. If it is cut off meanwhile, it passes the call on.
+func (h *callHandler) serveHere(ctx context.Context) (*clientResponse, *RefusalError) {
+	r, c := h.router, h.call
 	if refusal := h.findOrigin(ctx); refusal != nil {
-		return nil, h.recordRefusal(refusal)
+		return nil, refusal
 	}
 	r.isolation.awaitVerdict(ctx, c)
 	if refusal := r.isolation.admit(c); refusal != nil {
-		return nil, h.recordRefusal(refusal)
+		return nil, refusal
 	}
 	h.endedBefore = r.isolation.latestEnd(c)
 	out, refusal := h.sendAttempts(ctx)
-	if refusal != nil {
-		h.releaseClaim(refusal)
-		return nil, h.recordRefusal(refusal)
+	if refusal == nil || !h.mayPassOn(refusal) {
+		return out, refusal
 	}
-	return out, nil
+	if passed, failure := h.passOn(ctx); passed != nil || failure != nil {
+		return passed, failure
+	}
+	return h.sendAttempts(ctx)
 }
 
 // sendAttempts commits the call's claim if it needs one, and sends attempts until an
@@ -180,7 +214,7 @@
 // since it may have been withdrawn in the meantime.
 func (h *callHandler) acquireUpstream(ctx context.Context) (*grant, *RefusalError) {
 	c := h.call
-	g, refusal := h.router.dispatcher.acquire(ctx, dispatchRequest{
+	request := dispatchRequest{
 		call:         c,
 		pool:         c.pool,
 		class:        c.class,
@@ -192,12 +226,19 @@
 		version:      h.boundVersion(),
 		prompt:       h.prompt(),
 		probe:        c.probe,
+		mayLeave:     h.mayLeave(),
+		counted:      h.counted,
 		pick: picker.Request{
 			Prefix:    c.prefixID(),
 			Retryable: c.retryable,
 			Avoid:     h.failedUpstreams,
 		},
-	})
+	}
+	if request.mayLeave && h.router.forwarder.Available() {
+		return nil, h.setRun(refuseCutOff(request))
+	}
+	h.counted = true
+	g, refusal := h.router.dispatcher.acquire(ctx, request)
 	if refusal != nil {
 		return nil, h.setRun(refusal)
 	}
--- /dev/null
+++ b/internal/router/relay.go
@@ -0,0 +1,134 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/comfreybend/comfreybend/internal/forwarder"
+	"github.com/comfreybend/comfreybend/internal/messenger"
+	"github.com/comfreybend/comfreybend/internal/relayer"
+	"github.com/comfreybend/comfreybend/internal/scrubber"
+	"github.com/comfreybend/comfreybend/pkg/diverter"
+	"github.com/comfreybend/comfreybend/pkg/registrar"
+	"github.com/comfreybend/comfreybend/schema/state"
+	"github.com/comfreybend/comfreybend/schema/wire"
+)
+
+// cutOffError reports a call that is to be passed on to another entry process.
+type cutOffError struct{}
+
+// Error implements error.
+func (e *cutOffError) Error() string { return "no upstream can be reached from this host" }
+
+// setUpRelay sets up how calls are passed on to other entry processes and taken from them.
+func (r *Router) setUpRelay(security messenger.Security) {
+	host := r.settings.GetHost()
+	self := diverter.Host{ID: diverter.HostID(host.GetId()), FailureDomain: registrar.FailureDomain(host.GetFailureDomain())}
+	r.forwarder = forwarder.New(self, security, r.controlClients.All, r.random, r.log, r.instruments.Scope)
+	r.forwarder.Dial, r.forwarder.Upstreams = r.upstreamClient.dial, r.dispatcher.allUpstreams
+	r.forwarder.Divert = func() { r.dispatcher.refuseWaiting(refuseCutOff) }
+	r.dispatcher.onTimedOut = r.forwarder.Failed
+	r.upstreamClient.onDialled = func(u *registrar.Upstream, err error) {
+		if err == nil {
+			r.forwarder.Connected()
+		} else if !errors.Is(err, context.Canceled) {
+			r.forwarder.Failed(u)
+		}
+	}
+	r.receiver = &relayer.Receiver{
+		Handler: r.clientHandler(), CutOff: r.forwarder.CutOff, NotReady: r.notReadyReason,
+		MaxHeaderBytes: int(r.settings.GetEntry().GetCallerLimits().GetHeaderBytes()), Log: r.log,
+	}
+}
+
+// allUpstreams returns all upstreams in the registry.
+func (d *dispatcher) allUpstreams() []*registrar.Upstream {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.registry.All()
+}
+
+// entryHost describes this process to others that may pass calls on to it; nil while it takes none.
+func (r *Router) entryHost() *wire.EntryHost {
+	if r.notReadyReason() != "" {
+		return nil
+	}
+	return &wire.EntryHost{
+		Host: r.settings.GetHost().GetId(), FailureDomain: r.settings.GetHost().GetFailureDomain(),
+		Address: r.settings.GetEntry().GetPeerListen(), CutOff: r.forwarder.CutOff(), Requests: int32(r.inProgress.Load()),
+	}
+}
+
+// refuseCutOff refuses a call that may be passed on.
+func refuseCutOff(request dispatchRequest) *RefusalError {
+	if !request.mayLeave {
+		return nil
+	}
+	refusal := refuseWithRetryAfter(http.StatusServiceUnavailable, CodeNoUpstream, (&cutOffError{}).Error(), time.Second)
+	refusal.cause = &cutOffError{}
+	return refusal
+}
+
+// mayLeave reports whether the call may be passed on if no upstream can be reached: it has not been
+// passed on before, the client has no part of a response, and it has not run or may run again.
+func (h *callHandler) mayLeave() bool {
+	return h.call.relay == nil && !h.refusedElsewhere && !h.progressed && h.lastEventID == h.call.LastEventID &&
+		(!h.mayHaveRun || h.call.retryable)
+}
+
+// mayPassOn reports whether the call is passed on instead of being refused.
+func (h *callHandler) mayPassOn(refusal *RefusalError) bool {
+	return h.mayLeave() && h.router.forwarder.Available() && (errors.As(refusal.cause, new(*cutOffError)) ||
+		refusal.Run == NotRun && (refusal.Code == CodeOverloaded || refusal.Code == CodeNoUpstream))
+}
+
+// passOn passes the call on to another entry process if no upstream can be reached. It returns nil
+// twice if the call must be served here.
+func (h *callHandler) passOn(ctx context.Context) (*clientResponse, *RefusalError) {
+	if !h.router.forwarder.CutOff() || !h.mayLeave() {
+		return nil, nil
+	}
+	if h.claimed {
+		h.commitClaimOutcome(&state.ClaimOutcome{NotRun: true})
+		h.claimed = false
+	}
+	response, err := h.router.forwarder.PassOn(ctx, h.newRelay(), h.call.deadline)
+	switch {
+	case err == nil:
+		return &clientResponse{handler: h, passedOn: response}, nil
+	case relayer.NotTaken(err):
+		h.refusedElsewhere = true
+		return nil, nil
+	case errors.As(err, new(*forwarder.NoHostError)):
+		return nil, nil
+	default:
+		h.mayHaveRun = true
+		return nil, h.giveUp(err)
+	}
+}
+
+// newRelay returns the call as another entry process receives it, without the key.
+func (h *callHandler) newRelay() *wire.Relay {
+	c := h.call
+	relay := &wire.Relay{
+		Method: c.method, RequestUri: c.requestURI, HostHeader: c.hostHeader, Body: c.body,
+		Organisation: string(c.client.organisation), Attempts: int32(h.attempts), AgeMillis: h.age().Milliseconds(),
+		Counted: h.counted, RequestId: string(h.requestID),
+	}
+	if c.client.hasKey {
+		relay.KeyDigest = c.client.hash[:]
+	}
+	relay.Headers = relayer.HeaderFields(scrubber.Request(c.header, c.Key, func(string) bool { return false }))
+	return relay
+}
+
+// relayPassedOn writes the response of another entry process to the client.
+func (h *callHandler) relayPassedOn(w http.ResponseWriter, response *forwarder.Response) {
+	defer response.Close()
+	if err := response.Copy(w, h.router.settings.GetEntry().GetCallerLimits().GetWriteTimeout().AsDuration()); err != nil {
+		h.abortClient(err)
+	}
+}
--- a/internal/router/response.go
+++ b/internal/router/response.go
@@ -62,6 +62,10 @@
 		out.stored.write(w)
 		return nil
 	}
+	if out.passedOn != nil {
+		h.relayPassedOn(w, out.passedOn)
+		return nil
+	}
 	h.router.metrics.answered(configurer.ClassName(h.call.class.GetName()), h.router.dispatcher.now()-h.call.arrived)
 	writer := &clientWriter{
 		w:       w,
@@ -72,7 +76,18 @@
 	if isEventStream(h.current.response) {
 		relay = h.relayStream
 	}
-	if refusal := relay(ctx, writer); refusal != nil {
+	refusal := relay(ctx, writer)
+	if refusal != nil && h.mayPassOn(refusal) {
+		passed, failure := h.passOn(ctx)
+		if passed != nil {
+			h.relayPassedOn(w, passed.passedOn)
+			return nil
+		}
+		if failure != nil {
+			refusal = failure
+		}
+	}
+	if refusal != nil {
 		r.encodeRefusal(ctx, h.recordRefusal(refusal), w)
 	}
 	return nil
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -19,10 +19,12 @@
 	"github.com/comfreybend/comfreybend/internal/bufferer"
 	"github.com/comfreybend/comfreybend/internal/certifier"
 	"github.com/comfreybend/comfreybend/internal/counter"
+	"github.com/comfreybend/comfreybend/internal/forwarder"
 	"github.com/comfreybend/comfreybend/internal/identifier"
 	"github.com/comfreybend/comfreybend/internal/instrumenter"
 	"github.com/comfreybend/comfreybend/internal/messenger"
 	"github.com/comfreybend/comfreybend/internal/ranker"
+	"github.com/comfreybend/comfreybend/internal/relayer"
 	"github.com/comfreybend/comfreybend/internal/restrainer"
 	"github.com/comfreybend/comfreybend/internal/server"
 	"github.com/comfreybend/comfreybend/internal/tracker"
@@ -68,6 +70,8 @@
 	identifier     *identifier.Identifier
 	tracker        *tracker.Tracker
 	dispatcher     *dispatcher
+	forwarder      *forwarder.Forwarder
+	receiver       *relayer.Receiver
 	upstreamClient *upstreamClient
 	usage          *counter.Counters
 	peers          *peerExchanger
@@ -121,6 +125,7 @@
 	r.dispatcher.onWithdrawn = r.peers.queueAnnouncement
 	r.upstreamClient.onResponse = r.handleNotices
 	r.upstreamClient.onStart = r.isolation.track
+	r.setUpRelay(security)
 	return r, nil
 }
 
@@ -135,6 +140,7 @@
 	defer stopBackground()
 	group, running := errgroup.WithContext(background)
 	peerServer := messenger.NewServer(l.peer, r.peers.security, r.peers.handle)
+	peerServer.HandleRelay = r.receiver.Handle
 	status := &http.Server{Handler: r.instruments.Handler(r.notReadyReason, r.dialect.ReadyPath), ReadHeaderTimeout: idleTimeout}
 	upstreams := &http.Server{Handler: r.announcementHandler(), ReadHeaderTimeout: idleTimeout}
 	clients := r.clientServer()
@@ -145,6 +151,7 @@
 	group.Go(func() error { return r.peers.run(running) })
 	group.Go(func() error { return r.controlPoller.run(running) })
 	group.Go(func() error { return r.dispatcher.run(running) })
+	group.Go(func() error { return r.forwarder.Run(running) })
 	group.Go(func() error { return server.Serve(status, l.status) })
 	group.Go(func() error { return server.Serve(upstreams, l.upstream) })
 	group.Go(func() error { return server.Serve(clients, l.client) })
@@ -183,6 +190,7 @@
 		r.log.Error("grace period ended with requests in progress", zap.Error(err))
 		_ = clients.Close()
 	}
+	r.receiver.Stop(grace)
 	final, cancelFinal := context.WithTimeout(context.WithoutCancel(ctx), finalSyncTimeout)
 	defer cancelFinal()
 	r.controlPlane.pushFinalUsage(final)
