--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -19,10 +19,13 @@
 
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/counter"
+	"github.com/comfreybend/comfreybend/internal/relayer"
+	"github.com/comfreybend/comfreybend/internal/scrubber"
 	"github.com/comfreybend/comfreybend/pkg/isolator"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/state"
+	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
 const (
@@ -50,6 +53,9 @@
 		// requestURI is the path and query as received.
 		requestURI string
 		RequestInfo
+		// relay is what the call was passed on with by another entry process; nil if it came from
+		// the client.
+		relay *wire.Relay
 		// client and the following fields are set by resolve.
 		client identity
 		route  *state.Route
@@ -82,7 +88,7 @@
 )
 
 // decodeCall reads a client request with its whole body, within the body limit.
-func (r *Router) decodeCall(_ context.Context, request *http.Request) (any, error) {
+func (r *Router) decodeCall(ctx context.Context, request *http.Request) (any, error) {
 	limit := r.settings.GetEntry().GetCallerLimits().GetBodyBytes()
 	body, err := io.ReadAll(io.LimitReader(request.Body, limit+1))
 	if err != nil {
@@ -107,7 +113,8 @@
 		hostHeader:  request.Host,
 		requestURI:  request.RequestURI,
 		RequestInfo: d,
-		arrived:     r.dispatcher.now(),
+		relay:       relayer.From(ctx),
+		arrived:     r.dispatcher.now() - millis(relayer.From(ctx).GetAgeMillis()),
 	}, nil
 }
 
@@ -161,14 +168,14 @@
 // to all accept calls without a valid key.
 func (r *Router) authenticate(c *call) *RefusalError {
 	open := c.route.GetOpenToAll()
-	if c.Key == "" && !open {
+	if c.Key == "" && len(c.relay.GetKeyDigest()) == 0 && !open {
 		refusal := refuse(http.StatusUnauthorized, CodeUnauthorized, "a key is needed")
 		if c.route == nil {
 			return r.controlPlane.refuseUnknown(refusal)
 		}
 		return refusal
 	}
-	client, refusal := r.controlPlane.identify(c.Key)
+	client, refusal := r.controlPlane.identify(c.Key, c.relay.GetKeyDigest())
 	if refusal != nil && open {
 		// An open route needs no key, so the call runs anonymously if its key is
 		// invalid or cannot be verified.
@@ -255,6 +262,10 @@
 // setDeadline sets the deadline from the client's timeout, the class or the
 // default, in this order. The route's timeout is an upper bound.
 func (r *Router) setDeadline(c *call) {
+	if c.relay != nil {
+		c.deadline = r.dispatcher.now() + millis(c.relay.GetDeadlineMillis())
+		return
+	}
 	allowed := r.settings.GetEntry().GetCallerLimits().GetDefaultDeadline().AsDuration()
 	if target := configurer.ResponseTarget(c.class); target > 0 {
 		allowed = target
@@ -283,23 +294,9 @@
 }
 
 // upstreamHeader returns the client's headers to forward to the upstream: all
-// but those of isDroppedRequestHeader, those named in Connection and those that
-// the dialect drops. A value that contains the API key is dropped too.
+// but those of scrubber.Request and isDroppedRequestHeader, and those that the dialect drops.
 func (c *call) upstreamHeader(dropsHeader func(string) bool) http.Header {
-	out := make(http.Header, len(c.header))
-	for name, values := range c.header {
-		if isDroppedRequestHeader(name) || dropsHeader(name) {
-			continue
-		}
-		for _, v := range values {
-			if c.Key == "" || !strings.Contains(v, c.Key) {
-				out.Add(name, v)
-			}
-		}
-	}
-	for _, name := range strings.Split(c.header.Get("Connection"), ",") {
-		out.Del(strings.TrimSpace(name))
-	}
+	out := scrubber.Request(c.header, c.Key, func(name string) bool { return isDroppedRequestHeader(name) || dropsHeader(name) })
 	if _, found := out["User-Agent"]; !found {
 		// An empty value keeps net/http from adding its default User-Agent.
 		out["User-Agent"] = []string{""}
@@ -307,14 +304,12 @@
 	return out
 }
 
-// isDroppedRequestHeader reports whether a client header is not forwarded to
-// the upstream. The idempotency keys are dropped because net/http treats a
-// request that has one as idempotent and may send it twice.
+// isDroppedRequestHeader reports whether a client header is only for the router. The idempotency
+// keys are dropped because net/http treats a request that has one as idempotent and may send it
+// twice.
 func isDroppedRequestHeader(name string) bool {
 	switch name {
-	case "Authorization", "Proxy-Authorization", "Cookie", HeaderIdempotencyKey, "X-Idempotency-Key",
-		"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-		"Content-Length", "Expect", "Accept-Encoding", HeaderLastEventID, headerLastEventIDCanonical:
+	case HeaderIdempotencyKey, "X-Idempotency-Key", HeaderLastEventID, headerLastEventIDCanonical:
 		return true
 	default:
 		return false
