retirer, router: count repeats that net/http makes by itself

Cause: when a reused connection breaks after a request was sent on it, net/http sends requests with GET, HEAD, OPTIONS or TRACE again by itself, once for each idle connection and on a new one. The upstream may have read each of them.

If a part of the request may have left, the attempt now ends with the error that broke the connection. Whether another one follows is decided where all repeats are: by the route's attempts and the budget, and at another upstream if there is one. If nothing has left, net/http still takes another connection.

--- a/internal/retirer/retirer.go
+++ b/internal/retirer/retirer.go
@@ -1,6 +1,7 @@
 // Package retirer keeps connections to upstreams from carrying another request after an exchange has
 // failed on them, or the same request twice. An upstream may send an answer too many, which
-// would be taken for that to the next request.
+// would be taken for that to the next request. It also keeps an http.Transport from sending a request
+// again by itself.
 //
 // An http.Transport may hand a connection to the next request before its caller has looked at the
 // response to the last one. A connection that must not be used any more therefore fails the write of
@@ -8,7 +9,9 @@
 package retirer
 
 import (
+	"cmp"
 	"context"
+	"io"
 	"net"
 	"sync"
 
@@ -35,18 +38,30 @@
 		// carried holds the hashes of the latest requests, of which next is overwritten first.
 		carried [rememberedRequests]uint64
 		next    int
+		// broken is the error that ended the connection; nil as long as it can be read.
+		broken error
 	}
 
 	// Exchange is a request and its response on a connection.
 	Exchange struct {
 		conn    *Conn
 		blocked bool
+		// written reports that a part of the request may have left, guarded by the connection's mutex.
+		written bool
+		resend  error
 	}
 
 	// RetiredError reports a request of which no byte was written, since its connection must not
 	// carry it.
 	RetiredError struct{}
 
+	// ResendError reports a request that the transport would have sent again after the connection
+	// broke on which a part of it may have left.
+	ResendError struct {
+		// Cause is the error that ended the connection.
+		Cause error
+	}
+
 	// DialFunc is a function for http.Transport.DialContext.
 	DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 )
@@ -54,6 +69,12 @@
 // Error implements error.
 func (e *RetiredError) Error() string { return "the connection must not carry the request" }
 
+// Error implements error.
+func (e *ResendError) Error() string { return "the connection broke: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *ResendError) Unwrap() error { return e.Cause }
+
 // Wrap returns a function that establishes connections of type *Conn.
 func Wrap(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -66,9 +87,10 @@
 }
 
 // Begin begins an exchange on a connection that the transport has chosen for a request, before the
-// request is written. The write fails with a *RetiredError if the connection must not carry it.
+// request is written. The write fails with a *RetiredError if the connection must not carry it, or if
+// a part of the request may have left in the exchange before, which is nil for the first connection.
 // Connections that Wrap has not made may carry any request.
-func Begin(conn net.Conn, request RequestID) *Exchange {
+func Begin(conn net.Conn, request RequestID, before *Exchange) *Exchange {
 	if secured, ok := conn.(interface{ NetConn() net.Conn }); ok {
 		conn = secured.NetConn()
 	}
@@ -76,19 +98,48 @@
 	if !ok {
 		return nil
 	}
+	resend := before.resendError()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	hash := xxhash.Sum64String(string(request))
 	for _, known := range c.carried {
 		c.retired = c.retired || known == hash
 	}
-	c.retired = c.retired || c.last
+	c.retired = c.retired || c.last || resend != nil
 	c.carried[c.next] = hash
 	c.next = (c.next + 1) % rememberedRequests
-	c.current = &Exchange{conn: c, blocked: c.retired}
+	c.current = &Exchange{conn: c, blocked: c.retired, resend: resend}
 	return c.current
 }
 
+// resendError returns a *ResendError if a part of the request may have left.
+func (e *Exchange) resendError() error {
+	if !e.Written() {
+		return nil
+	}
+	e.conn.mu.Lock()
+	defer e.conn.mu.Unlock()
+	return &ResendError{Cause: cmp.Or(e.conn.broken, io.ErrUnexpectedEOF)}
+}
+
+// ResendError returns a *ResendError if the request is not written since the transport sends it again.
+func (e *Exchange) ResendError() error {
+	if e == nil {
+		return nil
+	}
+	return e.resend
+}
+
+// Written reports that a part of the request may have left.
+func (e *Exchange) Written() bool {
+	if e == nil {
+		return false
+	}
+	e.conn.mu.Lock()
+	defer e.conn.mu.Unlock()
+	return e.written
+}
+
 // Blocked reports that no byte of the request is written, since the connection must not carry it.
 func (e *Exchange) Blocked() bool { return e != nil && e.blocked }
 
@@ -110,10 +161,31 @@
 // Write writes data unless the connection is retired.
 func (c *Conn) Write(data []byte) (int, error) {
 	c.mu.Lock()
-	retired := c.retired
+	current, retired := c.current, c.retired
+	before := current != nil && current.written
+	if current != nil {
+		current.written = current.written || !retired
+	}
 	c.mu.Unlock()
 	if retired {
 		return 0, &RetiredError{}
 	}
-	return c.Conn.Write(data)
+	n, err := c.Conn.Write(data)
+	if n == 0 && !before && current != nil {
+		c.mu.Lock()
+		current.written = false
+		c.mu.Unlock()
+	}
+	return n, err
+}
+
+// Read reads data.
+func (c *Conn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if err != nil {
+		c.mu.Lock()
+		c.broken = cmp.Or(c.broken, err)
+		c.mu.Unlock()
+	}
+	return n, err
 }
--- a/internal/retirer/retirer_test.go
+++ b/internal/retirer/retirer_test.go
@@ -40,12 +40,12 @@
 			conn := pipe(t)
 			var exchanges []*Exchange
 			for _, id := range test.before {
-				exchanges = append(exchanges, Begin(conn, id))
+				exchanges = append(exchanges, Begin(conn, id, nil))
 			}
 			if test.retired >= 0 {
 				exchanges[test.retired].Retire()
 			}
-			if exchange := Begin(conn, test.request); exchange.Blocked() != test.blocked {
+			if exchange := Begin(conn, test.request, nil); exchange.Blocked() != test.blocked {
 				t.Errorf("blocked: %t, want %t", exchange.Blocked(), test.blocked)
 			}
 			n, err := conn.Write([]byte("x"))
@@ -60,8 +60,8 @@
 // connection meanwhile.
 func TestRetireSparesNextExchange(t *testing.T) {
 	conn := pipe(t)
-	first := Begin(conn, "a")
-	second := Begin(conn, "b")
+	first := Begin(conn, "a", nil)
+	second := Begin(conn, "b", nil)
 	first.Retire()
 	if _, err := conn.Write([]byte("x")); err != nil || second.Blocked() {
 		t.Errorf("the exchange that had begun is broken: %v", err)
@@ -76,19 +76,55 @@
 func TestRequestsAreForgotten(t *testing.T) {
 	conn := pipe(t)
 	for n := range 3 * rememberedRequests {
-		if Begin(conn, RequestID(fmt.Sprint(n))).Blocked() {
+		if Begin(conn, RequestID(fmt.Sprint(n)), nil).Blocked() {
 			t.Fatalf("request %d is blocked", n)
 		}
 	}
-	if Begin(conn, "0").Blocked() {
+	if Begin(conn, "0", nil).Blocked() {
 		t.Error("the first request is still remembered")
 	}
 }
 
+// TestRequestIsNotSentAgain guards against a request that the transport sends once more on another
+// connection although a part of it may have left on the one that broke.
+func TestRequestIsNotSentAgain(t *testing.T) {
+	tests := map[string]struct {
+		write   bool
+		blocked bool
+	}{
+		"a part has left":  {write: true, blocked: true},
+		"nothing has left": {},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			own, other := net.Pipe()
+			first := &Conn{Conn: own}
+			before := Begin(first, "a", nil)
+			if test.write {
+				go func() { _, _ = other.Read(make([]byte, 1)) }()
+				if _, err := first.Write([]byte("x")); err != nil {
+					t.Fatal(err)
+				}
+			}
+			_ = other.Close()
+			_, _ = first.Read(make([]byte, 1))
+			_, _ = first.Write([]byte("y"))
+			second := pipe(t)
+			exchange := Begin(second, "a", before)
+			if exchange.Blocked() != test.blocked || errors.Is(exchange.ResendError(), io.EOF) != test.blocked {
+				t.Errorf("blocked: %t, error %v; want blocked: %t", exchange.Blocked(), exchange.ResendError(), test.blocked)
+			}
+			if _, err := second.Write([]byte("x")); errors.As(err, new(*RetiredError)) != test.blocked {
+				t.Errorf("error %v of the write", err)
+			}
+		})
+	}
+}
+
 func ExampleBegin() {
 	own, _ := net.Pipe()
 	conn := &Conn{Conn: own}
-	Begin(conn, "order-7")
-	fmt.Println(Begin(conn, "order-7").Blocked())
+	Begin(conn, "order-7", nil)
+	fmt.Println(Begin(conn, "order-7", nil).Blocked())
 	// Output: true
 }
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -365,15 +365,6 @@
 	return request, nil
 }
 
-// beginExchange records that the request is about to be written to a connection.
-func (at *attempt) beginExchange(info httptrace.GotConnInfo) {
-	exchange := retirer.Begin(info.Conn, retirer.RequestID(at.id))
-	at.exchange.Store(exchange)
-	if !exchange.Blocked() {
-		at.connected.Store(true)
-	}
-}
-
 // isFromOtherRun reports whether a response comes from another run of the upstream than the one that
 // the attempt was sent to, or from another upstream at its address.
 func (at *attempt) isFromOtherRun(info ResponseInfo) bool {
