retirer, router: send nothing on a connection that has brought an answer too many

An answer that comes right behind another one, or the close of an idle connection, can arrive after net/http has chosen the connection and before the request is written. The request was then written, and the answer taken for its own: a foreign id ends a call that must run once with 502, and a close costs an attempt.

Before the first byte of a request is written on a used connection, its socket is asked for data that was not read. If there is any, or the end, the connection is retired and the request goes out on another one. Whether an attempt may have run now depends on a byte having been written, not on a connection having been obtained; where nothing was written the request goes out on a new connection for any method, instead of counting as an upstream that cannot be reached.

TestUnsolicitedDataRetires is new (without the question its two cases with data write the request).

--- a/internal/dialer/conn.go
+++ b/internal/dialer/conn.go
@@ -24,6 +24,7 @@
 	// time. The timeout of the kernel does not suffice: it leaves the other end without a reset.
 	watchedConn struct {
 		net.Conn
+		raw     syscall.RawConn
 		timeout time.Duration
 		// unacknowledged returns the number of bytes that the other end has not acknowledged.
 		unacknowledged func() (int, error)
@@ -68,7 +69,7 @@
 		}
 		return n, err
 	}
-	return &watchedConn{Conn: conn, timeout: timeout, unacknowledged: unacknowledged}, nil
+	return &watchedConn{Conn: conn, raw: raw, timeout: timeout, unacknowledged: unacknowledged}, nil
 }
 
 // Write writes data and watches that the other end acknowledges it.
@@ -91,6 +92,9 @@
 	return n, c.cause(err)
 }
 
+// SyscallConn returns access to the socket.
+func (c *watchedConn) SyscallConn() (syscall.RawConn, error) { return c.raw, nil }
+
 // cause returns the reason for which the connection was reset instead of an error that follows from
 // it.
 func (c *watchedConn) cause(err error) error {
--- a/internal/retirer/retirer.go
+++ b/internal/retirer/retirer.go
@@ -29,6 +29,9 @@
 	// Conn is a connection that carries one request at a time.
 	Conn struct {
 		net.Conn
+		// pending reports that there is data for which no request was sent, or that the connection
+		// is closed; nil if that is not known.
+		pending func() bool
 
 		mu sync.Mutex
 		// current is the latest exchange.
@@ -44,11 +47,12 @@
 
 	// Exchange is a request and its response on a connection.
 	Exchange struct {
-		conn    *Conn
-		blocked bool
-		// written reports that a part of the request may have left, guarded by the connection's mutex.
-		written bool
-		resend  error
+		conn   *Conn
+		first  bool
+		resend error
+		// written reports that a part of the request may have left. It and blocked are guarded by the
+		// connection's mutex.
+		written, blocked bool
 	}
 
 	// RetiredError reports a request of which no byte was written, since its connection must not
@@ -82,7 +86,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &Conn{Conn: conn}, nil
+		return &Conn{Conn: conn, pending: pendingOf(conn)}, nil
 	}
 }
 
@@ -108,7 +112,7 @@
 	c.retired = c.retired || c.last || resend != nil
 	c.carried[c.next] = hash
 	c.next = (c.next + 1) % rememberedRequests
-	c.current = &Exchange{conn: c, blocked: c.retired, resend: resend}
+	c.current = &Exchange{conn: c, blocked: c.retired, first: c.current == nil, written: resend != nil, resend: resend}
 	return c.current
 }
 
@@ -141,7 +145,14 @@
 }
 
 // Blocked reports that no byte of the request is written, since the connection must not carry it.
-func (e *Exchange) Blocked() bool { return e != nil && e.blocked }
+func (e *Exchange) Blocked() bool {
+	if e == nil {
+		return false
+	}
+	e.conn.mu.Lock()
+	defer e.conn.mu.Unlock()
+	return e.blocked
+}
 
 // Retire keeps the connection from carrying another request. It is closed unless another exchange has
 // begun, which it then ends with.
@@ -158,27 +169,39 @@
 	}
 }
 
-// Write writes data unless the connection is retired.
+// Write writes data unless the connection is retired. Data that has arrived before a request is
+// written, or the end of the connection, retires it.
 func (c *Conn) Write(data []byte) (int, error) {
-	c.mu.Lock()
-	current, retired := c.current, c.retired
-	before := current != nil && current.written
-	if current != nil {
-		current.written = current.written || !retired
-	}
-	c.mu.Unlock()
-	if retired {
-		return 0, &RetiredError{}
+	e, begins, err := c.beginWrite()
+	if err != nil {
+		return 0, err
 	}
 	n, err := c.Conn.Write(data)
-	if n == 0 && !before && current != nil {
+	if n == 0 && begins {
 		c.mu.Lock()
-		current.written = false
+		e.written = false
 		c.mu.Unlock()
 	}
 	return n, err
 }
 
+// beginWrite returns the current exchange and whether its request begins with this write.
+func (c *Conn) beginWrite() (e *Exchange, begins bool, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if e = c.current; e != nil && !e.written {
+		begins = true
+		if !c.retired && !e.first && c.pending != nil && c.pending() {
+			c.retired, e.blocked = true, true
+		}
+		e.written = !c.retired
+	}
+	if c.retired {
+		return nil, false, &RetiredError{}
+	}
+	return e, begins, nil
+}
+
 // Read reads data.
 func (c *Conn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
--- a/internal/retirer/retirer_test.go
+++ b/internal/retirer/retirer_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 )
 
 // pipe returns a connection that keeps what may be written, and its other end, which is read.
@@ -121,6 +122,57 @@
 	}
 }
 
+// TestUnsolicitedDataRetires guards against an answer too many that has arrived before the next request
+// is written, and against a request on a connection that the other end has closed.
+func TestUnsolicitedDataRetires(t *testing.T) {
+	tests := map[string]struct {
+		arrive func(net.Conn) error
+		want   bool
+	}{
+		"an answer": {arrive: func(c net.Conn) error { _, err := c.Write([]byte("HTTP/1.1 503 x")); return err }, want: true},
+		"the end":   {arrive: func(c net.Conn) error { return c.Close() }, want: true},
+		"nothing":   {arrive: func(net.Conn) error { return nil }},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = l.Close() }()
+			dialed, err := Wrap((&net.Dialer{}).DialContext)(t.Context(), "tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = dialed.Close() }()
+			other, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = other.Close() }()
+			conn, _ := dialed.(*Conn)
+			Begin(conn, "a", nil)
+			if _, err = conn.Write([]byte("x")); err != nil {
+				t.Fatal(err)
+			}
+			if _, err = other.Read(make([]byte, 1)); err != nil {
+				t.Fatal(err)
+			}
+			if err = test.arrive(other); err != nil {
+				t.Fatal(err)
+			}
+			for end := time.Now().Add(5 * time.Second); conn.pending() != test.want && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			next := Begin(conn, "b", nil)
+			_, err = conn.Write([]byte("y"))
+			if errors.As(err, new(*RetiredError)) != test.want || next.Blocked() != test.want || next.Written() == test.want {
+				t.Errorf("error %v, blocked: %t, written: %t; want the request blocked: %t", err, next.Blocked(), next.Written(), test.want)
+			}
+		})
+	}
+}
+
 func ExampleBegin() {
 	own, _ := net.Pipe()
 	conn := &Conn{Conn: own}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -92,8 +92,8 @@
 		otherRun bool
 		// load is the upstream's load as reported in the response; nil if it was not.
 		load *registrar.Load
-		// connected reports that a connection was obtained that carries the request, so that a part
-		// of it may have been sent.
+		// connected reports that a connection was obtained that is not kept, so that a part of the
+		// request may have been sent.
 		connected atomic.Bool
 		// exchange is the latest one on a connection that is kept.
 		exchange atomic.Pointer[retirer.Exchange]
@@ -254,7 +254,7 @@
 		transport = u.singleUse
 	}
 	response, err := transport.RoundTrip(request) //nolint:bodyclose // attempt.close closes it.
-	if err != nil && at.exchange.Load().Blocked() && ctx.Err() == nil {
+	if err != nil && at.isUnsent(err) && ctx.Err() == nil {
 		if request, err = u.newRequest(ctx, c, at, lastEventID); err == nil {
 			response, err = u.singleUse.RoundTrip(request) //nolint:bodyclose // attempt.close closes it.
 		}
@@ -264,7 +264,7 @@
 			err = cause
 		}
 		at.close(err)
-		return nil, &attemptError{Attempt: at.id, NotRun: !at.connected.Load(), Cause: err}
+		return nil, &attemptError{Attempt: at.id, NotRun: !at.mayHaveArrived(), Cause: err}
 	}
 	if c.stream && !c.route.GetEventStream() {
 		at.deadlineTimer.Stop()
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -1,8 +1,11 @@
 package router
 
 import (
+	"net"
 	"net/http/httptrace"
 
+	"github.com/pkg/errors"
+
 	"github.com/comfreybend/comfreybend/internal/retirer"
 )
 
@@ -14,7 +17,15 @@
 	if err := exchange.ResendError(); err != nil {
 		at.cancel(err)
 	}
-	if !exchange.Blocked() {
-		at.connected.Store(true)
-	}
+	at.connected.Store(exchange == nil)
+}
+
+// mayHaveArrived reports that a part of the request may have left.
+func (at *attempt) mayHaveArrived() bool { return at.connected.Load() || at.exchange.Load().Written() }
+
+// isUnsent reports that the attempt got a connection that was kept, and nothing was written to it.
+func (at *attempt) isUnsent(err error) bool {
+	var failure *net.OpError
+	exchange := at.exchange.Load()
+	return exchange != nil && !exchange.Written() && (!errors.As(err, &failure) || failure.Op != "dial")
 }
