--- a/internal/dialer/conn.go
+++ b/internal/dialer/conn.go
@@ -24,6 +24,7 @@
 	// time. The timeout of the kernel does not suffice: it leaves the other end without a reset.
 	watchedConn struct {
 		net.Conn
+		raw     syscall.RawConn
 		timeout time.Duration
 		// unacknowledged returns the number of bytes that the other end has not acknowledged.
 		unacknowledged func() (int, error)
@@ -78,7 +79,8 @@
 		}
 		return UserTimeout(0)("", "", raw)
 	}
-	return &watchedConn{Conn: conn, timeout: timeout, unacknowledged: unacknowledged, limitKernel: limitKernel}, limitKernel(false)
+	watched := &watchedConn{Conn: conn, raw: raw, timeout: timeout, unacknowledged: unacknowledged, limitKernel: limitKernel}
+	return watched, limitKernel(false)
 }
 
 // Write writes data and watches that the other end acknowledges it.
@@ -103,6 +105,9 @@
 	return n, c.cause(err)
 }
 
+// SyscallConn returns access to the socket.
+func (c *watchedConn) SyscallConn() (syscall.RawConn, error) { return c.raw, nil }
+
 // cause returns the reason for which the connection was reset instead of an error that follows from
 // it.
 func (c *watchedConn) cause(err error) error {
