diverter, locator, controller: test the last protections that no test saw

Removing each protection in a copy showed that nothing failed without the time between two suspicions, the second probe to an upstream whose first one has no outcome, the need for a second failure domain, the count of hosts cut off in the own failure domain only, the bound of four questions at once and the record that a host polls. Each has a test now that fails without it.

--- a/internal/controller/entry_hosts_test.go
+++ b/internal/controller/entry_hosts_test.go
@@ -30,6 +30,9 @@
 	poll("entry-2", &wire.EntryHost{Host: "entry-2", FailureDomain: "b", Address: "10.0.0.2:1", CutOff: true})
 	poll("earlier-version", nil)
 	poll("entry-3", &wire.EntryHost{Host: "entry-1", Address: "10.0.0.3:1", CutOff: true})
+	if n := c.clusterView.entryCount(); n != 4 {
+		t.Errorf("%d entry processes are live, want all four that poll", n)
+	}
 	hosts := ask(&wire.EntryHosts{Host: "entry-2"})
 	if len(hosts) != 2 || hosts[0].GetHost() != "entry-1" || hosts[0].GetRequests() != 3 || hosts[0].GetCutOff() || !hosts[1].GetCutOff() {
 		t.Errorf("listed %v, want entry-1, which is not cut off, and entry-2, which is", hosts)
--- a/internal/locator/locator_test.go
+++ b/internal/locator/locator_test.go
@@ -218,6 +218,7 @@
 // TestControlProcessesThatHang guards against a list that grows old because control processes which do
 // not answer keep the others from being asked, and against many questions at once.
 func TestControlProcessesThatHang(t *testing.T) {
+	const mostAtOnce = 4
 	for _, hanging := range []int{0, 1, 5, 14, 27} {
 		t.Run(fmt.Sprint(hanging, " of 28"), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -238,13 +239,13 @@
 				if n := (c.asked(addresses[hanging:]...) - before) / (28 - hanging); n < 8 {
 					t.Errorf("each control process that answers was asked %d times in 4 s, want 8 or more", n)
 				}
-				if c.most > maxQuestions {
-					t.Errorf("%d were asked at once, want at most %d", c.most, maxQuestions)
+				if c.most > mostAtOnce {
+					t.Errorf("%d were asked at once, want at most %d", c.most, mostAtOnce)
 				}
 				c.mu.Lock()
 				clear(c.down)
 				c.mu.Unlock()
-				time.Sleep(time.Duration(hanging/maxRetries+2) * askTimeout)
+				time.Sleep(time.Duration(hanging/2+2) * askTimeout)
 				before = c.asked(addresses[:hanging]...)
 				time.Sleep(time.Second)
 				if n := c.asked(addresses[:hanging]...) - before; n < 2*hanging {
--- a/pkg/diverter/choose_test.go
+++ b/pkg/diverter/choose_test.go
@@ -34,6 +34,7 @@
 		"no other is near":              {hosts: []Host{far("c"), far("d")}, want: []HostID{"c", "d"}},
 		"all others near are cut off":   {hosts: []Host{with(near("a"), cut), with(near("b"), cut), far("c")}, want: []HostID{"c"}},
 		"half of the others are":        {hosts: []Host{with(near("a"), cut), near("b"), far("c")}, want: []HostID{"b", "c"}},
+		"most far ones are cut off":     {hosts: []Host{near("a"), near("b"), far("c"), with(far("d"), cut), with(far("e"), cut), with(far("f"), cut)}, want: []HostID{"a", "b"}},
 		"far ones are cut off":          {hosts: []Host{near("a"), with(far("c"), cut)}, want: []HostID{"a"}},
 		"no address":                    {hosts: []Host{with(near("a"), func(h *Host) { h.Address = "" }), far("c")}, want: []HostID{"c"}},
 		"too old":                       {hosts: []Host{with(near("a"), func(h *Host) { h.Age = maxAge + 1 }), far("c")}, want: []HostID{"c"}},
--- a/pkg/diverter/detector_test.go
+++ b/pkg/diverter/detector_test.go
@@ -231,6 +231,56 @@
 	}
 }
 
+// TestProbesOfWrongSuspicions guards against probes without bound while connections fail again and again
+// beside others that are established.
+func TestProbesOfWrongSuspicions(t *testing.T) {
+	const (
+		duration  = 10 * time.Second
+		maxProbes = 2 * (int(duration/(300*time.Millisecond)) + 1)
+	)
+	s := newSite(6, 36, 3)
+	count := 0
+	for end := s.now + duration; s.now < end; s.now += tick {
+		s.detector.Failed(s.now, s.upstreams[0].ID, s.upstreams[0].Domain)
+		if probes := s.detector.Probes(s.now, s.upstreams); len(probes) > 0 {
+			count += len(probes)
+			s.detector.Connected()
+		}
+	}
+	if count > maxProbes {
+		t.Errorf("%d probes in %v, want at most %d", count, duration, maxProbes)
+	}
+}
+
+// TestProbesWithoutOutcome guards against a cut that is never noticed, or never ends, since the outcome of a
+// probe was lost, and against a verdict on one failure domain while nothing is known of the others.
+func TestProbesWithoutOutcome(t *testing.T) {
+	s := newSite(8, 1, 1)
+	s.detector.Failed(s.now, s.upstreams[0].ID, s.upstreams[0].Domain)
+	const seconds = 2
+	count := 0
+	for range seconds * int(time.Second/callInterval) {
+		count += len(s.detector.Probes(s.now, s.upstreams))
+		s.now += callInterval
+	}
+	if count < 4*seconds || count > 5*seconds {
+		t.Errorf("%d probes in %d s to an upstream that is the only one, want four or five a second", count, seconds)
+	}
+	s = newSite(8, 60, 2)
+	s.detector.Failed(s.now, s.upstreams[0].ID, s.upstreams[0].Domain)
+	for range 10 * int(time.Second/callInterval) {
+		for _, u := range s.detector.Probes(s.now, s.upstreams) {
+			if u.Domain == s.upstreams[0].Domain {
+				s.detector.Failed(s.now, u.ID, u.Domain)
+			}
+		}
+		s.now += callInterval
+	}
+	if e := s.detector.Evidence(); s.detector.CutOff() || e.Failed < 16 || e.Domains != 1 {
+		t.Errorf("cut off %t by %+v, want no verdict on one failure domain", s.detector.CutOff(), e)
+	}
+}
+
 // TestProbesOfManyHosts guards against hosts that are cut off together and all probe the same upstreams.
 func TestProbesOfManyHosts(t *testing.T) {
 	for _, hosts := range []int{2, 7, 88, 194} {
