--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -30,11 +30,11 @@
 // Forwarder detects the cut and passes requests on. It is safe for concurrent use.
 type Forwarder struct {
 	// Dial establishes bare connections to upstreams, Upstreams returns those that are announced.
-	// Divert is called while the process is cut off and another one can take requests: those that
-	// wait for an upstream are to be passed on. They may be set before Run.
+	// Divert is called while the process is cut off, for the requests that wait for an upstream, and
+	// says whether another process can take them. They may be set before Run.
 	Dial      dialer.DialFunc
 	Upstreams func() []*registrar.Upstream
-	Divert    func()
+	Divert    func(available bool)
 	// Locator knows the other entry processes.
 	Locator *locator.Locator
 
@@ -62,7 +62,7 @@
 	random func(n int) int, log *zap.Logger, scope tally.Scope,
 ) *Forwarder {
 	return &Forwarder{
-		Upstreams: func() []*registrar.Upstream { return nil }, Divert: func() {},
+		Upstreams: func() []*registrar.Upstream { return nil }, Divert: func(bool) {},
 		self: self, random: random, now: timer.Now, log: log, scope: scope,
 		Locator:    locator.New(self.ID, clients, log),
 		sender:     relayer.NewSender(security),
@@ -155,8 +155,8 @@
 	for _, u := range due {
 		go f.probe(ctx, announced[u.ID])
 	}
-	if f.Available() {
-		f.Divert()
+	if f.CutOff() {
+		f.Divert(f.Available())
 	}
 }
 
--- a/internal/relayer/receiver.go
+++ b/internal/relayer/receiver.go
@@ -53,7 +53,7 @@
 	defer v.requests.Done()
 	if v.CutOff() {
 		// A response that cannot be sent leaves the sender with a request that may have run.
-		_ = x.Send(&wire.Reply{Kind: &wire.Reply_Relay{Relay: &wire.RelayPart{CutOff: true}}})
+		_ = x.Send(cutOffReply())
 		return
 	}
 	request, err := v.newRequest(ctx, relay)
@@ -67,6 +67,11 @@
 	}
 }
 
+// cutOffReply returns the reply to a request that is not taken since no upstream can be reached.
+func cutOffReply() *wire.Reply {
+	return &wire.Reply{Kind: &wire.Reply_Relay{Relay: &wire.RelayPart{CutOff: true}}}
+}
+
 // Stop makes the receiver refuse further requests and waits for those in progress until ctx is done.
 func (v *Receiver) Stop(ctx context.Context) {
 	v.mu.Lock()
--- a/internal/relayer/writer.go
+++ b/internal/relayer/writer.go
@@ -15,7 +15,21 @@
 	// head is the first part until it is sent.
 	head *wire.RelayPart
 	sent bool
-	err  error
+	// declined reports that the request is not taken.
+	declined bool
+	err      error
+}
+
+// Decline answers a request that was passed on with a refusal as cut off: it has not run, and this
+// process cannot reach any upstream either. It reports false if w has another client, or has sent a
+// part of a response.
+func Decline(w http.ResponseWriter) bool {
+	relayed, ok := w.(*responseWriter)
+	if !ok || relayed.sent || relayed.head != nil {
+		return false
+	}
+	relayed.declined = true
+	return true
 }
 
 // Header returns the header of the response.
@@ -64,6 +78,10 @@
 
 // finish marks the response as complete.
 func (w *responseWriter) finish() {
+	if w.declined {
+		w.err = w.exchange.Send(cutOffReply())
+		return
+	}
 	w.WriteHeader(http.StatusOK)
 	w.send(&wire.RelayPart{Last: true})
 }
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -84,8 +84,9 @@
 		prompt *picker.PromptRequest
 		// probe reports that the request may be sent although a part of its prompt is held.
 		probe bool
-		// mayLeave reports that the request may be passed on to another entry process.
-		mayLeave bool
+		// mayLeave reports that the request may be passed on to another entry process, declinable that
+		// one has passed it on and it has not run.
+		mayLeave, declinable bool
 		// counted reports that the request has been counted in the retry budget.
 		counted bool
 	}
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -227,6 +227,7 @@
 		prompt:       h.prompt(),
 		probe:        c.probe,
 		mayLeave:     h.mayLeave(),
+		declinable:   c.relay != nil && !h.mayHaveRun && !h.claimed,
 		counted:      h.counted,
 		pick: picker.Request{
 			Prefix:    c.prefixID(),
@@ -234,8 +235,10 @@
 			Avoid:     h.failedUpstreams,
 		},
 	}
-	if request.mayLeave && h.router.forwarder.Available() {
-		return nil, h.setRun(refuseCutOff(request))
+	if h.router.forwarder.CutOff() {
+		if refusal := refuseCutOff(request, h.router.forwarder.Available()); refusal != nil {
+			return nil, h.setRun(refusal)
+		}
 	}
 	h.counted = true
 	g, refusal := h.router.dispatcher.acquire(ctx, request)
--- a/internal/router/refusal.go
+++ b/internal/router/refusal.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/comfreybend/comfreybend/internal/relayer"
 )
 
 // Headers of client requests and responses.
@@ -154,6 +156,9 @@
 // internal errors, after which the request may have run.
 func (r *Router) encodeRefusal(_ context.Context, err error, w http.ResponseWriter) {
 	var refusal *RefusalError
+	if errors.As(err, new(*cutOffError)) && relayer.Decline(w) {
+		return
+	}
 	if !errors.As(err, &refusal) {
 		refusal = refuse(http.StatusInternalServerError, "internal", err.Error())
 		refusal.Run = MayHaveRun
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -29,7 +29,9 @@
 	self := diverter.Host{ID: diverter.HostID(host.GetId()), FailureDomain: registrar.FailureDomain(host.GetFailureDomain())}
 	r.forwarder = forwarder.New(self, security, r.controlClients.All, r.random, r.log, r.instruments.Scope)
 	r.forwarder.Dial, r.forwarder.Upstreams = r.upstreamClient.dial, r.dispatcher.allUpstreams
-	r.forwarder.Divert = func() { r.dispatcher.refuseWaiting(refuseCutOff) }
+	r.forwarder.Divert = func(available bool) {
+		r.dispatcher.refuseWaiting(func(request dispatchRequest) *RefusalError { return refuseCutOff(request, available) })
+	}
 	r.dispatcher.onTimedOut = r.forwarder.Failed
 	r.upstreamClient.onDialled = func(u *registrar.Upstream, err error) {
 		if err == nil {
@@ -62,9 +64,10 @@
 	}
 }
 
-// refuseCutOff refuses a call that may be passed on.
-func refuseCutOff(request dispatchRequest) *RefusalError {
-	if !request.mayLeave {
+// refuseCutOff refuses a call that may be passed on, if another entry process is available, or that was
+// passed on to this one.
+func refuseCutOff(request dispatchRequest, available bool) *RefusalError {
+	if !request.declinable && (!available || !request.mayLeave) {
 		return nil
 	}
 	refusal := refuseWithRetryAfter(http.StatusServiceUnavailable, CodeNoUpstream, (&cutOffError{}).Error(), time.Second)
--- a/internal/router/relay_test.go
+++ b/internal/router/relay_test.go
@@ -58,9 +58,14 @@
 	relayGroup struct {
 		hosts []*relayHost
 		runs  *callCounter
+
+		mu sync.Mutex
 		// respond answers a request at an upstream.
-		mu      sync.Mutex
 		respond http.HandlerFunc
+		// unaware makes the control process say that no host is cut off.
+		unaware bool
+		// claims counts the claims that the control process has committed.
+		claims int
 	}
 )
 
@@ -83,12 +88,21 @@
 
 // handleControl answers as a control process that the hosts have just polled.
 func (g *relayGroup) handleControl(_ context.Context, r *wire.Request) *wire.Reply {
-	if r.GetEntryHosts() == nil {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case r.GetPropose() != nil:
+		if r.GetPropose().GetClaim() != nil {
+			g.claims++
+		}
+		return &wire.Reply{Kind: &wire.Reply_Propose{Propose: &wire.ProposeReply{Outcome: &state.Outcome{Accepted: true}}}}
+	case r.GetEntryHosts() == nil:
 		return &wire.Reply{Failure: &wire.Failure{Reason: "noLeader"}}
 	}
 	reply := &wire.EntryHostsReply{}
 	for _, h := range g.hosts {
 		if self := h.router.entryHost(); self != nil {
+			self.CutOff = self.GetCutOff() && !g.unaware
 			reply.Hosts = append(reply.Hosts, self)
 		}
 	}
@@ -112,6 +126,7 @@
 			route("any", func(*state.Route) {}),
 			route("order", func(r *state.Route) { r.NonIdempotent = true }),
 			route("stream", func(r *state.Route) { r.EventStream, r.Resumable = true, true }),
+			route("claimed", func(r *state.Route) { r.NonIdempotent = true }),
 			route("closed", func(r *state.Route) { r.OpenToAll = false }),
 		},
 	}}
@@ -151,7 +166,7 @@
 		Host: &settings.Host{Id: id, FailureDomain: "a"},
 		Entry: &settings.Entry{
 			PeerListen: l.Addr().String(), FollowControl: true, ServeStale: true, ControlAddresses: []string{control},
-			AnnouncementLease: durationpb.New(time.Minute), Freshness: durationpb.New(5 * time.Second),
+			AnnouncementLease: durationpb.New(time.Minute), AlignedWindow: durationpb.New(time.Hour), Freshness: durationpb.New(5 * time.Second),
 			SharedBudget: &settings.SharedBudget{Ratio: 0.2, Allowance: 50, Window: durationpb.New(10 * time.Second)},
 		},
 	}
