forwarder: try other failure domains after a host that is cut off too

A request whose first host replies that it is cut off went to one other host of the same failure domain, which is often cut off with it. Polls and questions to control processes state this host by diverter's hooks instead of one of the router's own.

go test -race -run 'Relay|Cut|PassedOn|Poll|Peer|Never' ./internal/router passes.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -105,7 +105,7 @@
 	if !f.CutOff() {
 		return false
 	}
-	_, _, found := f.choose("")
+	_, _, found := f.choose(func(hosts []diverter.Host) []diverter.Host { return hosts })
 	return found
 }
 
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,10 +15,6 @@
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
-// maxTries is the number of hosts to which a request is passed on, one after the other, as long as
-// it is certain that none has handled it.
-const maxTries = 2
-
 // Outcomes of passing a request on, as logged and counted.
 const (
 	outcomeRelayed    = "relayed"
@@ -58,19 +55,18 @@
 // request must be answered by deadline. relayer.NotTaken says of the error whether another process
 // may have handled it; it is a *NoHostError if there is none to pass it on to.
 func (f *Forwarder) PassOn(ctx context.Context, relay *wire.Relay, deadline time.Duration) (*Response, error) {
-	var (
-		failure error = &NoHostError{}
-		failed  diverter.HostID
-	)
+	var failure error = &NoHostError{}
+	// All hosts are candidates at first.
+	candidates := func(hosts []diverter.Host) []diverter.Host { return hosts }
 	relay.Host, relay.FailureDomain = string(f.self.ID), string(f.self.FailureDomain)
-	for range maxTries {
-		host, candidates, found := f.choose(failed)
+	for range diverter.MaxTries {
+		host, considered, found := f.choose(candidates)
 		left := deadline - f.now()
 		if !found || left <= 0 {
 			return nil, failure
 		}
 		relay.DeadlineMillis = left.Milliseconds()
-		t := f.begin(relay.GetRequestId(), host, candidates)
+		t := f.begin(relay.GetRequestId(), host, considered)
 		response, err := f.sender.Send(ctx, host.Address, relay)
 		if err == nil {
 			t.status, t.firstByte = response.Status, f.now()-t.began
@@ -80,34 +76,31 @@
 		if failure = err; !relayer.NotTaken(err) || ctx.Err() != nil {
 			return nil, failure
 		}
-		failed = host.ID
-		f.markFailed(host.ID, err)
+		candidates = f.candidatesAfter(host, err)
 	}
 	return nil, failure
 }
 
-// choose returns another host that can take requests, unless it is the one that has just failed, and
-// the number of hosts that were considered.
-func (f *Forwarder) choose(failed diverter.HostID) (host diverter.Host, candidates int, found bool) {
-	hosts := f.Locator.Hosts()
+// choose returns another host that can take requests, and the number of hosts that were considered.
+func (f *Forwarder) choose(candidates func([]diverter.Host) []diverter.Host) (host diverter.Host, considered int, found bool) {
+	hosts := candidates(f.Locator.Hosts())
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	others := hosts[:0]
-	for _, h := range hosts {
-		if h.ID != failed || failed == "" {
-			others = append(others, h)
-		}
-	}
-	host, found = diverter.Choose(f.self, others, f.inProgress, f.random)
-	return host, len(others), found
+	host, found = diverter.Choose(f.self, hosts, f.inProgress, f.random)
+	return host, len(hosts), found
 }
 
-func (f *Forwarder) markFailed(id diverter.HostID, err error) {
+// candidatesAfter records that a host has not taken a request, and returns the choice of the hosts for the
+// next try.
+func (f *Forwarder) candidatesAfter(host diverter.Host, err error) func([]diverter.Host) []diverter.Host {
 	if errors.As(err, new(*relayer.CutOffError)) {
-		f.Locator.MarkCutOff(id)
-		return
+		f.Locator.MarkCutOff(host.ID)
+		return func(hosts []diverter.Host) []diverter.Host { return diverter.Outside(host.FailureDomain, hosts) }
+	}
+	f.Locator.MarkUnreachable(host.ID)
+	return func(hosts []diverter.Host) []diverter.Host {
+		return slices.DeleteFunc(hosts, func(h diverter.Host) bool { return h.ID == host.ID })
 	}
-	f.Locator.MarkUnreachable(id)
 }
 
 // begin counts a request at a host.
--- a/internal/router/control_poller.go
+++ b/internal/router/control_poller.go
@@ -337,8 +337,6 @@
 		WantsEvidence:    true,
 		EvidencePosition: from.evidencePosition,
 		EntryIdsDigest:   p.router.restrainer.HostsDigest(),
-
-		Self: p.router.entryHost(),
 	}
 	if p.self != nil {
 		request.Self = p.self()
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -32,6 +32,7 @@
 	r.forwarder.Divert = func(available bool) {
 		r.dispatcher.refuseWaiting(func(request dispatchRequest) *RefusalError { return refuseCutOff(request, available) })
 	}
+	r.forwarder.Locator.Self, r.controlPoller.self = r.entryHost, r.entryHost
 	r.dispatcher.onTimedOut = r.forwarder.Failed
 	r.upstreamClient.onDialled = func(u *registrar.Upstream, err error) {
 		if err == nil {
