router: do not believe a refusal that names no request on a used connection

On a connection that has carried other requests it may be an answer too many, and the request runs.

Such a refusal, and 421 of another run without an id, now count as an attempt that may have run.

--- a/internal/retirer/retirer.go
+++ b/internal/retirer/retirer.go
@@ -41,14 +41,17 @@
 		// carried holds the hashes of the latest requests, of which next is overwritten first.
 		carried [rememberedRequests]uint64
 		next    int
+		// exchanges counts all requests.
+		exchanges int
 		// broken is the error that ended the connection; nil as long as it can be read.
 		broken error
 	}
 
 	// Exchange is a request and its response on a connection.
 	Exchange struct {
-		conn   *Conn
-		first  bool
+		conn *Conn
+		// before is the number of exchanges that the connection has carried before.
+		before int
 		resend error
 		// written reports that a part of the request may have left. It and blocked are guarded by the
 		// connection's mutex.
@@ -112,10 +115,19 @@
 	c.retired = c.retired || c.last || resend != nil
 	c.carried[c.next] = hash
 	c.next = (c.next + 1) % rememberedRequests
-	c.current = &Exchange{conn: c, blocked: c.retired, first: c.current == nil, written: resend != nil, resend: resend}
+	c.current = &Exchange{conn: c, blocked: c.retired, before: c.exchanges, written: resend != nil, resend: resend}
+	c.exchanges++
 	return c.current
 }
 
+// Before returns the number of exchanges that the connection has carried before this one.
+func (e *Exchange) Before() int {
+	if e == nil {
+		return 0
+	}
+	return e.before
+}
+
 // resendError returns a *ResendError if a part of the request may have left.
 func (e *Exchange) resendError() error {
 	if !e.Written() {
@@ -191,7 +203,7 @@
 	defer c.mu.Unlock()
 	if e = c.current; e != nil && !e.written {
 		begins = true
-		if !c.retired && !e.first && c.pending != nil && c.pending() {
+		if !c.retired && e.before > 0 && c.pending != nil && c.pending() {
 			c.retired, e.blocked = true, true
 		}
 		e.written = !c.retired
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -92,6 +92,8 @@
 		otherRun bool
 		// load is the upstream's load as reported in the response; nil if it was not.
 		load *registrar.Load
+		// answerID is how the id of the answer compares; empty as long as there is none.
+		answerID answerID
 		// connected reports that a connection was obtained that is not kept, so that a part of the
 		// request may have been sent.
 		connected atomic.Bool
@@ -133,11 +135,6 @@
 		Cause   error
 	}
 
-	// attemptMismatchError reports a response with the id of another attempt.
-	attemptMismatchError struct {
-		EchoedAttempt string
-	}
-
 	// otherRunError reports a response of another run of the upstream than the one that the request
 	// was sent to.
 	otherRunError struct {
@@ -168,11 +165,6 @@
 // Error implements error.
 func (e *deadlineError) Error() string { return "not answered by the deadline" }
 
-// Error implements error.
-func (e *attemptMismatchError) Error() string {
-	return "answer carries the attempt id " + e.EchoedAttempt
-}
-
 // Error implements error.
 func (e *otherRunError) Error() string {
 	return fmt.Sprintf("run %d of upstream %s answered a request to run %d", e.Runs, e.Upstream, e.Expected)
@@ -239,12 +231,12 @@
 	request, err := u.newRequest(ctx, c, at, lastEventID)
 	if err != nil {
 		at.close(err)
-		return nil, &attemptError{Attempt: at.id, NotRun: true, Cause: err}
+		return nil, at.failure(attemptError{NotRun: true, Cause: err})
 	}
 	limited, err := u.checkSend(g)
 	if err != nil {
 		at.close(err)
-		return nil, &attemptError{Attempt: at.id, NotRun: true, Cause: err}
+		return nil, at.failure(attemptError{NotRun: true, Cause: err})
 	}
 	if c.stream && !c.route.GetEventStream() {
 		go u.watchSilence(ctx, at)
@@ -264,7 +256,7 @@
 			err = cause
 		}
 		at.close(err)
-		return nil, &attemptError{Attempt: at.id, NotRun: !at.mayHaveArrived(), Cause: err}
+		return nil, at.failure(attemptError{NotRun: !at.mayHaveArrived(), Cause: err})
 	}
 	if c.stream && !c.route.GetEventStream() {
 		at.deadlineTimer.Stop()
@@ -293,8 +285,9 @@
 // stream, since its version is not known.
 func (u *upstreamClient) checkResponse(at *attempt, lastEventID scanner.EventID) error {
 	info := u.dialect.ParseResponse(at.response)
-	if info.EchoedAttempt != "" && info.EchoedAttempt != at.id {
-		return &attemptError{Attempt: at.id, Cause: &attemptMismatchError{EchoedAttempt: string(info.EchoedAttempt)}}
+	at.answerID = compareID(at.id, info.EchoedAttempt)
+	if at.answerID == answerIDForeign {
+		return at.failure(attemptError{Cause: &attemptMismatchError{EchoedAttempt: string(info.EchoedAttempt)}})
 	}
 	at.load = info.Load
 	u.onResponse(at, info)
@@ -302,17 +295,16 @@
 	at.otherRun = at.isFromOtherRun(info)
 	misdirected := at.otherRun && status == http.StatusMisdirectedRequest
 	switch {
+	case (misdirected || info.NotRun) && !at.isNamed():
+		return at.failure(attemptError{Cause: &unnamedRefusalError{Status: status}})
 	case misdirected, at.otherRun && lastEventID != scanner.NoEventID:
-		return &attemptError{Attempt: at.id, NotRun: misdirected, Refused: misdirected, Cause: &otherRunError{
+		return at.failure(attemptError{NotRun: misdirected, Refused: misdirected, Cause: &otherRunError{
 			Upstream: at.grant.upstream.ID, Expected: at.grant.upstream.Incarnation, Runs: info.Incarnation,
-		}}
+		}})
 	case info.NotRun:
-		return &attemptError{
-			Attempt: at.id, NotRun: true, Refused: true,
-			Cause: errors.Errorf("upstream refused with status %d", status),
-		}
+		return at.failure(attemptError{NotRun: true, Refused: true, Cause: errors.Errorf("upstream refused with status %d", status)})
 	case info.FromIntermediary:
-		return &attemptError{Attempt: at.id, Cause: errors.Errorf("answer with status %d is not the upstream's own", status)}
+		return at.failure(attemptError{Cause: errors.Errorf("answer with status %d is not the upstream's own", status)})
 	default:
 		return nil
 	}
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"net"
 	"net/http/httptrace"
 
@@ -9,6 +10,49 @@
 	"github.com/comfreybend/comfreybend/internal/retirer"
 )
 
+type (
+	// answerID is how the id that an answer bears compares with that of the attempt.
+	answerID string
+
+	// attemptMismatchError reports a response with the id of another attempt.
+	attemptMismatchError struct {
+		EchoedAttempt string
+	}
+
+	// unnamedRefusalError reports a refusal that names no request, on a connection that has carried
+	// others. It may be an answer too many, so the request may have run.
+	unnamedRefusalError struct {
+		Status int
+	}
+)
+
+const (
+	answerIDOwn     answerID = "own"
+	answerIDForeign answerID = "foreign"
+	answerIDMissing answerID = "missing"
+)
+
+// Error implements error.
+func (e *attemptMismatchError) Error() string {
+	return "answer carries the attempt id " + e.EchoedAttempt
+}
+
+// Error implements error.
+func (e *unnamedRefusalError) Error() string {
+	return fmt.Sprintf("a refusal with status %d on a used connection does not name its request", e.Status)
+}
+
+func compareID(own, echoed AttemptID) answerID {
+	switch echoed {
+	case "":
+		return answerIDMissing
+	case own:
+		return answerIDOwn
+	default:
+		return answerIDForeign
+	}
+}
+
 // beginExchange records that the request is about to be written to a connection. If a part of it may
 // have left on another one, the attempt ends: a repeat is counted and may be denied.
 func (at *attempt) beginExchange(info httptrace.GotConnInfo) {
@@ -29,3 +73,15 @@
 	exchange := at.exchange.Load()
 	return exchange != nil && !exchange.Written() && (!errors.As(err, &failure) || failure.Op != "dial")
 }
+
+// isNamed reports that the answer is to this attempt: it bears its id, or nothing else was sent on the
+// connection before.
+func (at *attempt) isNamed() bool {
+	return at.answerID == answerIDOwn || at.exchange.Load().Before() == 0
+}
+
+// failure completes the error of a failed attempt.
+func (at *attempt) failure(e attemptError) error {
+	e.Attempt = at.id
+	return &e
+}
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -248,7 +248,7 @@
 		h.recordStart()
 	}
 	if h.call.retryable && h.router.dialect.IsRetryableStatus(at.response.StatusCode) {
-		err = &attemptError{Attempt: at.id, Cause: errors.Errorf("upstream answered %d", at.response.StatusCode)}
+		err = at.failure(attemptError{Cause: errors.Errorf("upstream answered %d", at.response.StatusCode)})
 		h.log.Info("attempt failed", append(h.placementFields(g), h.partsField(), zap.Int("attempts", h.attempts), zap.Error(err))...)
 		if at.response.StatusCode == http.StatusInternalServerError {
 			// The engine failed, but it goes on.
