router: log what a failed attempt's connection had carried, and whose id the answer bore

`attempt failed` now has `exchange`: the connection (none, new, reused), the exchanges before, and the answer's id (own, foreign, missing).

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -133,6 +133,10 @@
 		// request. It implies NotRun.
 		Refused bool
 		Cause   error
+		// carried is the number of exchanges that the connection has carried before, -1 if there
+		// was none. answer is how the id of the answer compares.
+		carried int
+		answer  answerID
 	}
 
 	// otherRunError reports a response of another run of the upstream than the one that the request
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -6,6 +6,7 @@
 	"net/http/httptrace"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"github.com/comfreybend/comfreybend/internal/retirer"
 )
@@ -82,6 +83,26 @@
 
 // failure completes the error of a failed attempt.
 func (at *attempt) failure(e attemptError) error {
-	e.Attempt = at.id
+	e.Attempt, e.answer, e.carried = at.id, at.answerID, -1
+	if exchange := at.exchange.Load(); exchange != nil || at.connected.Load() {
+		e.carried = exchange.Before()
+	}
 	return &e
 }
+
+// exchangeField returns the log field that says how many exchanges the connection of a failed attempt
+// had carried before, and whose id the answer bore.
+func exchangeField(err error) zap.Field {
+	var failure *attemptError
+	if !errors.As(err, &failure) {
+		return zap.Skip()
+	}
+	connection := "none"
+	switch {
+	case failure.carried == 0:
+		connection = "new"
+	case failure.carried > 0:
+		connection = "reused"
+	}
+	return zap.Dict("exchange", zap.String("connection", connection), zap.Int("before", max(0, failure.carried)), zap.String("answerId", string(failure.answer)))
+}
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -249,7 +249,7 @@
 	}
 	if h.call.retryable && h.router.dialect.IsRetryableStatus(at.response.StatusCode) {
 		err = at.failure(attemptError{Cause: errors.Errorf("upstream answered %d", at.response.StatusCode)})
-		h.log.Info("attempt failed", append(h.placementFields(g), h.partsField(), zap.Int("attempts", h.attempts), zap.Error(err))...)
+		h.log.Info("attempt failed", append(h.placementFields(g), h.partsField(), zap.Int("attempts", h.attempts), exchangeField(err), zap.Error(err))...)
 		if at.response.StatusCode == http.StatusInternalServerError {
 			// The engine failed, but it goes on.
 			h.recordSurvival()
@@ -297,7 +297,7 @@
 	h.failedUpstreams = append(h.failedUpstreams, g.upstream.ID)
 	h.router.dispatcher.release(g, outcome, 0)
 	h.log.Info("attempt failed", append(h.placementFields(g), h.partsField(), h.identityField(),
-		zap.Bool("upstreamEnded", h.router.isolation.upstreamEnded(ctx, g, err)), zap.Int("attempts", h.attempts), zap.Error(err))...)
+		zap.Bool("upstreamEnded", h.router.isolation.upstreamEnded(ctx, g, err)), zap.Int("attempts", h.attempts), exchangeField(err), zap.Error(err))...)
 }
 
 // allowRetry decides whether another attempt follows one that failed with err. It
