--- a/pkg/retrier/retrier_test.go
+++ b/pkg/retrier/retrier_test.go
@@ -146,3 +146,68 @@
 		})
 	}
 }
+
+// TestRefusedByAll guards against refusals that are tried again more often than the budget of all processes
+// allows: each upstream refuses each request, and a request is given up after some refusals. The
+// processes have sent requests without a retry for some time before, so that each holds all that it can.
+func TestRefusedByAll(t *testing.T) {
+	const (
+		ratio  = 0.2
+		window = 10 * time.Second
+		step   = 10 * time.Millisecond
+		// maxRefusals is the number of refusals after which a request is given up.
+		maxRefusals = 5
+	)
+	tests := map[string]struct {
+		processes   int
+		allowance   float64
+		requestRate float64
+	}{
+		"2 processes":                 {processes: 2, allowance: 52, requestRate: 66},
+		"2 processes, few requests":   {processes: 2, allowance: 52, requestRate: 1},
+		"7 processes":                 {processes: 7, allowance: 54, requestRate: 66},
+		"7 processes, few requests":   {processes: 7, allowance: 54, requestRate: 2},
+		"88 processes":                {processes: 88, allowance: 216, requestRate: 540},
+		"88 processes, few requests":  {processes: 88, allowance: 216, requestRate: 20},
+		"194 processes":               {processes: 194, allowance: 428, requestRate: 250},
+		"194 processes, few requests": {processes: 194, allowance: 428, requestRate: 20},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			budgets := make([]*SharedBudget, test.processes)
+			for i := range budgets {
+				budgets[i] = NewSharedBudget(ratio, test.allowance, window)
+				budgets[i].SetProcesses(test.processes)
+			}
+			const refusedFrom = time.Hour + 30*window
+			var repeatedAt []time.Duration
+			due, next, requests := 0.0, 0, 0
+			for now := time.Hour; now < refusedFrom+3*window; now += step {
+				for due += test.requestRate * step.Seconds(); due >= 1; due-- {
+					b := budgets[next%test.processes]
+					next++
+					b.RecordRequest(now)
+					if now < refusedFrom {
+						continue
+					}
+					requests++
+					for refusals := 1; refusals < maxRefusals && b.Take(now); refusals++ {
+						repeatedAt = append(repeatedAt, now)
+					}
+				}
+			}
+			most := 0
+			for first, last := 0, 0; last < len(repeatedAt); last++ {
+				for repeatedAt[last]-repeatedAt[first] >= window {
+					first++
+				}
+				most = max(most, last-first+1)
+			}
+			limit := ratio*test.requestRate*window.Seconds() + test.allowance
+			t.Logf("%d repeats in a window, %.0f allowed", most, limit)
+			if float64(most) > limit {
+				t.Errorf("%d repeats in a window, want at most %.0f", most, limit)
+			}
+		})
+	}
+}
