budgeter, router: limit the retries of each service by its own requests

Cause: an entry process had one budget for all services. The requests to a busy service filled it, and a quiet one whose upstreams refuse everything spent it.

Each pool has a budget now, each with the whole allowance, as the limit is stated for each service. Without a shared budget (own interface) there is one for all as before.

--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -8,35 +8,54 @@
 	"github.com/comfreybend/comfreybend/schema/settings"
 )
 
-// Budget limits the retries of this process.
-type Budget struct {
-	// OnRequest counts a request.
-	OnRequest func(now time.Duration)
-	// OnSuccess counts a successful response.
-	OnSuccess func()
-	// Take reports whether a retry is left, and uses it up.
-	Take func(now time.Duration) bool
-	// SetProcesses sets the number of processes that share the budget.
-	SetProcesses func(processes int)
-}
+type (
+	// Budget limits the retries of this process for one service or model.
+	Budget struct {
+		// OnRequest counts a request.
+		OnRequest func(now time.Duration)
+		// OnSuccess counts a successful response.
+		OnSuccess func()
+		// Take reports whether a retry is left, and uses it up.
+		Take func(now time.Duration) bool
+	}
 
-// New returns this process's share of a budget common to all entry processes if
-// the settings have one, or else a budget of its own that grows with successful responses.
-func New(e *settings.Entry) Budget {
-	if s := e.GetSharedBudget(); s != nil {
-		shared := retrier.NewSharedBudget(s.GetRatio(), float64(s.GetAllowance()), s.GetWindow().AsDuration())
-		return Budget{
-			OnRequest:    shared.RecordRequest,
-			OnSuccess:    func() {},
-			Take:         shared.Take,
-			SetProcesses: shared.SetProcesses,
-		}
+	// Budgets makes the budgets of a process. It is not safe for concurrent use.
+	Budgets struct {
+		settings  *settings.Entry
+		processes int
+		shared    []*retrier.SharedBudget
+		own       Budget
 	}
+)
+
+// NewBudgets returns the budgets of a process that is the only one.
+func NewBudgets(e *settings.Entry) *Budgets {
 	own := retrier.NewBudget(int(e.GetUpstreamLimits().GetRetryPercent()))
-	return Budget{
-		OnRequest:    func(time.Duration) {},
-		OnSuccess:    own.RecordSuccess,
-		Take:         func(time.Duration) bool { return own.Take() },
-		SetProcesses: func(int) {},
+	return &Budgets{settings: e, processes: 1, own: Budget{
+		OnRequest: func(time.Duration) {},
+		OnSuccess: own.RecordSuccess,
+		Take:      func(time.Duration) bool { return own.Take() },
+	}}
+}
+
+// Add returns the budget of another service or model: this process's share of a budget common to all
+// entry processes if the settings have one, or else one that grows with successful responses and
+// that all services and models have in common.
+func (b *Budgets) Add() Budget {
+	s := b.settings.GetSharedBudget()
+	if s == nil {
+		return b.own
+	}
+	shared := retrier.NewSharedBudget(s.GetRatio(), float64(s.GetAllowance()), s.GetWindow().AsDuration())
+	shared.SetProcesses(b.processes)
+	b.shared = append(b.shared, shared)
+	return Budget{OnRequest: shared.RecordRequest, OnSuccess: func() {}, Take: shared.Take}
+}
+
+// SetProcesses sets the number of processes that share the budgets, at least 1.
+func (b *Budgets) SetProcesses(processes int) {
+	b.processes = processes
+	for _, shared := range b.shared {
+		shared.SetProcesses(processes)
 	}
 }
--- a/internal/router/budget.go
+++ b/internal/router/budget.go
@@ -1,17 +1,17 @@
 package router
 
-// takeRetry reports whether the budget has a retry left, and uses it up.
-func (d *dispatcher) takeRetry() bool {
+// takeRetry reports whether the budget of a pool has a retry left, and uses it up.
+func (d *dispatcher) takeRetry(key poolKey) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.budget.Take(d.now())
+	return d.pool(key).budget.Take(d.now())
 }
 
-// setEntryProcesses sets the number of entry processes, which share the retry budget.
+// setEntryProcesses sets the number of entry processes, which share the retry budgets.
 func (d *dispatcher) setEntryProcesses(n int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.budget.SetProcesses(max(1, n))
+	d.budgets.SetProcesses(max(1, n))
 	d.entryProcessCount = n
 }
 
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -49,6 +49,7 @@
 	// or service, and statistics.
 	pool struct {
 		scheduler *scheduler.Scheduler
+		budget    budgeter.Budget
 		// inProgress counts the requests that are dispatched and not finished.
 		inProgress int
 		// promptAware is set once a request with a known prompt has arrived. The placer
@@ -149,7 +150,7 @@
 		picker         *picker.Picker
 		placer         *picker.Placer
 		cacheIndex     *picker.CacheIndex
-		budget         budgeter.Budget
+		budgets        *budgeter.Budgets
 		peerDemands    *limiter.Demands
 		clusterLoad    *estimator.Estimator
 		// entryProcessCount is the number of entry processes.
@@ -206,7 +207,7 @@
 		picker:         picker.New(picker.Policy(e.GetPolicy()), rand.IntN),
 		cacheIndex:     picker.NewCacheIndex(),
 		placer:         picker.NewPlacer(),
-		budget:         budgeter.New(e),
+		budgets:        budgeter.NewBudgets(e),
 		peerDemands:    limiter.NewDemands(len(e.GetPeerAddresses())),
 		clusterLoad:    estimator.New(),
 		withdrawn:      map[registrar.UpstreamID]registrar.Upstream{},
@@ -342,7 +343,7 @@
 	d.nextItem++
 	if !r.interrupted && len(r.pick.Avoid) == 0 {
 		// A call is counted at its first attempt only.
-		d.budget.OnRequest(d.now())
+		p.budget.OnRequest(d.now())
 		if r.prompt != nil {
 			p.promptAware = true
 			d.placer.RequestArrived(d.now(), *r.prompt)
@@ -424,7 +425,7 @@
 		d.failuresIn(g.upstream.FailureDomain).Add(d.now())
 	}
 	if outcome == outcomeAnswered {
-		d.budget.OnSuccess()
+		p.budget.OnSuccess()
 		average := p.averageDurations[g.item.Class]
 		p.averageDurations[g.item.Class] = average + (d.now()-g.grantedAt-average)/durationAverageDivisor
 	}
@@ -440,8 +441,3 @@
 	}
 	return c
 }
-
-// String returns the name of the pool in messages between processes.
-func (k poolKey) String() string {
-	return string(k.kind) + "/" + k.name
-}
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -335,13 +335,13 @@
 			return true
 		}
 		h.upstreamRefusals++
-		return h.upstreamRefusals < maxUpstreamRefusals && h.router.dispatcher.takeRetry()
+		return h.upstreamRefusals < maxUpstreamRefusals && h.router.dispatcher.takeRetry(h.call.pool)
 	}
 	limit := int(h.router.settings.GetEntry().GetUpstreamLimits().GetAttempts())
 	if routeLimit := int(h.call.route.GetAttempts()); routeLimit > 0 {
 		limit = routeLimit
 	}
-	return h.call.retryable && h.attempts < limit && h.router.dispatcher.takeRetry()
+	return h.call.retryable && h.attempts < limit && h.router.dispatcher.takeRetry(h.call.pool)
 }
 
 // giveUp returns the refusal of a call whose last attempt failed with err.
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -18,7 +18,7 @@
 		q := d.settings.GetEntry().GetQueue()
 		// Only the standard policy schedules by rank and organisation.
 		firstComeFirstServed := picker.Policy(d.settings.GetEntry().GetPolicy()) != picker.PolicyStandard
-		p = &pool{averageDurations: map[scheduler.Class]time.Duration{}, scheduler: scheduler.New(scheduler.Config{
+		p = &pool{budget: d.budgets.Add(), averageDurations: map[scheduler.Class]time.Duration{}, scheduler: scheduler.New(scheduler.Config{
 			MaxWaiting:           int(q.GetWaiting()),
 			GuaranteedPercent:    int(q.GetGuaranteedPercent()),
 			FirstComeFirstServed: firstComeFirstServed,
@@ -313,3 +313,8 @@
 	delete(d.waiters, id)
 	w.refused <- refusal
 }
+
+// String returns the name of the pool in messages between processes.
+func (k poolKey) String() string {
+	return string(k.kind) + "/" + k.name
+}
--- a/internal/router/transport_resend_test.go
+++ b/internal/router/transport_resend_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/comfreybend/comfreybend/internal/configurer"
+	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
@@ -111,7 +112,7 @@
 				})
 			}
 			warming.Wait()
-			for test.spent && r.dispatcher.takeRetry() {
+			for test.spent && r.dispatcher.takeRetry(poolKey{kind: registrar.KindService, name: noticeService}) {
 				continue
 			}
 			request, err := http.NewRequestWithContext(t.Context(), test.method, server.URL+"/x", http.NoBody)
