--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -292,8 +292,8 @@
 		h.recordStart()
 	}
 	if h.call.retryable && h.router.dialect.IsRetryableStatus(at.response.StatusCode) {
-		err = &attemptError{Attempt: at.id, Cause: errors.Errorf("upstream answered %d", at.response.StatusCode)}
-		h.log.Info("attempt failed", append(h.placementFields(g), h.partsField(), zap.Int("attempts", h.attempts), zap.Error(err))...)
+		err = at.failure(attemptError{Cause: errors.Errorf("upstream answered %d", at.response.StatusCode)})
+		h.log.Info("attempt failed", append(h.placementFields(g), h.partsField(), zap.Int("attempts", h.attempts), exchangeField(err), zap.Error(err))...)
 		if at.response.StatusCode == http.StatusInternalServerError {
 			// The engine failed, but it goes on.
 			h.recordSurvival()
@@ -341,7 +341,7 @@
 	h.failedUpstreams = append(h.failedUpstreams, g.upstream.ID)
 	h.router.dispatcher.release(g, outcome, 0)
 	h.log.Info("attempt failed", append(h.placementFields(g), h.partsField(), h.identityField(),
-		zap.Bool("upstreamEnded", h.router.isolation.upstreamEnded(ctx, g, err)), zap.Int("attempts", h.attempts), zap.Error(err))...)
+		zap.Bool("upstreamEnded", h.router.isolation.upstreamEnded(ctx, g, err)), zap.Int("attempts", h.attempts), exchangeField(err), zap.Error(err))...)
 }
 
 // allowRetry decides whether another attempt follows one that failed with err. It
@@ -379,13 +379,13 @@
 			return true
 		}
 		h.upstreamRefusals++
-		return h.upstreamRefusals < maxUpstreamRefusals && h.router.dispatcher.takeRetry()
+		return h.upstreamRefusals < maxUpstreamRefusals && h.router.dispatcher.takeRetry(h.call.pool)
 	}
 	limit := int(h.router.settings.GetEntry().GetUpstreamLimits().GetAttempts())
 	if routeLimit := int(h.call.route.GetAttempts()); routeLimit > 0 {
 		limit = routeLimit
 	}
-	return h.call.retryable && h.attempts < limit && h.router.dispatcher.takeRetry()
+	return h.call.retryable && h.attempts < limit && h.router.dispatcher.takeRetry(h.call.pool)
 }
 
 // giveUp returns the refusal of a call whose last attempt failed with err.
