router: use no kept connections with an upstream that mixes answers up

For 10 s after a foreign answer the upstream gets each request on a connection of its own, on which no such answer can come. Upstreams that send none keep their connections; each host learns by itself, from one call.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -246,7 +246,7 @@
 		go u.watchSilence(ctx, at)
 	}
 	transport := u.keepAlive
-	if limited || !c.retryable && (u.nonRetryableSingleUse || isResentByTransport(c.method)) {
+	if limited || u.mixesAnswers(g) || !c.retryable && (u.nonRetryableSingleUse || isResentByTransport(c.method)) {
 		transport = u.singleUse
 	}
 	response, err := transport.RoundTrip(request) //nolint:bodyclose // attempt.close closes it.
@@ -291,6 +291,7 @@
 	info := u.dialect.ParseResponse(at.response)
 	at.answerID = compareID(at.id, info.EchoedAttempt)
 	if at.answerID == answerIDForeign {
+		at.grant.state.foreignAnswerAt.Store(int64(u.now()))
 		return at.failure(attemptError{Cause: &attemptMismatchError{EchoedAttempt: string(info.EchoedAttempt)}})
 	}
 	at.load = info.Load
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http/httptrace"
+	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -27,6 +28,10 @@
 	}
 )
 
+// foreignAnswerTime is the time for which an upstream that has sent an answer to another request gets each
+// request on a connection of its own, on which no such answer can come.
+const foreignAnswerTime = 10 * time.Second
+
 const (
 	answerIDOwn     answerID = "own"
 	answerIDForeign answerID = "foreign"
@@ -75,6 +80,12 @@
 	return exchange != nil && !exchange.Written() && (!errors.As(err, &failure) || failure.Op != "dial")
 }
 
+// mixesAnswers reports that the upstream has lately sent an answer to another request.
+func (u *upstreamClient) mixesAnswers(g *grant) bool {
+	at := time.Duration(g.state.foreignAnswerAt.Load())
+	return at != 0 && u.now()-at < foreignAnswerTime
+}
+
 // isNamed reports that the answer is to this attempt: it bears its id, or nothing else was sent on the
 // connection before.
 func (at *attempt) isNamed() bool {
--- a/internal/router/upstream_state.go
+++ b/internal/router/upstream_state.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/comfreybend/comfreybend/pkg/limiter"
@@ -32,6 +33,9 @@
 		limited bool
 		// heardAt is when the latest response of the upstream arrived.
 		heardAt time.Duration
+		// foreignAnswerAt is the monotonic time in nanoseconds at which the upstream last sent an answer
+		// with the id of another attempt; zero if it has not.
+		foreignAnswerAt atomic.Int64
 		// leaseEnded is closed when the announcement lease ends or a new incarnation is
 		// announced.
 		leaseEnded chan struct{}
