emulator, integration: play copies of answers to whole processes

Faults: answerCopies and earlyCopies, where the next answer is due or right behind the first; refuseFirst with a status, and refusalBodies. The own interface has no promise but 421 of another run, which also ends the use of the upstream, so refusals are plain 429 and 503.

TestCopiesOfAnswers: one control and one entry process; orders (each fifth cancelled while it runs), reads and streams; copies early, late, twice, of refusals with and without a body; one service upstream and four that refuse at first. No order runs twice or after it was answered as not run, reads and streams get their own answers.

Removed by hand: the check of the id, 3 of 6 cases fail (10 of 20 reads get another one's answer). Retirement and memory of connections together: none fails here, TestCopiedAnswers on the users' interface sees those.

--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -85,6 +85,15 @@
 		// RequestLimit is the number of requests a second that all responses name as the one
 		// that the upstream takes from all hosts together. No response names one if it is empty.
 		RequestLimit string `json:"requestLimit"`
+		// AnswerCopies is the number of copies that follow each response: right behind it with
+		// EarlyCopies, or else where the next response on its connection is due.
+		AnswerCopies int  `json:"answerCopies"`
+		EarlyCopies  bool `json:"earlyCopies"`
+		// RefuseFirst is the status with which the first request for each order, or of each path that
+		// reads one, is refused without being run, zero for none. RefusalBodies gives these responses
+		// a body.
+		RefuseFirst   int  `json:"refuseFirst"`
+		RefusalBodies bool `json:"refusalBodies"`
 	}
 
 	// Stats holds the counters of an upstream.
@@ -120,9 +129,11 @@
 		faults      InjectedFaults
 		stats       Stats
 		seenHeaders map[string]bool
-		attempts    map[string]*attemptState
-		sequence    uint64
-		leaving     bool
+		// refused holds the orders and paths that were refused once.
+		refused  map[string]bool
+		attempts map[string]*attemptState
+		sequence uint64
+		leaving  bool
 		// cachedPrefixes holds the prompt prefixes in the cache, unpublishedPrefixes those
 		// that no cache event has reported yet.
 		cachedPrefixes      map[string]bool
@@ -154,6 +165,7 @@
 		crash:          make(chan struct{}),
 		stats:          Stats{Orders: map[string]int{}},
 		seenHeaders:    map[string]bool{},
+		refused:        map[string]bool{},
 		attempts:       map[string]*attemptState{},
 		cachedPrefixes: map[string]bool{},
 	}
@@ -218,7 +230,7 @@
 	} else {
 		mux.HandleFunc("/", u.serveOrder)
 	}
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	serve := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if limit := u.recordArrival(r); limit != "" {
 			w.Header().Set("Comfreybend-Request-Limit", limit)
 		}
@@ -227,6 +239,13 @@
 		}
 		mux.ServeHTTP(w, r)
 	})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if u.currentFaults().AnswerCopies > 0 && !strings.HasPrefix(r.URL.Path, "/emulator/") {
+			u.serveCopies(w, r, serve)
+			return
+		}
+		serve(w, r)
+	})
 }
 
 // refuseOtherRun refuses a request that is meant for another run of the upstream.
--- a/internal/emulator/service.go
+++ b/internal/emulator/service.go
@@ -27,6 +27,9 @@
 		u.runOrder(w, r)
 		return
 	}
+	if u.refuseFirst(w, r, r.URL.Path) {
+		return
+	}
 	reference := r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:]
 	u.mu.Lock()
 	runs := u.stats.Orders[reference]
@@ -43,6 +46,9 @@
 		http.Error(w, "reference is missing", http.StatusBadRequest)
 		return
 	}
+	if u.refuseFirst(w, r, order.Reference) {
+		return
+	}
 	u.mu.Lock()
 	u.stats.Orders[order.Reference]++
 	runs := u.stats.Orders[order.Reference]
