integration: part resets with new connections refused from accepted ones

A cut may refuse new connections with a reset, or accept them and reset them then, as a gateway does that has lost what is behind it. TestPathFaults checks the two faults.

--- a/test/integration/cutoff_test.go
+++ b/test/integration/cutoff_test.go
@@ -337,6 +337,7 @@
 	}{
 		"hang":                       {fault: pathHangs, cut: []int{0, 2}},
 		"reset":                      {fault: pathResets, cut: []int{0, 2}},
+		"accept and reset":           {fault: pathAccepts, cut: []int{0, 2}},
 		"refuse new":                 {fault: pathRefusesNew, cut: []int{0, 2}},
 		"whole failure domain":       {fault: pathHangs, cut: []int{0, 1}},
 		"with a lost control leader": {fault: pathHangs, cut: []int{0, 2}, losesControl: true},
--- a/test/integration/path_test.go
+++ b/test/integration/path_test.go
@@ -21,8 +21,11 @@
 	// pathHangs drops all packets: connections are not established, and nothing that is sent on
 	// existing ones is acknowledged.
 	pathHangs pathFault = "hang"
-	// pathResets resets existing connections, and new ones once they are established.
+	// pathResets resets existing connections and refuses new ones.
 	pathResets pathFault = "reset"
+	// pathAccepts resets existing connections, and new ones once they are established, as a gateway
+	// does that has lost what is behind it.
+	pathAccepts pathFault = "accept and reset"
 	// pathRefusesNew refuses new connections, while existing ones live on.
 	pathRefusesNew pathFault = "refuse new"
 )
@@ -131,7 +134,7 @@
 		}
 		c := &pathConn{entry: entry}
 		p.mu.Lock()
-		if p.fault == pathResets {
+		if p.fault == pathAccepts {
 			p.mu.Unlock()
 			c.reset()
 			continue
@@ -221,10 +224,10 @@
 			dropPackets(c.entry, true)
 		}
 	case pathResets:
-		for c := range p.conns {
-			c.reset()
-			delete(p.conns, c)
-		}
+		_ = p.listener.Close()
+		p.reset()
+	case pathAccepts:
+		p.reset()
 	case pathRefusesNew:
 		_ = p.listener.Close()
 	}
@@ -244,13 +247,21 @@
 			dropPackets(c.entry, false)
 		}
 		close(p.passing)
-	case pathResets:
-	case pathRefusesNew:
+	case pathAccepts:
+	case pathResets, pathRefusesNew:
 		p.listen()
 		go p.accept(p.listener)
 	}
 }
 
+// reset resets all connections. The mutex must be held.
+func (p *path) reset() {
+	for c := range p.conns {
+		c.reset()
+		delete(p.conns, c)
+	}
+}
+
 func (p *path) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -318,9 +329,10 @@
 		// refuses is the error of a new connection, of dialling or of the first bytes; nil for a timeout.
 		refuses error
 	}{
-		"hang":       {fault: pathHangs},
-		"reset":      {fault: pathResets, refuses: syscall.ECONNRESET},
-		"refuse new": {fault: pathRefusesNew, keeps: true, refuses: syscall.ECONNREFUSED},
+		"hang":             {fault: pathHangs},
+		"reset":            {fault: pathResets, refuses: syscall.ECONNREFUSED},
+		"accept and reset": {fault: pathAccepts, refuses: syscall.ECONNRESET},
+		"refuse new":       {fault: pathRefusesNew, keeps: true, refuses: syscall.ECONNREFUSED},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
