--- a/test/integration/path_test.go
+++ b/test/integration/path_test.go
@@ -90,11 +90,13 @@
 			conns: map[*pathConn]struct{}{}, passing: make(chan struct{}),
 		}
 		close(p.passing)
-		p.listen()
+		if err = p.listen(); err != nil {
+			s.t.Fatal(err)
+		}
 		s.t.Cleanup(p.close)
 		paths[i] = p
 	}
-	u := s.startUpstream(id, domain, kind, serves, s.entries, append(flags, "--advertise", "http://"+net.JoinHostPort("0.0.0.0", port))...)
+	u := s.startUpstream(id, domain, kind, serves, s.entries, append([]string{"--advertise", "http://" + net.JoinHostPort("0.0.0.0", port)}, flags...)...)
 	target, err := url.Parse(u.url)
 	if err != nil {
 		s.t.Fatal(err)
@@ -105,16 +107,16 @@
 	return u, paths
 }
 
-func (p *path) listen() {
-	p.t.Helper()
+func (p *path) listen() error {
 	config := net.ListenConfig{}
 	// Sockets of multipath TCP take no filter.
 	config.SetMultipathTCP(false)
 	l, err := config.Listen(p.t.Context(), "tcp4", p.address)
 	if err != nil {
-		p.t.Fatal(err)
+		return err
 	}
 	p.listener, _ = l.(*net.TCPListener)
+	return nil
 }
 
 // serve begins to accept connections for an upstream.
@@ -235,7 +237,6 @@
 
 // heal ends the fault, if there is one.
 func (p *path) heal() {
-	p.t.Helper()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	fault := p.fault
@@ -249,7 +250,10 @@
 		close(p.passing)
 	case pathAccepts:
 	case pathResets, pathRefusesNew:
-		p.listen()
+		if err := p.listen(); err != nil {
+			p.t.Error(err)
+			return
+		}
 		go p.accept(p.listener)
 	}
 }
@@ -315,7 +319,9 @@
 	_, port, _ := net.SplitHostPort(freeAddress(t))
 	p := &path{t: t, address: net.JoinHostPort(entryAddress(0), port), conns: map[*pathConn]struct{}{}, passing: make(chan struct{})}
 	close(p.passing)
-	p.listen()
+	if err = p.listen(); err != nil {
+		t.Fatal(err)
+	}
 	t.Cleanup(p.close)
 	p.serve(upstream.Addr().String())
 	dialer := &net.Dialer{Timeout: pathDialTimeout, LocalAddr: &net.TCPAddr{IP: net.ParseIP(entryAddress(0))}}
--- a/test/integration/soak_test.go
+++ b/test/integration/soak_test.go
@@ -49,6 +49,7 @@
 	"first": 1,
 	// A process was frozen while another fault restarted it: a data race of the test's own.
 	"freeze during a restart": 3019,
+	"cut off entry processes": 3,
 }
 
 // soakVersions holds the software versions of engines.
@@ -61,6 +62,11 @@
 		random *rand.Rand
 		// releaseRandom is a source of its own, so that the other faults of a seed stay the same.
 		releaseRandom *rand.Rand
+		// cutRandom is the source of cuts, if there are any in the run. paths holds the paths of each
+		// entry process, by its index.
+		cutRandom     *rand.Rand
+		cuts          bool
+		paths         map[int][]*path
 		engines       []*upstreamProcess
 		orderServices []*upstreamProcess
 		// limited names a request limit now and then, and has no other fault.
@@ -121,8 +127,14 @@
 
 func newSoak(t *testing.T, seed int64) *soak {
 	t.Logf("seed %d", seed)
+	cutRandom, cuts := cutsEntries(seed)
+	l := layout{controls: 3, entries: []string{"a", "a", "b"}}
+	if cuts {
+		l.adjustEntry = useOwnAddresses
+	}
 	s := &soak{
-		system:        startSystem(t, layout{controls: 3, entries: []string{"a", "a", "b"}}),
+		system:    startSystem(t, l),
+		cutRandom: cutRandom, cuts: cuts, paths: map[int][]*path{},
 		random:        rand.New(rand.NewSource(seed)),
 		releaseRandom: rand.New(rand.NewSource(seed + 1)),
 		orderOutcomes: map[string]router.RunStatus{}, withdrawnAt: map[string]time.Time{},
@@ -131,13 +143,13 @@
 	s.configure()
 	for i, domain := range []string{"a", "a", "b"} {
 		id := fmt.Sprintf("engine-%d", i+1)
-		s.engines = append(s.engines, s.startUpstream(id, domain, "model", "m", s.entries, "--token-interval", "20ms", "--software-version", soakVersions[i%len(soakVersions)]))
+		s.engines = append(s.engines, s.startSoakUpstream(id, domain, "model", "m", "--token-interval", "20ms", "--software-version", soakVersions[i%len(soakVersions)]))
 	}
 	for i, domain := range []string{"a", "b"} {
 		id := fmt.Sprintf("orders-%d", i+1)
-		s.orderServices = append(s.orderServices, s.startUpstream(id, domain, "service", "orders", s.entries))
+		s.orderServices = append(s.orderServices, s.startSoakUpstream(id, domain, "service", "orders"))
 	}
-	s.limited = s.startUpstream("orders-limited", "a", "service", "orders", s.entries)
+	s.limited = s.startSoakUpstream("orders-limited", "a", "service", "orders")
 	return s
 }
 
@@ -155,6 +167,7 @@
 	clients.Go(func() { s.runOperator(ctx) })
 	clients.Go(func() { s.limitRequests(ctx) })
 	clients.Go(func() { s.releaseVersions(ctx) })
+	clients.Go(func() { s.cutEntries(ctx) })
 	s.injectRandomFaults(ctx)
 	clients.Wait()
 	s.awaitRecovery()
