--- a/test/integration/cutoff_test.go
+++ b/test/integration/cutoff_test.go
@@ -251,15 +251,21 @@
 	}
 }
 
-// checkOrders fails the test if an order ran twice, or ran although its client was told that it did not.
-func (c *cutoff) checkOrders() {
-	c.t.Helper()
+// ranOrders returns how often each order ran.
+func (c *cutoff) ranOrders() map[string]int {
 	ran := map[string]int{}
 	for _, u := range c.services {
 		for reference, runs := range u.stats(c.t).Orders {
 			ran[reference] += runs
 		}
 	}
+	return ran
+}
+
+// checkOrders fails the test if an order ran twice, or ran although its client was told that it did not.
+func (c *cutoff) checkOrders() {
+	c.t.Helper()
+	ran := c.ranOrders()
 	for _, x := range c.tries {
 		if x.kind != tryOrder {
 			continue
