--- a/test/integration/cutoff_test.go
+++ b/test/integration/cutoff_test.go
@@ -251,15 +251,21 @@
 	}
 }
 
-// checkOrders fails the test if an order ran twice, or ran although its client was told that it did not.
-func (c *cutoff) checkOrders() {
-	c.t.Helper()
+// ranOrders returns how often each order ran.
+func (c *cutoff) ranOrders() map[string]int {
 	ran := map[string]int{}
 	for _, u := range c.services {
 		for reference, runs := range u.stats(c.t).Orders {
 			ran[reference] += runs
 		}
 	}
+	return ran
+}
+
+// checkOrders fails the test if an order ran twice, or ran although its client was told that it did not.
+func (c *cutoff) checkOrders() {
+	c.t.Helper()
+	ran := c.ranOrders()
 	for _, x := range c.tries {
 		if x.kind != tryOrder {
 			continue
@@ -337,6 +343,7 @@
 	}{
 		"hang":                       {fault: pathHangs, cut: []int{0, 2}},
 		"reset":                      {fault: pathResets, cut: []int{0, 2}},
+		"accept and reset":           {fault: pathAccepts, cut: []int{0, 2}},
 		"refuse new":                 {fault: pathRefusesNew, cut: []int{0, 2}},
 		"whole failure domain":       {fault: pathHangs, cut: []int{0, 1}},
 		"with a lost control leader": {fault: pathHangs, cut: []int{0, 2}, losesControl: true},
--- a/test/integration/path_test.go
+++ b/test/integration/path_test.go
@@ -21,8 +21,11 @@
 	// pathHangs drops all packets: connections are not established, and nothing that is sent on
 	// existing ones is acknowledged.
 	pathHangs pathFault = "hang"
-	// pathResets resets existing connections, and new ones once they are established.
+	// pathResets resets existing connections and refuses new ones.
 	pathResets pathFault = "reset"
+	// pathAccepts resets existing connections, and new ones once they are established, as a gateway
+	// does that has lost what is behind it.
+	pathAccepts pathFault = "accept and reset"
 	// pathRefusesNew refuses new connections, while existing ones live on.
 	pathRefusesNew pathFault = "refuse new"
 )
@@ -87,11 +90,13 @@
 			conns: map[*pathConn]struct{}{}, passing: make(chan struct{}),
 		}
 		close(p.passing)
-		p.listen()
+		if err = p.listen(); err != nil {
+			s.t.Fatal(err)
+		}
 		s.t.Cleanup(p.close)
 		paths[i] = p
 	}
-	u := s.startUpstream(id, domain, kind, serves, s.entries, append(flags, "--advertise", "http://"+net.JoinHostPort("0.0.0.0", port))...)
+	u := s.startUpstream(id, domain, kind, serves, s.entries, append([]string{"--advertise", "http://" + net.JoinHostPort("0.0.0.0", port)}, flags...)...)
 	target, err := url.Parse(u.url)
 	if err != nil {
 		s.t.Fatal(err)
@@ -102,16 +107,16 @@
 	return u, paths
 }
 
-func (p *path) listen() {
-	p.t.Helper()
+func (p *path) listen() error {
 	config := net.ListenConfig{}
 	// Sockets of multipath TCP take no filter.
 	config.SetMultipathTCP(false)
 	l, err := config.Listen(p.t.Context(), "tcp4", p.address)
 	if err != nil {
-		p.t.Fatal(err)
+		return err
 	}
 	p.listener, _ = l.(*net.TCPListener)
+	return nil
 }
 
 // serve begins to accept connections for an upstream.
@@ -131,7 +136,7 @@
 		}
 		c := &pathConn{entry: entry}
 		p.mu.Lock()
-		if p.fault == pathResets {
+		if p.fault == pathAccepts {
 			p.mu.Unlock()
 			c.reset()
 			continue
@@ -221,10 +226,10 @@
 			dropPackets(c.entry, true)
 		}
 	case pathResets:
-		for c := range p.conns {
-			c.reset()
-			delete(p.conns, c)
-		}
+		_ = p.listener.Close()
+		p.reset()
+	case pathAccepts:
+		p.reset()
 	case pathRefusesNew:
 		_ = p.listener.Close()
 	}
@@ -232,7 +237,6 @@
 
 // heal ends the fault, if there is one.
 func (p *path) heal() {
-	p.t.Helper()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	fault := p.fault
@@ -244,13 +248,24 @@
 			dropPackets(c.entry, false)
 		}
 		close(p.passing)
-	case pathResets:
-	case pathRefusesNew:
-		p.listen()
+	case pathAccepts:
+	case pathResets, pathRefusesNew:
+		if err := p.listen(); err != nil {
+			p.t.Error(err)
+			return
+		}
 		go p.accept(p.listener)
 	}
 }
 
+// reset resets all connections. The mutex must be held.
+func (p *path) reset() {
+	for c := range p.conns {
+		c.reset()
+		delete(p.conns, c)
+	}
+}
+
 func (p *path) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -304,7 +319,9 @@
 	_, port, _ := net.SplitHostPort(freeAddress(t))
 	p := &path{t: t, address: net.JoinHostPort(entryAddress(0), port), conns: map[*pathConn]struct{}{}, passing: make(chan struct{})}
 	close(p.passing)
-	p.listen()
+	if err = p.listen(); err != nil {
+		t.Fatal(err)
+	}
 	t.Cleanup(p.close)
 	p.serve(upstream.Addr().String())
 	dialer := &net.Dialer{Timeout: pathDialTimeout, LocalAddr: &net.TCPAddr{IP: net.ParseIP(entryAddress(0))}}
@@ -318,9 +335,10 @@
 		// refuses is the error of a new connection, of dialling or of the first bytes; nil for a timeout.
 		refuses error
 	}{
-		"hang":       {fault: pathHangs},
-		"reset":      {fault: pathResets, refuses: syscall.ECONNRESET},
-		"refuse new": {fault: pathRefusesNew, keeps: true, refuses: syscall.ECONNREFUSED},
+		"hang":             {fault: pathHangs},
+		"reset":            {fault: pathResets, refuses: syscall.ECONNREFUSED},
+		"accept and reset": {fault: pathAccepts, refuses: syscall.ECONNRESET},
+		"refuse new":       {fault: pathRefusesNew, keeps: true, refuses: syscall.ECONNREFUSED},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
