isolator: log the grounds of a conviction

Now they tell how many engines ended under the part and meanwhile without it, how many attempts this process has made with it since, when one was last responded to, and under which other parts the same engines ended (five at most).

--- a/internal/collector/collector.go
+++ b/internal/collector/collector.go
@@ -164,10 +164,10 @@
 }
 
 // NewlyHeld returns the parts that are held, now or soon, and were not at the latest call.
-func (t *Table) NewlyHeld() []isolator.Verdict {
+func (t *Table) NewlyHeld() []Conviction {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var added []isolator.Verdict
+	var added []Conviction
 	held := map[isolator.PartID]bool{}
 	for _, v := range t.isolator.Verdicts() {
 		if v.HeldFrom.IsZero() {
@@ -175,7 +175,7 @@
 		}
 		held[v.Part] = true
 		if !t.logged[v.Part] {
-			added = append(added, v)
+			added = append(added, Conviction{Verdict: v, Grounds: t.isolator.Grounds(v.Part)})
 		}
 	}
 	t.logged = held
--- a/internal/controller/evidence.go
+++ b/internal/controller/evidence.go
@@ -1,8 +1,6 @@
 package controller
 
 import (
-	"go.uber.org/zap"
-
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
@@ -12,8 +10,7 @@
 		return
 	}
 	for _, v := range c.evidence.NewlyHeld() {
-		c.log.Warn("a prompt part crashes engines", zap.String("part", string(v.Part)), zap.Int("instants", v.Instants),
-			zap.Time("firstEnd", v.FirstEnd), zap.Time("lastEnd", v.LastEnd), zap.Time("heldUntil", v.HeldUntil))
+		c.log.Warn("a prompt part crashes engines", v.Fields()...)
 	}
 	c.wakeGossip()
 }
--- a/internal/router/isolation.go
+++ b/internal/router/isolation.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/comfreybend/comfreybend/internal/announcer"
+	"github.com/comfreybend/comfreybend/internal/collector"
 	"github.com/comfreybend/comfreybend/internal/identifier"
 	"github.com/comfreybend/comfreybend/internal/prober"
 	"github.com/comfreybend/comfreybend/pkg/isolator"
@@ -145,8 +146,13 @@
 
 // track registers an attempt so that it can be cancelled, until it is closed.
 func (s *isolation) track(c *call, at *attempt) {
+	var ids []isolator.PartID
+	if s.accused.Load() {
+		ids = s.suspectIDs(c)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.isolator.RecordAttempt(ids)
 	s.inProgress[at] = c
 	at.onClose = func() {
 		s.mu.Lock()
@@ -335,8 +341,7 @@
 		held[v.Part] = true
 		if !s.held[v.Part] {
 			added = append(added, v.Part)
-			s.router.log.Warn("prompt part is held", zap.String("part", string(v.Part)), zap.Int("instants", v.Instants),
-				zap.Time("firstEnd", v.FirstEnd), zap.Time("lastEnd", v.LastEnd), zap.Time("heldUntil", v.HeldUntil))
+			s.router.log.Warn("prompt part is held", collector.Conviction{Verdict: v, Grounds: s.isolator.Grounds(v.Part)}.Fields()...)
 		}
 	}
 	for part := range s.held {
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -117,6 +117,8 @@
 		position Position
 		// runs holds the runs that count.
 		runs map[RunID]partRun
+		// attempts is the number of attempts of this process since the first of the runs.
+		attempts int
 		// probedAt is when this process sent a probe in the hold that ended probedUntil.
 		probedAt, probedUntil time.Time
 	}
