isolator, router: tell ends that accuse nobody, and responses that outlasted the beginning

An end was known to other processes only if something could be accused there, so the share of ends without a part was not known; and a stream that had been written for half a second or more when its engine ended spoke neither against its prompt nor for it, although the engine had survived the beginning.

Every end that a broken attempt shows is evidence now, marked as aside if nothing is accused; it does not enter the verdicts yet. Older processes ignore the mark and count such an end as one more without the part. A stream that went on speaks for its prompt at the time of its last event.

--- a/internal/announcer/evidence.go
+++ b/internal/announcer/evidence.go
@@ -20,7 +20,7 @@
 func EvidenceFromWire(e *wire.Evidence) isolator.Evidence {
 	var out isolator.Evidence
 	for _, r := range e.GetRuns() {
-		out.Runs = append(out.Runs, isolator.Run{ID: isolator.RunID(r.GetId()), EndedAt: time.UnixMilli(r.GetEndedAtMillis())})
+		out.Runs = append(out.Runs, isolator.Run{ID: isolator.RunID(r.GetId()), EndedAt: time.UnixMilli(r.GetEndedAtMillis()), Aside: r.GetAside()})
 	}
 	for _, p := range e.GetParts() {
 		part := isolator.Part{ID: isolator.PartID(p.GetId()), Depth: int(p.GetDepth())}
@@ -45,7 +45,7 @@
 	}
 	out := &wire.Evidence{}
 	for _, r := range e.Runs {
-		out.Runs = append(out.Runs, &wire.EndedRun{Id: uint64(r.ID), EndedAtMillis: r.EndedAt.UnixMilli()})
+		out.Runs = append(out.Runs, &wire.EndedRun{Id: uint64(r.ID), EndedAtMillis: r.EndedAt.UnixMilli(), Aside: r.Aside})
 	}
 	for _, p := range e.Parts {
 		part := &wire.PartEvidence{Id: string(p.ID), Depth: int32(p.Depth)}
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/url"
 	"sync"
@@ -42,6 +43,11 @@
 	return &Prober{now: now, checks: map[isolator.RunID]*check{}}
 }
 
+// IsBreak reports whether the upstream's side closed or reset a connection.
+func IsBreak(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // HasEnded reports whether the upstream with a URL refuses connections. Attempts at the same
 // run that break off together share one check.
 func (p *Prober) HasEnded(ctx context.Context, run isolator.RunID, address string) bool {
--- a/internal/router/isolation.go
+++ b/internal/router/isolation.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -163,22 +162,45 @@
 
 // attemptBroke reports whether an attempt broke off because its upstream ended under the call: not
 // long after it had begun to write the response, or before that. The end also speaks against the
-// parts of a prompt if the headers of a stream show that it had begun.
+// parts of a prompt if the headers of a stream show that it had begun, and for them if it had
+// gone on since. Any end tells that upstreams end whatever they process.
 func (s *isolation) attemptBroke(ctx context.Context, c *call, g *grant, at *attempt, err error) (ended, againstPrompt bool) {
 	begun := at != nil && s.router.dispatcher.now()-at.startedAt-at.timeToHeaders < beginTime
-	if at != nil && c.stream && !begun || !s.upstreamEnded(ctx, g, err) {
+	if at != nil && c.stream && !begun {
+		s.survived(ctx, c, g, at, err)
 		return false, false
 	}
-	ids := c.sharedIDs()
-	againstPrompt = len(ids) > 0 && (begun || !c.stream)
-	if againstPrompt {
-		s.change(func(now time.Time) {
-			s.isolator.RecordEnd(now, announcer.RunOf(g.upstream.ID, g.upstream.Incarnation), ids)
-		})
+	if !s.upstreamEnded(ctx, g, err) {
+		return false, false
 	}
+	ids, run := c.sharedIDs(), announcer.RunOf(g.upstream.ID, g.upstream.Incarnation)
+	againstPrompt = len(ids) > 0 && (begun || !c.stream)
+	s.change(func(now time.Time) {
+		if againstPrompt {
+			s.isolator.RecordEnd(now, run, ids)
+		} else {
+			s.isolator.RecordEndAside(now, run)
+		}
+	})
 	return true, againstPrompt
 }
 
+// survived records that an upstream which broke off a stream had gone on for a time after it had begun.
+// Whether it has ended becomes known later, so that the stream can be resumed meanwhile.
+func (s *isolation) survived(ctx context.Context, c *call, g *grant, at *attempt, err error) {
+	active := time.Duration(at.lastActivity.Load())
+	if s.accused.Load() && active-at.startedAt-at.timeToHeaders >= beginTime {
+		ids, since := s.suspectIDs(c), s.router.dispatcher.now()-active
+		s.change(func(now time.Time) { s.isolator.RecordResponse(now.Add(-since), ids) })
+	}
+	go func() {
+		if s.upstreamEnded(context.WithoutCancel(ctx), g, err) {
+			run := announcer.RunOf(g.upstream.ID, g.upstream.Incarnation)
+			s.change(func(now time.Time) { s.isolator.RecordEndAside(now, run) })
+		}
+	}()
+}
+
 // recordEnds records that upstreams ended one after the other under a call, and after another one
 // that was known to have ended under the same request when the call began.
 func (s *isolation) recordEnds(c *call, before isolator.RunID, ends []isolator.Run) {
@@ -228,7 +250,7 @@
 // upstreamEnded reports whether an attempt broke off because its upstream has ended without
 // saying before that it leaves.
 func (s *isolation) upstreamEnded(ctx context.Context, g *grant, err error) bool {
-	broke := isConnectionBreak(err) || isRefusedResend(err)
+	broke := prober.IsBreak(err) || isRefusedResend(err)
 	return broke && !s.router.dispatcher.isLeaving(g.upstream) &&
 		s.prober.HasEnded(ctx, announcer.RunOf(g.upstream.ID, g.upstream.Incarnation), g.upstream.URL)
 }
@@ -240,11 +262,6 @@
 	return errors.As(err, &failure) && !failure.NotRun && errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// isConnectionBreak reports whether the upstream's side closed or reset a connection.
-func isConnectionBreak(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-}
-
 // responded records that an engine has survived a call's prompt.
 func (s *isolation) responded(c *call) {
 	if !s.accused.Load() {
--- a/internal/router/isolation_test.go
+++ b/internal/router/isolation_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -17,6 +18,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"github.com/comfreybend/comfreybend/internal/announcer"
 	"github.com/comfreybend/comfreybend/pkg/isolator"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
@@ -116,6 +118,44 @@
 	}
 }
 
+// TestStreamThatWentOnSpeaksForItsPrompt guards against a popular part that is accused although engines had
+// gone on with it for long when they ended for another reason.
+func TestStreamThatWentOnSpeaksForItsPrompt(t *testing.T) {
+	tests := map[string]struct {
+		// active is how long the stream went on after its headers.
+		active  time.Duration
+		cleared bool
+	}{
+		"it went on":                     {active: beginTime, cleared: true},
+		"nothing came after the headers": {},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newTestRouter(t)
+			now := r.dispatcher.now()
+			u := registrar.Upstream{ID: "u", Incarnation: 1, Sequence: 1, URL: closedPort(t), Kind: registrar.KindService, Serves: []string{"s"}, State: registrar.Serving, AnnouncedAt: now}
+			r.dispatcher.applyAnnouncement(u)
+			r.isolation.merge(heldEvidence("popular"))
+			c := &call{stream: true, RequestInfo: RequestInfo{Prompt: promptOf("popular", "own")}}
+			at := &attempt{startedAt: now - 2*beginTime}
+			at.recordActivity(at.startedAt + test.active)
+			if ended, against := r.isolation.attemptBroke(t.Context(), c, &grant{upstream: &u}, at, io.ErrUnexpectedEOF); ended || against {
+				t.Errorf("counts: %t, evidence: %t, want neither", ended, against)
+			}
+			run := announcer.RunOf(u.ID, u.Incarnation)
+			awaitCondition(t, "the end is not known", func() bool {
+				e, _ := r.isolation.since(0)
+				return slices.ContainsFunc(e.GetRuns(), func(r *wire.EndedRun) bool { return r.GetId() == uint64(run) && r.GetAside() })
+			})
+			r.isolation.mu.Lock()
+			defer r.isolation.mu.Unlock()
+			if got := len(r.isolation.held) == 0; got != test.cleared {
+				t.Errorf("cleared: %t, want %t", got, test.cleared)
+			}
+		})
+	}
+}
+
 // TestHeldPartEndsRequests guards against requests with a held part that still reach engines:
 // those that wait or that no engine has answered yet are ended when the part is held, later
 // ones at once, each with a final refusal. One that is being answered goes on.
--- a/pkg/isolator/crowd_model_test.go
+++ b/pkg/isolator/crowd_model_test.go
@@ -256,8 +256,10 @@
 	for _, q := range broken {
 		h := p.hosts[q.host]
 		h.noticed = append(h.noticed, run)
+		h.isolator.RecordEndAside(p.now, run.ID)
 		begun := !q.startedAt.IsZero() && !p.now.Before(q.headersAt)
 		if begun && p.now.Sub(q.headersAt) >= crowdBegin {
+			h.isolator.RecordResponse(q.headersAt.Add(crowdBegin), p.ids(q))
 			// The client has a part of the response, and gets the rest from another engine.
 			q.progressed = true
 			p.after(crowdStep, func() { p.send(q) })
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -76,6 +76,8 @@
 		ID RunID
 		// EndedAt is the earliest time at which a process noticed it.
 		EndedAt time.Time
+		// Aside reports that no process knows of anything against which the end speaks.
+		Aside bool
 	}
 
 	// Part is the evidence about a part of prompts.
@@ -182,6 +184,11 @@
 	}
 }
 
+// RecordEndAside records that a run of an engine ended, whatever it processed.
+func (i *Isolator) RecordEndAside(now time.Time, run RunID) {
+	i.Merge(now, Evidence{Runs: []Run{{ID: run, EndedAt: now.Truncate(time.Millisecond), Aside: true}}})
+}
+
 // Lift clears a part of the evidence so far. It has no effect on a part without evidence.
 func (i *Isolator) Lift(now time.Time, id PartID) {
 	if p := i.parts[id]; p != nil && i.counts(p, now) {
@@ -208,10 +215,8 @@
 	ends := make(map[RunID]time.Time, len(e.Runs))
 	for _, r := range e.Runs {
 		ends[r.ID] = r.EndedAt
-		if known := i.runs[r.ID]; known != nil && r.EndedAt.Before(known.EndedAt) {
-			i.position++
-			known.EndedAt, known.position = r.EndedAt, i.position
-			i.dropIfCleared(known)
+		if known := i.runs[r.ID]; known != nil {
+			i.correct(known, r)
 		}
 	}
 	for _, p := range e.Parts {
@@ -225,6 +230,19 @@
 	return i.position != before
 }
 
+// correct corrects what is known of a run.
+func (i *Isolator) correct(known *knownRun, r Run) {
+	if known.Aside && !r.Aside {
+		i.position++
+		known.Aside, known.position = false, i.position
+	}
+	if r.EndedAt.Before(known.EndedAt) {
+		i.position++
+		known.EndedAt, known.position = r.EndedAt, i.position
+		i.dropIfCleared(known)
+	}
+}
+
 // mergePart adds the evidence about a part. ends holds the times of the runs in the same
 // evidence.
 func (i *Isolator) mergePart(now time.Time, p Part, ends map[RunID]time.Time) {
@@ -299,6 +317,9 @@
 	if !known.EndedAt.After(p.clearedAt) {
 		return
 	}
+	if known.Aside {
+		known.Aside, known.position = false, i.position+1
+	}
 	if len(p.runs) >= maxRunsPerPart {
 		earliest := i.earliestRun(p)
 		if i.compareRuns(earliest, known) > 0 {
--- a/pkg/isolator/verdict.go
+++ b/pkg/isolator/verdict.go
@@ -64,11 +64,14 @@
 	return i.verdicts
 }
 
-// numberInstants groups the ends of runs into instants, numbered in the order of time.
+// numberInstants groups the ends of runs that speak against something into instants, numbered in the
+// order of time.
 func (i *Isolator) numberInstants() map[RunID]int {
 	runs := make([]*knownRun, 0, len(i.runs))
 	for _, r := range i.runs {
-		runs = append(runs, r)
+		if !r.Aside {
+			runs = append(runs, r)
+		}
 	}
 	slices.SortFunc(runs, i.compareRuns)
 	numbers := make(map[RunID]int, len(runs))
