isolator, router: refuse for good only what is certain to crash engines

Cause: a verdict counts the engines that ended under a part and has no base rate, and every refusal for it was final. Popular parts are at most engines that end, and retries carry one request to the next that does; with few responses in between, three such moments held it.

Now a verdict tells whether it is certain: at three moments no other engine ended within 2 s, most of the ends are not explained by another part as well, other prompts were responded to meanwhile, and there are not three or more held at the same time. Otherwise the request is kept away all the same, so that no more engines end under a culprit than before, but the refusal is 503 promptPartSuspected or requestSuspected with Retry-After, and what may be held without cause is probed after a minute at the latest instead of ten. Ends are remembered within 2 s of one that counts.

--- a/internal/collector/collector.go
+++ b/internal/collector/collector.go
@@ -9,6 +9,7 @@
 
 	"github.com/comfreybend/comfreybend/internal/announcer"
 	"github.com/comfreybend/comfreybend/internal/identifier"
+	"github.com/comfreybend/comfreybend/internal/withholder"
 	"github.com/comfreybend/comfreybend/pkg/apportioner"
 	"github.com/comfreybend/comfreybend/pkg/isolator"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
@@ -164,10 +165,10 @@
 }
 
 // NewlyHeld returns the parts that are held, now or soon, and were not at the latest call.
-func (t *Table) NewlyHeld() []Conviction {
+func (t *Table) NewlyHeld() []withholder.Conviction {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var added []Conviction
+	var added []withholder.Conviction
 	held := map[isolator.PartID]bool{}
 	for _, v := range t.isolator.Verdicts() {
 		if v.HeldFrom.IsZero() {
@@ -175,7 +176,7 @@
 		}
 		held[v.Part] = true
 		if !t.logged[v.Part] {
-			added = append(added, Conviction{Verdict: v, Grounds: t.isolator.Grounds(v.Part)})
+			added = append(added, withholder.Conviction{Verdict: v, Grounds: t.isolator.Grounds(v.Part)})
 		}
 	}
 	t.logged = held
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -357,7 +357,7 @@
 	}
 	var held *heldPartError
 	if errors.As(err, &held) {
-		refusal = refuseHeldPart(held.Part)
+		refusal = refuseHeld(held)
 	}
 	var failure *attemptError
 	if errors.As(err, &failure) {
--- a/internal/router/isolation.go
+++ b/internal/router/isolation.go
@@ -12,9 +12,8 @@
 	"go.uber.org/zap"
 
 	"github.com/comfreybend/comfreybend/internal/announcer"
-	"github.com/comfreybend/comfreybend/internal/collector"
-	"github.com/comfreybend/comfreybend/internal/identifier"
 	"github.com/comfreybend/comfreybend/internal/prober"
+	"github.com/comfreybend/comfreybend/internal/withholder"
 	"github.com/comfreybend/comfreybend/pkg/isolator"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/wire"
@@ -46,34 +45,23 @@
 
 		mu       sync.Mutex
 		isolator *isolator.Isolator
-		held     map[isolator.PartID]bool
+		held     map[isolator.PartID]isolator.Verdict
 		// timer calls update when the next part is held.
 		timer *time.Timer
 		// inProgress holds the attempts of all calls.
 		inProgress map[*attempt]*call
 	}
 
-	// heldPartError reports an attempt that was cancelled because a part of its prompt is
-	// held.
-	heldPartError struct {
-		Part isolator.PartID
-	}
+	// heldPartError reports an attempt that was cancelled because a part of its prompt is held.
+	heldPartError = withholder.HeldError
 )
 
-// Error implements error.
-func (e *heldPartError) Error() string {
-	if identifier.IsIdentity(e.Part) {
-		return "the request crashes upstreams"
-	}
-	return "prompt part " + string(e.Part) + " crashes engines"
-}
-
 func newIsolation(r *Router) *isolation {
 	return &isolation{
 		router:     r,
 		changed:    make(chan struct{}, 1),
 		isolator:   isolator.New(),
-		held:       map[isolator.PartID]bool{},
+		held:       map[isolator.PartID]isolator.Verdict{},
 		timer:      time.NewTimer(0),
 		inProgress: map[*attempt]*call{},
 		prober:     prober.New(timer.Now),
@@ -110,9 +98,10 @@
 	host, processes := s.router.settings.GetHost().GetId(), s.router.dispatcher.entryProcesses()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	a := s.isolator.Admit(s.router.windows.Now(), host, processes, ids)
+	now := s.router.windows.Now()
+	a := s.isolator.Admit(now, host, processes, ids)
 	if a.Refused != nil {
-		return refuseHeldPart(a.Refused.Part)
+		return refuseHeld(withholder.NewHeldError(*a.Refused, now))
 	}
 	if a.Probe {
 		c.probe = true
@@ -121,14 +110,17 @@
 	return nil
 }
 
-// refuseHeldPart returns the refusal of a request that is held or whose prompt has a held part.
-// It is final: sending the request again does not help.
-func refuseHeldPart(part isolator.PartID) *RefusalError {
-	code := CodePartHeld
-	if identifier.IsIdentity(part) {
-		code = CodeRequestHeld
+// refuseHeld returns the refusal of a request that is held. It is final only if it is certain that sending
+// the request again does not help.
+func refuseHeld(e *heldPartError) *RefusalError {
+	final, doubtful := CodePartHeld, CodePartSuspected
+	if e.IsRequest() {
+		final, doubtful = CodeRequestHeld, CodeRequestSuspected
+	}
+	if e.RetryAfter > 0 {
+		return refuseWithRetryAfter(http.StatusServiceUnavailable, doubtful, e.Error(), e.RetryAfter)
 	}
-	return refuse(http.StatusUnprocessableEntity, code, (&heldPartError{Part: part}).Error())
+	return refuse(http.StatusUnprocessableEntity, final, e.Error())
 }
 
 // heldRefusal returns a refusal if one of the parts is held, without admitting a probe.
@@ -136,8 +128,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, part := range parts {
-		if s.held[part] {
-			return refuseHeldPart(part)
+		if v, held := s.held[part]; held {
+			return refuseHeld(withholder.NewHeldError(v, s.router.windows.Now()))
 		}
 	}
 	return nil
@@ -330,8 +322,8 @@
 	added := s.updateHeld()
 	affected := s.affected(added)
 	s.mu.Unlock()
-	for at, part := range affected {
-		at.cancelUnlessRelayed(&heldPartError{Part: part})
+	for at, v := range affected {
+		at.cancelUnlessRelayed(withholder.NewHeldError(v, s.router.windows.Now()))
 	}
 	if len(added) > 0 {
 		s.router.dispatcher.refuseWaiting(func(r dispatchRequest) *RefusalError {
@@ -345,9 +337,9 @@
 
 // updateHeld updates the held parts and returns those that were not held before. If the
 // evidence against others has to settle first, update is called again.
-func (s *isolation) updateHeld() []isolator.PartID {
-	var added []isolator.PartID
-	held := map[isolator.PartID]bool{}
+func (s *isolation) updateHeld() []isolator.Verdict {
+	var added []isolator.Verdict
+	held := map[isolator.PartID]isolator.Verdict{}
 	now := s.router.windows.Now()
 	verdicts, next := s.isolator.Held(now)
 	s.timer.Stop()
@@ -355,14 +347,14 @@
 		s.timer = time.AfterFunc(next.Sub(now), s.update)
 	}
 	for _, v := range verdicts {
-		held[v.Part] = true
-		if !s.held[v.Part] {
-			added = append(added, v.Part)
-			s.router.log.Warn("prompt part is held", collector.Conviction{Verdict: v, Grounds: s.isolator.Grounds(v.Part)}.Fields()...)
+		held[v.Part] = v
+		if _, before := s.held[v.Part]; !before {
+			added = append(added, v)
+			s.router.log.Warn("prompt part is held", withholder.Conviction{Verdict: v, Grounds: s.isolator.Grounds(v.Part)}.Fields()...)
 		}
 	}
 	for part := range s.held {
-		if !held[part] {
+		if _, still := held[part]; !still {
 			s.router.log.Info("prompt part is not held any more", zap.String("part", string(part)))
 		}
 	}
@@ -372,16 +364,16 @@
 }
 
 // affected returns the attempts with parts that are held now.
-func (s *isolation) affected(held []isolator.PartID) map[*attempt]isolator.PartID {
-	out := map[*attempt]isolator.PartID{}
+func (s *isolation) affected(held []isolator.Verdict) map[*attempt]isolator.Verdict {
+	out := map[*attempt]isolator.Verdict{}
 	for at, c := range s.inProgress {
 		if c.probe {
 			continue
 		}
 		for _, own := range s.suspectIDs(c) {
-			for _, part := range held {
-				if own == part {
-					out[at] = part
+			for _, v := range held {
+				if own == v.Part {
+					out[at] = v
 				}
 			}
 		}
--- a/internal/router/isolation_test.go
+++ b/internal/router/isolation_test.go
@@ -19,6 +19,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/comfreybend/comfreybend/internal/announcer"
+	"github.com/comfreybend/comfreybend/internal/withholder"
 	"github.com/comfreybend/comfreybend/pkg/isolator"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
@@ -399,3 +400,47 @@
 		t.Errorf("shared parts %v, want all but the last", ids)
 	}
 }
+
+// TestDoubtIsNoFinalRefusal guards against proper requests that are told never to come back, for a part or as
+// a whole, although engines end for other reasons too.
+func TestDoubtIsNoFinalRefusal(t *testing.T) {
+	tests := map[string]struct {
+		part              string
+		doubtful          bool
+		code              string
+		status            int
+		leastRetry, inAll time.Duration
+	}{
+		"certain":            {part: "popular", code: CodePartHeld, status: http.StatusUnprocessableEntity},
+		"in doubt":           {part: "popular", doubtful: true, code: CodePartSuspected, status: http.StatusServiceUnavailable, leastRetry: time.Second, inAll: time.Minute},
+		"a request in doubt": {part: "request-1", doubtful: true, code: CodeRequestSuspected, status: http.StatusServiceUnavailable, leastRetry: time.Second, inAll: time.Minute},
+		"a request, certain": {part: "request-1", code: CodeRequestHeld, status: http.StatusUnprocessableEntity},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newTestRouter(t)
+			e := heldEvidence(test.part)
+			if test.doubtful {
+				for n, known := range e.GetRuns() {
+					e.Runs = append(e.Runs, &wire.EndedRun{Id: uint64(100 + n), EndedAtMillis: known.GetEndedAtMillis() + 400, Aside: true})
+				}
+			}
+			r.isolation.merge(e)
+			c := &call{RequestInfo: RequestInfo{Prompt: promptOf(test.part, "own")}}
+			h := &callHandler{router: r, call: c, log: r.log}
+			refusals := map[string]*RefusalError{
+				"new":       r.isolation.admit(c),
+				"waiting":   r.isolation.heldRefusal(r.isolation.suspectIDs(c)),
+				"cancelled": h.giveUp(&attemptError{NotRun: true, Cause: withholder.NewHeldError(r.isolation.held[isolator.PartID(test.part)], r.windows.Now())}),
+			}
+			for when, refusal := range refusals {
+				if refusal == nil {
+					t.Fatalf("%s: not refused", when)
+				}
+				if refusal.Status != test.status || refusal.Code != test.code || refusal.Run != NotRun || refusal.RetryAfter < test.leastRetry || refusal.RetryAfter > test.inAll {
+					t.Errorf("%s: %d %v, come back after %v; want %d %s", when, refusal.Status, refusal, refusal.RetryAfter, test.status, test.code)
+				}
+			}
+		})
+	}
+}
--- a/internal/router/refusal.go
+++ b/internal/router/refusal.go
@@ -78,6 +78,8 @@
 	CodeTooManyClaims    = "tooManyClaims"
 	CodePartHeld         = "promptPartHeld"
 	CodeRequestHeld      = "requestHeld"
+	CodePartSuspected    = "promptPartSuspected"
+	CodeRequestSuspected = "requestSuspected"
 	CodeVersionGone      = "versionGone"
 )
 
--- a/pkg/isolator/crowd_test.go
+++ b/pkg/isolator/crowd_test.go
@@ -15,7 +15,7 @@
 }
 
 // isFinal reports whether a request that is refused for a verdict should not come back.
-func isFinal(Verdict) bool { return true }
+func isFinal(v Verdict) bool { return v.Certain }
 
 // TestFallingEnginesConvictNobody guards against proper requests that are refused for good, for a part
 // of their prompt or as a whole, since they were at engines that ended for other reasons.
--- a/pkg/isolator/decision.go
+++ b/pkg/isolator/decision.go
@@ -38,7 +38,7 @@
 
 // probeSpacing returns the mean time between the probes of different processes.
 func (v Verdict) probeSpacing() time.Duration {
-	if v.doubtful {
+	if v.doubtful && v.suspicion == 0 {
 		return doubtfulSpacing
 	}
 	return probeSpacing
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -43,10 +43,6 @@
 	// probeSpacing is the mean time between the probes that different processes may send
 	// after the hold: an outcome is known everywhere much sooner.
 	probeSpacing = 5 * time.Second
-	// doubtfulHoldTime and doubtfulSpacing replace holdTime and probeSpacing for a part that may be
-	// held without cause.
-	doubtfulHoldTime = time.Second
-	doubtfulSpacing  = time.Second
 	// evidenceLifetime is the time after which the end of an engine is forgotten.
 	evidenceLifetime = 2 * holdTime << maxDoublings
 	// clearedLifetime is the time for which runs and parts are remembered that do not count
@@ -147,8 +143,14 @@
 		// HeldFrom and HeldUntil are the time from which the part is kept away from engines,
 		// and that from which a probe may be sent. Both are zero if the part is not held.
 		HeldFrom, HeldUntil time.Time
-		// doubtful reports that the part may be held without cause.
-		doubtful bool
+		// Certain reports that the part alone is to blame: at heldInstants moments no other engine
+		// ended, other prompts were responded to, and neither another part explains most of the
+		// ends nor are many parts held at the same time.
+		Certain bool
+		// doubtful reports that the part may be held without cause, and suspicion how often
+		// doubtfulHoldTime was multiplied.
+		doubtful  bool
+		suspicion int
 	}
 
 	// Admission is the decision on one request.
--- a/pkg/isolator/retention.go
+++ b/pkg/isolator/retention.go
@@ -14,7 +14,7 @@
 	}
 	counting := i.countingEnds()
 	for _, r := range runs {
-		if unknown(r) && (now.Sub(r.EndedAt) < clearedLifetime || isNear(counting, r.EndedAt)) {
+		if unknown(r) && (now.Sub(r.EndedAt) < clearedLifetime || isWithin(counting, r.EndedAt, calmTime)) {
 			i.position++
 			i.runs[r.ID] = &knownRun{Run: r, position: i.position}
 		}
@@ -33,11 +33,11 @@
 	return ends
 }
 
-// isNear reports whether one of the times, which are in ascending order, may be in one instant with
-// another time.
-func isNear(times []time.Time, at time.Time) bool {
-	first, _ := slices.BinarySearchFunc(times, at.Add(-instantWindow), time.Time.Compare)
-	return first < len(times) && !times[first].After(at.Add(instantWindow))
+// isWithin reports whether one of the times, which are in ascending order, is at most a duration away
+// from another time.
+func isWithin(times []time.Time, at time.Time, d time.Duration) bool {
+	first, _ := slices.BinarySearchFunc(times, at.Add(-d), time.Time.Compare)
+	return first < len(times) && !times[first].After(at.Add(d))
 }
 
 // expire removes evidence that is too old, does not count any more or is beyond the limits.
@@ -57,7 +57,7 @@
 	}
 	counting := i.countingEnds()
 	for id, r := range i.runs {
-		if now.Sub(r.EndedAt) >= clearedLifetime && !isNear(counting, r.EndedAt) {
+		if now.Sub(r.EndedAt) >= clearedLifetime && !isWithin(counting, r.EndedAt, calmTime) {
 			delete(i.runs, id)
 		}
 	}
--- a/pkg/isolator/verdict.go
+++ b/pkg/isolator/verdict.go
@@ -50,14 +50,14 @@
 		}
 	}
 	i.verdicts = map[PartID]Verdict{}
+	var held []*conviction
 	for best := a.strongest(); best != nil; best = a.strongest() {
-		v := a.verdict(best)
-		v.HeldFrom = a.instantTime(best, a.neededInstants(best)).Add(settleTime)
-		v.doubtful = a.isDoubtful(best)
-		v.HeldUntil = v.LastEnd.Add(best.holdTime(v.doubtful))
-		i.verdicts[v.Part] = v
+		held = append(held, a.convict(best))
 		a.explain(best)
 	}
+	for _, c := range held {
+		i.verdicts[c.Part] = a.decide(c, held)
+	}
 	for _, s := range a.suspects {
 		i.verdicts[s.part.id] = a.verdict(s)
 	}
@@ -195,26 +195,6 @@
 	return heldInstants
 }
 
-// isDoubtful reports whether a part may be accused without cause: other engines ended at each of the
-// moments that speak against it, and none ended after another one under the same request.
-func (a *assessment) isDoubtful(s *suspect) bool {
-	own := a.runsByInstant(s)
-	for _, r := range s.runs {
-		if own[a.instants[r.ID]] == a.unexplained[a.instants[r.ID]] || s.part.runs[r.ID].after != 0 {
-			return false
-		}
-	}
-	return true
-}
-
-// holdTime returns the time for which a part is held after the latest end.
-func (s *suspect) holdTime(doubtful bool) time.Duration {
-	if doubtful {
-		return doubtfulHoldTime
-	}
-	return holdTime << min(s.failedProbes(), maxDoublings)
-}
-
 // depth returns the number of runs that ended one after the other under a request up to the given
 // one, within its instant.
 func (a *assessment) depth(s *suspect, members map[RunID]bool, run RunID) int {
