--- a/internal/router/isolation.go
+++ b/internal/router/isolation.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -14,8 +13,8 @@
 
 	"github.com/comfreybend/comfreybend/internal/announcer"
 	"github.com/comfreybend/comfreybend/internal/dialer"
-	"github.com/comfreybend/comfreybend/internal/identifier"
 	"github.com/comfreybend/comfreybend/internal/prober"
+	"github.com/comfreybend/comfreybend/internal/withholder"
 	"github.com/comfreybend/comfreybend/pkg/isolator"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/wire"
@@ -47,34 +46,23 @@
 
 		mu       sync.Mutex
 		isolator *isolator.Isolator
-		held     map[isolator.PartID]bool
+		held     map[isolator.PartID]isolator.Verdict
 		// timer calls update when the next part is held.
 		timer *time.Timer
 		// inProgress holds the attempts of all calls.
 		inProgress map[*attempt]*call
 	}
 
-	// heldPartError reports an attempt that was cancelled because a part of its prompt is
-	// held.
-	heldPartError struct {
-		Part isolator.PartID
-	}
+	// heldPartError reports an attempt that was cancelled because a part of its prompt is held.
+	heldPartError = withholder.HeldError
 )
 
-// Error implements error.
-func (e *heldPartError) Error() string {
-	if identifier.IsIdentity(e.Part) {
-		return "the request crashes upstreams"
-	}
-	return "prompt part " + string(e.Part) + " crashes engines"
-}
-
 func newIsolation(r *Router) *isolation {
 	return &isolation{
 		router:     r,
 		changed:    make(chan struct{}, 1),
 		isolator:   isolator.New(),
-		held:       map[isolator.PartID]bool{},
+		held:       map[isolator.PartID]isolator.Verdict{},
 		timer:      time.NewTimer(0),
 		inProgress: map[*attempt]*call{},
 		prober:     prober.New(timer.Now, dialer.LocalAddr(r.settings.GetEntry().GetUpstreamLocalAddress())),
@@ -111,9 +99,10 @@
 	host, processes := s.router.settings.GetHost().GetId(), s.router.dispatcher.entryProcesses()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	a := s.isolator.Admit(s.router.windows.Now(), host, processes, ids)
+	now := s.router.windows.Now()
+	a := s.isolator.Admit(now, host, processes, ids)
 	if a.Refused != nil {
-		return refuseHeldPart(a.Refused.Part)
+		return refuseHeld(withholder.NewHeldError(*a.Refused, now))
 	}
 	if a.Probe {
 		c.probe = true
@@ -122,14 +111,17 @@
 	return nil
 }
 
-// refuseHeldPart returns the refusal of a request that is held or whose prompt has a held part.
-// It is final: sending the request again does not help.
-func refuseHeldPart(part isolator.PartID) *RefusalError {
-	code := CodePartHeld
-	if identifier.IsIdentity(part) {
-		code = CodeRequestHeld
+// refuseHeld returns the refusal of a request that is held. It is final only if it is certain that sending
+// the request again does not help.
+func refuseHeld(e *heldPartError) *RefusalError {
+	final, doubtful := CodePartHeld, CodePartSuspected
+	if e.IsRequest() {
+		final, doubtful = CodeRequestHeld, CodeRequestSuspected
 	}
-	return refuse(http.StatusUnprocessableEntity, code, (&heldPartError{Part: part}).Error())
+	if e.RetryAfter > 0 {
+		return refuseWithRetryAfter(http.StatusServiceUnavailable, doubtful, e.Error(), e.RetryAfter)
+	}
+	return refuse(http.StatusUnprocessableEntity, final, e.Error())
 }
 
 // heldRefusal returns a refusal if one of the parts is held, without admitting a probe.
@@ -137,8 +129,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, part := range parts {
-		if s.held[part] {
-			return refuseHeldPart(part)
+		if v, held := s.held[part]; held {
+			return refuseHeld(withholder.NewHeldError(v, s.router.windows.Now()))
 		}
 	}
 	return nil
@@ -146,8 +138,13 @@
 
 // track registers an attempt so that it can be cancelled, until it is closed.
 func (s *isolation) track(c *call, at *attempt) {
+	var ids []isolator.PartID
+	if s.accused.Load() {
+		ids = s.suspectIDs(c)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.isolator.RecordAttempt(ids)
 	s.inProgress[at] = c
 	at.onClose = func() {
 		s.mu.Lock()
@@ -158,22 +155,45 @@
 
 // attemptBroke reports whether an attempt broke off because its upstream ended under the call: not
 // long after it had begun to write the response, or before that. The end also speaks against the
-// parts of a prompt if the headers of a stream show that it had begun.
+// parts of a prompt if the headers of a stream show that it had begun, and for them if it had
+// gone on since. Any end tells that upstreams end whatever they process.
 func (s *isolation) attemptBroke(ctx context.Context, c *call, g *grant, at *attempt, err error) (ended, againstPrompt bool) {
 	begun := at != nil && s.router.dispatcher.now()-at.startedAt-at.timeToHeaders < beginTime
-	if at != nil && c.stream && !begun || !s.upstreamEnded(ctx, g, err) {
+	if at != nil && c.stream && !begun {
+		s.survived(ctx, c, g, at, err)
 		return false, false
 	}
-	ids := c.sharedIDs()
-	againstPrompt = len(ids) > 0 && (begun || !c.stream)
-	if againstPrompt {
-		s.change(func(now time.Time) {
-			s.isolator.RecordEnd(now, announcer.RunOf(g.upstream.ID, g.upstream.Incarnation), ids)
-		})
+	if !s.upstreamEnded(ctx, g, err) {
+		return false, false
 	}
+	ids, run := c.sharedIDs(), announcer.RunOf(g.upstream.ID, g.upstream.Incarnation)
+	againstPrompt = len(ids) > 0 && (begun || !c.stream)
+	s.change(func(now time.Time) {
+		if againstPrompt {
+			s.isolator.RecordEnd(now, run, ids)
+		} else {
+			s.isolator.RecordEndAside(now, run)
+		}
+	})
 	return true, againstPrompt
 }
 
+// survived records that an upstream which broke off a stream had gone on for a time after it had begun.
+// Whether it has ended becomes known later, so that the stream can be resumed meanwhile.
+func (s *isolation) survived(ctx context.Context, c *call, g *grant, at *attempt, err error) {
+	active := time.Duration(at.lastActivity.Load())
+	if s.accused.Load() && active-at.startedAt-at.timeToHeaders >= beginTime {
+		ids, since := s.suspectIDs(c), s.router.dispatcher.now()-active
+		s.change(func(now time.Time) { s.isolator.RecordResponse(now.Add(-since), ids) })
+	}
+	go func() {
+		if s.upstreamEnded(context.WithoutCancel(ctx), g, err) {
+			run := announcer.RunOf(g.upstream.ID, g.upstream.Incarnation)
+			s.change(func(now time.Time) { s.isolator.RecordEndAside(now, run) })
+		}
+	}()
+}
+
 // recordEnds records that upstreams ended one after the other under a call, and after another one
 // that was known to have ended under the same request when the call began.
 func (s *isolation) recordEnds(c *call, before isolator.RunID, ends []isolator.Run) {
@@ -223,7 +243,7 @@
 // upstreamEnded reports whether an attempt broke off because its upstream has ended without
 // saying before that it leaves.
 func (s *isolation) upstreamEnded(ctx context.Context, g *grant, err error) bool {
-	broke := isConnectionBreak(err) || isRefusedResend(err)
+	broke := prober.IsBreak(err) || isRefusedResend(err)
 	return broke && !s.router.dispatcher.isLeaving(g.upstream) &&
 		s.prober.HasEnded(ctx, announcer.RunOf(g.upstream.ID, g.upstream.Incarnation), g.upstream.URL)
 }
@@ -235,11 +255,6 @@
 	return errors.As(err, &failure) && !failure.NotRun && errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// isConnectionBreak reports whether the upstream's side closed or reset a connection.
-func isConnectionBreak(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-}
-
 // responded records that an engine has survived a call's prompt.
 func (s *isolation) responded(c *call) {
 	if !s.accused.Load() {
@@ -308,8 +323,8 @@
 	added := s.updateHeld()
 	affected := s.affected(added)
 	s.mu.Unlock()
-	for at, part := range affected {
-		at.cancelUnlessRelayed(&heldPartError{Part: part})
+	for at, v := range affected {
+		at.cancelUnlessRelayed(withholder.NewHeldError(v, s.router.windows.Now()))
 	}
 	if len(added) > 0 {
 		s.router.dispatcher.refuseWaiting(func(r dispatchRequest) *RefusalError {
@@ -323,9 +338,9 @@
 
 // updateHeld updates the held parts and returns those that were not held before. If the
 // evidence against others has to settle first, update is called again.
-func (s *isolation) updateHeld() []isolator.PartID {
-	var added []isolator.PartID
-	held := map[isolator.PartID]bool{}
+func (s *isolation) updateHeld() []isolator.Verdict {
+	var added []isolator.Verdict
+	held := map[isolator.PartID]isolator.Verdict{}
 	now := s.router.windows.Now()
 	verdicts, next := s.isolator.Held(now)
 	s.timer.Stop()
@@ -333,15 +348,14 @@
 		s.timer = time.AfterFunc(next.Sub(now), s.update)
 	}
 	for _, v := range verdicts {
-		held[v.Part] = true
-		if !s.held[v.Part] {
-			added = append(added, v.Part)
-			s.router.log.Warn("prompt part is held", zap.String("part", string(v.Part)), zap.Int("instants", v.Instants),
-				zap.Time("firstEnd", v.FirstEnd), zap.Time("lastEnd", v.LastEnd), zap.Time("heldUntil", v.HeldUntil))
+		held[v.Part] = v
+		if _, before := s.held[v.Part]; !before {
+			added = append(added, v)
+			s.router.log.Warn("prompt part is held", withholder.Conviction{Verdict: v, Grounds: s.isolator.Grounds(v.Part)}.Fields()...)
 		}
 	}
 	for part := range s.held {
-		if !held[part] {
+		if _, still := held[part]; !still {
 			s.router.log.Info("prompt part is not held any more", zap.String("part", string(part)))
 		}
 	}
@@ -351,16 +365,16 @@
 }
 
 // affected returns the attempts with parts that are held now.
-func (s *isolation) affected(held []isolator.PartID) map[*attempt]isolator.PartID {
-	out := map[*attempt]isolator.PartID{}
+func (s *isolation) affected(held []isolator.Verdict) map[*attempt]isolator.Verdict {
+	out := map[*attempt]isolator.Verdict{}
 	for at, c := range s.inProgress {
 		if c.probe {
 			continue
 		}
 		for _, own := range s.suspectIDs(c) {
-			for _, part := range held {
-				if own == part {
-					out[at] = part
+			for _, v := range held {
+				if own == v.Part {
+					out[at] = v
 				}
 			}
 		}
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -43,10 +43,6 @@
 	// probeSpacing is the mean time between the probes that different processes may send
 	// after the hold: an outcome is known everywhere much sooner.
 	probeSpacing = 5 * time.Second
-	// doubtfulHoldTime and doubtfulSpacing replace holdTime and probeSpacing for a part that may be
-	// held without cause.
-	doubtfulHoldTime = time.Second
-	doubtfulSpacing  = time.Second
 	// evidenceLifetime is the time after which the end of an engine is forgotten.
 	evidenceLifetime = 2 * holdTime << maxDoublings
 	// clearedLifetime is the time for which runs and parts are remembered that do not count
@@ -76,6 +72,8 @@
 		ID RunID
 		// EndedAt is the earliest time at which a process noticed it.
 		EndedAt time.Time
+		// Aside reports that no process knows of anything against which the end speaks.
+		Aside bool
 	}
 
 	// Part is the evidence about a part of prompts.
@@ -117,6 +115,8 @@
 		position Position
 		// runs holds the runs that count.
 		runs map[RunID]partRun
+		// attempts is the number of attempts of this process since the first of the runs.
+		attempts int
 		// probedAt is when this process sent a probe in the hold that ended probedUntil.
 		probedAt, probedUntil time.Time
 	}
@@ -143,8 +143,14 @@
 		// HeldFrom and HeldUntil are the time from which the part is kept away from engines,
 		// and that from which a probe may be sent. Both are zero if the part is not held.
 		HeldFrom, HeldUntil time.Time
-		// doubtful reports that the part may be held without cause.
-		doubtful bool
+		// Certain reports that the part alone is to blame: at heldInstants moments no other engine
+		// ended, other prompts were responded to, and neither another part explains most of the
+		// ends nor are many parts held at the same time.
+		Certain bool
+		// doubtful reports that the part may be held without cause, and suspicion how often
+		// doubtfulHoldTime was multiplied.
+		doubtful  bool
+		suspicion int
 	}
 
 	// Admission is the decision on one request.
@@ -180,6 +186,11 @@
 	}
 }
 
+// RecordEndAside records that a run of an engine ended, whatever it processed.
+func (i *Isolator) RecordEndAside(now time.Time, run RunID) {
+	i.Merge(now, Evidence{Runs: []Run{{ID: run, EndedAt: now.Truncate(time.Millisecond), Aside: true}}})
+}
+
 // Lift clears a part of the evidence so far. It has no effect on a part without evidence.
 func (i *Isolator) Lift(now time.Time, id PartID) {
 	if p := i.parts[id]; p != nil && i.counts(p, now) {
@@ -206,10 +217,8 @@
 	ends := make(map[RunID]time.Time, len(e.Runs))
 	for _, r := range e.Runs {
 		ends[r.ID] = r.EndedAt
-		if known := i.runs[r.ID]; known != nil && r.EndedAt.Before(known.EndedAt) {
-			i.position++
-			known.EndedAt, known.position = r.EndedAt, i.position
-			i.dropIfCleared(known)
+		if known := i.runs[r.ID]; known != nil {
+			i.correct(known, r)
 		}
 	}
 	for _, p := range e.Parts {
@@ -223,6 +232,19 @@
 	return i.position != before
 }
 
+// correct corrects what is known of a run.
+func (i *Isolator) correct(known *knownRun, r Run) {
+	if known.Aside && !r.Aside {
+		i.position++
+		known.Aside, known.position = false, i.position
+	}
+	if r.EndedAt.Before(known.EndedAt) {
+		i.position++
+		known.EndedAt, known.position = r.EndedAt, i.position
+		i.dropIfCleared(known)
+	}
+}
+
 // mergePart adds the evidence about a part. ends holds the times of the runs in the same
 // evidence.
 func (i *Isolator) mergePart(now time.Time, p Part, ends map[RunID]time.Time) {
@@ -297,6 +319,9 @@
 	if !known.EndedAt.After(p.clearedAt) {
 		return
 	}
+	if known.Aside {
+		known.Aside, known.position = false, i.position+1
+	}
 	if len(p.runs) >= maxRunsPerPart {
 		earliest := i.earliestRun(p)
 		if i.compareRuns(earliest, known) > 0 {
