router, controller: state entry hosts that do not poll; keep what no host takes in the queue

Entry processes to which upstreams announce themselves do not poll, so that control processes did not know that they take requests: a host that was cut off found only the others that were. They state themselves with their sync requests, as they do for evidence. A request that no other host took was refused at once; it waits as before now, and is passed on when a host is found.

--- a/internal/controller/requests.go
+++ b/internal/controller/requests.go
@@ -170,6 +170,7 @@
 	}
 	c.usage.record(s.GetUsage())
 	c.entries.record(s)
+	c.listEntryHost(s.GetHost(), s.GetSelf())
 	c.windows.record(c.clusterView.agreedTime(c.settings.GetHost().GetId()), s)
 	reply, err := c.syncChanges(s)
 	if err != nil {
--- a/internal/router/controlplane.go
+++ b/internal/router/controlplane.go
@@ -231,7 +231,7 @@
 		s.Upstreams = nil
 	} else {
 		s.Evidence, s.WantsEvidence = p.router.allEvidence(), true
-		s.EntryIdsDigest = p.router.restrainer.HostsDigest()
+		s.EntryIdsDigest, s.Self = p.router.restrainer.HostsDigest(), p.router.entryHost()
 	}
 	s.Usage.UnreportedMillis = (sentAt - p.usagePushedAt).Milliseconds()
 	return s
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -172,14 +172,15 @@
 		return nil, refusal
 	}
 	h.endedBefore = r.isolation.latestEnd(c)
-	out, refusal := h.sendAttempts(ctx)
-	if refusal == nil || !h.mayPassOn(refusal) {
-		return out, refusal
-	}
-	if passed, failure := h.passOn(ctx); passed != nil || failure != nil {
-		return passed, failure
+	for diversions := 0; ; diversions++ {
+		out, refusal := h.sendAttempts(ctx)
+		if refusal == nil || diversions == maxDiversions || !h.mayPassOn(refusal) {
+			return out, refusal
+		}
+		if passed, failure := h.passOn(ctx); passed != nil || failure != nil {
+			return passed, failure
+		}
 	}
-	return h.sendAttempts(ctx)
 }
 
 // sendAttempts commits the call's claim if it needs one, and sends attempts until an
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -17,6 +17,9 @@
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
+// maxDiversions is the number of times that a call is taken from the queue to be passed on.
+const maxDiversions = 3
+
 // cutOffError reports a call that is to be passed on to another entry process.
 type cutOffError struct{}
 
@@ -56,7 +59,7 @@
 
 // entryHost describes this process to others that may pass calls on to it; nil while it takes none.
 func (r *Router) entryHost() *wire.EntryHost {
-	if r.notReadyReason() != "" {
+	if r.notReadyReason() != "" || r.settings.GetEntry().GetPeerListen() == "" {
 		return nil
 	}
 	return &wire.EntryHost{
@@ -85,8 +88,11 @@
 
 // mayPassOn reports whether the call is passed on instead of being refused.
 func (h *callHandler) mayPassOn(refusal *RefusalError) bool {
-	return h.mayLeave() && h.router.forwarder.Available() && (errors.As(refusal.cause, new(*cutOffError)) ||
-		refusal.Run == NotRun && (refusal.Code == CodeOverloaded || refusal.Code == CodeNoUpstream))
+	if !h.mayLeave() {
+		return false
+	}
+	return errors.As(refusal.cause, new(*cutOffError)) || h.router.forwarder.Available() &&
+		refusal.Run == NotRun && (refusal.Code == CodeOverloaded || refusal.Code == CodeNoUpstream)
 }
 
 // passOn passes the call on to another entry process if no upstream can be reached. It returns nil
