router, forwarder: notice a cut behind a gateway that accepts connections

A gateway that has lost what is behind it may accept connections and reset them. An established connection then counted as one that reaches an upstream, and callers got errors for the whole cut. Now bytes of an upstream on a new connection count, a new connection that ends before any have come raises the suspicion, and the connection of a probe must last 100 ms.

TestCutHostServes/accepted, then reset fails with probes that only connect, passes now.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/url"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,9 +24,14 @@
 	"github.com/comfreybend/comfreybend/pkg/timer"
 )
 
-// checkInterval is the time between two looks at whether probes are due, and between two attempts to
-// pass on the requests that wait.
-const checkInterval = 50 * time.Millisecond
+const (
+	// checkInterval is the time between two looks at whether probes are due, and between two attempts
+	// to pass on the requests that wait.
+	checkInterval = 50 * time.Millisecond
+	// probeHold is the time for which a probe's connection must last: a gateway that has lost what is
+	// behind it may accept connections and reset them.
+	probeHold = 100 * time.Millisecond
+)
 
 // Forwarder detects the cut and passes requests on. It is safe for concurrent use.
 type Forwarder struct {
@@ -86,13 +92,13 @@
 	return group.Wait()
 }
 
-// Connected records that a connection to an upstream was established.
+// Connected records that bytes of an upstream have arrived on a new connection.
 func (f *Forwarder) Connected() {
 	f.update(func() { f.detector.Connected() })
 }
 
-// Failed records that a connection to an upstream could not be established, or that an established
-// one ended since nothing was acknowledged.
+// Failed records that a connection to an upstream could not be established, or ended before any bytes
+// of the upstream arrived, or since nothing was acknowledged.
 func (f *Forwarder) Failed(u *registrar.Upstream) {
 	f.update(func() { f.detector.Failed(f.now(), u.ID, u.FailureDomain) })
 }
@@ -160,7 +166,7 @@
 	}
 }
 
-// probe establishes a connection to an upstream and closes it.
+// probe establishes a connection to an upstream, and closes it if the other end does not.
 func (f *Forwarder) probe(ctx context.Context, u *registrar.Upstream) {
 	f.scope.Counter("connections_probed").Inc(1)
 	address, err := url.Parse(u.URL)
@@ -180,5 +186,12 @@
 	if err != nil {
 		return err
 	}
-	return conn.Close()
+	defer func() { _ = conn.Close() }()
+	if err = conn.SetReadDeadline(time.Now().Add(probeHold)); err != nil {
+		return err
+	}
+	if _, err = conn.Read(make([]byte, 1)); errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return err
 }
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -52,9 +52,11 @@
 		singleUse *http.Transport
 		// probe asks upstreams about attempts whose connection is silent.
 		probe *http.Client
-		// dial establishes the connections. onDialled is called with the outcome for an upstream.
-		dial      dialer.DialFunc
-		onDialled func(*registrar.Upstream, error)
+		dial  dialer.DialFunc
+		// onReached is called when bytes of an upstream arrive on a connection that the attempt has
+		// established, onUnreached when it could not be established or ended before.
+		onReached   func()
+		onUnreached func(*registrar.Upstream)
 		// nonRetryableSingleUse sends all calls that must not run twice through
 		// singleUse. If it is false, only those with a method that net/http resends
 		// on its own (see isResentByTransport) use singleUse.
@@ -98,6 +100,9 @@
 		// connected reports that a connection was obtained that carries the request, so that a part
 		// of it may have been sent.
 		connected atomic.Bool
+		// fresh reports that the connection was established for the attempt, and that no bytes have
+		// arrived on it.
+		fresh atomic.Bool
 		// exchange is the latest one on a connection that is kept.
 		exchange atomic.Pointer[retirer.Exchange]
 		// lastActivity is the monotonic time in nanoseconds at which the upstream
@@ -188,7 +193,7 @@
 func newUpstreamClient(e *settings.Entry, dialect Dialect) *upstreamClient {
 	l := e.GetUpstreamLimits()
 	u := &upstreamClient{limits: l, dialect: dialect, now: timer.Now, nonRetryableSingleUse: !e.GetFollowControl(), onResponse: func(*attempt, ResponseInfo) {}, onStart: func(*call, *attempt) {}}
-	u.dial, u.onDialled = dialer.Resetting(l.GetConnectTimeout().AsDuration()), func(*registrar.Upstream, error) {}
+	u.dial, u.onReached, u.onUnreached = dialer.Resetting(l.GetConnectTimeout().AsDuration()), func() {}, func(*registrar.Upstream) {}
 	transport := func() *http.Transport {
 		return &http.Transport{
 			DialContext:         u.dialUpstream,
@@ -217,7 +222,10 @@
 	if !known {
 		return conn, err
 	}
-	if u.onDialled(upstream, err); err != nil {
+	if err != nil {
+		if !errors.Is(err, context.Canceled) {
+			u.onUnreached(upstream)
+		}
 		return nil, err
 	}
 	if err = u.checkLeaving(upstream); err != nil {
@@ -266,6 +274,8 @@
 	if err != nil {
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
+		} else if at.fresh.Load() {
+			u.onUnreached(g.upstream)
 		}
 		at.close(err)
 		return nil, &attemptError{Attempt: at.id, NotRun: !at.connected.Load(), Cause: err}
@@ -338,7 +348,11 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "making the upstream request")
 	}
-	trace := &httptrace.ClientTrace{GotConn: at.beginExchange}
+	trace := &httptrace.ClientTrace{GotConn: at.beginExchange, GotFirstResponseByte: func() {
+		if at.fresh.Swap(false) {
+			u.onReached()
+		}
+	}}
 	ctx = context.WithValue(httptrace.WithClientTrace(ctx, trace), upstreamKey{}, at.grant.upstream)
 	request, err := http.NewRequestWithContext(ctx, c.method, at.grant.upstream.URL, bytes.NewReader(c.body))
 	if err != nil {
@@ -373,6 +387,7 @@
 func (at *attempt) beginExchange(info httptrace.GotConnInfo) {
 	exchange := retirer.Begin(info.Conn, retirer.RequestID(at.id))
 	at.exchange.Store(exchange)
+	at.fresh.Store(!info.Reused)
 	if !exchange.Blocked() {
 		at.connected.Store(true)
 	}
--- a/internal/router/cut_link_test.go
+++ b/internal/router/cut_link_test.go
@@ -24,6 +24,8 @@
 	linkResets
 	// linkRefuses: open connections live on, and new ones are refused.
 	linkRefuses
+	// linkAccepts: open connections are reset, and new ones once they are established.
+	linkAccepts
 )
 
 type (
@@ -55,7 +57,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.state = state
-	if state != linkResets {
+	if state != linkResets && state != linkAccepts {
 		return
 	}
 	for _, c := range l.conns {
@@ -74,6 +76,9 @@
 		defer cancel()
 		<-ctx.Done()
 		return nil, &net.OpError{Op: "dial", Net: network, Err: context.Cause(ctx)}
+	case linkAccepts:
+		conn, gateway := net.Pipe()
+		return conn, gateway.Close()
 	case linkResets, linkRefuses:
 		return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
 	}
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -37,13 +37,7 @@
 	}
 	r.forwarder.Locator.Self, r.controlPoller.self = r.entryHost, r.entryHost
 	r.dispatcher.onTimedOut = r.forwarder.Failed
-	r.upstreamClient.onDialled = func(u *registrar.Upstream, err error) {
-		if err == nil {
-			r.forwarder.Connected()
-		} else if !errors.Is(err, context.Canceled) {
-			r.forwarder.Failed(u)
-		}
-	}
+	r.upstreamClient.onReached, r.upstreamClient.onUnreached = r.forwarder.Connected, r.forwarder.Failed
 	r.receiver = &relayer.Receiver{
 		Handler: r.clientHandler(), CutOff: r.forwarder.CutOff, NotReady: r.notReadyReason,
 		MaxHeaderBytes: int(r.settings.GetEntry().GetCallerLimits().GetHeaderBytes()), Log: r.log,
--- a/internal/router/relay_rules_test.go
+++ b/internal/router/relay_rules_test.go
@@ -67,7 +67,7 @@
 func TestRelayedOrderRunsOnce(t *testing.T) {
 	tests := map[string]struct {
 		hosts int
-		// before and atRun are called before the order is sent, and while it runs.
+		// before and atRun are called before the first connection to the peer, and while the order runs.
 		before, atRun func(peer *relayHost)
 		// begins reports that the response begins before atRun is called.
 		begins bool
@@ -91,6 +91,9 @@
 			t.Parallel()
 			g := startRelayGroup(t, test.hosts)
 			cut := g.hosts[0]
+			if test.before != nil {
+				test.before(g.hosts[1])
+			}
 			cut.cut(t, linkResets)
 			head := make(chan struct{})
 			g.setRespond(func(w http.ResponseWriter, r *http.Request) {
@@ -110,9 +113,6 @@
 				}
 				<-r.Context().Done()
 			})
-			if test.before != nil {
-				test.before(g.hosts[1])
-			}
 			got := cut.order(t.Context(), "/order/x", "order", func() { close(head) })
 			if got != test.want || g.runs.of("order") != test.runs {
 				t.Errorf("got %+v and %d runs, want %+v and %d", got, g.runs.of("order"), test.want, test.runs)
--- a/internal/router/relay_test.go
+++ b/internal/router/relay_test.go
@@ -249,7 +249,9 @@
 // while other hosts serve theirs (RECOVER): from 3 s after the cut they must be served at least two
 // thirds as often.
 func TestCutHostServes(t *testing.T) {
-	for name, cut := range map[string]linkState{"hangs": linkHangs, "reset": linkResets, "refused, open connections live on": linkRefuses} {
+	for name, cut := range map[string]linkState{
+		"hangs": linkHangs, "reset": linkResets, "refused, open connections live on": linkRefuses, "accepted, then reset": linkAccepts,
+	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			g := startRelayGroup(t, 2)
