router: move parts that stand alone into packages of their own

Moved, behaviour unchanged: the writer to clients (writer), proposals (proposer), what is still to be sent to peers (mailer), the check of announcements (announcer.Validate), the service of a split route (configurer.ServiceOf), checks of host, path and exposed keys (scrubber), and the question about an attempt (prober.AskAttempt). relayer writes through writer too. Times that another process states with a request are bounded by announcer.Stated.

--- a/internal/relayer/sender.go
+++ b/internal/relayer/sender.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/comfreybend/comfreybend/internal/messenger"
+	"github.com/comfreybend/comfreybend/internal/writer"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
@@ -182,24 +183,22 @@
 // Copy writes the response to a client, each part as it comes. A write may take writeTimeout. An
 // error is an *IncompleteError if the response is not complete, and otherwise the client's.
 func (r *Response) Copy(w http.ResponseWriter, writeTimeout time.Duration) error {
-	control := http.NewResponseController(w)
+	client := writer.New(w, writeTimeout)
 	for name, values := range r.Header {
 		w.Header()[name] = values
 	}
 	w.WriteHeader(r.Status)
 	for {
-		// A writer without deadlines is bounded by the client's connection.
-		_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
 		if data := r.part.GetData(); len(data) > 0 {
-			if _, err := w.Write(data); err != nil {
-				return errors.Wrap(err, "writing to the caller")
+			if err := client.Write(data); err != nil {
+				return err
 			}
 		}
 		if r.part.GetLast() {
 			return nil
 		}
-		if err := control.Flush(); err != nil {
-			return errors.Wrap(err, "flushing to the caller")
+		if err := client.Flush(); err != nil {
+			return err
 		}
 		var err error
 		if r.part, err = r.receive(); err != nil {
--- a/internal/router/announcement.go
+++ b/internal/router/announcement.go
@@ -4,10 +4,8 @@
 	"context"
 	"io"
 	"net/http"
-	"net/url"
 
 	kithttp "github.com/go-kit/kit/transport/http"
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/encoding/protojson"
 
@@ -57,32 +55,12 @@
 	if err = fromUpstream.Unmarshal(body, u); err != nil {
 		return nil, refuse(http.StatusBadRequest, CodeMalformed, err.Error())
 	}
-	if err = validateAnnouncement(u); err != nil {
+	if err = announcer.Validate(u); err != nil {
 		return nil, refuse(http.StatusBadRequest, CodeMalformed, err.Error())
 	}
 	return u, nil
 }
 
-func validateAnnouncement(u *wire.Upstream) error {
-	address, err := url.Parse(u.GetUrl())
-	switch {
-	case u.GetId() == "":
-		return errors.New("id is missing")
-	case err != nil || address.Host == "":
-		return errors.New("url is missing or malformed")
-	case u.GetKind() != string(registrar.KindModel) && u.GetKind() != string(registrar.KindService):
-		return errors.New("kind must be model or service")
-	case u.GetState() != string(registrar.Serving) && u.GetState() != string(registrar.Leaving):
-		return errors.New("state must be serving or leaving")
-	case len(u.GetVersion()) > registrar.MaxVersionBytes:
-		return errors.Errorf("version has more than %d bytes", registrar.MaxVersionBytes)
-	case len(u.GetServes()) == 0:
-		return errors.New("serves is empty")
-	default:
-		return nil
-	}
-}
-
 // announceEndpoint applies an announcement of an upstream and forwards it to every peer if
 // it is new.
 func (r *Router) announceEndpoint(ctx context.Context, request any) (any, error) {
@@ -98,7 +76,7 @@
 		}
 	}
 	if r.applyAnnouncement(announced, leaveAnnounced, u.GetUrl()) {
-		r.peers.queueAnnouncement(announced)
+		r.peers.mailer.QueueAnnouncement(announced)
 	}
 	return nil, nil
 }
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -10,7 +10,6 @@
 	"net/url"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/google/uuid"
@@ -447,27 +446,3 @@
 		_ = at.response.Body.Close()
 	}
 }
-
-// failureOutcome returns outcomeAbandoned for an attempt that this process cancelled because
-// of its prompt, outcomeTimedOut for a connection whose upstream stopped
-// acknowledging data or keep-alive probes, and outcomeFailed for other failures.
-func failureOutcome(err error) attemptOutcome {
-	if errors.As(err, new(*heldPartError)) {
-		return outcomeAbandoned
-	}
-	if errors.Is(err, syscall.ETIMEDOUT) {
-		return outcomeTimedOut
-	}
-	return outcomeFailed
-}
-
-// isRetryableStatus is the IsRetryableStatus of NativeDialect: statuses that
-// upstreams and proxies use while overloaded or temporarily unavailable.
-func isRetryableStatus(status int) bool {
-	switch status {
-	case http.StatusTooManyRequests, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
-		return true
-	default:
-		return false
-	}
-}
--- a/internal/router/cache.go
+++ b/internal/router/cache.go
@@ -33,7 +33,7 @@
 func (r *Router) cacheEventEndpoint(_ context.Context, request any) (any, error) {
 	e, _ := request.(*wire.CacheEvent)
 	if r.dispatcher.applyCacheEvent(cacheEventFromWire(e)) {
-		r.peers.queueCacheEvent(e)
+		r.peers.mailer.QueueCacheEvent(e)
 	}
 	return nil, nil
 }
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -1,15 +1,11 @@
 package router
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
-	"net/url"
-	"path"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -17,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/comfreybend/comfreybend/internal/announcer"
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/counter"
 	"github.com/comfreybend/comfreybend/internal/relayer"
@@ -109,30 +106,22 @@
 		rawQuery:    request.URL.RawQuery,
 		header:      request.Header,
 		body:        body,
-		host:        hostWithoutPort(request.Host),
+		host:        scrubber.HostWithoutPort(request.Host),
 		hostHeader:  request.Host,
 		requestURI:  request.RequestURI,
 		RequestInfo: d,
 		relay:       relayer.From(ctx),
-		arrived:     r.dispatcher.now() - millis(relayer.From(ctx).GetAgeMillis()),
+		arrived:     r.dispatcher.now() - announcer.Stated(relayer.From(ctx).GetAgeMillis()),
 	}, nil
 }
 
-// hostWithoutPort returns the host of a Host header in lower case, without its port.
-func hostWithoutPort(header string) string {
-	if name, _, err := net.SplitHostPort(header); err == nil {
-		header = name
-	}
-	return strings.ToLower(header)
-}
-
 // resolve authenticates a call and sets its route, class, tier, pool and deadline.
 func (r *Router) resolve(c *call) *RefusalError {
 	catalog := r.controlPlane.catalog.Load()
 	if catalog == nil {
 		return refuseWithRetryAfter(http.StatusServiceUnavailable, CodeNotFresh, "no configuration yet", r.retryAfter())
 	}
-	if !isCleanPath(c.path) {
+	if !scrubber.IsCleanPath(c.path) {
 		return refuse(http.StatusBadRequest, CodeMalformed, "the path has empty, \".\" or \"..\" segments")
 	}
 	c.route = catalog.Route(c.host, c.path)
@@ -149,7 +138,7 @@
 	if refusal := c.choosePool(r.random); refusal != nil {
 		return refusal
 	}
-	if exposesKey(c) {
+	if scrubber.Exposes(c.Key, c.path, c.escapedPath, c.rawQuery, c.body) {
 		return refuse(http.StatusBadRequest, CodeMalformed,
 			"the key stands in the path, query or body, which go to the upstream")
 	}
@@ -157,13 +146,6 @@
 	return nil
 }
 
-// isCleanPath reports whether a path has no empty, "." or ".." segments. An
-// upstream could resolve such a path to one whose route has other rules.
-func isCleanPath(p string) bool {
-	cleaned := path.Clean(p)
-	return p == cleaned || p == cleaned+"/"
-}
-
 // authenticate sets the call's client from its key. Only routes that are open
 // to all accept calls without a valid key.
 func (r *Router) authenticate(c *call) *RefusalError {
@@ -210,27 +192,6 @@
 	c.rank, c.ranks = catalog.RankOf(c.client.organisation, c.class)
 }
 
-// chooseService returns the route's service. If the route is split, it picks one
-// at random by weight.
-func (c *call) chooseService(random func(n int) int) string {
-	splits := c.route.GetSplits()
-	if len(splits) == 0 {
-		return c.route.GetService()
-	}
-	total := 0
-	for _, s := range splits {
-		total += int(s.GetWeight())
-	}
-	drawn := random(total)
-	for _, s := range splits {
-		drawn -= int(s.GetWeight())
-		if drawn < 0 {
-			return s.GetService()
-		}
-	}
-	return splits[len(splits)-1].GetService()
-}
-
 // choosePool sets the pool, and whether the call is retryable and streamed.
 func (c *call) choosePool(random func(n int) int) *RefusalError {
 	c.retryable = !c.route.GetNonIdempotent()
@@ -244,7 +205,7 @@
 		}
 	}
 	if c.route.GetKind() == configurer.KindService {
-		c.pool = poolKey{kind: registrar.KindService, name: c.chooseService(random)}
+		c.pool = poolKey{kind: registrar.KindService, name: configurer.ServiceOf(c.route, random)}
 		return nil
 	}
 	var m modelRequest
@@ -263,7 +224,7 @@
 // default, in this order. The route's timeout is an upper bound.
 func (r *Router) setDeadline(c *call) {
 	if c.relay != nil {
-		c.deadline = r.dispatcher.now() + millis(c.relay.GetDeadlineMillis())
+		c.deadline = r.dispatcher.now() + announcer.Stated(c.relay.GetDeadlineMillis())
 		return
 	}
 	allowed := r.settings.GetEntry().GetCallerLimits().GetDefaultDeadline().AsDuration()
@@ -279,20 +240,6 @@
 	c.deadline = c.arrived + allowed
 }
 
-// exposesKey reports whether the key occurs in the path, query or body, which
-// are forwarded to the upstream.
-func exposesKey(c *call) bool {
-	if c.Key == "" {
-		return false
-	}
-	unescaped, err := url.QueryUnescape(c.rawQuery)
-	if err != nil {
-		unescaped = c.rawQuery
-	}
-	return strings.Contains(c.path, c.Key) || strings.Contains(c.escapedPath, c.Key) || strings.Contains(c.rawQuery, c.Key) ||
-		strings.Contains(unescaped, c.Key) || bytes.Contains(c.body, []byte(c.Key))
-}
-
 // upstreamHeader returns the client's headers to forward to the upstream: all
 // but those of scrubber.Request and isDroppedRequestHeader, and those that the dialect drops.
 func (c *call) upstreamHeader(dropsHeader func(string) bool) http.Header {
--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -9,10 +9,9 @@
 	"go.uber.org/zap"
 
 	"github.com/comfreybend/comfreybend/internal/keeper"
-	"github.com/comfreybend/comfreybend/internal/messenger"
+	"github.com/comfreybend/comfreybend/internal/proposer"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/state"
-	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
 const (
@@ -60,7 +59,7 @@
 		Fingerprint:    c.fingerprint(),
 		Attempt:        string(h.claimID),
 	}
-	reply, err := h.router.controlPlane.propose(ctx, &state.Command{Kind: &state.Command_Claim{Claim: claim}})
+	reply, err := h.router.proposer.Propose(ctx, &state.Command{Kind: &state.Command_Claim{Claim: claim}})
 	if err != nil {
 		// The claim may have been committed although no reply arrived. The call
 		// was not sent, so the claim is released.
@@ -97,7 +96,7 @@
 	return nil, refusal
 }
 
-// storeResponse tries once, for at most proposeTimeout, to commit the response of
+// storeResponse tries once, for at most proposer.Timeout, to commit the response of
 // a claimed call before the client gets it. If that fails, it is retried in the
 // background and the client gets the response first. A body that is incomplete or
 // too large is left out.
@@ -113,7 +112,7 @@
 	if complete && len(body) <= maxStoredBodyBytes {
 		stored.Body = body
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), proposer.Timeout)
 	defer cancel()
 	outcome := &state.ClaimOutcome{Answer: stored}
 	if !h.proposeClaimOutcome(ctx, outcome) {
@@ -151,42 +150,6 @@
 	outcome.Route = h.call.route.GetName()
 	outcome.IdempotencyKey = h.call.IdempotencyKey
 	outcome.Attempt = string(h.claimID)
-	_, err := h.router.controlPlane.propose(ctx, &state.Command{Kind: &state.Command_ClaimOutcome{ClaimOutcome: outcome}})
+	_, err := h.router.proposer.Propose(ctx, &state.Command{Kind: &state.Command_ClaimOutcome{ClaimOutcome: outcome}})
 	return err == nil
 }
-
-// propose commits a command through the first control process that replies. If
-// one fails, the command is sent to the next although it may have been
-// committed, so commands must be idempotent. All are tried again while there is no leader, for
-// leaderWait at most.
-func (p *controlPlane) propose(ctx context.Context, command *state.Command) (*wire.ProposeReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
-	defer cancel()
-	var lastErr error
-	for end := timer.Now() + leaderWait; ; timer.Sleep(ctx, leaderWaitPause) {
-		for _, client := range p.controlClients.All() {
-			reply, err := proposeThrough(ctx, client, command)
-			if err == nil {
-				return reply, nil
-			}
-			lastErr = err
-			if ctx.Err() != nil {
-				return nil, lastErr
-			}
-		}
-		if timer.Now() >= end {
-			return nil, lastErr
-		}
-	}
-}
-
-// proposeThrough proposes a command to one control process.
-func proposeThrough(ctx context.Context, c *messenger.Client, command *state.Command) (*wire.ProposeReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, proposeAttemptTimeout)
-	defer cancel()
-	reply, err := c.Call(ctx, &wire.Request{Kind: &wire.Request_Propose{Propose: command}})
-	if err != nil {
-		return nil, err
-	}
-	return reply.GetPropose(), nil
-}
--- a/internal/router/controlplane.go
+++ b/internal/router/controlplane.go
@@ -26,14 +26,6 @@
 	// hedgeDelay is the time without a reply after which the next control process
 	// is asked as well.
 	hedgeDelay = 200 * time.Millisecond
-	// proposeTimeout bounds a proposal, with the attempts through all control
-	// processes, and proposeAttemptTimeout one attempt.
-	proposeTimeout        = 4 * time.Second
-	proposeAttemptTimeout = time.Second
-	// leaderWait is the time for which a proposal waits for a leader, longer than the election
-	// that follows the planned stop of one.
-	leaderWait      = 1500 * time.Millisecond
-	leaderWaitPause = 50 * time.Millisecond
 )
 
 type (
--- a/internal/router/dialect.go
+++ b/internal/router/dialect.go
@@ -199,3 +199,14 @@
 	}
 	return info
 }
+
+// isRetryableStatus is the IsRetryableStatus of NativeDialect: statuses that
+// upstreams and proxies use while overloaded or temporarily unavailable.
+func isRetryableStatus(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -443,18 +443,3 @@
 	}
 	d.dispatchWaiting(g.pool, p)
 }
-
-// failuresIn returns the counter of recent failures in a failure domain.
-func (d *dispatcher) failuresIn(domain registrar.FailureDomain) *retrier.FailureCounter {
-	c := d.domainFailures[domain]
-	if c == nil {
-		c = &retrier.FailureCounter{}
-		d.domainFailures[domain] = c
-	}
-	return c
-}
-
-// String returns the name of the pool in messages between processes.
-func (k poolKey) String() string {
-	return string(k.kind) + "/" + k.name
-}
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -6,7 +6,6 @@
 	"time"
 
 	kithttp "github.com/go-kit/kit/transport/http"
-	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
@@ -147,42 +146,6 @@
 	return out, nil
 }
 
-// newCallHandler returns the handler of a call.
-func (r *Router) newCallHandler(c *call) *callHandler {
-	h := &callHandler{router: r, call: c, log: r.log, requestID: c.Attempt, lastEventID: c.LastEventID}
-	if c.relay != nil {
-		h.requestID, h.attempts = AttemptID(c.relay.GetRequestId()), int(c.relay.GetAttempts())
-		h.mayHaveRun, h.startRecorded, h.counted = h.attempts > 0, h.attempts > 0, c.relay.GetCounted()
-		h.log = r.log.With(zap.String("from", c.relay.GetHost()), zap.String("fromDomain", c.relay.GetFailureDomain()))
-	}
-	if h.requestID == "" {
-		h.requestID = AttemptID(uuid.NewString())
-	}
-	return h
-}
-
-// serveHere sends attempts from this process. If it is cut off meanwhile, it passes the call on.
-func (h *callHandler) serveHere(ctx context.Context) (*clientResponse, *RefusalError) {
-	r, c := h.router, h.call
-	if refusal := h.findOrigin(ctx); refusal != nil {
-		return nil, refusal
-	}
-	r.isolation.awaitVerdict(ctx, c)
-	if refusal := r.isolation.admit(c); refusal != nil {
-		return nil, refusal
-	}
-	h.endedBefore = r.isolation.latestEnd(c)
-	for diversions := 0; ; diversions++ {
-		out, refusal := h.sendAttempts(ctx)
-		if refusal == nil || diversions == maxDiversions || !h.mayPassOn(refusal) {
-			return out, refusal
-		}
-		if passed, failure := h.passOn(ctx); passed != nil || failure != nil {
-			return passed, failure
-		}
-	}
-}
-
 // sendAttempts commits the call's claim if it needs one, and sends attempts until an
 // upstream responds or the call is given up.
 func (h *callHandler) sendAttempts(ctx context.Context) (*clientResponse, *RefusalError) {
--- a/internal/router/hedge_test.go
+++ b/internal/router/hedge_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/comfreybend/comfreybend/internal/instrumenter"
 	"github.com/comfreybend/comfreybend/internal/messenger"
+	"github.com/comfreybend/comfreybend/internal/proposer"
 	"github.com/comfreybend/comfreybend/internal/ranker"
 	"github.com/comfreybend/comfreybend/internal/validator"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
@@ -212,7 +213,7 @@
 		accepted bool
 	}{
 		"a leader":                  {accepted: true},
-		"a short election":          {election: leaderWait / 2, accepted: true},
+		"a short election":          {election: proposer.LeaderWait / 2, accepted: true},
 		"no leader for a long time": {election: time.Minute},
 	}
 	for name, test := range tests {
@@ -227,12 +228,12 @@
 			r := newTestRouter(t)
 			r.controlClients.SetSeeds([]string{startControl(t, handle), startControl(t, handle)})
 			t.Cleanup(r.controlClients.Close)
-			reply, err := r.controlPlane.propose(t.Context(), &state.Command{})
+			reply, err := r.proposer.Propose(t.Context(), &state.Command{})
 			if reply.GetOutcome().GetAccepted() != test.accepted || (err == nil) != test.accepted {
 				t.Errorf("reply %v, error %v after %v", reply, err, time.Since(began))
 			}
-			if took := time.Since(began); !test.accepted && took > proposeTimeout {
-				t.Errorf("the failure took %v, want at most %v", took, proposeTimeout)
+			if took := time.Since(began); !test.accepted && took > proposer.Timeout {
+				t.Errorf("the failure took %v, want at most %v", took, proposer.Timeout)
 			}
 		})
 	}
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -8,18 +8,14 @@
 	"go.uber.org/zap"
 
 	"github.com/comfreybend/comfreybend/internal/announcer"
+	"github.com/comfreybend/comfreybend/internal/mailer"
 	"github.com/comfreybend/comfreybend/internal/messenger"
-	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
-const (
-	// peerTimeout bounds one exchange with a peer.
-	peerTimeout = time.Second
-	// maxQueuedCacheEvents bounds the queue of cache events for one peer.
-	maxQueuedCacheEvents = 1000
-)
+// peerTimeout bounds one exchange with a peer.
+const peerTimeout = time.Second
 
 type (
 	// peerExchanger exchanges announcements, cache events and demand with the other entry
@@ -29,25 +25,15 @@
 		security messenger.Security
 		peers    []*messenger.Client
 		interval time.Duration
-
-		mu sync.Mutex
-		// pendingAnnouncements holds, for each peer, the announcements that it has not
-		// acknowledged yet.
-		pendingAnnouncements []map[registrar.UpstreamID]registrar.Upstream
-		// pendingCacheEvents holds, for each peer, the cache events to send next. They
-		// are not sent again after a failure; the receiver detects lost events by a gap in
-		// the sequence numbers.
-		pendingCacheEvents [][]*wire.CacheEvent
+		mailer   *mailer.Mailer
 	}
 )
 
 func newPeerExchanger(r *Router, security messenger.Security) *peerExchanger {
 	e := r.settings.GetEntry()
-	x := &peerExchanger{router: r, security: security, interval: e.GetPeerInterval().AsDuration()}
+	x := &peerExchanger{router: r, security: security, interval: e.GetPeerInterval().AsDuration(), mailer: mailer.New(len(e.GetPeerAddresses()))}
 	for _, address := range e.GetPeerAddresses() {
 		x.peers = append(x.peers, messenger.NewClient(address, security, peerTimeout))
-		x.pendingAnnouncements = append(x.pendingAnnouncements, map[registrar.UpstreamID]registrar.Upstream{})
-		x.pendingCacheEvents = append(x.pendingCacheEvents, nil)
 	}
 	return x
 }
@@ -76,71 +62,22 @@
 func (x *peerExchanger) exchange(ctx context.Context, i int) error {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	pending := x.takeAnnouncements(i)
 	request := x.newPeerExchange()
-	request.CacheEvents = x.takeCacheEvents(i)
+	pending, events := x.mailer.Take(i)
+	request.CacheEvents = events
 	now := x.router.dispatcher.now()
 	for _, u := range pending {
 		request.Upstreams = append(request.Upstreams, announcer.ToWire(&u, now))
 	}
 	reply, err := x.peers[i].Call(ctx, &wire.Request{Kind: &wire.Request_PeerExchange{PeerExchange: request}})
 	if err != nil {
-		x.requeueAnnouncements(i, pending)
+		x.mailer.Requeue(i, pending)
 		return err
 	}
 	x.apply(reply.GetPeerExchange())
 	return nil
 }
 
-// queueAnnouncement queues, for every peer, an announcement that an upstream sent.
-func (x *peerExchanger) queueAnnouncement(u registrar.Upstream) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	for _, out := range x.pendingAnnouncements {
-		out[u.ID] = u
-	}
-}
-
-// queueCacheEvent queues, for every peer, a cache event that an upstream sent. A peer whose
-// queue is full does not get it.
-func (x *peerExchanger) queueCacheEvent(e *wire.CacheEvent) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	for i := range x.pendingCacheEvents {
-		if len(x.pendingCacheEvents[i]) < maxQueuedCacheEvents {
-			x.pendingCacheEvents[i] = append(x.pendingCacheEvents[i], e)
-		}
-	}
-}
-
-func (x *peerExchanger) takeCacheEvents(i int) []*wire.CacheEvent {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	events := x.pendingCacheEvents[i]
-	x.pendingCacheEvents[i] = nil
-	return events
-}
-
-func (x *peerExchanger) takeAnnouncements(i int) map[registrar.UpstreamID]registrar.Upstream {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	pending := x.pendingAnnouncements[i]
-	x.pendingAnnouncements[i] = map[registrar.UpstreamID]registrar.Upstream{}
-	return pending
-}
-
-// requeueAnnouncements queues announcements again after a failed exchange, except those
-// that a newer one of the same upstream has replaced meanwhile.
-func (x *peerExchanger) requeueAnnouncements(i int, pending map[registrar.UpstreamID]registrar.Upstream) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	for id, u := range pending {
-		if _, newer := x.pendingAnnouncements[i][id]; !newer {
-			x.pendingAnnouncements[i][id] = u
-		}
-	}
-}
-
 // newPeerExchange returns a message with this process's demand.
 func (x *peerExchanger) newPeerExchange() *wire.PeerExchange {
 	return &wire.PeerExchange{
@@ -166,7 +103,7 @@
 	d := x.router.dispatcher
 	x.router.mergeEvidence(exchange.GetEvidence())
 	for _, u := range exchange.GetUpstreams() {
-		if validateAnnouncement(u) == nil {
+		if announcer.Validate(u) == nil {
 			x.router.applyAnnouncement(announcer.FromWire(u, d.now()), leaveExchanged, exchange.GetHost())
 		}
 	}
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -8,6 +8,7 @@
 	"github.com/comfreybend/comfreybend/pkg/limiter"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
+	"github.com/comfreybend/comfreybend/pkg/retrier"
 	"github.com/comfreybend/comfreybend/pkg/scheduler"
 )
 
@@ -313,3 +314,18 @@
 	delete(d.waiters, id)
 	w.refused <- refusal
 }
+
+// failuresIn returns the counter of recent failures in a failure domain.
+func (d *dispatcher) failuresIn(domain registrar.FailureDomain) *retrier.FailureCounter {
+	c := d.domainFailures[domain]
+	if c == nil {
+		c = &retrier.FailureCounter{}
+		d.domainFailures[domain] = c
+	}
+	return c
+}
+
+// String returns the name of the pool in messages between processes.
+func (k poolKey) String() string {
+	return string(k.kind) + "/" + k.name
+}
--- a/internal/router/response.go
+++ b/internal/router/response.go
@@ -4,11 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -16,43 +14,15 @@
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/counter"
 	"github.com/comfreybend/comfreybend/internal/scrubber"
+	"github.com/comfreybend/comfreybend/internal/writer"
 )
 
 const (
 	// maxBufferedBytes is the size up to which a response is buffered, if there is room,
 	// before its first byte is sent to the client, so that a truncated one can be retried.
 	maxBufferedBytes = 1 << 20
-	copyBufferBytes  = 32 << 10
-	// deadlineRenewalDivisor sets how often the write deadline is renewed: once
-	// 1/deadlineRenewalDivisor of the write timeout has passed since it was set.
-	deadlineRenewalDivisor = 8
 )
 
-type (
-	// clientWriter writes to the client and bounds the time that a write may block.
-	clientWriter struct {
-		w       http.ResponseWriter
-		control *http.ResponseController
-		timeout time.Duration
-		// deadlineSetAt is when the write deadline was last set.
-		deadlineSetAt time.Time
-		// started reports that the headers of a stream have been written.
-		started bool
-	}
-
-	// oversizedResponseError reports a response that is larger than the limit, such as one
-	// without end.
-	oversizedResponseError struct {
-		// Limit is in bytes.
-		Limit int64
-	}
-)
-
-// Error implements error.
-func (e *oversizedResponseError) Error() string {
-	return "the answer is larger than the limit of " + strconv.FormatInt(e.Limit, 10) + " bytes"
-}
-
 // encodeResponse writes a *clientResponse: it relays the upstream's response or
 // replays the stored one.
 func (r *Router) encodeResponse(ctx context.Context, w http.ResponseWriter, response any) error {
@@ -67,16 +37,12 @@
 		return nil
 	}
 	h.router.metrics.answered(configurer.ClassName(h.call.class.GetName()), h.router.dispatcher.now()-h.call.arrived)
-	writer := &clientWriter{
-		w:       w,
-		control: http.NewResponseController(w),
-		timeout: r.settings.GetEntry().GetCallerLimits().GetWriteTimeout().AsDuration(),
-	}
+	client := writer.New(w, r.settings.GetEntry().GetCallerLimits().GetWriteTimeout().AsDuration())
 	relay := h.relayResponse
 	if isEventStream(h.current.response) {
 		relay = h.relayStream
 	}
-	refusal := relay(ctx, writer)
+	refusal := relay(ctx, client)
 	if refusal != nil && h.mayPassOn(refusal) {
 		passed, failure := h.passOn(ctx)
 		if passed != nil {
@@ -106,7 +72,7 @@
 // relayResponse relays a response that is not an event stream, and sends
 // further attempts if it cannot be read completely. It returns a refusal only if nothing has
 // been sent to the client.
-func (h *callHandler) relayResponse(ctx context.Context, w *clientWriter) *RefusalError {
+func (h *callHandler) relayResponse(ctx context.Context, w *writer.Client) *RefusalError {
 	for {
 		err := h.relayCurrent(w)
 		if err == nil {
@@ -154,14 +120,14 @@
 // relayCurrent relays the current attempt's response, the first part of which it buffers. It
 // returns an error only if nothing has been sent to the client; a later failure aborts the
 // client's connection.
-func (h *callHandler) relayCurrent(w *clientWriter) error {
+func (h *callHandler) relayCurrent(w *writer.Client) error {
 	at := h.current
 	if !hasDelimitedBody(at.response) && !h.router.dialect.AcceptUndelimited {
 		return errors.New("the end of the answer is not marked")
 	}
 	limit := h.router.settings.GetEntry().GetUpstreamLimits().GetResponseBytes()
 	if at.response.ContentLength > limit {
-		return &oversizedResponseError{Limit: limit}
+		return &writer.OversizedError{Limit: limit}
 	}
 	body := h.router.buffers.NewBuffer(maxBufferedBytes)
 	defer body.Release()
@@ -174,15 +140,15 @@
 	}
 	h.readResponseUsage(body.Data)
 	h.storeResponse(body.Data, complete)
-	h.copyResponseHeader(w.w.Header(), at.response.Header)
+	h.copyResponseHeader(w.Header(), at.response.Header)
 	if at.response.ContentLength >= 0 {
-		w.w.Header().Set("Content-Length", strconv.FormatInt(at.response.ContentLength, 10))
+		w.Header().Set("Content-Length", strconv.FormatInt(at.response.ContentLength, 10))
 	}
-	w.w.WriteHeader(at.response.StatusCode)
+	w.WriteHeader(at.response.StatusCode)
 	var upstreamErr error
-	clientErr := w.write(body.Data)
+	clientErr := w.Write(body.Data)
 	if clientErr == nil && !complete {
-		upstreamErr, clientErr = w.copyRemaining(at, int64(len(body.Data)), limit)
+		upstreamErr, clientErr = w.Copy(at.response.Body, int64(len(body.Data)), limit)
 	}
 	err = clientErr
 	outcome := outcomeAnswered
@@ -246,43 +212,3 @@
 		to.Set(HeaderAttempt, string(h.current.id))
 	}
 }
-
-// write writes data with a deadline. The deadline is renewed only after a
-// fraction of the timeout, because a stream has many small writes.
-func (w *clientWriter) write(data []byte) error {
-	if now := time.Now(); now.Sub(w.deadlineSetAt) > w.timeout/deadlineRenewalDivisor {
-		w.deadlineSetAt = now
-		_ = w.control.SetWriteDeadline(now.Add(w.timeout))
-	}
-	_, err := w.w.Write(data)
-	return errors.Wrap(err, "writing to the caller")
-}
-
-func (w *clientWriter) flush() error {
-	return errors.Wrap(w.control.Flush(), "flushing to the caller")
-}
-
-// copyRemaining copies the rest of a response of which copied bytes have been sent. A
-// response may have limit bytes. It returns errors of the upstream and of the client
-// separately.
-func (w *clientWriter) copyRemaining(at *attempt, copied, limit int64) (upstreamErr, clientErr error) {
-	buffer := make([]byte, copyBufferBytes)
-	for {
-		n, err := at.response.Body.Read(buffer)
-		copied += int64(n)
-		if copied > limit {
-			return &oversizedResponseError{Limit: limit}, nil
-		}
-		if n > 0 {
-			if clientErr = w.write(buffer[:n]); clientErr != nil {
-				return nil, clientErr
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			return nil, nil
-		}
-		if err != nil {
-			return errors.Wrap(err, "reading the answer"), nil
-		}
-	}
-}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -23,6 +23,7 @@
 	"github.com/comfreybend/comfreybend/internal/identifier"
 	"github.com/comfreybend/comfreybend/internal/instrumenter"
 	"github.com/comfreybend/comfreybend/internal/messenger"
+	"github.com/comfreybend/comfreybend/internal/proposer"
 	"github.com/comfreybend/comfreybend/internal/ranker"
 	"github.com/comfreybend/comfreybend/internal/relayer"
 	"github.com/comfreybend/comfreybend/internal/restrainer"
@@ -64,6 +65,7 @@
 	incarnation    string
 
 	controlPlane   *controlPlane
+	proposer       *proposer.Proposer
 	fetcher        *configurationFetcher
 	isolation      *isolation
 	restrainer     *restrainer.Restrainer
@@ -112,9 +114,9 @@
 	r.upstreamClient.admit = r.restrainer.Admit
 	r.upstreamClient.checkLeaving = r.dispatcher.checkLeaving
 	r.controlClients = ranker.New(s.GetEntry(), security)
-	r.controlPlane = newControlPlane(r)
+	r.controlPlane, r.proposer = newControlPlane(r), proposer.New(r.controlClients.All)
 	r.tracker.Targets, r.tracker.All = r.controlClients.Apart, r.controlClients.All
-	r.tracker.Unreachable, r.tracker.Propose = r.controlClients.MarkFailed, r.controlPlane.propose
+	r.tracker.Unreachable, r.tracker.Propose = r.controlClients.MarkFailed, r.proposer.Propose
 	r.tracker.Restarted = func(c *messenger.Client, streams int) {
 		log.Info("control process has forgotten which versions began streams", zap.String("control", c.Address()), zap.Int("streams", streams))
 	}
@@ -122,7 +124,7 @@
 	r.isolation = newIsolation(r)
 	r.controlPoller = newControlPoller(r)
 	r.peers = newPeerExchanger(r, security)
-	r.dispatcher.onWithdrawn = r.peers.queueAnnouncement
+	r.dispatcher.onWithdrawn = r.peers.mailer.QueueAnnouncement
 	r.upstreamClient.onResponse = r.handleNotices
 	r.upstreamClient.onStart = r.isolation.track
 	r.setUpRelay(security)
--- a/internal/router/silence.go
+++ b/internal/router/silence.go
@@ -2,10 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net/http"
 	"time"
 
+	"github.com/comfreybend/comfreybend/internal/prober"
 	"github.com/comfreybend/comfreybend/internal/restrainer"
 )
 
@@ -17,14 +16,6 @@
 	attemptPath = "/upstream/v1/attempts/"
 )
 
-// AttemptReport is an upstream's report on the progress of an attempt.
-type AttemptReport struct {
-	// State is "running" or "finished".
-	State string `json:"state"`
-	// Events is the number of events sent so far.
-	Events uint64 `json:"events"`
-}
-
 // watchSilence cancels an attempt whose connection is no longer usable. If nothing was
 // received for the silence timeout, or leaseEnded was closed, it asks the upstream about
 // the attempt on a new connection. The attempt is cancelled if the upstream does not
@@ -69,34 +60,20 @@
 func (u *upstreamClient) probeAttempt(ctx context.Context, at *attempt) string {
 	relayed := at.eventsRelayed.Load()
 	lastActive := at.lastActivity.Load()
-	url := at.grant.upstream.URL + attemptPath + string(at.id)
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
-	if err != nil {
-		return "probe could not be made"
-	}
-	response, err := u.probe.Do(request)
-	// Headers or an event received meanwhile show that the connection works.
-	if at.lastActivity.Load() != lastActive {
+	report, problem := prober.AskAttempt(ctx, u.probe, at.grant.upstream.URL+attemptPath+string(at.id))
+	switch {
+	case at.lastActivity.Load() != lastActive:
+		// Headers or an event received meanwhile show that the connection works.
 		return ""
-	}
-	if err != nil {
-		return "upstream does not answer a probe"
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return "upstream does not know the attempt"
-	}
-	var report AttemptReport
-	if err = json.NewDecoder(response.Body).Decode(&report); err != nil {
-		return "upstream's answer to a probe cannot be read"
-	}
-	if report.State != "running" {
+	case problem != "":
+		return problem
+	case report.State != "running":
 		return "upstream has finished the attempt"
-	}
-	// Events skipped after a resumption are not counted as relayed, so an upstream that
-	// repeated events also gets here.
-	if report.Events > relayed {
+	case report.Events > relayed:
+		// Events skipped after a resumption are not counted as relayed, so an upstream that
+		// repeated events also gets here.
 		return "upstream has sent events that did not arrive"
+	default:
+		return ""
 	}
-	return ""
 }
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/comfreybend/comfreybend/internal/scanner"
+	"github.com/comfreybend/comfreybend/internal/writer"
 )
 
 const (
@@ -28,7 +29,7 @@
 // upstream after the last event that the client has received. An incomplete
 // stream ends with a reset of the client's connection, or with a refusal if nothing
 // has been sent to the client.
-func (h *callHandler) relayStream(ctx context.Context, w *clientWriter) *RefusalError {
+func (h *callHandler) relayStream(ctx context.Context, w *writer.Client) *RefusalError {
 	h.inputTokens = h.call.estimatedInputTokens()
 	defer h.endOrigin()
 	for {
@@ -39,9 +40,9 @@
 			h.recordUsage()
 			return nil
 		}
-		if clientErr == nil && w.started {
+		if clientErr == nil && w.Started {
 			// Half of the next event may have kept whole ones from being flushed.
-			clientErr = w.flush()
+			clientErr = w.Flush()
 		}
 		if clientErr != nil || ctx.Err() != nil {
 			h.finishAttempt(outcomeAbandoned, context.Canceled)
@@ -50,7 +51,7 @@
 		}
 		if refusal := h.resume(ctx, upstreamErr); refusal != nil {
 			h.recordUsage()
-			if !w.started {
+			if !w.Started {
 				return refusal
 			}
 			h.endStream(w, refusal)
@@ -60,20 +61,20 @@
 
 // startStream writes the headers of the current attempt's response to the client. It has no
 // effect the second time.
-func (h *callHandler) startStream(w *clientWriter) {
-	if w.started {
+func (h *callHandler) startStream(w *writer.Client) {
+	if w.Started {
 		return
 	}
-	w.started = true
-	h.copyResponseHeader(w.w.Header(), h.current.response.Header)
-	w.w.WriteHeader(h.current.response.StatusCode)
+	w.Started = true
+	h.copyResponseHeader(w.Header(), h.current.response.Header)
+	w.WriteHeader(h.current.response.StatusCode)
 }
 
 // copyEvents relays events until the stream is complete: at the done marker, or
 // on routes with eventStream set also at the end of the body. It skips events
 // that the client already has, and returns errors of the upstream and of the
 // client separately.
-func (h *callHandler) copyEvents(w *clientWriter) (upstreamErr, clientErr error) {
+func (h *callHandler) copyEvents(w *writer.Client) (upstreamErr, clientErr error) {
 	at := h.current
 	raw := h.router.buffers.NewBuffer(maxEventBytes)
 	defer raw.Release()
@@ -108,9 +109,9 @@
 		h.bindVersion(at.response.Request.Context())
 		h.startStream(w)
 		at.writingToClient.Store(true)
-		err = w.write(e.Raw)
+		err = w.Write(e.Raw)
 		if err == nil && (done || events.Buffered() == 0) {
-			err = w.flush()
+			err = w.Flush()
 		}
 		at.writingToClient.Store(false)
 		if err != nil {
@@ -193,12 +194,12 @@
 
 // endStream sends the refusal as an error event, except on routes with
 // eventStream set, and resets the client's connection.
-func (h *callHandler) endStream(w *clientWriter, refusal *RefusalError) {
+func (h *callHandler) endStream(w *writer.Client, refusal *RefusalError) {
 	refusal.Run = MayHaveRun
 	document, err := json.Marshal(h.recordRefusal(refusal).body())
 	if err == nil && !h.call.route.GetEventStream() {
-		_ = w.write([]byte("event: error\ndata: " + string(document) + "\n\n"))
-		_ = w.flush()
+		_ = w.Write([]byte("event: error\ndata: " + string(document) + "\n\n"))
+		_ = w.Flush()
 	}
 	h.abortClient(refusal)
 }
--- a/internal/router/upstream_state.go
+++ b/internal/router/upstream_state.go
@@ -1,8 +1,11 @@
 package router
 
 import (
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/comfreybend/comfreybend/pkg/limiter"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/retrier"
@@ -120,3 +123,16 @@
 		close(s.leaseEnded)
 	}
 }
+
+// failureOutcome returns outcomeAbandoned for an attempt that this process cancelled because
+// of its prompt, outcomeTimedOut for a connection whose upstream stopped
+// acknowledging data or keep-alive probes, and outcomeFailed for other failures.
+func failureOutcome(err error) attemptOutcome {
+	if errors.As(err, new(*heldPartError)) {
+		return outcomeAbandoned
+	}
+	if errors.Is(err, syscall.ETIMEDOUT) {
+		return outcomeTimedOut
+	}
+	return outcomeFailed
+}
