--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -119,26 +119,21 @@
 func (f *Forwarder) update(change func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	evidence := f.detector.Evidence()
 	change()
 	cutOff := f.detector.CutOff()
 	if f.cutOff.Swap(cutOff) == cutOff {
 		return
 	}
-	if cutOff {
-		evidence = f.detector.Evidence()
-		f.cutOffAt, f.passedOn = f.now(), 0
-	}
-	fields := []zap.Field{
-		zap.Duration("since", f.now()-evidence.Since), zap.Int("failed", evidence.Failed), zap.Int("known", evidence.Known),
-		zap.Int("failedDomains", evidence.Domains), zap.Int("knownDomains", evidence.KnownDomains),
-	}
-	if cutOff {
-		f.scope.Counter("cut_off").Inc(1)
-		f.log.Warn("no upstream can be reached", fields...)
+	if !cutOff {
+		f.log.Info("upstreams can be reached again", zap.Duration("cutOff", f.now()-f.cutOffAt), zap.Int("passedOn", f.passedOn))
 		return
 	}
-	f.log.Info("upstreams can be reached again", append(fields, zap.Duration("cutOff", f.now()-f.cutOffAt), zap.Int("passedOn", f.passedOn))...)
+	f.cutOffAt, f.passedOn = f.now(), 0
+	f.scope.Counter("cut_off").Inc(1)
+	evidence := f.detector.Evidence()
+	f.log.Warn("no upstream can be reached", zap.Duration("since", f.now()-evidence.Since),
+		zap.Int("failed", evidence.Failed), zap.Int("known", evidence.Known),
+		zap.Int("failedDomains", evidence.Domains), zap.Int("knownDomains", evidence.KnownDomains))
 }
 
 // check starts the probes that are due, and has the waiting requests passed on.
