--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/url"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,9 +24,14 @@
 	"github.com/comfreybend/comfreybend/pkg/timer"
 )
 
-// checkInterval is the time between two looks at whether probes are due, and between two attempts to
-// pass on the requests that wait.
-const checkInterval = 50 * time.Millisecond
+const (
+	// checkInterval is the time between two looks at whether probes are due, and between two attempts
+	// to pass on the requests that wait.
+	checkInterval = 50 * time.Millisecond
+	// probeHold is the time for which a probe's connection must last: a gateway that has lost what is
+	// behind it may accept connections and reset them.
+	probeHold = 100 * time.Millisecond
+)
 
 // Forwarder detects the cut and passes requests on. It is safe for concurrent use.
 type Forwarder struct {
@@ -86,13 +92,13 @@
 	return group.Wait()
 }
 
-// Connected records that a connection to an upstream was established.
+// Connected records that bytes of an upstream have arrived on a new connection.
 func (f *Forwarder) Connected() {
 	f.update(func() { f.detector.Connected() })
 }
 
-// Failed records that a connection to an upstream could not be established, or that an established
-// one ended since nothing was acknowledged.
+// Failed records that a connection to an upstream could not be established, or ended before any bytes
+// of the upstream arrived, or since nothing was acknowledged.
 func (f *Forwarder) Failed(u *registrar.Upstream) {
 	f.update(func() { f.detector.Failed(f.now(), u.ID, u.FailureDomain) })
 }
@@ -113,26 +119,21 @@
 func (f *Forwarder) update(change func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	evidence := f.detector.Evidence()
 	change()
 	cutOff := f.detector.CutOff()
 	if f.cutOff.Swap(cutOff) == cutOff {
 		return
 	}
-	if cutOff {
-		evidence = f.detector.Evidence()
-		f.cutOffAt, f.passedOn = f.now(), 0
-	}
-	fields := []zap.Field{
-		zap.Duration("since", f.now()-evidence.Since), zap.Int("failed", evidence.Failed), zap.Int("known", evidence.Known),
-		zap.Int("failedDomains", evidence.Domains), zap.Int("knownDomains", evidence.KnownDomains),
-	}
-	if cutOff {
-		f.scope.Counter("cut_off").Inc(1)
-		f.log.Warn("no upstream can be reached", fields...)
+	if !cutOff {
+		f.log.Info("upstreams can be reached again", zap.Duration("cutOff", f.now()-f.cutOffAt), zap.Int("passedOn", f.passedOn))
 		return
 	}
-	f.log.Info("upstreams can be reached again", append(fields, zap.Duration("cutOff", f.now()-f.cutOffAt), zap.Int("passedOn", f.passedOn))...)
+	f.cutOffAt, f.passedOn = f.now(), 0
+	f.scope.Counter("cut_off").Inc(1)
+	evidence := f.detector.Evidence()
+	f.log.Warn("no upstream can be reached", zap.Duration("since", f.now()-evidence.Since),
+		zap.Int("failed", evidence.Failed), zap.Int("known", evidence.Known),
+		zap.Int("failedDomains", evidence.Domains), zap.Int("knownDomains", evidence.KnownDomains))
 }
 
 // check starts the probes that are due, and has the waiting requests passed on.
@@ -160,7 +161,7 @@
 	}
 }
 
-// probe establishes a connection to an upstream and closes it.
+// probe establishes a connection to an upstream, and closes it if the other end does not.
 func (f *Forwarder) probe(ctx context.Context, u *registrar.Upstream) {
 	f.scope.Counter("connections_probed").Inc(1)
 	address, err := url.Parse(u.URL)
@@ -180,5 +181,12 @@
 	if err != nil {
 		return err
 	}
-	return conn.Close()
+	defer func() { _ = conn.Close() }()
+	if err = conn.SetReadDeadline(time.Now().Add(probeHold)); err != nil {
+		return err
+	}
+	if _, err = conn.Read(make([]byte, 1)); errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return err
 }
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -10,7 +10,6 @@
 	"net/url"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/google/uuid"
@@ -52,9 +51,11 @@
 		singleUse *http.Transport
 		// probe asks upstreams about attempts whose connection is silent.
 		probe *http.Client
-		// dial establishes the connections. onDialled is called with the outcome for an upstream.
-		dial      dialer.DialFunc
-		onDialled func(*registrar.Upstream, error)
+		dial  dialer.DialFunc
+		// onReached is called when bytes of an upstream arrive on a connection that the attempt has
+		// established, onUnreached when it could not be established or ended before.
+		onReached   func()
+		onUnreached func(*registrar.Upstream)
 		// nonRetryableSingleUse sends all calls that must not run twice through
 		// singleUse. If it is false, only those with a method that net/http resends
 		// on its own (see isResentByTransport) use singleUse.
@@ -100,6 +101,9 @@
 		// connected reports that a connection was obtained that is not kept, so that a part of the
 		// request may have been sent.
 		connected atomic.Bool
+		// fresh reports that the connection was established for the attempt, and that no bytes have
+		// arrived on it.
+		fresh atomic.Bool
 		// exchange is the latest one on a connection that is kept.
 		exchange atomic.Pointer[retirer.Exchange]
 		// lastActivity is the monotonic time in nanoseconds at which the upstream
@@ -185,7 +189,7 @@
 	l := e.GetUpstreamLimits()
 	u := &upstreamClient{limits: l, dialect: dialect, now: timer.Now, nonRetryableSingleUse: !e.GetFollowControl(), onResponse: func(*attempt, ResponseInfo) {}, onStart: func(*call, *attempt) {}}
 	u.dial = dialer.Resetting(l.GetConnectTimeout().AsDuration(), dialer.LocalAddr(e.GetUpstreamLocalAddress()))
-	u.onDialled = func(*registrar.Upstream, error) {}
+	u.onReached, u.onUnreached = func() {}, func(*registrar.Upstream) {}
 	transport := func() *http.Transport {
 		return &http.Transport{
 			DialContext:         u.dialUpstream,
@@ -214,7 +218,10 @@
 	if !known {
 		return conn, err
 	}
-	if u.onDialled(upstream, err); err != nil {
+	if err != nil {
+		if !errors.Is(err, context.Canceled) {
+			u.onUnreached(upstream)
+		}
 		return nil, err
 	}
 	if err = u.checkLeaving(upstream); err != nil {
@@ -263,6 +270,8 @@
 	if err != nil {
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
+		} else if at.fresh.Load() {
+			u.onUnreached(g.upstream)
 		}
 		at.close(err)
 		return nil, at.failure(attemptError{NotRun: !at.mayHaveArrived(), Cause: err})
@@ -336,7 +345,11 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "making the upstream request")
 	}
-	trace := &httptrace.ClientTrace{GotConn: at.beginExchange}
+	trace := &httptrace.ClientTrace{GotConn: at.beginExchange, GotFirstResponseByte: func() {
+		if at.fresh.Swap(false) {
+			u.onReached()
+		}
+	}}
 	ctx = context.WithValue(httptrace.WithClientTrace(ctx, trace), upstreamKey{}, at.grant.upstream)
 	request, err := http.NewRequestWithContext(ctx, c.method, at.grant.upstream.URL, bytes.NewReader(c.body))
 	if err != nil {
@@ -421,27 +434,3 @@
 		_ = at.response.Body.Close()
 	}
 }
-
-// failureOutcome returns outcomeAbandoned for an attempt that this process cancelled because
-// of its prompt, outcomeTimedOut for a connection whose upstream stopped
-// acknowledging data or keep-alive probes, and outcomeFailed for other failures.
-func failureOutcome(err error) attemptOutcome {
-	if errors.As(err, new(*heldPartError)) {
-		return outcomeAbandoned
-	}
-	if errors.Is(err, syscall.ETIMEDOUT) {
-		return outcomeTimedOut
-	}
-	return outcomeFailed
-}
-
-// isRetryableStatus is the IsRetryableStatus of NativeDialect: statuses that
-// upstreams and proxies use while overloaded or temporarily unavailable.
-func isRetryableStatus(status int) bool {
-	switch status {
-	case http.StatusTooManyRequests, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
-		return true
-	default:
-		return false
-	}
-}
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -68,6 +68,7 @@
 		at.cancel(err)
 	}
 	at.connected.Store(exchange == nil)
+	at.fresh.Store(!info.Reused)
 }
 
 // mayHaveArrived reports that a part of the request may have left.
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -5,7 +5,9 @@
 	"net/http"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"github.com/comfreybend/comfreybend/internal/forwarder"
 	"github.com/comfreybend/comfreybend/internal/messenger"
@@ -17,6 +19,9 @@
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
+// maxDiversions is the number of times that a call is taken from the queue to be passed on.
+const maxDiversions = 3
+
 // cutOffError reports a call that is to be passed on to another entry process.
 type cutOffError struct{}
 
@@ -34,13 +39,7 @@
 	}
 	r.forwarder.Locator.Self, r.controlPoller.self = r.entryHost, r.entryHost
 	r.dispatcher.onTimedOut = r.forwarder.Failed
-	r.upstreamClient.onDialled = func(u *registrar.Upstream, err error) {
-		if err == nil {
-			r.forwarder.Connected()
-		} else if !errors.Is(err, context.Canceled) {
-			r.forwarder.Failed(u)
-		}
-	}
+	r.upstreamClient.onReached, r.upstreamClient.onUnreached = r.forwarder.Connected, r.forwarder.Failed
 	r.receiver = &relayer.Receiver{
 		Handler: r.clientHandler(), CutOff: r.forwarder.CutOff, NotReady: r.notReadyReason,
 		MaxHeaderBytes: int(r.settings.GetEntry().GetCallerLimits().GetHeaderBytes()), Log: r.log,
@@ -56,7 +55,7 @@
 
 // entryHost describes this process to others that may pass calls on to it; nil while it takes none.
 func (r *Router) entryHost() *wire.EntryHost {
-	if r.notReadyReason() != "" {
+	if r.notReadyReason() != "" || r.settings.GetEntry().GetPeerListen() == "" {
 		return nil
 	}
 	return &wire.EntryHost{
@@ -85,8 +84,11 @@
 
 // mayPassOn reports whether the call is passed on instead of being refused.
 func (h *callHandler) mayPassOn(refusal *RefusalError) bool {
-	return h.mayLeave() && h.router.forwarder.Available() && (errors.As(refusal.cause, new(*cutOffError)) ||
-		refusal.Run == NotRun && (refusal.Code == CodeOverloaded || refusal.Code == CodeNoUpstream))
+	if !h.mayLeave() {
+		return false
+	}
+	return errors.As(refusal.cause, new(*cutOffError)) || h.router.forwarder.Available() &&
+		refusal.Run == NotRun && (refusal.Code == CodeOverloaded || refusal.Code == CodeNoUpstream)
 }
 
 // passOn passes the call on to another entry process if no upstream can be reached. It returns nil
@@ -136,3 +138,39 @@
 		h.abortClient(err)
 	}
 }
+
+// newCallHandler returns the handler of a call.
+func (r *Router) newCallHandler(c *call) *callHandler {
+	h := &callHandler{router: r, call: c, log: r.log, requestID: c.Attempt, lastEventID: c.LastEventID}
+	if c.relay != nil {
+		h.requestID, h.attempts = AttemptID(c.relay.GetRequestId()), int(c.relay.GetAttempts())
+		h.mayHaveRun, h.startRecorded, h.counted = h.attempts > 0, h.attempts > 0, c.relay.GetCounted()
+		h.log = r.log.With(zap.String("from", c.relay.GetHost()), zap.String("fromDomain", c.relay.GetFailureDomain()))
+	}
+	if h.requestID == "" {
+		h.requestID = AttemptID(uuid.NewString())
+	}
+	return h
+}
+
+// serveHere sends attempts from this process. If it is cut off meanwhile, it passes the call on.
+func (h *callHandler) serveHere(ctx context.Context) (*clientResponse, *RefusalError) {
+	r, c := h.router, h.call
+	if refusal := h.findOrigin(ctx); refusal != nil {
+		return nil, refusal
+	}
+	r.isolation.awaitVerdict(ctx, c)
+	if refusal := r.isolation.admit(c); refusal != nil {
+		return nil, refusal
+	}
+	h.endedBefore = r.isolation.latestEnd(c)
+	for diversions := 0; ; diversions++ {
+		out, refusal := h.sendAttempts(ctx)
+		if refusal == nil || diversions == maxDiversions || !h.mayPassOn(refusal) {
+			return out, refusal
+		}
+		if passed, failure := h.passOn(ctx); passed != nil || failure != nil {
+			return passed, failure
+		}
+	}
+}
