budgeter: let budgets grow only after fewer processes were told for some time

A control process that has just started knows few entry processes until it has heard from the others, up to 2 s (follow.go withholds their ids for that time, not their number). Each entry process that it told so took its share for that of few.

A smaller number takes effect on the budgets after 5 s in which no greater one was told; a greater one at once.

Open: a process that has just started itself, until it is told a number.

--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -8,6 +8,9 @@
 	"github.com/comfreybend/comfreybend/schema/settings"
 )
 
+// shrinkDelay is longer than it takes a control process that has started to learn of all entry processes.
+const shrinkDelay = 5 * time.Second
+
 type (
 	// Budget limits the retries of this process for one service or model.
 	Budget struct {
@@ -23,8 +26,10 @@
 	Budgets struct {
 		settings  *settings.Entry
 		processes int
-		shared    []*retrier.SharedBudget
-		own       Budget
+		// confirmedAt is when the number of processes was last told, or a greater one.
+		confirmedAt time.Duration
+		shared      []*retrier.SharedBudget
+		own         Budget
 	}
 )
 
@@ -52,9 +57,13 @@
 	return Budget{OnRequest: shared.RecordRequest, OnSuccess: func() {}, Take: shared.Take}
 }
 
-// SetProcesses sets the number of processes that share the budgets, at least 1.
-func (b *Budgets) SetProcesses(processes int) {
-	b.processes = processes
+// SetProcesses sets the number of processes that share the budgets, at least 1. A smaller number takes effect
+// once no greater one was told for a time: a control process that has just started does not know all.
+func (b *Budgets) SetProcesses(now time.Duration, processes int) {
+	if processes < b.processes && now-b.confirmedAt < shrinkDelay {
+		return
+	}
+	b.processes, b.confirmedAt = processes, now
 	for _, shared := range b.shared {
 		shared.SetProcesses(processes)
 	}
--- a/internal/budgeter/budgeter_test.go
+++ b/internal/budgeter/budgeter_test.go
@@ -1,6 +1,7 @@
 package budgeter
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -39,7 +40,7 @@
 			for n := range test.processes {
 				budgets := NewBudgets(e)
 				busy[n] = budgets.Add()
-				budgets.SetProcesses(test.processes)
+				budgets.SetProcesses(0, test.processes)
 				quiet[n] = budgets.Add()
 			}
 			var repeatedAt []time.Duration
@@ -85,3 +86,55 @@
 		t.Error("a retry is left for another service")
 	}
 }
+
+// TestStartedControlKnowsFewProcesses guards against a budget that all processes multiply, since a control process that
+// has just started knows few of them and tells each that it shares with these only.
+func TestStartedControlKnowsFewProcesses(t *testing.T) {
+	const (
+		ratio    = 0.2
+		window   = 10 * time.Second
+		step     = 10 * time.Millisecond
+		duration = 2 * time.Second
+		requests = 3 // a step
+		start    = time.Hour
+	)
+	for processes, allowance := range map[int]int32{2: 52, 7: 54, 88: 216, 194: 428} {
+		t.Run(fmt.Sprint(processes), func(t *testing.T) {
+			e := &settings.Entry{SharedBudget: &settings.SharedBudget{Ratio: ratio, Allowance: allowance, Window: durationpb.New(window)}}
+			all, shares := make([]*Budgets, processes), make([]Budget, processes)
+			for n := range processes {
+				all[n] = NewBudgets(e)
+				all[n].SetProcesses(start, processes)
+				shares[n] = all[n].Add()
+			}
+			repeats, next := 0, 0
+			for now := start; now < start+window; now += step {
+				told := processes
+				if now >= start+duration && now < start+2*duration {
+					told = 1
+				}
+				for n := range processes {
+					all[n].SetProcesses(now, told)
+				}
+				for range requests {
+					b := shares[next%processes]
+					next++
+					b.OnRequest(now)
+					for b.Take(now) {
+						repeats++
+					}
+				}
+			}
+			limit := ratio*float64(next) + float64(allowance)
+			t.Logf("%d repeats in a window, %.0f allowed", repeats, limit)
+			if float64(repeats) > limit {
+				t.Errorf("%d repeats in a window, want at most %.0f", repeats, limit)
+			}
+		})
+	}
+	budgets := NewBudgets(&settings.Entry{})
+	budgets.SetProcesses(0, 3)
+	if budgets.SetProcesses(shrinkDelay, 2); budgets.processes != 2 {
+		t.Error("a smaller number never takes effect")
+	}
+}
--- a/internal/router/budget.go
+++ b/internal/router/budget.go
@@ -11,7 +11,7 @@
 func (d *dispatcher) setEntryProcesses(n int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.budgets.SetProcesses(max(1, n))
+	d.budgets.SetProcesses(d.now(), max(1, n))
 	d.entryProcessCount = n
 }
 
