router: test which calls may be passed on, and the time left

With the condition on calls that have run, on those that were passed on before, or the time left removed, no test failed before, since other checks stand behind them; TestMayLeave and TestRelayedTimeLeft fail now.

--- a/internal/router/relay_rules_test.go
+++ b/internal/router/relay_rules_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -15,6 +16,8 @@
 
 	"go.uber.org/zap/zaptest/observer"
 	"google.golang.org/protobuf/proto"
+
+	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
 const (
@@ -452,3 +455,42 @@
 	}
 	t.Error("the other host has not declined the request in time")
 }
+
+// TestMayLeave guards against a call that is passed on although it may run twice, was passed on before, or its
+// client has a part of the response.
+func TestMayLeave(t *testing.T) {
+	tests := map[string]struct {
+		handler *callHandler
+		call    *call
+		want    bool
+	}{
+		"new":                                      {want: true},
+		"has run and must run once":                {handler: &callHandler{mayHaveRun: true}},
+		"has run and may run again":                {handler: &callHandler{mayHaveRun: true}, call: &call{retryable: true}, want: true},
+		"passed on to this host":                   {call: &call{relay: &wire.Relay{}, retryable: true}},
+		"no other host took it":                    {handler: &callHandler{refusedElsewhere: true}},
+		"the client has an event":                  {handler: &callHandler{lastEventID: 3}, call: &call{retryable: true}},
+		"the client has an event without a number": {handler: &callHandler{progressed: true}, call: &call{retryable: true}},
+		"stream taken up":                          {handler: &callHandler{lastEventID: 3}, call: &call{RequestInfo: RequestInfo{LastEventID: 3}}, want: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := cmp.Or(test.handler, &callHandler{})
+			h.call = cmp.Or(test.call, &call{})
+			if got := h.mayLeave(); got != test.want {
+				t.Errorf("may leave: %t, want %t", got, test.want)
+			}
+		})
+	}
+}
+
+// TestRelayedTimeLeft guards against a deadline that a second host counts anew from its own settings.
+func TestRelayedTimeLeft(t *testing.T) {
+	r := newTestRouter(t)
+	c := &call{relay: &wire.Relay{DeadlineMillis: 70}, arrived: r.dispatcher.now() - time.Second}
+	before := r.dispatcher.now()
+	r.setDeadline(c)
+	if left := c.deadline - before; left < 70*time.Millisecond || left > cancelLimit {
+		t.Errorf("%v left, want 70ms", left)
+	}
+}
