isolator: judge rivals by what all processes know, and describe the doubt

That other prompts are responded to was read from parts that had been cleared, which a process that starts later does not take in.

Now a part of prompts that was at two of the ends is a rival, whatever has been cleared; the criterion of responses is gone.

--- a/internal/identifier/identifier.go
+++ b/internal/identifier/identifier.go
@@ -12,7 +12,6 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
-	"strings"
 	"sync"
 	"time"
 
@@ -24,8 +23,6 @@
 	keyBytes = 16
 	// identityBytes is the length of an identity before its encoding.
 	identityBytes = 12
-	// prefix distinguishes identities of requests from the ids of prompt parts.
-	prefix = "request-"
 )
 
 // Identifier holds the key. It is safe for concurrent use.
@@ -83,8 +80,8 @@
 		_, _ = h.Write([]byte(field))
 	}
 	_, _ = h.Write(body)
-	return isolator.PartID(prefix + hex.EncodeToString(h.Sum(nil)[:identityBytes]))
+	return isolator.PartID(isolator.RequestPrefix + hex.EncodeToString(h.Sum(nil)[:identityBytes]))
 }
 
 // IsIdentity reports whether an id is the identity of a request.
-func IsIdentity(id isolator.PartID) bool { return strings.HasPrefix(string(id), prefix) }
+func IsIdentity(id isolator.PartID) bool { return id.IsRequest() }
--- a/pkg/isolator/doubt.go
+++ b/pkg/isolator/doubt.go
@@ -63,7 +63,7 @@
 func (a *assessment) decide(c *conviction, all []*conviction) Verdict {
 	v := c.Verdict
 	v.Certain = c.concurrent(all) < maxCulprits && count(a.calmMoments(c, nil)) >= heldInstants &&
-		!a.hasRival(c.part) && a.othersRespond(c)
+		!a.hasRival(c.part)
 	calm := a.calmMoments(c, a.explained)
 	v.doubtful = count(calm) < heldInstants && !c.probeFailedAlone(calm)
 	duration := holdTime << min(c.failedProbes, maxDoublings)
@@ -103,25 +103,6 @@
 	return n
 }
 
-// othersRespond reports whether a prompt without the part was responded to since the first end under it, or
-// nothing else is accused meanwhile.
-func (a *assessment) othersRespond(c *conviction) bool {
-	accused := false
-	for _, other := range a.isolator.parts {
-		if other == c.part {
-			continue
-		}
-		if other.clearedAt.After(c.FirstEnd) {
-			return true
-		}
-		for run := range other.runs {
-			at := a.isolator.runs[run].EndedAt
-			accused = accused || !at.Before(c.FirstEnd.Add(-calmTime)) && !at.After(c.LastEnd.Add(calmTime))
-		}
-	}
-	return !accused
-}
-
 func count(all []bool) int {
 	n := 0
 	for _, b := range all {
@@ -132,12 +113,17 @@
 	return n
 }
 
-// hasRival reports whether most engines that ended under a part also ended under another one, so that
-// either may be to blame.
+// hasRival reports whether engines that ended under a part also ended under another one, so that either may
+// be to blame: most of them, or several under another part of prompts. A request shares the ends of
+// the part that it holds.
 func (a *assessment) hasRival(p *knownPart) bool {
 	for _, other := range a.isolator.parts {
+		if other == p {
+			continue
+		}
 		shared := p.sharedRuns(other)
-		if other != p && (shared == len(p.runs) || shared >= heldInstants && shared*2 >= len(p.runs)) {
+		most := shared == len(p.runs) || shared >= heldInstants && shared*2 >= len(p.runs)
+		if most || shared >= suspectInstants && !other.id.IsRequest() {
 			return true
 		}
 	}
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -144,8 +144,8 @@
 		// and that from which a probe may be sent. Both are zero if the part is not held.
 		HeldFrom, HeldUntil time.Time
 		// Certain reports that the part alone is to blame: at heldInstants moments no other engine
-		// ended, other prompts were responded to, and neither another part explains most of the
-		// ends nor are many parts held at the same time.
+		// ended, and neither does another part explain several of the ends nor are many parts
+		// held at the same time.
 		Certain bool
 		// doubtful reports that the part may be held without cause, and suspicion how often
 		// doubtfulHoldTime was multiplied.
--- a/pkg/isolator/request.go
+++ b/pkg/isolator/request.go
@@ -2,9 +2,16 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
+// RequestPrefix distinguishes ids of whole requests from those of prompt parts.
+const RequestPrefix = "request-"
+
+// IsRequest reports whether the id is that of a whole request.
+func (id PartID) IsRequest() bool { return strings.HasPrefix(string(id), RequestPrefix) }
+
 // RecordRequestEnds records that runs of engines ended one after the other while they ran a
 // request. Each is a moment of its own, however short the time between them, unless engines under
 // other requests ended at the same time: these are the runs in others that are not known to have
