--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -308,14 +308,15 @@
 		at.grant.state.foreignAnswerAt.Store(int64(u.now()))
 		return at.failure(attemptError{Cause: &attemptMismatchError{EchoedAttempt: string(info.EchoedAttempt)}})
 	}
-	at.load = info.Load
-	u.onResponse(at, info)
 	status := at.response.StatusCode
 	at.otherRun = at.isFromOtherRun(info)
 	misdirected := at.otherRun && status == http.StatusMisdirectedRequest
-	switch {
-	case (misdirected || info.NotRun) && !at.isNamed():
+	if (misdirected || info.NotRun) && !at.isNamed() {
 		return at.failure(attemptError{Cause: &unnamedRefusalError{Status: status}})
+	}
+	at.load = info.Load
+	u.onResponse(at, info)
+	switch {
 	case misdirected, at.otherRun && lastEventID != scanner.NoEventID:
 		return at.failure(attemptError{NotRun: misdirected, Refused: misdirected, Cause: &otherRunError{
 			Upstream: at.grant.upstream.ID, Expected: at.grant.upstream.Incarnation, Runs: info.Incarnation,
--- a/internal/router/unnamed_answer_test.go
+++ b/internal/router/unnamed_answer_test.go
@@ -16,7 +16,8 @@
 )
 
 // TestRefusalWithoutIDIsNotBelieved guards against a refusal that names no request, on a connection on which
-// an answer too many may be due, that is taken for the answer to the latest request while that runs.
+// an answer too many may be due, that is taken for the answer to the latest request while that runs, or
+// whose other headers are believed.
 func TestRefusalWithoutIDIsNotBelieved(t *testing.T) {
 	const (
 		refusal = "HTTP/1.1 503 Service Unavailable\r\n" + headerNotRun + ": 1\r\nContent-Length: 0\r\n\r\n"
@@ -61,6 +62,8 @@
 				}
 			}()
 			r, _ := newCopierRouter(t, true)
+			believed := 0
+			r.upstreamClient.onResponse = func(*attempt, ResponseInfo) { believed++ }
 			g := &grant{
 				upstream: &registrar.Upstream{ID: "u", Incarnation: 1, URL: "http://" + l.Addr().String()},
 				state:    newUpstreamState(r.settings.GetEntry().GetUpstreamLimits(), 0),
@@ -83,6 +86,9 @@
 				if !ok || failure.NotRun != test.notRun || failure.Refused != test.notRun {
 					t.Errorf("error %v, want a failure that is known not to have run: %t", err, test.notRun)
 				}
+				if want := 1; believed != want {
+					t.Errorf("the headers of %d answers were believed, want %d", believed, want)
+				}
 			}
 		})
 	}
