router, platform: relay no upstream's 503 as a promise for a call that must run once

To the platform's clients 408, 421, 429 and 503 promise that a request has not run. An upstream's response with such a status that does not say "not run" was relayed as it was, also for calls that must run once: the client was told that what ran had not run, and could send it again. Such a response now counts as an attempt that may have run, and the client gets 502. On the own interface the status promises nothing.

Whether upstreams of the users' machines answer so is not in the record.

--- a/internal/router/dialect.go
+++ b/internal/router/dialect.go
@@ -34,6 +34,9 @@
 		// IsRetryableStatus reports whether a retryable call is sent to another
 		// upstream after a response with this status.
 		IsRetryableStatus func(status int) bool
+		// PromisesNotRun reports whether a status alone tells clients that the request has not run. An
+		// upstream's response with it is not relayed for a call that must run once, unless NotRun is set.
+		PromisesNotRun func(status int) bool
 		// PreserveHost forwards the client's Host header to upstreams.
 		PreserveHost bool
 		// AcceptUndelimited treats a response as complete if its end is marked only by
@@ -138,6 +141,7 @@
 		DropsResponseHeader: func(name string) bool { return strings.HasPrefix(name, "Comfreybend-") },
 		WriteRefusal:        writeNativeRefusal,
 		IsRetryableStatus:   isRetryableStatus,
+		PromisesNotRun:      func(int) bool { return false },
 	}
 }
 
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -255,7 +255,7 @@
 		// request. A successful stream starts with its first event.
 		h.recordStart()
 	}
-	if h.call.retryable && h.router.dialect.IsRetryableStatus(at.response.StatusCode) {
+	if h.isUnusable(at.response.StatusCode) {
 		err = at.failure(attemptError{Cause: errors.Errorf("upstream answered %d", at.response.StatusCode)})
 		h.log.Info("attempt failed", append(h.placementFields(g), h.partsField(), zap.Int("attempts", h.attempts), exchangeField(err), zap.Error(err))...)
 		if at.response.StatusCode == http.StatusInternalServerError {
@@ -272,6 +272,14 @@
 	return nil
 }
 
+// isUnusable reports whether a response with a status is not relayed to the client.
+func (h *callHandler) isUnusable(status int) bool {
+	if h.call.retryable {
+		return h.router.dialect.IsRetryableStatus(status)
+	}
+	return h.router.dialect.PromisesNotRun(status)
+}
+
 // handleFailedAttempt records an attempt that failed without a usable response,
 // and releases its grant.
 func (h *callHandler) handleFailedAttempt(ctx context.Context, g *grant, err error) {
