router: let the control process that takes evidence be the one that replies in a test

TestEvidenceReachesRestartedControl failed once beside other tests ("after a restart: nothing was reported"). Cause: the stand-in of the control process took evidence, and read only then which table its reply names. If the test changed the table between the two, evidence that the process before the restart had taken was acknowledged by the one after it. It asks for as much as before.

--- a/internal/router/isolation_test.go
+++ b/internal/router/isolation_test.go
@@ -371,10 +371,12 @@
 		if f == nil {
 			return nil
 		}
+		// The process that takes the evidence is the one that replies.
+		own := table.Load()
 		if f.GetEvidence() != nil {
 			reported <- f.GetEvidence()
 		}
-		return &wire.Reply{Kind: &wire.Reply_Follow{Follow: &wire.FollowReply{Table: table.Load(), Position: 1}}}
+		return &wire.Reply{Kind: &wire.Reply_Follow{Follow: &wire.FollowReply{Table: own, Position: 1}}}
 	})
 	r := startEntryBehind(t, &slowLink{}, []string{address})
 	awaitReport := func(what string) {
