--- a/internal/logger/fields_test.go
+++ b/internal/logger/fields_test.go
@@ -20,6 +20,8 @@
 	// packageSource holds the functions of a package by name and its log calls by message.
 	packageSource struct {
 		functions map[string]*ast.FuncDecl
+		// elsewhere holds the functions of all packages that return log fields.
+		elsewhere map[string]*ast.FuncDecl
 		calls     map[string][]*ast.CallExpr
 	}
 )
@@ -102,11 +104,11 @@
 
 func parsePackages(t *testing.T) map[string]*packageSource {
 	t.Helper()
-	out := map[string]*packageSource{}
+	out, elsewhere := map[string]*packageSource{}, map[string]*ast.FuncDecl{}
 	walkSources(t, func(path string, _ *token.FileSet, file *ast.File) {
 		source := out[filepath.Dir(path)]
 		if source == nil {
-			source = &packageSource{functions: map[string]*ast.FuncDecl{}, calls: map[string][]*ast.CallExpr{}}
+			source = &packageSource{functions: map[string]*ast.FuncDecl{}, elsewhere: elsewhere, calls: map[string][]*ast.CallExpr{}}
 			out[filepath.Dir(path)] = source
 		}
 		source.add(file)
@@ -118,6 +120,9 @@
 	ast.Inspect(file, func(n ast.Node) bool {
 		if function, ok := n.(*ast.FuncDecl); ok {
 			p.functions[function.Name.Name] = function
+			if returnsFields(function) {
+				p.elsewhere[function.Name.Name] = function
+			}
 		}
 		if message, ok := logMessage(n); ok {
 			call, _ := n.(*ast.CallExpr)
@@ -128,7 +133,7 @@
 }
 
 // collectKeys adds to keys those of the zap fields that n constructs. It follows calls of
-// functions of the package that return fields. callers lists the functions being
+// functions that return fields, those of the package first. callers lists the functions being
 // followed; a function in it is not followed again, so that recursion ends.
 func (p *packageSource) collectKeys(n ast.Node, keys fieldSet, callers []string) {
 	ast.Inspect(n, func(n ast.Node) bool {
@@ -148,6 +153,9 @@
 			}
 		}
 		function := p.functions[name]
+		if function == nil {
+			function = p.elsewhere[name]
+		}
 		if function == nil || !returnsFields(function) || slices.Contains(callers, name) {
 			return true
 		}
