router, dialer: take no part of a response and no unknown status for an answer

Cause: net/http accepts any three digits as a status, so 000 and 099 made the handler panic and 600, 999 and 101 went to clients. A response without a length counted as whole when the upstream had closed its side while the upload was still under way; the reset came after the end was read. Change: a final status is 200 to 599, also in responses that other entry processes pass on and in stored ones. The end of a connection whose sent data is not acknowledged is an error.

--- a/internal/dialer/conn.go
+++ b/internal/dialer/conn.go
@@ -1,7 +1,9 @@
 package dialer
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -43,6 +45,13 @@
 		watching, expired bool
 	}
 
+	// EarlyEndError reports that the other end has closed its side before it acknowledged all that was sent. A response
+	// that is delimited by the end of the connection may have broken off.
+	EarlyEndError struct {
+		// Unacknowledged is in bytes.
+		Unacknowledged int
+	}
+
 	// UnacknowledgedError reports a connection that was reset because the other end has not
 	// acknowledged sent data for a time. It counts as the TCP timeout of the kernel.
 	UnacknowledgedError struct {
@@ -55,6 +64,11 @@
 	return fmt.Sprintf("sent data was not acknowledged for %v", e.For)
 }
 
+// Error implements error.
+func (e *EarlyEndError) Error() string {
+	return fmt.Sprintf("the connection ended while %d bytes of the request were under way", e.Unacknowledged)
+}
+
 // Unwrap returns the error of the kernel for this.
 func (e *UnacknowledgedError) Unwrap() error { return syscall.ETIMEDOUT }
 
@@ -99,9 +113,15 @@
 	return n, c.cause(err)
 }
 
-// Read reads data.
+// Read reads data. The end of the connection is an *EarlyEndError if sent data is not acknowledged: a connection that
+// is closed with unread data is reset, but the reset may come after the end.
 func (c *watchedConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
+	if errors.Is(err, io.EOF) {
+		if left, countErr := c.unacknowledged(); countErr == nil && left > 0 {
+			err = &EarlyEndError{Unacknowledged: left}
+		}
+	}
 	return n, c.cause(err)
 }
 
--- a/internal/relayer/sender.go
+++ b/internal/relayer/sender.go
@@ -163,8 +163,9 @@
 		return &CutOffError{Address: r.address}
 	}
 	r.Status, r.Header = int(r.part.GetStatus()), header(r.part.GetHeaders())
-	if r.Status < http.StatusOK {
-		return &IncompleteError{Address: r.address, Cause: errors.New("the response begins without a status")}
+	// Entry processes of earlier versions pass on whatever status an upstream sends.
+	if !writer.IsFinalStatus(r.Status) {
+		return &IncompleteError{Address: r.address, Cause: errors.Errorf("the response begins with status %d", r.Status)}
 	}
 	return nil
 }
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -19,6 +19,7 @@
 	"github.com/comfreybend/comfreybend/internal/restrainer"
 	"github.com/comfreybend/comfreybend/internal/retirer"
 	"github.com/comfreybend/comfreybend/internal/scanner"
+	"github.com/comfreybend/comfreybend/internal/writer"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/settings"
@@ -314,6 +315,9 @@
 	if (misdirected || info.NotRun) && !at.isNamed() {
 		return at.failure(attemptError{Cause: &unnamedRefusalError{Status: status}})
 	}
+	if !writer.IsFinalStatus(status) {
+		return at.failure(attemptError{Cause: errors.Errorf("%d is not the status of a response", status)})
+	}
 	at.load = info.Load
 	u.onResponse(at, info)
 	switch {
--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -11,6 +11,7 @@
 	"github.com/comfreybend/comfreybend/internal/digester"
 	"github.com/comfreybend/comfreybend/internal/keeper"
 	"github.com/comfreybend/comfreybend/internal/proposer"
+	"github.com/comfreybend/comfreybend/internal/writer"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/state"
 )
@@ -87,7 +88,8 @@
 		return nil, refuse(http.StatusUnprocessableEntity, CodeIdempotencyReuse,
 			"the idempotency key was used for another call")
 	}
-	if earlier.GetAnswer().GetStatus() != 0 {
+	// Earlier versions stored the response whatever its status.
+	if writer.IsFinalStatus(int(earlier.GetAnswer().GetStatus())) {
 		return &storedResponse{claimID: earlierClaimID, response: earlier.GetAnswer()}, nil
 	}
 	refusal := refuseWithRetryAfter(http.StatusConflict, CodeInDoubt,
--- a/internal/writer/writer.go
+++ b/internal/writer/writer.go
@@ -15,6 +15,9 @@
 	// deadlineRenewalDivisor sets how often the write deadline is renewed: once
 	// 1/deadlineRenewalDivisor of the write timeout has passed since it was set.
 	deadlineRenewalDivisor = 8
+	// Final statuses have three digits, of which the first is 2 to 5 (RFC 9110, section 15).
+	minFinalStatus = 200
+	maxFinalStatus = 599
 )
 
 type (
@@ -48,6 +51,10 @@
 	return &Client{w: w, control: http.NewResponseController(w), timeout: timeout}
 }
 
+// IsFinalStatus reports whether a response with a status ends an exchange. net/http accepts any three digits
+// from an upstream, and panics if a status below 100 is written.
+func IsFinalStatus(status int) bool { return status >= minFinalStatus && status <= maxFinalStatus }
+
 // Header returns the header of the response.
 func (c *Client) Header() http.Header { return c.w.Header() }
 
