router: refuse no admitted request because an upstream could not be reached

Cause: a request whose first upstream cannot be reached is queued again after the connect timeout of 300 ms. If its class wants the first token within that time, the scheduler then refuses it with 429, however far its deadline is. Change: a request that was admitted before may wait until its deadline, and is not refused for prompts in progress.

--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -40,7 +40,9 @@
 		deadline = r.deadline
 	}
 	dispatchBy := deadline
-	if target := r.class.GetTarget().GetFirstToken().AsDuration(); target > 0 {
+	// A request that an upstream did not get, since no connection to it could be established, has often
+	// missed its target by then. It was admitted, and late is better for the client than a refusal.
+	if target := r.class.GetTarget().GetFirstToken().AsDuration(); target > 0 && !r.readmitted() {
 		dispatchBy = min(dispatchBy, r.arrived+target)
 	}
 	return scheduler.Item{
@@ -55,6 +57,9 @@
 	}
 }
 
+// readmitted reports that the request was admitted before and its attempt has failed.
+func (r *dispatchRequest) readmitted() bool { return len(r.pick.Avoid) > 0 }
+
 // setDraining replaces the set of upstreams that get no new requests.
 func (d *dispatcher) setDraining(ids []string) {
 	d.mu.Lock()
@@ -275,9 +280,9 @@
 }
 
 // refuseOvercommitted refuses a model request whose prompt the upstreams cannot process in
-// time beside the prompts in progress. It never refuses an interrupted request.
+// time beside the prompts in progress. It never refuses a request that was admitted before.
 func (d *dispatcher) refuseOvercommitted(r dispatchRequest, p *pool) *RefusalError {
-	if r.prompt == nil || r.interrupted || r.version != nil {
+	if r.prompt == nil || r.interrupted || r.version != nil || r.readmitted() {
 		return nil
 	}
 	upstreams, candidates := d.candidates(r.pool, p)
