planner: order fewer upstreams for large pools, and none that cannot start

Change: spare upstreams by the square root of a pool's size, with the sizes that pools of 20 upstreams have had; orders within the domain's maximum; a surplus on-demand upstream is given up for each preemptible one that serves; a new lease holder adds nothing.

--- a/pkg/planner/sizer.go
+++ b/pkg/planner/sizer.go
@@ -7,11 +7,13 @@
 )
 
 const (
-	// sizerTargetUtilization is the share of the time that the upstreams of a sized pool should
-	// be busy. It is low because preemptible upstreams cost less than late responses, bursts grow
-	// faster than upstreams start, and the preemptible upstreams of a failure domain may be
-	// reclaimed all at once.
-	sizerTargetUtilization = 0.25
+	// A sized pool should have upstreamsPerBusy times as many upstreams as its load keeps busy, and
+	// spareFactor times the square root of that number in addition: random fluctuations grow with
+	// the root of the load, bursts with the load. Both are large because preemptible upstreams
+	// cost less than late responses, bursts grow faster than upstreams start, and the preemptible
+	// upstreams of a failure domain may be reclaimed all at once.
+	upstreamsPerBusy = 3.1
+	spareFactor      = 1.9
 	// sizerOnDemandShare is the share of a pool's target size that should be on-demand, and
 	// minOnDemand the least number of on-demand upstreams, so that no class of work depends on
 	// preemptible upstreams alone. They are spread over the domains.
@@ -20,9 +22,9 @@
 	// fallbackShare limits the on-demand upstreams that replace unavailable preemptible ones:
 	// they are added only until the pool has this share of its target size.
 	fallbackShare = 0.6
-	// initialSizeFactor is multiplied by the current number of upstreams to get a pool's first
-	// target size, while the load is not known yet.
-	initialSizeFactor = 1.35
+	// initialSpareFactor times the square root of the current number of upstreams is added to it to
+	// get a pool's first target size, while the load is not known yet.
+	initialSpareFactor = 1.5
 	// shrinkRatio is the ratio of the needed number of upstreams to the target size above which a
 	// pool does not shrink, since a stopped upstream loses its cache.
 	shrinkRatio = 0.8
@@ -142,20 +144,19 @@
 	s.grow(now, p)
 	var orders []CountOrder
 	for _, d := range domainsByPrice(p) {
-		key := orderKey{domain: d, preemptible: true}
-		if now >= s.unavailableUntil[d] {
-			orders = s.appendOrder(now, orders, p.Name, key, s.preemptible[d], p.Preemptible[d])
+		available := now >= s.unavailableUntil[d]
+		if available {
+			// The platform starts no more than the domain's maximum has space for beside the on-demand
+			// upstreams, and does not start the others later by itself.
+			count := min(s.preemptible[d], max(p.Preemptible[d], p.Maximum-p.OnDemand[d]))
+			orders = s.appendOrder(now, orders, p.Name, orderKey{domain: d, preemptible: true}, count, p.Preemptible[d])
 		}
-		if s.preemptible[d] > p.Preemptible[d] && s.onDemand[d]+s.fallback[d] < p.OnDemand[d] && now >= s.unavailableUntil[d] {
-			// Planned preemptible upstreams do not serve yet: keep surplus on-demand upstreams
-			// until they do, as far as the domain's maximum has space for both.
-			kept := max(s.onDemand[d]+s.fallback[d], p.Maximum-s.preemptible[d])
-			if kept < p.OnDemand[d] {
-				orders = s.appendOrder(now, orders, p.Name, orderKey{domain: d}, kept, p.OnDemand[d])
-			}
-			continue
+		onDemand := s.onDemand[d] + s.fallback[d]
+		if available && onDemand < p.OnDemand[d] {
+			// A surplus on-demand upstream is kept for each planned preemptible one that does not serve yet.
+			onDemand = min(p.OnDemand[d], onDemand+max(0, s.preemptible[d]-p.Preemptible[d]))
 		}
-		orders = s.appendOrder(now, orders, p.Name, orderKey{domain: d}, s.onDemand[d]+s.fallback[d], p.OnDemand[d])
+		orders = s.appendOrder(now, orders, p.Name, orderKey{domain: d}, onDemand, p.OnDemand[d])
 	}
 	return orders
 }
@@ -184,15 +185,10 @@
 // updateTargetSize updates the target size and reports whether to distribute the upstreams anew:
 // at the first observation, and when fewer upstreams have been needed for shrinkDelay.
 func (s *sizedPoolState) updateTargetSize(now time.Duration, p SizedPool) bool {
-	needed := max(minOnDemand, len(p.Prices)*max(1, p.Minimum), int(math.Ceil(p.Busy/sizerTargetUtilization)))
+	needed := max(minOnDemand, len(p.Prices)*max(1, p.Minimum), int(math.Ceil(upstreamsPerBusy*p.Busy+spareFactor*math.Sqrt(p.Busy))))
 	needed = min(needed+p.Limited, len(p.Prices)*p.Maximum)
 	if s.onDemand == nil {
-		// The load is not known at the first observation, but the process that chose the current
-		// number of upstreams knew it.
-		for _, d := range domainsByPrice(p) {
-			s.targetSize += p.OnDemand[d] + p.Preemptible[d]
-		}
-		s.targetSize = max(int(math.Ceil(initialSizeFactor*float64(s.targetSize))), needed)
+		s.targetSize = min(max(initialSize(p), needed), len(p.Prices)*p.Maximum)
 		s.peakSince = now
 		return true
 	}
@@ -212,6 +208,20 @@
 	return true
 }
 
+// initialSize returns the target size at the first observation, when the load is not known. The process that
+// chose the current number of upstreams knew it, and has added spare ones if any is preemptible.
+func initialSize(p SizedPool) int {
+	current, preemptible := 0, 0
+	for d := range p.Prices {
+		current += p.OnDemand[d] + p.Preemptible[d]
+		preemptible += p.Preemptible[d]
+	}
+	if preemptible > 0 {
+		return current
+	}
+	return current + int(math.Ceil(initialSpareFactor*math.Sqrt(float64(current))))
+}
+
 // distribute spreads the target size evenly over the domains, starting with the cheapest one.
 func (s *sizedPoolState) distribute(p SizedPool) {
 	domains := domainsByPrice(p)
--- a/pkg/planner/sizer_test.go
+++ b/pkg/planner/sizer_test.go
@@ -179,3 +179,81 @@
 		t.Errorf("%d upstreams, %d of which limit their requests; want %d more than %d", after, limited, limited, before)
 	}
 }
+
+// slowPlatform carries out orders as the users' platform does: upstreams start after a while, and an order starts no
+// more than the domain's maximum has space for when it comes.
+type slowPlatform struct {
+	pool     SizedPool
+	starting map[time.Duration]map[FailureDomain]int
+	// paid is the sum of the upstreams over all steps, each at its price.
+	paid float64
+}
+
+const upstreamStart = 4 * time.Second
+
+func (p *slowPlatform) run(z *Sizer, from, until time.Duration, busy float64) {
+	p.pool.Busy = busy
+	for now := from; now < until; now += sizerStep {
+		for d, n := range p.starting[now] {
+			p.pool.Preemptible[d] += n
+		}
+		for _, o := range z.Step(now, p.pool) {
+			d := o.FailureDomain
+			if !o.Preemptible {
+				p.pool.OnDemand[d] = min(o.Count, p.pool.Maximum-p.pool.Preemptible[d])
+				continue
+			}
+			started := min(o.Count, p.pool.Maximum-p.pool.OnDemand[d]) - p.pool.Preemptible[d]
+			if p.starting[now+upstreamStart] == nil {
+				p.starting[now+upstreamStart] = map[FailureDomain]int{}
+			}
+			p.starting[now+upstreamStart][d] = max(0, started)
+		}
+		for d := range p.pool.Prices {
+			p.paid += float64(p.pool.OnDemand[d]) + 0.22*float64(p.pool.Preemptible[d])
+		}
+	}
+}
+
+func newSlowPlatform(onDemand, maximum int) *slowPlatform {
+	f := newFakePlatform(onDemand)
+	f.pool.Maximum = maximum
+	return &slowPlatform{pool: f.pool, starting: map[time.Duration]map[FailureDomain]int{}}
+}
+
+// TestSizerReplacesWithinMaximum guards against on-demand upstreams that are kept, at several times the price, since an
+// order for preemptible ones asked for more than the domain had space for and some never started.
+func TestSizerReplacesWithinMaximum(t *testing.T) {
+	p, z := newSlowPlatform(23, 46), NewSizer()
+	p.run(z, 0, 6*time.Second, 0)
+	onDemand, preemptible := 0, 0
+	for d := range p.pool.Prices {
+		onDemand += p.pool.OnDemand[d]
+		preemptible += p.pool.Preemptible[d]
+	}
+	// 92 upstreams and 15 spare ones, of which 17 are on-demand.
+	if onDemand != 17 || preemptible != 90 {
+		t.Errorf("%d on-demand and %d preemptible upstreams after 6 s, want 17 and 90", onDemand, preemptible)
+	}
+}
+
+// TestSizerOfSuccessor guards against a fleet that grows with each change of the lease holder.
+func TestSizerOfSuccessor(t *testing.T) {
+	p := newSlowPlatform(23, 46)
+	p.run(NewSizer(), 0, 12*time.Second, 20)
+	before := 0
+	for d := range p.pool.Prices {
+		before += p.pool.OnDemand[d] + p.pool.Preemptible[d]
+	}
+	for n := range 3 {
+		start := time.Duration(n+1) * 12 * time.Second
+		p.run(NewSizer(), start, start+12*time.Second, 20)
+	}
+	after := 0
+	for d := range p.pool.Prices {
+		after += p.pool.OnDemand[d] + p.pool.Preemptible[d]
+	}
+	if after != before {
+		t.Errorf("%d upstreams after three changes of the lease holder, %d before", after, before)
+	}
+}
