dialer, router: give connections a part of the target of their request

Cause: a connection to an upstream that has gone without a word was awaited for 300 ms, which is the whole target of the most urgent class at one deployment: its requests came late at best. Such an upstream looks idle and is chosen often. Change: a connection may take half of the target of its request, at least 100 ms, and the setting at most. Nothing has been sent by then, so that the request goes to another upstream at no cost for the retry budget.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -73,8 +73,13 @@
 		onStart func(*call, *attempt)
 	}
 
-	// upstreamKey is the context key of the upstream that a connection is established for.
-	upstreamKey struct{}
+	// destinationKey is the context key of the destination that a connection is established for.
+	destinationKey struct{}
+
+	destination struct {
+		upstream       *registrar.Upstream
+		connectTimeout time.Duration
+	}
 
 	// leavingUpstreamError reports an attempt that was not sent because its upstream has become
 	// known to be leaving.
@@ -214,18 +219,20 @@
 
 // dialUpstream establishes a connection, and closes it if its upstream is found to be leaving.
 func (u *upstreamClient) dialUpstream(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := u.dial(ctx, network, address)
-	upstream, known := ctx.Value(upstreamKey{}).(*registrar.Upstream)
+	to, known := ctx.Value(destinationKey{}).(destination)
 	if !known {
-		return conn, err
+		return u.dial(ctx, network, address)
 	}
+	ctx, cancel := context.WithTimeout(ctx, to.connectTimeout)
+	defer cancel()
+	conn, err := u.dial(ctx, network, address)
 	if err != nil {
 		if !errors.Is(err, context.Canceled) {
-			u.onUnreached(upstream)
+			u.onUnreached(to.upstream)
 		}
 		return nil, err
 	}
-	if err = u.checkLeaving(upstream); err != nil {
+	if err = u.checkLeaving(to.upstream); err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
@@ -344,7 +351,8 @@
 			u.onReached()
 		}
 	}}
-	ctx = context.WithValue(httptrace.WithClientTrace(ctx, trace), upstreamKey{}, at.grant.upstream)
+	to := destination{upstream: at.grant.upstream, connectTimeout: dialer.TimeoutFor(c.class.GetTarget(), u.limits.GetConnectTimeout().AsDuration())}
+	ctx = context.WithValue(httptrace.WithClientTrace(ctx, trace), destinationKey{}, to)
 	request, err := http.NewRequestWithContext(ctx, c.method, at.grant.upstream.URL, bytes.NewReader(c.body))
 	if err != nil {
 		return nil, errors.Wrap(err, "making the upstream request")
