--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -50,6 +50,9 @@
 		// Slots is the number of requests that the upstream can process
 		// concurrently, zero if unknown.
 		Slots int
+		// Slowdown is the time that work takes on the upstream's machine at present as a
+		// multiple of the usual time, zero if unknown.
+		Slowdown float64
 		// MeasuredAt is the time of the measurement on this process's monotonic clock.
 		MeasuredAt time.Duration
 	}
