profiler, picker: relative speeds and failures of upstreams from pooled observations

Cause: the placer takes all engines to be equally fast, and an upstream that fails a share of its requests while its health check is good is not noticed: one host sees one or two requests a second of such a service.

Change: the pure package profiler compares durations with those of the same class of requests, adds up what many processes observed, and gives each upstream a speed relative to the median of its pool and the fraction by which it fails more than the others (lower Wilson bound, 3 standard errors and more in large pools, against the upper bound of the others). Engine and Candidate have Speed and Slowdown, which count in cost, admission, light group and the choice of plain services, and Candidate has Failing. Speeds within 10 % of 1 count as 1. Nothing sets these fields yet.

--- a/pkg/picker/admission.go
+++ b/pkg/picker/admission.go
@@ -1,6 +1,10 @@
 package picker
 
-import "time"
+import (
+	"time"
+
+	"github.com/comfreybend/comfreybend/pkg/profiler"
+)
 
 const (
 	// maxPrefillShare and minPrefillShare are the shares of the shortest response timeout that
@@ -109,8 +113,8 @@
 // endsInTime reports whether an engine is expected to answer the request within a part of its
 // TimeLimit.
 func (p *Placer) endsInTime(r PromptRequest, e *Engine, uncached float64) bool {
-	prefill := time.Duration((e.PendingTokens + uncached) / p.prefillRate * float64(time.Second))
-	generation := time.Duration(r.MaxOutputTokens) * (assumedStepTime + time.Duration(e.Requests)*stepTimePerRequest)
+	prefill := time.Duration((e.PendingTokens + uncached) / p.rateOf(e) * float64(time.Second))
+	generation := time.Duration(r.MaxOutputTokens) * e.stepTime(e.Requests)
 	return float64(e.slotWait(r)+prefill+generation) <= maxResponseShare*float64(r.TimeLimit)
 }
 
@@ -143,7 +147,7 @@
 	if budget <= 0 || e.UncachedTokens == 0 {
 		return 0
 	}
-	seconds := (e.UncachedTokens + uncached) / p.prefillRate
+	seconds := (e.UncachedTokens + uncached) / p.rateOf(e)
 	return max(0, time.Duration(seconds*float64(time.Second))-budget)
 }
 
@@ -181,12 +185,11 @@
 	if totalWork == 0 {
 		return 0
 	}
-	step := assumedStepTime + time.Duration(e.Requests)*stepTimePerRequest
-	return time.Duration(tokens / totalWork * float64(step))
+	return time.Duration(tokens / totalWork * float64(e.stepTime(e.Requests)))
 }
 
 // prefillUtilization returns the mean share of the prefill budget that is in use at the engines
-// of the request's group, from 0 to 1.
+// of the request's group, weighted by their speed, from 0 to 1.
 func (p *Placer) prefillUtilization(engines []Engine, lightGroup []bool, lightClass bool, budget time.Duration) float64 {
 	budgetTokens := p.prefillRate * budget.Seconds()
 	if budgetTokens <= 0 {
@@ -197,8 +200,9 @@
 		if engines[i].Limited || lightGroup != nil && lightGroup[i] != lightClass {
 			continue
 		}
-		used += min(engines[i].UncachedTokens, budgetTokens)
-		count++
+		speed := profiler.Relative(engines[i].Speed)
+		used += min(engines[i].UncachedTokens, budgetTokens*speed)
+		count += speed
 	}
 	return used / max(1, count) / budgetTokens
 }
--- a/pkg/picker/light.go
+++ b/pkg/picker/light.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/comfreybend/comfreybend/pkg/profiler"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 )
 
@@ -156,14 +157,28 @@
 	if math.Abs(wantedSize-p.lightGroupSize) > max(minLightGroupDeviation, lightGroupDeviationShare*float64(n)) {
 		p.lightGroupSize = math.Round(wantedSize)
 	}
-	size := p.boundedLightSize(engines, n)
+	return p.chooseLightEngines(engines, order, settled)
+}
+
+// chooseLightEngines returns the first settled engines whose speeds together come closest to that of a
+// light group of the bounded size at the mean speed.
+func (p *Placer) chooseLightEngines(engines []Engine, order []int, settled map[int]bool) []bool {
+	n := len(settled)
+	wanted := float64(p.boundedLightSize(engines, n)) * meanSpeed(engines, settled)
+	least := min(n-1, minLightEngines(engines, n))
 	group := make([]bool, len(engines))
-	chosen := 0
+	chosen, speed := 0, 0.0
 	for _, i := range order {
-		if chosen < size && settled[i] {
-			group[i] = true
-			chosen++
+		if !settled[i] {
+			continue
+		}
+		own := profiler.Relative(engines[i].Speed)
+		if chosen >= n-1 || chosen >= least && speed+own/2 > wanted {
+			break
 		}
+		group[i] = true
+		chosen++
+		speed += own
 	}
 	return group
 }
--- a/pkg/picker/picker.go
+++ b/pkg/picker/picker.go
@@ -73,6 +73,11 @@
 		Slots int
 		// Latency is the average time to the first byte, zero if it is unknown.
 		Latency time.Duration
+		// Speed is the speed relative to the other upstreams of the pool, Slowdown the time that work
+		// takes at present as a multiple of the usual time. Zero means unknown. See profiler.Relative.
+		Speed, Slowdown float64
+		// Failing reports that the upstream is known to fail more requests than the others.
+		Failing bool
 	}
 
 	// Request describes the request to be placed.
@@ -102,7 +107,7 @@
 
 // Pick returns the index of the chosen candidate, or -1 if none is free.
 func (p *Picker) Pick(r Request, candidates []Candidate) int {
-	eligible := eligibleFor(r, candidates)
+	eligible := p.eligibleFor(r, candidates)
 	if len(eligible) == 0 {
 		return -1
 	}
@@ -125,9 +130,10 @@
 
 // eligibleFor returns the indices of the free candidates, narrowed by these preferences in
 // order: upstreams at which the request has not failed, failure domains with fewer than
-// domainFailureThreshold failures, upstreams that are not preemptible unless the request is
-// retryable, the local failure domain. A preference that no candidate meets is skipped.
-func eligibleFor(r Request, candidates []Candidate) []int {
+// domainFailureThreshold failures, upstreams that do not fail more requests than the others,
+// upstreams that are not preemptible unless the request is retryable, the local failure domain. A
+// preference that no candidate meets is skipped.
+func (p *Picker) eligibleFor(r Request, candidates []Candidate) []int {
 	var free []int
 	for i := range candidates {
 		if candidates[i].Free {
@@ -137,6 +143,7 @@
 	free = filterUnlessEmpty(free, func(i int) bool { return !contains(r.Avoid, candidates[i].ID) })
 	failed := failuresByDomain(r.Avoid, candidates)
 	free = filterUnlessEmpty(free, func(i int) bool { return failed[candidates[i].Domain] < domainFailureThreshold })
+	free = p.soundFirst(candidates, free)
 	if !r.Retryable {
 		free = filterUnlessEmpty(free, func(i int) bool { return !candidates[i].Preemptible })
 	}
@@ -176,11 +183,10 @@
 // the load including the new request divided by the slots, multiplied by the latency. If the latency
 // is unknown, it returns the occupancy alone.
 func (c *Candidate) cost() float64 {
-	occupancy := float64(c.Load()+1) / float64(max(1, c.Slots))
 	if c.Latency == 0 {
-		return occupancy
+		return c.occupancy()
 	}
-	return occupancy * c.Latency.Seconds()
+	return c.occupancy() * c.Latency.Seconds()
 }
 
 // powerOfTwoChoices draws two eligible candidates at random and returns the one with the lower cost.
@@ -194,9 +200,10 @@
 		second = eligible[p.random(len(eligible))]
 	}
 	a, b := &candidates[first], &candidates[second]
-	if (a.Latency == 0) != (b.Latency == 0) {
-		// Costs with and without a latency are not comparable, but occupancies are.
-		if float64(a.Load()+1)/float64(max(1, a.Slots)) <= float64(b.Load()+1)/float64(max(1, b.Slots)) {
+	if (a.Latency == 0) != (b.Latency == 0) || a.hasOwnSpeed() || b.hasOwnSpeed() {
+		// Costs with and without a latency are not comparable, but occupancies are. A speed that is
+		// known from the observations of all processes says more than the latency of this one.
+		if a.occupancy() <= b.occupancy() {
 			return first
 		}
 		return second
@@ -223,7 +230,7 @@
 			highest = h
 		}
 	}
-	if float64(candidates[preferred].Load()) > affinityLoadLimit(candidates, eligible) {
+	if candidates[preferred].relativeLoad() > affinityLoadLimit(candidates, eligible) {
 		return -1
 	}
 	return preferred
@@ -234,24 +241,24 @@
 func byCachedPrefix(candidates []Candidate, eligible []int) int {
 	holder := -1
 	for _, i := range eligible {
-		if candidates[i].Cached && (holder < 0 || candidates[i].Load() < candidates[holder].Load()) {
+		if candidates[i].Cached && (holder < 0 || candidates[i].relativeLoad() < candidates[holder].relativeLoad()) {
 			holder = i
 		}
 	}
-	if holder >= 0 && float64(candidates[holder].Load()) > affinityLoadLimit(candidates, eligible) {
+	if holder >= 0 && candidates[holder].relativeLoad() > affinityLoadLimit(candidates, eligible) {
 		return -1
 	}
 	return holder
 }
 
-// affinityLoadLimit returns the largest load of a candidate at which it is chosen because of the
+// affinityLoadLimit returns the largest load relative to the speed of a candidate at which it is chosen because of the
 // request's prefix.
 func affinityLoadLimit(candidates []Candidate, eligible []int) float64 {
-	total := 0
+	total := 0.0
 	for _, i := range eligible {
-		total += candidates[i].Load()
+		total += candidates[i].relativeLoad()
 	}
-	return affinityLoadFactor * float64(total+1) / float64(len(eligible))
+	return affinityLoadFactor * (total + 1) / float64(len(eligible))
 }
 
 func leastReportedLoad(candidates []Candidate, eligible []int) int {
--- a/pkg/picker/placer.go
+++ b/pkg/picker/placer.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/comfreybend/comfreybend/pkg/profiler"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 )
 
@@ -153,6 +154,11 @@
 		UncachedTokens float64
 		// Penalty is added to the predicted time because of recent failures.
 		Penalty time.Duration
+		// Speed is the speed relative to the other engines, zero if unknown. See profiler.Relative.
+		Speed float64
+		// Slowdown is the time that work takes at present as a multiple of the usual time, zero if
+		// unknown. It lasts for a fraction of a second and counts only for the predicted time.
+		Slowdown float64
 	}
 
 	// Placer chooses engines for model requests by the predicted time to the first token.
@@ -170,7 +176,7 @@
 	// Methods that take now expect the same monotonic clock. A Placer is not safe for
 	// concurrent use.
 	Placer struct {
-		// prefillRate is the estimated prefill rate of an engine in prompt tokens per second.
+		// prefillRate is the estimated prefill rate of an engine of speed 1 in prompt tokens per second.
 		prefillRate float64
 		classes     map[Class]*classStats
 		// cached holds, by part and engine, when it was last recorded that the engine caches the
@@ -284,7 +290,7 @@
 	if e.Slots == 0 || e.Requests < e.Slots {
 		return 0
 	}
-	response := time.Duration(r.MaxOutputTokens) * (assumedStepTime + time.Duration(e.Slots)*stepTimePerRequest)
+	response := time.Duration(r.MaxOutputTokens) * e.stepTime(e.Slots)
 	return response * time.Duration(e.Requests-e.Slots+1) / time.Duration(e.Slots)
 }
 
@@ -299,10 +305,14 @@
 // time by which the running requests slow down the generation of the response. weight multiplies
 // the request's uncached tokens.
 func (p *Placer) cost(r PromptRequest, e *Engine, uncached, weight float64) time.Duration {
-	seconds := (e.PendingTokens + weight*uncached) / p.prefillRate
-	cost := time.Duration(seconds*float64(time.Second)) + e.Penalty
-	cost += time.Duration(e.Requests*max(1, r.MaxOutputTokens)) * stepTimePerRequest / 4
+	seconds := (e.PendingTokens + weight*uncached) / p.rateOf(e)
+	cost := time.Duration(seconds * float64(time.Second))
+	cost += e.scaled(time.Duration(e.Requests*max(1, r.MaxOutputTokens)) * stepTimePerRequest / 4)
 	cost += e.slotWait(r)
+	if slowdown := profiler.Relative(e.Slowdown); slowdown != 1 {
+		cost = time.Duration(float64(cost) * slowdown)
+	}
+	cost += e.Penalty
 	if !e.Local {
 		cost += crossDomainPenalty
 	}
