router, controller, schema: pool what hosts observe of upstreams, and use it

Cause: a host sees three requests a second for 90 engines, or one or two of a plain service, which is too little to learn speeds or rates of failures from.

Change: each host adds to its load, by run of an upstream, sums of what it observed since the previous report (time to the first token, time between events, time of whole responses, attempts and those that the upstream failed); control processes add them up, pass on those of their own hosts to each other, and reply with the profiles that changed. Profiles reach the candidates of the picker and the engines of the placer; the observed prefill rate is divided by the speed. Log lines of attempts have the speed and the excess of failures where known; the gauge upstream_speed_spread has the ratio of the highest to the lowest speed by pool.

--- a/internal/controller/follow.go
+++ b/internal/controller/follow.go
@@ -258,6 +258,7 @@
 			loadPosition, cachedPartsPosition = 0, 0
 		}
 		c.loads.fillReply(reply, loadPosition, cachedPartsPosition, registrar.FailureDomain(f.GetFailureDomain()), c.upstreamTable.Places())
+		c.loads.fillProfiles(reply, f.GetLoadShare(), registrar.FailureDomain(f.GetFailureDomain()), c.upstreamTable.Places())
 	}
 	reply.RevisionAgeMillis = c.revisionAge().Milliseconds()
 	reply.LagMillis = c.lag().Milliseconds()
--- a/internal/controller/loads.go
+++ b/internal/controller/loads.go
@@ -9,6 +9,7 @@
 	"github.com/comfreybend/comfreybend/internal/tabulator"
 	"github.com/comfreybend/comfreybend/pkg/gatherer"
 	"github.com/comfreybend/comfreybend/pkg/picker"
+	"github.com/comfreybend/comfreybend/pkg/profiler"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/wire"
@@ -45,6 +46,10 @@
 		// processes was not empty.
 		lastSentNonEmpty bool
 		cachedParts      *gatherer.RecentSet[picker.CachedPart]
+		// profiles adds up what all entry processes have observed of upstreams; unsentSums holds
+		// what is to be sent of it to the other control processes.
+		profiles   *profiler.Table
+		unsentSums *profiler.Observer
 		// unsentCachedParts are to be sent to the other control processes.
 		unsentCachedParts []picker.CachedPart
 		// domainLoads is the result of sumByPlace at domainLoadsAt.
@@ -59,6 +64,7 @@
 		total: gatherer.New[registrar.UpstreamID](loadTimeout),
 
 		cachedParts: gatherer.NewRecentSet[picker.CachedPart](cachedPartLifetime, maxCachedParts),
+		profiles:    profiler.NewTable(), unsentSums: profiler.NewObserver(),
 	}
 }
 
@@ -79,6 +85,7 @@
 			t.unsentCachedParts = append(t.unsentCachedParts, part)
 		}
 	}
+	t.unsentSums.Add(t.addSums(now, load))
 }
 
 // recordPeerLoad replaces the load of the entry processes that poll another
@@ -95,6 +102,7 @@
 	for _, part := range announcer.CachedPartsFromWire(load.GetHeld()) {
 		t.cachedParts.Add(now, part)
 	}
+	t.addSums(now, load)
 }
 
 // fillReply adds to a reply the load sums and cached parts that changed after the given
@@ -153,7 +161,7 @@
 }
 
 // takeOutgoing returns the load of the entry processes that poll this process,
-// for the other control processes, and the unsent cached parts. It returns nil if
+// for the other control processes, and the unsent cached parts and observations. It returns nil if
 // there is nothing to send; an empty load is sent once after a non-empty one.
 func (t *loadTable) takeOutgoing() *wire.LoadShare {
 	t.mu.Lock()
@@ -164,11 +172,12 @@
 			delete(sums, id)
 		}
 	}
-	if len(sums) == 0 && !t.lastSentNonEmpty && len(t.unsentCachedParts) == 0 {
+	observed := announcer.SumsToWire(t.unsentSums.Take(maxGossipSums))
+	if len(sums) == 0 && !t.lastSentNonEmpty && len(t.unsentCachedParts) == 0 && len(observed) == 0 {
 		return nil
 	}
 	t.lastSentNonEmpty = len(sums) > 0
 	parts := announcer.CachedPartsToWire(t.unsentCachedParts)
 	t.unsentCachedParts = nil
-	return &wire.LoadShare{Loads: announcer.LoadsToWire(sums), Held: parts}
+	return &wire.LoadShare{Loads: announcer.LoadsToWire(sums), Held: parts, Sums: observed}
 }
--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -52,6 +52,7 @@
 		recentCachedParts *gatherer.RecentSet[picker.CachedPart]
 		// unsentCachedParts holds the cached parts to send with the next wire.LoadShare.
 		unsentCachedParts []picker.CachedPart
+		profiles          profiles
 	}
 
 	// poolPlace is a failure domain and the name of what is served there.
@@ -63,7 +64,7 @@
 
 // New returns an estimator without any report.
 func New() *Estimator {
-	return &Estimator{recentCachedParts: gatherer.NewRecentSet[picker.CachedPart](cachedPartLifetime, maxCachedParts)}
+	return &Estimator{recentCachedParts: gatherer.NewRecentSet[picker.CachedPart](cachedPartLifetime, maxCachedParts), profiles: newProfiles()}
 }
 
 // UpdatedAt returns when the latest report arrived.
@@ -108,9 +109,10 @@
 	return parts
 }
 
-// RequeueCachedParts queues the cached parts of a message again after it could not be sent.
+// RequeueCachedParts queues the cached parts and the sums of a message again after it could not be sent.
 func (e *Estimator) RequeueCachedParts(share *wire.LoadShare) {
 	e.unsentCachedParts = append(e.unsentCachedParts, announcer.CachedPartsFromWire(share.GetHeld())...)
+	e.profiles.observer.Add(announcer.SumsFromWire(share.GetSums()))
 }
 
 // Apply applies a reply of a control process: the sums that have changed since the requested
@@ -127,6 +129,7 @@
 	for _, part := range parts {
 		e.recentCachedParts.Add(now, part)
 	}
+	e.profiles.apply(reply, upstreamOf)
 	e.own = announcer.LoadsFromWire(share.GetLoads())
 	for id, load := range announcer.LoadsFromWire(reply.GetLoads()) {
 		if load == (gatherer.Load{}) {
--- a/internal/router/cluster_load.go
+++ b/internal/router/cluster_load.go
@@ -43,7 +43,7 @@
 }
 
 // loadShare returns this process's load on the upstreams, and the cached parts not sent
-// yet, which it removes from the queue.
+// yet and what was observed of upstreams, which it removes from the queues.
 func (d *dispatcher) loadShare() *wire.LoadShare {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -54,10 +54,13 @@
 		}
 	}
 	cached := announcer.CachedPartsToWire(d.clusterLoad.TakeUnsentCachedParts())
-	return &wire.LoadShare{Loads: announcer.LoadsToWire(loads), Held: cached}
+	share := &wire.LoadShare{Loads: announcer.LoadsToWire(loads), Held: cached}
+	d.clusterLoad.FillShare(share)
+	return share
 }
 
-// requeueCachedParts queues the cached parts of a message again after it could not be sent.
+// requeueCachedParts queues the cached parts and observations of a message again after it could not be
+// sent.
 func (d *dispatcher) requeueCachedParts(share *wire.LoadShare) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -72,4 +75,7 @@
 	for _, part := range d.clusterLoad.Apply(now, share, reply, d.registry.Get) {
 		d.placer.AddCached(now, part)
 	}
+	if len(reply.GetProfiles().GetProfiles()) > 0 {
+		d.recordSpeeds()
+	}
 }
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -120,6 +120,7 @@
 		reserved restrainer.Reservation
 		// placement holds what the choice of the upstream was based on. It is logged.
 		placement placement
+		observed  observation
 	}
 
 	// placement holds the number of candidates for an attempt, the number of requests
@@ -399,9 +400,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.finishPrefill(g)
-	if g.prefillStartsImmediately {
-		d.placer.ObserveFirstToken(int(g.uncachedTokens), d.now()-g.grantedAt)
-	}
+	d.observeFirstToken(g)
 }
 
 // finishPrefill removes the grant's prompt from the pending tokens of its upstream.
@@ -430,6 +429,7 @@
 	d.finishPrefill(g)
 	g.state.uncachedTokens -= g.uncachedTokens
 	g.state.requestFinished(d.now(), outcome)
+	d.observeEnd(g, outcome)
 	if outcome == outcomeUnreachable || outcome == outcomeTimedOut {
 		d.failuresIn(g.upstream.FailureDomain).Add(d.now())
 	}
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -51,6 +51,12 @@
 	tagged.Timer("first_byte").Record(sinceArrival)
 }
 
+// speedSpread sets the ratio of the highest to the lowest speed of the upstreams of a pool.
+func (m *metrics) speedSpread(pool poolKey, ratio float64) {
+	m.scope.Tagged(map[string]string{"kind": string(pool.kind), "serves": pool.name}).
+		Gauge("upstream_speed_spread").Update(ratio)
+}
+
 func (m *metrics) waiting(pool poolKey, count int) {
 	m.scope.Tagged(map[string]string{"kind": string(pool.kind), "serves": pool.name}).
 		Gauge("requests_waiting").Update(float64(count))
--- a/internal/router/notice.go
+++ b/internal/router/notice.go
@@ -19,6 +19,7 @@
 // process for a time, and how many it takes from all processes.
 func (r *Router) handleNotices(at *attempt, info ResponseInfo) {
 	g := at.grant
+	r.dispatcher.observeResponse(g, at.response, info)
 	if at.isFromOtherRun(info) {
 		if r.dispatcher.withdraw(g.upstream) {
 			r.logLeave(*g.upstream, leaveReplaced, g.upstream.URL)
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -99,6 +99,7 @@
 		engines := d.placerEngines(upstreams, candidates)
 		chosen, g.uncachedTokens = d.placer.Pick(now, *w.request.prompt, engines)
 		g.placement.load = engines[chosen].Requests
+		g.observed.tokensAhead, g.observed.othersTokens = engines[chosen].PendingTokens, engines[chosen].UncachedTokens
 	} else {
 		d.markCached(candidates, w.request.pick.Prefix)
 		chosen = d.picker.Pick(w.request.pick, candidates)
@@ -106,6 +107,7 @@
 	}
 	g.upstream = upstreams[chosen]
 	g.state = d.upstreamStates[g.upstream.ID]
+	g.observed.profile, g.observed.deadline = d.clusterLoad.ProfileOf(now, g.upstream), w.request.deadline
 	g.placement.candidates = len(candidates)
 	g.placement.loadAge = measurementAge(now, max(g.state.reportedLoad.MeasuredAt, g.upstream.Load.MeasuredAt))
 	if w.request.prompt != nil {
@@ -187,7 +189,9 @@
 			Slots:          u.Load.Slots,
 			PendingTokens:  d.upstreamStates[u.ID].pendingTokens + othersPending,
 			UncachedTokens: uncached,
-			Penalty:        d.upstreamStates[u.ID].failures.Penalty(now) + d.failuresIn(u.FailureDomain).Penalty(now)/domainPenaltyDivisor,
+			Penalty:        d.upstreamStates[u.ID].failures.Penalty(now) + d.failuresIn(u.FailureDomain).Penalty(now)/domainPenaltyDivisor + d.failurePenalty(now, u),
+			Speed:          c.Speed,
+			Slowdown:       c.Slowdown,
 		})
 	}
 	return out
@@ -262,6 +266,7 @@
 			Slots:            slotsOf(u),
 			Latency:          s.limiter.Latency(),
 		})
+		d.setProfile(now, u, &candidates[len(candidates)-1])
 	}
 	return upstreams, candidates
 }
--- a/internal/router/request_log.go
+++ b/internal/router/request_log.go
@@ -30,7 +30,7 @@
 // placementFields returns the log fields that explain the choice of an upstream: its
 // assumed load, the age of that figure, and the number of candidates.
 func (h *callHandler) placementFields(g *grant) []zap.Field {
-	return []zap.Field{
+	return append([]zap.Field{
 		h.requestIDField(),
 		zap.String("upstream", string(g.upstream.ID)),
 		zap.String("upstreamDomain", string(g.upstream.FailureDomain)),
@@ -40,7 +40,7 @@
 		zap.Duration("loadAge", g.placement.loadAge),
 		zap.Int("unreadTokens", int(g.uncachedTokens)),
 		zap.Duration("wait", g.grantedAt-h.call.arrived),
-	}
+	}, g.profileFields()...)
 }
 
 // partsField returns the log field with the ids of the prompt's shared parts.
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -129,6 +129,7 @@
 func (h *callHandler) recordEvent(e scanner.Event, done bool) {
 	h.recordStart()
 	h.current.eventsRelayed.Add(1)
+	h.current.grant.observed.events++
 	if h.router.dispatcher.now()-h.current.startedAt-h.current.timeToHeaders > responseTime {
 		h.recordSurvival()
 	}
--- a/pkg/picker/speed.go
+++ b/pkg/picker/speed.go
@@ -1,6 +1,7 @@
 package picker
 
 import (
+	"slices"
 	"time"
 
 	"github.com/comfreybend/comfreybend/pkg/profiler"
@@ -62,6 +63,9 @@
 // soundFirst narrows candidates to those that do not fail more requests than the others, if one of
 // these has a free slot. One request in proveDivisor may go to any.
 func (p *Picker) soundFirst(candidates []Candidate, indices []int) []int {
+	if !slices.ContainsFunc(indices, func(i int) bool { return candidates[i].Failing }) {
+		return indices
+	}
 	var sound []int
 	room := false
 	for _, i := range indices {
@@ -70,7 +74,7 @@
 			room = room || c.Load() < c.Slots
 		}
 	}
-	if len(sound) == len(indices) || !room || p.random(proveDivisor) == 0 {
+	if !room || p.random(proveDivisor) == 0 {
 		return indices
 	}
 	return sound
--- a/pkg/profiler/profiler.go
+++ b/pkg/profiler/profiler.go
@@ -35,6 +35,10 @@
 	// averaged, minReferenceSamples the number from which it is used.
 	referenceSamples    = 50
 	minReferenceSamples = 3
+	// prefillWeight is the weight of an observed prefill relative to that of a response. It depends on
+	// prompts of other processes that this one does not know of, most at the engines that have popular
+	// prompt parts cached.
+	prefillWeight = 0.25
 	// maxGroups bounds the groups of an Observer, and maxUnsent the runs whose sums it keeps, at about
 	// 100 bytes each.
 	maxGroups = 2_000
@@ -138,7 +142,11 @@
 	}
 	if r.samples >= minReferenceSamples {
 		x := max(-maxLogSpeed, min(maxLogSpeed, r.mean-ratio))
-		o.add(s.Run, Sums{Weight: 1, LogSpeed: x, Square: x * x})
+		weight := 1.0
+		if s.Group.Work == WorkPrefill {
+			weight = prefillWeight
+		}
+		o.add(s.Run, Sums{Weight: weight, LogSpeed: weight * x, Square: weight * x * x})
 		// A stall must not move the usual time of the group more than a slow upstream does.
 		ratio = r.mean - x
 	}
--- a/pkg/profiler/profiler_test.go
+++ b/pkg/profiler/profiler_test.go
@@ -19,7 +19,7 @@
 		for id, took := range map[registrar.UpstreamID]time.Duration{"usual": 300, "other": 300, "slow": 450} {
 			run := Run{ID: id, Incarnation: 1}
 			jitter := time.Duration(i%5) * 10 * time.Millisecond
-			host.Observe(Sample{Run: run, Group: group, Expected: ExpectedEvents(40, 10), Took: took*time.Millisecond + jitter})
+			host.Observe(Sample{Run: run, Group: group, Expected: ExpectedEvents(40, 10, 0), Took: took*time.Millisecond + jitter})
 			host.Ended(run, id == "other" && i%2 == 0)
 		}
 	}
--- a/pkg/profiler/table.go
+++ b/pkg/profiler/table.go
@@ -199,27 +199,3 @@
 	sort.Float64s(values)
 	return (values[(n-1)/2] + values[n/2]) / 2
 }
-
-// Spreads returns by pool the ratio of the highest to the lowest published speed. Pools of upstreams that
-// are equally fast are left out.
-func (t *Table) Spreads(poolOf func(registrar.UpstreamID) (string, bool)) map[string]float64 {
-	lowest, highest := map[string]float64{}, map[string]float64{}
-	for id, u := range t.upstreams {
-		if pool, known := poolOf(id); known && u.published.Speed > 0 {
-			lowest[pool] = min(1, u.published.Speed, positiveOr(lowest[pool], 1))
-			highest[pool] = max(1, u.published.Speed, highest[pool])
-		}
-	}
-	for pool := range highest {
-		highest[pool] /= lowest[pool]
-	}
-	return highest
-}
-
-// positiveOr returns value, or other if it is not positive.
-func positiveOr(value, other float64) float64 {
-	if value > 0 {
-		return value
-	}
-	return other
-}
