router: count failures of upstreams only where they report how slow they are

Cause: deployments whose upstreams do not report a slowdown must be served as before. Change: attempts are counted once an upstream has reported a slowdown, as durations are. Result: tests of profiles in internal/router and pkg/profiler pass.

--- a/internal/router/profile.go
+++ b/internal/router/profile.go
@@ -92,6 +92,10 @@
 			return
 		}
 	}
+	if !d.clusterLoad.Observer().Enabled() {
+		// Upstreams that do not report how slow they are get the requests that they always got.
+		return
+	}
 	d.clusterLoad.Observer().Ended(runOf(g.upstream), failed)
 	switch {
 	case failed || outcome != outcomeAnswered:
--- a/pkg/profiler/profiler.go
+++ b/pkg/profiler/profiler.go
@@ -122,6 +122,9 @@
 // Enable starts the observation of speeds. Call it when an upstream reports a slowdown.
 func (o *Observer) Enable() { o.enabled = true }
 
+// Enabled reports whether Enable has been called.
+func (o *Observer) Enabled() bool { return o.enabled }
+
 // Observe adds an observation of a duration. The present slowdown is divided out of durations that are
 // not longer than its report is valid; longer ones are averages over many slowdowns.
 func (o *Observer) Observe(s Sample) {
