warmer, restrainer: keep requests to cold upstreams within what they tolerate

An upstream that has just started tolerates a few requests a second and crashes above that, and hosts learn of it from announcements only. pkg/warmer divides the rate that its pool declares into turns of one host each by the agreed clock; the restrainer enforces them where a request is sent. Pools without a rate are served as before. The ends of warm-ups are passed on if they move by 0.25 s, and are compared with what was passed on last.

In the model at most 9 requests fall into any second at 5.2 a second, with 12 allowed (go test ./pkg/warmer -run TestSumOverHosts -v).

--- a/cmd/comfreybend/config.go
+++ b/cmd/comfreybend/config.go
@@ -70,9 +70,11 @@
 	configuration := &state.Configuration{}
 	faults := validator.Decode(document, configuration)
 	var invalid *configurer.InvalidConfigurationError
-	if len(faults) == 0 && errors.As(configurer.Check(configuration), &invalid) {
-		for _, f := range invalid.Errors {
-			faults = append(faults, validator.Fault{Path: f.Path, Problem: f.Problem, Allowed: "see comfreybend-config(5)"})
+	for _, check := range []func(*state.Configuration) error{configurer.Check, configurer.CheckWarmUps} {
+		if len(faults) == 0 && errors.As(check(configuration), &invalid) {
+			for _, f := range invalid.Errors {
+				faults = append(faults, validator.Fault{Path: f.Path, Problem: f.Problem, Allowed: "see comfreybend-config(5)"})
+			}
 		}
 	}
 	if len(faults) > 0 {
--- a/internal/controller/operator.go
+++ b/internal/controller/operator.go
@@ -18,6 +18,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/keeper"
 	"github.com/comfreybend/comfreybend/pkg/isolator"
 	"github.com/comfreybend/comfreybend/schema/state"
@@ -139,6 +140,9 @@
 	if change.GetChangeId() == "" {
 		return nil, &MalformedError{Cause: errors.New("changeId is missing")}
 	}
+	if err = configurer.CheckOperation(change.GetOperation()); err != nil {
+		return nil, &MalformedError{Cause: err}
+	}
 	return change, nil
 }
 
--- a/internal/restrainer/restrainer.go
+++ b/internal/restrainer/restrainer.go
@@ -1,14 +1,20 @@
 // Package restrainer keeps the requests of an entry process within the request limits that
-// upstreams name, together with all other entry processes.
+// upstreams name, and within what cold upstreams tolerate, together with all other entry processes.
 package restrainer
 
 import (
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
 	"github.com/comfreybend/comfreybend/internal/announcer"
 	"github.com/comfreybend/comfreybend/pkg/apportioner"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
+	"github.com/comfreybend/comfreybend/pkg/timer"
+	"github.com/comfreybend/comfreybend/schema/settings"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
@@ -23,8 +29,13 @@
 	// Restrainer holds the request limits and what this process sends. It is safe for concurrent
 	// use.
 	Restrainer struct {
-		// now returns the time on which all processes agree.
-		now func() time.Time
+		// Log and Held are set before use. Held counts the requests that a cold upstream did not get.
+		Log  *zap.Logger
+		Held tally.Counter
+
+		// now returns the time on which all processes agree, local that of the monotonic clock.
+		now   func() time.Time
+		local func() time.Duration
 
 		mu          sync.Mutex
 		apportioner *apportioner.Apportioner
@@ -34,19 +45,26 @@
 		digest  uint64
 		// listedAt is when the hosts were last recorded.
 		listedAt time.Time
+		warmth   warmth
 	}
 
 	// Restraint is what holds for an upstream now.
 	Restraint struct {
-		// Limited reports that the upstream names a limit.
+		// Limited reports that the upstream names a limit or is cold.
 		Limited bool
 		// Available reports that this process may send a request.
 		Available bool
+		// Named reports that the upstream names a limit.
+		Named bool
+		// ColdUntil is the end of the time for which the upstream is cold, zero if it is not.
+		ColdUntil time.Duration
 	}
 
 	// Reservation permits one request to an upstream with a limit. The zero value permits none.
 	Reservation struct {
 		at time.Time
+		// turnEnds is the end of a turn at a cold upstream, zero if the upstream was warm.
+		turnEnds time.Time
 	}
 
 	// LimitError reports a request that was not sent because its upstream takes no more.
@@ -54,6 +72,8 @@
 		Upstream registrar.UpstreamID
 		// Limit is in requests a second.
 		Limit apportioner.Rate
+		// Cold reports that the limit is what the cold upstream tolerates.
+		Cold bool
 	}
 )
 
@@ -63,8 +83,11 @@
 }
 
 // New returns a restrainer for the process of a host.
-func New(host string, now func() time.Time) *Restrainer {
-	return &Restrainer{now: now, apportioner: apportioner.New(apportioner.HostOf(host))}
+func New(host string, cold *settings.ColdUpstreams, now func() time.Time) *Restrainer {
+	return &Restrainer{
+		Log: zap.NewNop(), Held: tally.NoopScope.Counter(""),
+		now: now, local: timer.Now, apportioner: apportioner.New(apportioner.HostOf(host)), warmth: newWarmth(host, boundsOf(cold)),
+	}
 }
 
 func keyOf(u *registrar.Upstream) apportioner.Upstream {
@@ -123,6 +146,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
+	r.warmth.contactAt = r.local()
 	if len(ids) == 0 && now.Sub(r.listedAt).Abs() < listInterval {
 		return
 	}
@@ -134,6 +158,7 @@
 	}
 	r.listedAt = now
 	r.apportioner.SetHosts(now, r.hosts)
+	r.warmth.warmer.SetHosts(r.moment(), r.hosts)
 }
 
 // HostsDigest returns the digest of the ids of the hosts, or zero if they are not known.
@@ -147,12 +172,19 @@
 func (r *Restrainer) RestraintOf(u *registrar.Upstream) Restraint {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.now()
-	limit, limited := r.limitOf(now, u)
-	if !limited {
-		return Restraint{Available: true}
+	out := Restraint{Available: true}
+	now := r.moment()
+	if limit, named := r.limitOf(now.Agreed, u); named {
+		out.Limited, out.Named = true, true
+		out.Available = r.apportioner.Available(now.Agreed, keyOf(u), limit) > 0
+	}
+	if rate, until := r.coldRate(now, u); rate > 0 {
+		out.Limited, out.ColdUntil = true, until
+		if !r.warmth.warmer.Available(now, u.ID, rate) {
+			out.Available, r.warmth.heldBack = false, true
+		}
 	}
-	return Restraint{Limited: true, Available: r.apportioner.Available(now, keyOf(u), limit) > 0}
+	return out
 }
 
 // limitOf returns the limit of an upstream, or false if there is none. The mutex must be held.
@@ -168,11 +200,46 @@
 func (r *Restrainer) Reserve(u *registrar.Upstream) Reservation {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.now()
-	if limit, limited := r.limitOf(now, u); limited && r.apportioner.Take(now, keyOf(u), limit) {
-		return Reservation{at: now}
+	if r.warmth.heldBack {
+		r.warmth.heldBack = false
+		r.Held.Inc(1)
+	}
+	limited, reserved, _ := r.take(u)
+	if !limited {
+		return Reservation{}
 	}
-	return Reservation{}
+	return reserved
+}
+
+// take counts a request to an upstream if it may be sent now, and reports whether the upstream has a
+// limit. The mutex must be held.
+func (r *Restrainer) take(u *registrar.Upstream) (limited bool, reserved Reservation, refused *LimitError) {
+	now := r.moment()
+	limit, named := r.limitOf(now.Agreed, u)
+	rate, _ := r.coldRate(now, u)
+	if rate > 0 && !r.warmth.warmer.Available(now, u.ID, rate) {
+		return true, Reservation{}, &LimitError{Upstream: u.ID, Limit: rate, Cold: true}
+	}
+	if named && !r.apportioner.Take(now.Agreed, keyOf(u), limit) {
+		return true, Reservation{}, &LimitError{Upstream: u.ID, Limit: limit}
+	}
+	reserved = Reservation{at: now.Agreed}
+	if rate > 0 {
+		reserved.turnEnds, _ = r.warmth.warmer.Take(now, u.ID, rate)
+	}
+	return named || rate > 0, reserved, nil
+}
+
+// holds reports whether a reservation still permits a request to an upstream that has a limit. The
+// mutex must be held.
+func (r *Restrainer) holds(u *registrar.Upstream, reserved Reservation) bool {
+	now := r.moment()
+	_, named := r.limitOf(now.Agreed, u)
+	rate, _ := r.coldRate(now, u)
+	if !named && rate == 0 || reserved.at.IsZero() || now.Agreed.Sub(reserved.at) >= reservationLifetime {
+		return false
+	}
+	return rate == 0 || now.Agreed.Before(reserved.turnEnds)
 }
 
 // Admit reports whether an upstream has a limit, and returns a *LimitError if a request may not
@@ -180,12 +247,17 @@
 func (r *Restrainer) Admit(u *registrar.Upstream, reserved Reservation) (limited bool, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.now()
-	limit, limited := r.limitOf(now, u)
-	if !limited || !reserved.at.IsZero() && now.Sub(reserved.at) < reservationLifetime || r.apportioner.Take(now, keyOf(u), limit) {
+	if r.holds(u, reserved) {
+		return true, nil
+	}
+	limited, _, refused := r.take(u)
+	if refused == nil {
 		return limited, nil
 	}
-	return true, &LimitError{Upstream: u.ID, Limit: limit}
+	if refused.Cold {
+		r.Held.Inc(1)
+	}
+	return true, refused
 }
 
 // Turns returns the times from now at which this process may send requests to upstreams that
@@ -193,9 +265,21 @@
 func (r *Restrainer) Turns(upstreams []*registrar.Upstream, count int, longest time.Duration) []time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := r.moment()
+	var turns []time.Duration
 	keys := make([]apportioner.Upstream, 0, len(upstreams))
 	for _, u := range upstreams {
+		if rate, _ := r.coldRate(now, u); rate > 0 {
+			turns = append(turns, r.warmth.warmer.Turns(now, u.ID, rate, count, longest)...)
+			continue
+		}
 		keys = append(keys, keyOf(u))
 	}
-	return r.apportioner.Turns(r.now(), keys, count, longest)
+	named := r.apportioner.Turns(now.Agreed, keys, count, longest)
+	if len(turns) == 0 {
+		return named
+	}
+	turns = append(turns, named...)
+	slices.Sort(turns)
+	return turns[:min(count, len(turns))]
 }
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -65,6 +65,8 @@
 		// admit is called before every request. It returns an error if the upstream's request
 		// limit does not allow it, and reports whether there is one.
 		admit func(*registrar.Upstream, restrainer.Reservation) (limited bool, err error)
+		// askWarmUp is called before admit, and asks the upstream whether it is cold if need be.
+		askWarmUp func(context.Context, *registrar.Upstream)
 		// checkLeaving is called before an attempt is sent, and again when a connection for it has
 		// been established. It returns an error if the upstream is leaving.
 		checkLeaving func(*registrar.Upstream) error
@@ -204,6 +206,7 @@
 	u.keepAlive.DialContext = retirer.Wrap(u.keepAlive.DialContext)
 	u.checkLeaving = func(*registrar.Upstream) error { return nil }
 	u.admit = func(*registrar.Upstream, restrainer.Reservation) (bool, error) { return false, nil }
+	u.askWarmUp = func(context.Context, *registrar.Upstream) {}
 	u.singleUse.DisableKeepAlives = true
 	probe := transport()
 	probe.DisableKeepAlives = true
@@ -249,7 +252,7 @@
 		at.close(err)
 		return nil, at.failure(attemptError{NotRun: true, Cause: err})
 	}
-	limited, err := u.checkSend(g)
+	limited, err := u.checkSend(ctx, g)
 	if err != nil {
 		at.close(err)
 		return nil, at.failure(attemptError{NotRun: true, Cause: err})
@@ -291,7 +294,8 @@
 
 // checkSend returns an error if a request may not be sent to the granted upstream any more, and
 // reports whether that has a request limit.
-func (u *upstreamClient) checkSend(g *grant) (limited bool, err error) {
+func (u *upstreamClient) checkSend(ctx context.Context, g *grant) (limited bool, err error) {
+	u.askWarmUp(ctx, g.upstream)
 	if err = u.checkLeaving(g.upstream); err != nil {
 		return false, err
 	}
--- a/internal/router/controlplane.go
+++ b/internal/router/controlplane.go
@@ -330,6 +330,7 @@
 		p.router.log.Warn("applying a configuration that no quorum has confirmed", zap.Uint64("revision", uint64(received)))
 	}
 	p.catalog.Store(next)
+	p.router.setWarmUps(next)
 	p.refresh()
 	if current == nil || current.Revision() != received {
 		p.router.metrics.revision.Update(float64(received))
--- a/internal/router/dialect.go
+++ b/internal/router/dialect.go
@@ -126,6 +126,8 @@
 		// RequestLimit is the text of the number of requests a second that the upstream takes
 		// from all hosts together; empty if it names none. Several are separated by commas.
 		RequestLimit string
+		// WarmUpLeft is the time for which the upstream is still cold; nil if not reported.
+		WarmUpLeft *time.Duration
 	}
 )
 
@@ -198,6 +200,10 @@
 	// An upstream that reports no usable number cannot be told from one that reports none.
 	incarnation, _ := strconv.ParseUint(response.Header.Get(HeaderIncarnation), 10, 64)
 	info.Incarnation = registrar.Incarnation(incarnation)
+	if left, err := strconv.ParseUint(response.Header.Get(HeaderWarmUp), 10, 31); err == nil {
+		warmUpLeft := millis(int64(left))
+		info.WarmUpLeft = &warmUpLeft
+	}
 	if response.StatusCode == http.StatusServiceUnavailable {
 		info.RetryAfter = response.Header.Get(headerRetryAfter)
 	}
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -204,7 +204,7 @@
 		metrics:        m,
 		now:            timer.Now,
 		startedAt:      timer.Now(),
-		restrainer:     restrainer.New(s.GetHost().GetId(), time.Now),
+		restrainer:     restrainer.New(s.GetHost().GetId(), e.GetColdUpstreams(), time.Now),
 		registry:       newRegistry(e),
 		upstreamStates: map[registrar.UpstreamID]*upstreamState{},
 		pools:          map[poolKey]*pool{},
@@ -247,9 +247,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
+	d.restrainer.Maintain()
 	for _, id := range d.registry.Expire(now) {
 		d.upstreamStates[id].endLease()
 		delete(d.upstreamStates, id)
+		d.restrainer.Forget(id)
 		d.cacheIndex.Forget(id)
 		d.placer.Forget(id)
 		delete(d.withdrawn, id)
@@ -278,6 +280,7 @@
 	if !d.registry.Announce(now, u) {
 		return false
 	}
+	d.restrainer.ObserveAnnouncement(&u)
 	if known == nil || known.Incarnation != u.Incarnation {
 		if s := d.upstreamStates[u.ID]; s != nil {
 			s.endLease()
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -17,8 +17,10 @@
 	// that arrive a second time.
 	configurationBytes tally.Counter
 	heldParts          tally.Gauge
-	retries            tally.Counter
-	resumedStreams     tally.Counter
+	// heldCold counts the requests that a cold upstream did not get.
+	heldCold       tally.Counter
+	retries        tally.Counter
+	resumedStreams tally.Counter
 	// silentConnections counts the connections that watchSilence abandoned.
 	silentConnections tally.Counter
 	// mismatchedResponses counts responses that carry the id of another attempt.
@@ -32,6 +34,7 @@
 		syncFailures:        scope.Counter("configuration_sync_failures"),
 		configurationBytes:  scope.Counter("configuration_bytes"),
 		heldParts:           scope.Gauge("prompt_parts_held"),
+		heldCold:            scope.Counter("requests_held_cold"),
 		retries:             scope.Counter("attempts_retried"),
 		resumedStreams:      scope.Counter("streams_resumed"),
 		silentConnections:   scope.Counter("connections_silent"),
--- a/internal/router/notice.go
+++ b/internal/router/notice.go
@@ -29,6 +29,7 @@
 		r.logLeave(*g.upstream, leaveInResponse, g.upstream.URL)
 	}
 	r.handleRequestLimit(at, info)
+	r.handleWarmUp(at, info)
 	if info.RetryAfter == "" {
 		return
 	}
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -246,7 +246,7 @@
 			s.limiter.SetCeiling(limiter.DivideSlots(u.Load.Slots, demand, others))
 		}
 		restraint := d.restrainer.RestraintOf(u)
-		s.setLimited(now, restraint.Limited)
+		s.setLimited(now, restraint)
 		upstreams = append(upstreams, u)
 		candidates = append(candidates, picker.Candidate{
 			ID:               u.ID,
--- a/internal/router/refusal.go
+++ b/internal/router/refusal.go
@@ -47,6 +47,9 @@
 	// HeaderRequestLimit is set in the responses of an upstream in need: the number of requests a
 	// second that it takes from all hosts together, for as long as its responses name it.
 	HeaderRequestLimit = "Comfreybend-Request-Limit"
+	// HeaderWarmUp may be set in the responses of an upstream, also at its health path: the number of
+	// milliseconds for which it is still cold, zero if it is warm.
+	HeaderWarmUp = "Comfreybend-Warm-Up"
 
 	// headerLastEventIDCanonical is HeaderLastEventID as canonicalized by net/http.
 	headerLastEventIDCanonical = "Last-Event-Id"
--- a/internal/router/request_limit.go
+++ b/internal/router/request_limit.go
@@ -60,7 +60,7 @@
 	now := d.now()
 	unheard := slices.IndexFunc(candidates, func(c picker.Candidate) bool {
 		s := d.upstreamStates[c.ID]
-		return s.limited && c.Free && now-s.heardAt > maxUnheardTime && !slices.Contains(r.pick.Avoid, c.ID)
+		return s.named && c.Free && now-s.heardAt > maxUnheardTime && !slices.Contains(r.pick.Avoid, c.ID)
 	})
 	if unheard < 0 || !r.pick.Retryable {
 		return
@@ -71,14 +71,14 @@
 }
 
 // limitedUpstreams returns the upstreams of a pool, of all versions or of one, that may get
-// requests before a time, or nil if one of them has no request limit.
+// requests before a time, or nil if one of them has no request limit and is warm by then.
 func (d *dispatcher) limitedUpstreams(key poolKey, version *registrar.Version, before time.Duration) []*registrar.Upstream {
 	var out []*registrar.Upstream
 	for _, u := range d.serving(key, version) {
 		if d.upstreamStates[u.ID].circuit.PausedUntil(d.now()) >= before {
 			continue
 		}
-		if !d.restrainer.RestraintOf(u).Limited {
+		if r := d.restrainer.RestraintOf(u); !r.Named && r.ColdUntil < before {
 			return nil
 		}
 		out = append(out, u)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -108,7 +108,8 @@
 		identifier:  identifier.New(),
 		tracker:     tracker.New(),
 	}
-	r.restrainer = restrainer.New(s.GetHost().GetId(), r.windows.Now)
+	r.restrainer = restrainer.New(s.GetHost().GetId(), s.GetEntry().GetColdUpstreams(), r.windows.Now)
+	r.restrainer.Log, r.restrainer.Held = log, r.metrics.heldCold
 	r.dispatcher = newDispatcher(s, r.metrics)
 	r.dispatcher.budgets.Log = log
 	r.dispatcher.restrainer = r.restrainer
@@ -118,6 +119,7 @@
 	r.buffers = bufferer.New(s.GetEntry().GetUpstreamLimits().GetBufferedBytes())
 	r.upstreamClient = newUpstreamClient(s.GetEntry(), dialect)
 	r.upstreamClient.admit = r.restrainer.Admit
+	r.upstreamClient.askWarmUp = r.askWarmUp
 	r.upstreamClient.checkLeaving = r.dispatcher.checkLeaving
 	r.controlClients = ranker.New(s.GetEntry(), security)
 	r.controlPlane, r.proposer = newControlPlane(r), proposer.New(r.controlClients.All)
--- a/internal/router/upstream_state.go
+++ b/internal/router/upstream_state.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/comfreybend/comfreybend/internal/restrainer"
 	"github.com/comfreybend/comfreybend/pkg/limiter"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/retrier"
@@ -32,8 +33,9 @@
 		failures retrier.FailureCounter
 		// reportedLoad is the load in the upstream's latest response that has one.
 		reportedLoad registrar.Load
-		// limited reports that the upstream named a request limit when it was last a candidate.
-		limited bool
+		// limited reports that the upstream named a request limit, or was cold, when it was last a
+		// candidate; named that it named a limit.
+		limited, named bool
 		// heardAt is when the latest response of the upstream arrived.
 		heardAt time.Duration
 		// foreignAnswerAt is the monotonic time in nanoseconds at which the upstream last sent an answer
@@ -71,13 +73,13 @@
 	return s.circuit.State(now) != retrier.Open && s.limiter.HasRoom()
 }
 
-// setLimited records whether the upstream names a request limit. At its end the upstream gets a
-// slow start.
-func (s *upstreamState) setLimited(now time.Duration, limited bool) {
-	if s.limited && !limited {
+// setLimited records whether the upstream names a request limit or is cold. At the end of that the
+// upstream gets a slow start.
+func (s *upstreamState) setLimited(now time.Duration, restraint restrainer.Restraint) {
+	if s.limited && !restraint.Limited {
 		s.limiter.RestartSlowStart(now)
 	}
-	s.limited = limited
+	s.limited, s.named = restraint.Limited, restraint.Named
 }
 
 func (s *upstreamState) requestStarted(now time.Duration) {
--- a/internal/tabulator/tabulator.go
+++ b/internal/tabulator/tabulator.go
@@ -166,6 +166,11 @@
 	defer t.mu.Unlock()
 	now := t.now()
 	before := t.registry.Get(u.ID)
+	if before != nil && before.EquivalentTo(&u) {
+		// An end of the warm-up that moves a little with each announcement is compared with the
+		// one that was passed on.
+		u.WarmUpEndsAt = before.WarmUpEndsAt
+	}
 	if !t.registry.Announce(now, u) {
 		return
 	}
--- a/internal/validator/entry.go
+++ b/internal/validator/entry.go
@@ -144,10 +144,21 @@
 		c.checkNumber("$.entry.sharedBudget.allowance", int64(b.GetAllowance()), 0, 1_000_000)
 		c.checkDuration("$.entry.sharedBudget.window", b.GetWindow(), 100*time.Millisecond, time.Hour)
 	}
+	checkColdUpstreams(c, e.GetColdUpstreams())
 	checkCallerLimits(c, e.GetCallerLimits())
 	checkUpstreamLimits(c, e.GetUpstreamLimits())
 }
 
+func checkColdUpstreams(c *collector, s *settings.ColdUpstreams) {
+	// A comparison with what is no number is false.
+	if o := s.GetOverrun(); !(o >= 0 && o <= 100) {
+		c.add("$.entry.coldUpstreams.overrun", fmt.Sprint("found ", o), "0 to 100")
+	}
+	if tolerance := s.GetTolerance(); !(tolerance >= 0 && tolerance <= 1e6) {
+		c.add("$.entry.coldUpstreams.tolerance", fmt.Sprint("found ", tolerance), "0 to 1000000")
+	}
+}
+
 func checkCallerLimits(c *collector, l *settings.CallerLimits) {
 	const path = "$.entry.callerLimits."
 	c.checkNumber(path+"bodyBytes", l.GetBodyBytes(), 1<<10, 1<<30)
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -15,8 +15,9 @@
 const (
 	// MaxVersionBytes is the size of the longest version that an upstream may report.
 	MaxVersionBytes = 128
-	// maxWarmUpDrift is the difference of two announced ends of the warm-up that is ignored.
-	maxWarmUpDrift = time.Second
+	// maxWarmUpDrift is the difference of two announced ends of the warm-up that is ignored. It is
+	// no longer than what the hosts add to the end (pkg/warmer).
+	maxWarmUpDrift = 250 * time.Millisecond
 	// maxDepartures is the number of departures that a registry remembers.
 	maxDepartures = 4096
 )
