--- a/internal/tabulator/tabulator_test.go
+++ b/internal/tabulator/tabulator_test.go
@@ -533,3 +533,22 @@
 		t.Errorf("%v since the last full reply, want one row and one leave", reply)
 	}
 }
+
+// TestWarmUpThatDoesNotEndIsPassedOn guards against a warm-up whose end moves a little with each
+// announcement, and which entry processes take to be over since none of the changes is large.
+func TestWarmUpThatDoesNotEndIsPassedOn(t *testing.T) {
+	table := New(time.Minute)
+	u := announcement("a", 1, registrar.Serving)
+	u.WarmUpEndsAt = u.AnnouncedAt + time.Minute
+	table.Update(u, true)
+	first, _ := table.ChangesSince(Reader{WithRows: true})
+	for range 10 {
+		u.Sequence++
+		u.WarmUpEndsAt += 200 * time.Millisecond
+		table.Update(u, true)
+	}
+	reply, _ := table.ChangesSince(Reader{Table: first.GetTable(), Position: first.GetPosition(), WithRows: true})
+	if len(reply.GetUpstreams()) != 1 || reply.GetUpstreams()[0].GetWarmupMillis() < 61_600 {
+		t.Errorf("passed on %v, want a warm-up that ends 2 s later or a little before that", reply.GetUpstreams())
+	}
+}
