--- a/internal/restrainer/restrainer.go
+++ b/internal/restrainer/restrainer.go
@@ -173,6 +173,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	out := Restraint{Available: true}
+	if r.unlimited() {
+		return out
+	}
 	now := r.moment()
 	if limit, named := r.limitOf(now.Agreed, u); named {
 		out.Limited, out.Named = true, true
@@ -187,6 +190,10 @@
 	return out
 }
 
+// unlimited reports that no upstream has ever named a limit, and that no pool declares a rate for cold
+// ones. The mutex must be held.
+func (r *Restrainer) unlimited() bool { return !r.limited && len(r.warmth.pools) == 0 }
+
 // limitOf returns the limit of an upstream, or false if there is none. The mutex must be held.
 func (r *Restrainer) limitOf(now time.Time, u *registrar.Upstream) (apportioner.Rate, bool) {
 	if !r.limited {
@@ -200,6 +207,9 @@
 func (r *Restrainer) Reserve(u *registrar.Upstream) Reservation {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.unlimited() {
+		return Reservation{}
+	}
 	if r.warmth.heldBack {
 		r.warmth.heldBack = false
 		r.Held.Inc(1)
@@ -247,6 +257,9 @@
 func (r *Restrainer) Admit(u *registrar.Upstream, reserved Reservation) (limited bool, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.unlimited() {
+		return false, nil
+	}
 	if r.holds(u, reserved) {
 		return true, nil
 	}
