hedger, validator: decide on second copies of slow requests

Cause: no request is sent to a second upstream while the first is slow. Settings entry.hedging with ratio, quantile and minimumDelay; absent, nothing changes.

--- a/internal/validator/entry.go
+++ b/internal/validator/entry.go
@@ -60,6 +60,7 @@
 	}
 	setCallerLimitDefaults(e, memoryBytes)
 	setUpstreamLimitDefaults(e, memoryBytes)
+	setHedgingDefaults(e.Hedging)
 	if e.Queue == nil {
 		e.Queue = &settings.Queue{}
 	}
@@ -144,6 +145,7 @@
 		c.checkNumber("$.entry.sharedBudget.allowance", int64(b.GetAllowance()), 0, 1_000_000)
 		c.checkDuration("$.entry.sharedBudget.window", b.GetWindow(), 100*time.Millisecond, time.Hour)
 	}
+	checkHedging(c, e.GetHedging())
 	checkCallerLimits(c, e.GetCallerLimits())
 	checkUpstreamLimits(c, e.GetUpstreamLimits())
 }
--- a/internal/validator/validator_test.go
+++ b/internal/validator/validator_test.go
@@ -43,6 +43,16 @@
 			document: strings.Replace(validSettings, `"peerListen"`, `"upstreamLocalAddress": "127.0.0.1:1", "peerListen"`, 1),
 			paths:    []string{"$.entry.upstreamLocalAddress"},
 		},
+		"hedging out of range": {
+			document: strings.Replace(validSettings, `"peerListen"`,
+				`"hedging": {"ratio": 1.5, "quantile": 0.4, "minimumDelay": "0.0001s"}, "peerListen"`, 1),
+			paths: []string{"$.entry.hedging.ratio", "$.entry.hedging.quantile", "$.entry.hedging.minimumDelay"},
+		},
+		"hedging without numbers": {
+			document: strings.Replace(validSettings, `"peerListen"`, `"hedging": {"ratio": "NaN", "quantile": "NaN"}, "peerListen"`, 1),
+			paths:    []string{"$.entry.hedging.ratio", "$.entry.hedging.quantile"},
+		},
+		"hedging with defaults": {document: strings.Replace(validSettings, `"peerListen"`, `"hedging": {"ratio": 0.05}, "peerListen"`, 1)},
 		"missing addresses": {
 			document: `{"host": {"id": "x", "failureDomain": "a"}, "entry": {}}`,
 			paths:    []string{"$.entry.callerListen", "$.entry.upstreamListen", "$.entry.controlAddresses"},
