racer, router: send second copies of slow calls that may be repeated

Cause: a call waits for a slow upstream however many others are idle. Change: with entry.hedging set, internal/racer runs each call that may be repeated as a race: if the first upstream has not answered after the delay, a copy goes to another one, chosen and checked as for a retry. The first response below 400 wins; the loser is cancelled, released without an outcome and charged to nobody. A copy uses a retry of the budget and counts as an attempt.

--- a/cmd/comfreybend/load.go
+++ b/cmd/comfreybend/load.go
@@ -60,10 +60,10 @@
 	}
 	var rows []string
 	for _, s := range report.GetStreams() {
-		rows = append(rows, fmt.Sprintf("%s\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f", s.GetName(), s.GetSent(), s.GetAnswered(),
-			s.GetAttained(), s.GetNotRun(), s.GetFailed(), s.GetFirstToken().GetP50(), s.GetFirstToken().GetP99()))
+		rows = append(rows, fmt.Sprintf("%s\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f", s.GetName(), s.GetSent(), s.GetAnswered(),
+			s.GetAttained(), s.GetNotRun(), s.GetFailed(), s.GetFirstToken().GetP50(), s.GetFirstToken().GetP99(), s.GetFirstToken().GetP999()))
 	}
-	printTable("STREAM\tSENT\tANSWERED\tATTAINED\tNOT RUN\tFAILED\tFIRST P50 MS\tFIRST P99 MS", rows)
+	printTable("STREAM\tSENT\tANSWERED\tATTAINED\tNOT RUN\tFAILED\tFIRST P50 MS\tFIRST P99 MS\tFIRST P99.9 MS", rows)
 	return nil
 }
 
--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -56,6 +56,8 @@
 	Refused Reason = "refused"
 	// Failed means that it may have run, and that an attempt failed or a stream broke.
 	Failed Reason = "failed"
+	// Copied means that its upstream is slow.
+	Copied Reason = "copied"
 )
 
 // NewBudgets returns the budgets of a process that has just started.
--- a/internal/generator/recorder.go
+++ b/internal/generator/recorder.go
@@ -145,7 +145,7 @@
 // quantiles returns the quantiles of a histogram of microseconds in milliseconds.
 func quantiles(h *hdrhistogram.Histogram) *experiment.Quantiles {
 	at := func(percentile float64) float64 { return float64(h.ValueAtQuantile(percentile)) / microsPerMilli }
-	return &experiment.Quantiles{P50: at(50), P95: at(95), P99: at(99), Maximum: at(100)}
+	return &experiment.Quantiles{P50: at(50), P95: at(95), P99: at(99), P999: at(99.9), Maximum: at(100)}
 }
 
 // incrementSecond adds one to the count of a second and extends the slice if necessary.
--- /dev/null
+++ b/internal/racer/race_test.go
@@ -0,0 +1,148 @@
+package racer
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+const copyDelay = 50 * time.Millisecond
+
+// script is how an attempt of a played race ends: after a time, or when it is cancelled.
+type script struct {
+	after  time.Duration
+	result Result
+}
+
+// played is what became of a race.
+type played struct {
+	winner             Lane
+	took               time.Duration
+	settled, discarded []Lane
+	cause              [none]error
+	ends               [none]int
+}
+
+func playRace(ctx context.Context, lanes [none]script, copies bool) *played {
+	var mu sync.Mutex
+	p := &played{}
+	started := time.Now()
+	r := &Race{
+		Delay: func() (time.Duration, bool) { return copyDelay, true },
+		Copy:  func() bool { return copies },
+		Send: func(ctx context.Context, lane Lane) Result {
+			select {
+			case <-time.After(lanes[lane].after):
+				return lanes[lane].result
+			case <-ctx.Done():
+				mu.Lock()
+				defer mu.Unlock()
+				p.cause[lane] = context.Cause(ctx)
+				return Cancelled
+			}
+		},
+		Settle: func(lane Lane) { p.settled = append(p.settled, lane) },
+		Discard: func(lane Lane) {
+			mu.Lock()
+			defer mu.Unlock()
+			p.discarded = append(p.discarded, lane)
+		},
+		ErrorsUntil: started.Add(time.Second),
+		OnEnd:       func(lane Lane, _ time.Duration, _ Result, _ bool) { p.ends[lane]++ },
+	}
+	p.winner = r.Run(ctx)
+	p.took = time.Since(started)
+	synctest.Wait()
+	return p
+}
+
+// TestRace guards against a race that the wrong attempt wins, that waits for an attempt that has lost, that
+// leaves one running, or that forgets one.
+func TestRace(t *testing.T) {
+	const ms, never = time.Millisecond, time.Hour
+	tests := map[string]struct {
+		lanes              [none]script
+		noCopy             bool
+		leavesAt           time.Duration
+		winner             Lane
+		took               time.Duration
+		settled, discarded []Lane
+	}{
+		"the first responds in time":   {lanes: [none]script{{after: 40 * ms}}, winner: First, took: 40 * ms},
+		"no copy is allowed":           {lanes: [none]script{{after: 90 * ms}}, noCopy: true, winner: First, took: 90 * ms},
+		"the copy wins":                {lanes: [none]script{{after: never}, {after: 10 * ms}}, winner: Copy, took: 60 * ms, discarded: []Lane{First}},
+		"the first wins":               {lanes: [none]script{{after: 60 * ms}, {after: never}}, winner: First, took: 60 * ms, discarded: []Lane{Copy}},
+		"the first fails before":       {lanes: [none]script{{10 * ms, Failed}}, winner: First, took: 10 * ms},
+		"the first fails afterwards":   {lanes: [none]script{{60 * ms, Failed}, {after: 30 * ms}}, winner: Copy, took: 80 * ms, settled: []Lane{First}},
+		"the copy fails":               {lanes: [none]script{{after: 90 * ms}, {10 * ms, Failed}}, winner: First, took: 90 * ms, settled: []Lane{Copy}},
+		"both fail, the copy last":     {lanes: [none]script{{60 * ms, Failed}, {30 * ms, Failed}}, winner: Copy, took: 80 * ms, settled: []Lane{First}},
+		"an error does not win":        {lanes: [none]script{{after: 90 * ms}, {10 * ms, AnsweredError}}, winner: First, took: 90 * ms, discarded: []Lane{Copy}},
+		"an error before the copy":     {lanes: [none]script{{10 * ms, AnsweredError}}, winner: First, took: 10 * ms},
+		"an error and a failure":       {lanes: [none]script{{90 * ms, Failed}, {10 * ms, AnsweredError}}, winner: Copy, took: 90 * ms, settled: []Lane{First}},
+		"two errors":                   {lanes: [none]script{{90 * ms, AnsweredError}, {10 * ms, AnsweredError}}, winner: Copy, took: 90 * ms, discarded: []Lane{First}},
+		"an error is not kept forever": {lanes: [none]script{{after: never}, {10 * ms, AnsweredError}}, winner: Copy, took: time.Second, discarded: []Lane{First}},
+		"the client leaves":            {lanes: [none]script{{after: never}, {after: never}}, leavesAt: 70 * ms, took: 70 * ms},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				if test.leavesAt > 0 {
+					time.AfterFunc(test.leavesAt, cancel)
+				}
+				p := playRace(ctx, test.lanes, !test.noCopy)
+				if p.took != test.took {
+					t.Errorf("took %v, want %v", p.took, test.took)
+				}
+				if test.leavesAt > 0 {
+					if p.cause[First] == nil || p.cause[Copy] == nil {
+						t.Errorf("causes %v, want that both are cancelled", p.cause)
+					}
+					return
+				}
+				if p.winner != test.winner || !equal(p.settled, test.settled) || !equal(p.discarded, test.discarded) {
+					t.Errorf("winner %d, settled %v, discarded %v, want %d, %v, %v",
+						p.winner, p.settled, p.discarded, test.winner, test.settled, test.discarded)
+				}
+				for lane, count := range p.ends {
+					if count > 1 {
+						t.Errorf("end of %d reported %d times", lane, count)
+					}
+				}
+				for _, lane := range p.discarded {
+					if test.lanes[lane].after == never && !errors.As(p.cause[lane], new(*LostError)) {
+						t.Errorf("cause %v of the attempt that lost", p.cause[lane])
+					}
+				}
+			})
+		})
+	}
+}
+
+func equal(a, b []Lane) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// TestBothRespondAtOnce guards against a response that is lost, or taken twice, if both arrive together.
+func TestBothRespondAtOnce(t *testing.T) {
+	for range 300 {
+		synctest.Test(t, func(t *testing.T) {
+			p := playRace(t.Context(), [none]script{{after: copyDelay + 10*time.Millisecond}, {after: 10 * time.Millisecond}}, true)
+			if len(p.discarded) != 1 || p.discarded[0] == p.winner || len(p.settled) > 0 {
+				t.Fatalf("winner %d, settled %v, discarded %v", p.winner, p.settled, p.discarded)
+			}
+		})
+	}
+}
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	kithttp "github.com/go-kit/kit/transport/http"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"github.com/comfreybend/comfreybend/internal/budgeter"
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/counter"
 	"github.com/comfreybend/comfreybend/internal/forwarder"
@@ -86,6 +86,11 @@
 		// counted reports that the call was counted in the retry budget, refusedElsewhere that other
 		// entry processes did not take it.
 		counted, refusedElsewhere bool
+		// countedForCopies reports that the call was counted in the number of copies allowed.
+		countedForCopies bool
+		// sending counts the attempts of races that have not returned. They read the call, so it must not be
+		// changed before.
+		sending sync.WaitGroup
 	}
 
 	// clientResponse is the result of handleCall, which encodeResponse writes to the client.
@@ -177,11 +182,10 @@
 	}
 }
 
-// acquireUpstream waits for a grant of an upstream and then checks the key again,
-// since it may have been withdrawn in the meantime.
-func (h *callHandler) acquireUpstream(ctx context.Context) (*grant, *RefusalError) {
+// dispatchRequest returns what an upstream is chosen by.
+func (h *callHandler) dispatchRequest() dispatchRequest {
 	c := h.call
-	request := dispatchRequest{
+	return dispatchRequest{
 		call:         c,
 		pool:         c.pool,
 		class:        c.class,
@@ -202,6 +206,13 @@
 			Avoid:     h.failedUpstreams,
 		},
 	}
+}
+
+// acquireUpstream waits for a grant of an upstream and then checks the key again,
+// since it may have been withdrawn in the meantime.
+func (h *callHandler) acquireUpstream(ctx context.Context) (*grant, *RefusalError) {
+	h.sending.Wait()
+	c, request := h.call, h.dispatchRequest()
 	if h.router.forwarder.CutOff() {
 		if refusal := refuseCutOff(request, h.router.forwarder.Available()); refusal != nil {
 			return nil, h.setRun(refusal)
@@ -247,7 +258,16 @@
 // responds with a status that is not retried.
 func (h *callHandler) sendAttempt(ctx context.Context, g *grant) error {
 	h.attempts++
+	if h.mayCopy() {
+		return h.race(ctx, g)
+	}
 	at, err := h.router.upstreamClient.send(ctx, h.call, g, h.lastEventID)
+	return h.finishSend(ctx, g, at, err)
+}
+
+// finishSend records what became of an attempt that was sent, and makes it the current one if its
+// response is relayed.
+func (h *callHandler) finishSend(ctx context.Context, g *grant, at *attempt, err error) error {
 	if err != nil {
 		h.handleFailedAttempt(ctx, g, err)
 		return err
@@ -319,50 +339,6 @@
 		zap.Bool("upstreamEnded", h.router.isolation.upstreamEnded(ctx, g, err)), zap.Int("attempts", h.attempts), exchangeField(err), zap.Error(err))...)
 }
 
-// allowRetry decides whether another attempt follows one that failed with err. It
-// must be called once for each failed attempt, because it updates the counts of
-// attempts and refusals and may take a retry from the budget.
-//
-// No call is retried after its deadline or once the client has disconnected. An
-// attempt without a connection is otherwise always retried: it put no load on the
-// upstream, whose circuit breaker is open now. A refusal by an upstream is retried
-// within the retry budget, until there are maxUpstreamRefusals of them. Neither
-// counts as an attempt. After any other failure only retryable calls are sent
-// again, within the attempt limit and the retry budget.
-func (h *callHandler) allowRetry(ctx context.Context, err error) bool {
-	allowed := h.mayRetry(ctx, err)
-	if !allowed || h.endedTooMany() {
-		h.reportEnds()
-	}
-	return allowed
-}
-
-func (h *callHandler) mayRetry(ctx context.Context, err error) bool {
-	if ctx.Err() != nil || h.router.dispatcher.now() >= h.call.deadline {
-		return false
-	}
-	if errors.As(err, new(*heldPartError)) {
-		return false
-	}
-	if h.engineEnded && h.mayHaveEndedEngines() {
-		return false
-	}
-	var failure *attemptError
-	if errors.As(err, &failure) && failure.NotRun {
-		h.attempts--
-		if !failure.Refused {
-			return true
-		}
-		h.upstreamRefusals++
-		return h.upstreamRefusals < maxUpstreamRefusals && h.takeRetry(budgeter.Refused)
-	}
-	limit := int(h.router.settings.GetEntry().GetUpstreamLimits().GetAttempts())
-	if routeLimit := int(h.call.route.GetAttempts()); routeLimit > 0 {
-		limit = routeLimit
-	}
-	return h.call.retryable && h.attempts < limit && h.takeRetry(budgeter.Failed)
-}
-
 // giveUp returns the refusal of a call whose last attempt failed with err.
 func (h *callHandler) giveUp(err error) *RefusalError {
 	refusal := refuseWithRetryAfter(http.StatusBadGateway, CodeUpstreamFailed, err.Error(), time.Second)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -25,6 +25,7 @@
 	"github.com/comfreybend/comfreybend/internal/instrumenter"
 	"github.com/comfreybend/comfreybend/internal/messenger"
 	"github.com/comfreybend/comfreybend/internal/proposer"
+	"github.com/comfreybend/comfreybend/internal/racer"
 	"github.com/comfreybend/comfreybend/internal/ranker"
 	"github.com/comfreybend/comfreybend/internal/relayer"
 	"github.com/comfreybend/comfreybend/internal/restrainer"
@@ -72,6 +73,7 @@
 	restrainer     *restrainer.Restrainer
 	identifier     *identifier.Identifier
 	tracker        *tracker.Tracker
+	racer          *racer.Racer
 	dispatcher     *dispatcher
 	forwarder      *forwarder.Forwarder
 	receiver       *relayer.Receiver
@@ -113,6 +115,8 @@
 	r.dispatcher.budgets.Log = log
 	r.dispatcher.restrainer = r.restrainer
 	r.dispatcher.retryAfter = r.retryAfter
+	r.racer = racer.New(s.GetEntry().GetHedging(), func() time.Duration { return r.dispatcher.now() }, r.metrics.scope)
+	r.racer.Log = log
 	r.admitter = admitter.New(int(s.GetEntry().GetCallerLimits().GetConnections()))
 	r.bodies = ingester.New(s.GetEntry().GetCallerLimits(), func() time.Duration { return r.dispatcher.now() })
 	r.buffers = bufferer.New(s.GetEntry().GetUpstreamLimits().GetBufferedBytes())
