racer, router: send second copies of streams before their first event

Cause: a stream whose first event is slow waits as calls did. Change: the race of a stream that may be resumed goes on until the first event is whole; what was read of it is relayed first. A stream that breaks before that leaves the other attempt in the race. No copy is sent once the client has an event, nor for a stream that goes on after one. The load in a response counts from its headers, as they may be older now than the end of the race.

--- a/internal/racer/race_test.go
+++ b/internal/racer/race_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -146,3 +148,55 @@
 		})
 	}
 }
+
+// pieces is a body that returns one piece at a time.
+type pieces struct {
+	pieces []string
+	err    error
+}
+
+func (p *pieces) Close() error { return nil }
+
+func (p *pieces) Read(to []byte) (int, error) {
+	if len(p.pieces) == 0 {
+		return 0, p.err
+	}
+	n := copy(to, p.pieces[0])
+	p.pieces = p.pieces[1:]
+	return n, nil
+}
+
+// TestAwaitEvent guards against a stream that counts as begun before its first event is whole, and against bytes
+// that are lost or read too early.
+func TestAwaitEvent(t *testing.T) {
+	broken := errors.New("broken")
+	tests := map[string]struct {
+		pieces []string
+		err    error
+		// left is the number of pieces that are not read before the first event.
+		left int
+		want error
+	}{
+		"whole event":         {pieces: []string{"id: 1\ndata: a\n\n", "id: 2\n"}, err: io.EOF, left: 1},
+		"event in pieces":     {pieces: []string{"id: 1\nda", "ta: a\n", "\nid: 2", "\n"}, err: io.EOF, left: 1},
+		"carriage returns":    {pieces: []string{"data: a\r\n\r", "\n", "x"}, err: io.EOF, left: 1},
+		"empty lines":         {pieces: []string{"\n\n", "data: a\n\n", "x"}, err: io.EOF, left: 1},
+		"breaks before":       {pieces: []string{"id: 1\n"}, err: broken, want: broken},
+		"ends before":         {err: io.EOF, want: io.EOF},
+		"breaks afterwards":   {pieces: []string{"data: a\n\n"}, err: broken},
+		"event without bound": {pieces: []string{strings.Repeat("x", readSize), strings.Repeat("x", readSize), strings.Repeat("x", readSize), strings.Repeat("x", readSize), "y"}, err: broken, left: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			source := &pieces{pieces: append([]string(nil), test.pieces...), err: test.err}
+			body, err := AwaitEvent(source)
+			if !errors.Is(err, test.want) || len(source.pieces) != test.left {
+				t.Errorf("error %v, %d pieces left, want %v, %d", err, len(source.pieces), test.want, test.left)
+			}
+			all, err := io.ReadAll(body)
+			if string(all) != strings.Join(test.pieces, "") || err != nil && !errors.Is(err, test.err) {
+				t.Errorf("body %q with error %v", all, err)
+			}
+		})
+	}
+}
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -382,13 +383,13 @@
 }
 
 // headersReceived records the time to the response headers of an attempt, and the load
-// that they report, if any.
+// that they report, if any. Without a time of measurement it was measured now.
 func (d *dispatcher) headersReceived(g *grant, timeToHeaders time.Duration, load *registrar.Load) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if load != nil {
 		g.state.reportedLoad = *load
-		g.state.reportedLoad.MeasuredAt = d.now()
+		g.state.reportedLoad.MeasuredAt = cmp.Or(load.MeasuredAt, d.now())
 	}
 	g.state.headersReceived(d.now(), timeToHeaders)
 }
--- a/internal/router/hedge.go
+++ b/internal/router/hedge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"slices"
 
@@ -19,11 +20,14 @@
 	grant   *grant
 	attempt *attempt
 	err     error
+	// broken is why a stream broke before its first event.
+	broken error
 }
 
-// mayCopy reports whether a copy of the call may be sent: it may run more than once and is no stream.
+// mayCopy reports whether a copy of the call may be sent: it may run more than once, and the client has
+// no part of a stream.
 func (h *callHandler) mayCopy() bool {
-	return h.router.racer.Enabled() && h.call.retryable && !h.call.stream
+	return h.router.racer.Enabled() && h.call.retryable && !h.progressed && h.lastEventID == scanner.NoEventID
 }
 
 // race sends an attempt and, if its upstream is slow, a copy to another one. The attempt whose response
@@ -61,14 +65,35 @@
 		return racer.Failed
 	case l.attempt.response.StatusCode >= http.StatusBadRequest:
 		return racer.AnsweredError
-	default:
+	case !h.call.stream || !isEventStream(l.attempt.response):
 		return racer.Answered
 	}
+	if l.attempt.load != nil {
+		l.attempt.load.MeasuredAt = h.router.dispatcher.now()
+	}
+	l.attempt.response.Body, l.broken = racer.AwaitEvent(l.attempt.response.Body)
+	l.attempt.recordActivity(h.router.dispatcher.now())
+	switch {
+	case l.broken == nil, errors.Is(l.broken, io.EOF) && h.call.route.GetEventStream():
+		return racer.Answered
+	case ctx.Err() != nil:
+		return racer.Cancelled
+	default:
+		return racer.Failed
+	}
 }
 
 // settleLane records an attempt that failed while the other one goes on.
 func (h *callHandler) settleLane(ctx context.Context, l *lane) {
-	h.recordNotRun(h.finishSend(ctx, l.grant, l.attempt, l.err))
+	switch {
+	case l.broken == nil:
+		h.recordNotRun(h.finishSend(ctx, l.grant, l.attempt, l.err))
+	case ctx.Err() != nil:
+		h.router.discardLane(l)
+	default:
+		h.current = l.attempt
+		_ = h.recordBrokenStream(ctx, l.broken)
+	}
 }
 
 // discardLane ends an attempt that has lost. It says nothing of its upstream and costs nobody anything.
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -142,9 +142,8 @@
 	h.readUsage(e.Data)
 }
 
-// resume continues a broken stream at another upstream. If it returns a refusal,
-// the stream cannot be continued.
-func (h *callHandler) resume(ctx context.Context, cause error) *RefusalError {
+// recordBrokenStream ends the current attempt, whose stream broke.
+func (h *callHandler) recordBrokenStream(ctx context.Context, cause error) *attemptError {
 	at := h.current
 	var unfinished *scanner.UnfinishedEventError
 	upstreamFailed := errors.As(cause, &unfinished)
@@ -167,6 +166,14 @@
 	h.log.Info("upstream stream was interrupted", h.requestIDField(), zap.String("attempt", string(at.id)),
 		zap.String("upstream", string(at.grant.upstream.ID)), zap.String("version", string(at.grant.upstream.Version)), h.partsField(),
 		zap.Uint64("delivered", uint64(h.lastEventID)), zap.Error(cause))
+	return failure
+}
+
+// resume continues a broken stream at another upstream. If it returns a refusal,
+// the stream cannot be continued.
+func (h *callHandler) resume(ctx context.Context, cause error) *RefusalError {
+	at := h.current
+	failure := h.recordBrokenStream(ctx, cause)
 	unnumbered := h.lastEventID == scanner.NoEventID && at.eventsRelayed.Load() > 0
 	if unnumbered || h.bound && h.origin == nil {
 		// The position to resume at, or the version, is not known.
@@ -175,6 +182,7 @@
 	if !h.call.route.GetEventStream() {
 		// The client has a part of the response, so the deadline is extended to
 		// allow a resumption.
+		h.sending.Wait()
 		h.call.deadline = max(h.call.deadline, h.router.dispatcher.now()+minResumeWait)
 	}
 	if !h.allowRetry(ctx, failure) {
