racer: raise a panic of an attempt where its call is handled

Cause: an attempt of a race runs on a goroutine of its own. A panic there, for example while a response of an upstream is read, would end the process and not only the call, as it does without copies. Change: Run raises it and cancels the other attempt. Measured: go test -race -count=1 ./internal/racer passes; TestPanicReachesCaller covers it.

--- a/internal/racer/race.go
+++ b/internal/racer/race.go
@@ -74,6 +74,8 @@
 	finished struct {
 		lane   Lane
 		result Result
+		// panicked is what Send panicked with, nil if it did not.
+		panicked any
 	}
 
 	// LostError is the cause with which the attempt is cancelled that has lost.
@@ -104,6 +106,10 @@
 		case <-keptUntil:
 			return r.win(r.kept, AnsweredError)
 		case f := <-r.results:
+			if f.panicked != nil {
+				r.cancelAll()
+				panic(f.panicked)
+			}
 			r.running--
 			r.lanes[f.lane].returned = true
 			if winner, decided := r.decide(f); decided {
@@ -118,19 +124,33 @@
 	}
 }
 
-// start sends an attempt.
+// cancelAll cancels the attempts that were sent.
+func (r *Race) cancelAll() {
+	for _, s := range r.lanes {
+		if s.cancel != nil {
+			s.cancel(&LostError{})
+		}
+	}
+}
+
+// start sends an attempt. A panic of Send is raised by Run, since on the goroutine of the attempt it would end the
+// process.
 func (r *Race) start(ctx context.Context, lane Lane) {
 	r.running++
 	s := &r.lanes[lane]
 	s.startedAt, s.open = time.Now(), true
 	ctx, s.cancel = context.WithCancelCause(ctx)
 	go func() {
-		f := finished{lane: lane, result: r.Send(ctx, lane)}
-		select {
-		case r.results <- f:
-		case <-r.over:
-			r.Discard(lane)
-		}
+		f := finished{lane: lane}
+		defer func() {
+			f.panicked = recover()
+			select {
+			case r.results <- f:
+			case <-r.over:
+				r.Discard(lane)
+			}
+		}()
+		f.result = r.Send(ctx, lane)
 	}()
 }
 
--- a/internal/racer/race_test.go
+++ b/internal/racer/race_test.go
@@ -149,6 +149,35 @@
 	}
 }
 
+// TestPanicReachesCaller guards against a panic on the goroutine of an attempt: it would end the process, not the call.
+func TestPanicReachesCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		discarded := false
+		defer func() {
+			if reason := recover(); reason != "fault" {
+				t.Errorf("recovered %v, want the panic of Send", reason)
+			}
+			synctest.Wait()
+			if !discarded {
+				t.Error("the other attempt goes on")
+			}
+		}()
+		r := &Race{
+			Delay: func() (time.Duration, bool) { return copyDelay, true },
+			Copy:  func() bool { return true },
+			Send: func(ctx context.Context, lane Lane) Result {
+				if lane == Copy {
+					panic("fault")
+				}
+				<-ctx.Done()
+				return Cancelled
+			},
+			Discard: func(Lane) { discarded = true },
+		}
+		r.Run(t.Context())
+	})
+}
+
 // pieces is a body that returns one piece at a time.
 type pieces struct {
 	pieces []string
