hedger, router: two tests that did not fail without what they guard

Cause: on a scratch copy TestDelay passed when cancelled requests counted as answered, and nothing failed when a retry did not wait for an attempt that had lost and still read the call. Change: the case of TestDelay has a quantile that differs; TestRetryWaitsForLosingAttempt is new.

--- a/internal/router/copy_stream_test.go
+++ b/internal/router/copy_stream_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -154,3 +155,35 @@
 	<-ended
 	f.checkAtRest(t)
 }
+
+// TestRetryWaitsForLosingAttempt guards against a call that is changed for its next attempt while an attempt that has
+// lost a race still reads it.
+func TestRetryWaitsForLosingAttempt(t *testing.T) {
+	f := newCopyFixture(t, 4, nil, func(r *state.Route) { r.EventStream, r.Resumable, r.Attempts = true, true, 3 })
+	var started atomic.Int64
+	var returned, early atomic.Bool
+	due, onStart := make(chan struct{}), f.router.upstreamClient.onStart
+	f.router.upstreamClient.onStart = func(c *call, at *attempt) {
+		if started.Add(1) == 2 {
+			close(due)
+			time.Sleep(200 * time.Millisecond)
+			returned.Store(true)
+		}
+		onStart(c, at)
+	}
+	f.set(func(_ int, w http.ResponseWriter, request *http.Request) {
+		if request.Header.Get(HeaderLastEventID) != "" {
+			early.Store(!returned.Load())
+			stream("", streamStep{0, copyEvents[1]})(w, request)
+			return
+		}
+		<-due
+		stream("breaks", streamStep{0, copyEvents[0]})(w, request)
+	})
+	if status, body := f.get(t.Context()); status != http.StatusOK || body != copyEvents[0]+copyEvents[1] {
+		t.Errorf("status %d with %q", status, body)
+	}
+	if early.Load() {
+		t.Error("the next attempt was sent while one that had lost was starting")
+	}
+}
--- a/pkg/hedger/hedger_test.go
+++ b/pkg/hedger/hedger_test.go
@@ -88,7 +88,7 @@
 			for range 20 {
 				h.RecordUnanswered(0, "p", "c", 8*ms)
 			}
-			record(h, 0, 10, 100*ms)
+			record(h, 0, 5, 100*ms)
 		}, low: 100 * ms, high: 110 * ms},
 		"all slow ones cancelled": {record: func(h *Hedger) {
 			record(h, 0, 80, 10*ms)
