--- a/internal/controller/profiles.go
+++ b/internal/controller/profiles.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"math"
 	"time"
 
 	"github.com/comfreybend/comfreybend/internal/announcer"
@@ -30,6 +31,22 @@
 	return sums
 }
 
+// poolsOf returns a function that returns the pool of an upstream, or false if it is not known.
+func poolsOf(places tabulator.Places) func(registrar.UpstreamID) (string, bool) {
+	return func(id registrar.UpstreamID) (string, bool) {
+		place, known := places[id]
+		return place.Serves, known
+	}
+}
+
+// allProfiles returns the profiles of all upstreams that have one.
+func (t *loadTable) allProfiles(places tabulator.Places) []*wire.UpstreamProfile {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all, _ := t.profiles.Since(timer.Now(), 0, math.MaxInt, poolsOf(places))
+	return announcer.ProfilesToWire(all)
+}
+
 // fillProfiles adds to a reply the profiles of upstreams that changed after the position in a load.
 func (t *loadTable) fillProfiles(reply *wire.FollowReply, load *wire.LoadShare, domain registrar.FailureDomain, places tabulator.Places) {
 	t.mu.Lock()
@@ -38,10 +55,7 @@
 	if load.GetProfileTable() != reply.GetTable() {
 		after = 0
 	}
-	changed, position := t.profiles.Since(timer.Now(), after, maxReplyProfiles, func(id registrar.UpstreamID) (string, bool) {
-		place, known := places[id]
-		return place.Serves, known
-	})
+	changed, position := t.profiles.Since(timer.Now(), after, maxReplyProfiles, poolsOf(places))
 	if len(places) > maxDetailedUpstreams {
 		own := changed[:0]
 		for _, p := range changed {
--- a/internal/controller/profiles_test.go
+++ b/internal/controller/profiles_test.go
@@ -65,7 +65,9 @@
 		})
 	}
 	table.recordEntryLoad("entry", share)
-	if bytes := proto.Size(table.takeOutgoing()); bytes > maxGossipBytes {
+	bytes := proto.Size(table.takeOutgoing())
+	t.Logf("a message to another control process has %d bytes", bytes)
+	if bytes > maxGossipBytes {
 		t.Errorf("a message to another control process has %d bytes, want %d at most", bytes, maxGossipBytes)
 	}
 	named, position := map[string]bool{}, uint64(0)
@@ -73,7 +75,9 @@
 		reply := &wire.FollowReply{Table: 7}
 		table.fillProfiles(reply, &wire.LoadShare{ProfileTable: 7, ProfilePosition: position}, "3", places)
 		position = reply.GetProfiles().GetPosition()
-		if bytes := proto.Size(reply); bytes > maxReplyBytes {
+		bytes = proto.Size(reply)
+		t.Logf("a reply has %d bytes", bytes)
+		if bytes > maxReplyBytes {
 			t.Errorf("a reply has %d bytes, want %d at most", bytes, maxReplyBytes)
 		}
 		for _, p := range reply.GetProfiles().GetProfiles() {
--- a/internal/router/profile_test.go
+++ b/internal/router/profile_test.go
@@ -107,10 +107,22 @@
 	if two := d.clusterLoad.ProfileOf(d.now(), d.registry.Get("two")); two != (profiler.Profile{}) {
 		t.Errorf("profile %+v of another run", two)
 	}
+	lost := d.loadShare()
+	sent := len(lost.GetSums())
+	d.release(acquire(), outcomeFailed, 1)
+	lost = d.loadShare()
+	d.requeueCachedParts(lost)
+	if again := d.loadShare(); sent != 0 || len(lost.GetSums()) != 1 || len(again.GetSums()) != 1 {
+		t.Errorf("%d rows before an attempt, %d after it, %d after the message was lost; want 0, 1, 1", sent, len(lost.GetSums()), len(again.GetSums()))
+	}
 	late := d.now() + time.Minute
 	if one := d.clusterLoad.ProfileOf(late, d.registry.Get("one")); one != (profiler.Profile{Speed: 1.5}) {
 		t.Errorf("profile %+v without contact, want the speed only", one)
 	}
+	d.applyClusterLoad(&wire.LoadShare{}, &wire.FollowReply{Table: 8, Profiles: &wire.UpstreamProfiles{}})
+	if one := d.clusterLoad.ProfileOf(d.now(), d.registry.Get("one")); one != (profiler.Profile{Speed: 1.5}) {
+		t.Errorf("profile %+v by a control process that does not know it, want the speed only", one)
+	}
 }
 
 // TestSpeedIsObserved guards against speeds that are observed at deployments whose upstreams report no
--- a/pkg/picker/picker.go
+++ b/pkg/picker/picker.go
@@ -143,7 +143,7 @@
 	free = filterUnlessEmpty(free, func(i int) bool { return !contains(r.Avoid, candidates[i].ID) })
 	failed := failuresByDomain(r.Avoid, candidates)
 	free = filterUnlessEmpty(free, func(i int) bool { return failed[candidates[i].Domain] < domainFailureThreshold })
-	free = p.soundFirst(candidates, free)
+	free = p.soundFirst(r, candidates, free)
 	if !r.Retryable {
 		free = filterUnlessEmpty(free, func(i int) bool { return !candidates[i].Preemptible })
 	}
--- a/pkg/picker/speed.go
+++ b/pkg/picker/speed.go
@@ -7,7 +7,7 @@
 	"github.com/comfreybend/comfreybend/pkg/profiler"
 )
 
-// proveDivisor is the number of requests of which one is placed as if no upstream failed more than the
+// proveDivisor is the number of retryable requests of which one is placed as if no upstream failed more than the
 // others, so that one that has recovered is found to be sound.
 const proveDivisor = 16
 
@@ -61,8 +61,9 @@
 }
 
 // soundFirst narrows candidates to those that do not fail more requests than the others, if one of
-// these has a free slot. One request in proveDivisor may go to any.
-func (p *Picker) soundFirst(candidates []Candidate, indices []int) []int {
+// these has a free slot. One retryable request in proveDivisor may go to any; without such requests the
+// observed failures decay within seconds.
+func (p *Picker) soundFirst(r Request, candidates []Candidate, indices []int) []int {
 	if !slices.ContainsFunc(indices, func(i int) bool { return candidates[i].Failing }) {
 		return indices
 	}
@@ -74,7 +75,7 @@
 			room = room || c.Load() < c.Slots
 		}
 	}
-	if !room || p.random(proveDivisor) == 0 {
+	if !room || r.Retryable && p.random(proveDivisor) == 0 {
 		return indices
 	}
 	return sound
--- a/pkg/picker/speed_test.go
+++ b/pkg/picker/speed_test.go
@@ -92,7 +92,7 @@
 		return Engine{Free: true, Local: true, Age: time.Hour, Slots: 48, Requests: 10, PendingTokens: 8_000, UncachedTokens: 9_000, Speed: speed, Slowdown: slowdown}
 	}
 	r := longRequest(1)
-	r.TimeLimit = time.Second
+	r.Parts, r.TimeLimit = []PromptPart{{ID: "own", Tokens: r.PromptTokens}}, time.Second
 	for name, engines := range map[string][]Engine{
 		"lasting": {engine(0.7, 0), engine(1, 0)},
 		"brief":   {engine(0, 2.5), engine(0, 1)},
@@ -154,23 +154,26 @@
 	const requests = 6_400
 	random := rand.New(rand.NewSource(1))
 	p := New(PolicyStandard, random.Intn)
-	count := func(load int) (n int) {
+	count := func(load int, retryable bool) (n int) {
 		for range requests {
 			candidates := []Candidate{
 				{ID: "a", Free: true, Local: true, Slots: 6, Failing: true},
 				{ID: "b", Free: true, Slots: 6, InFlight: load},
 				{ID: "c", Free: true, Slots: 6, InFlight: load},
 			}
-			if p.Pick(Request{}, candidates) == 0 {
+			if p.Pick(Request{Retryable: retryable}, candidates) == 0 {
 				n++
 			}
 		}
 		return n
 	}
-	if n := count(1); n == 0 || n > requests/proveDivisor*5/4 {
+	if n := count(1, true); n == 0 || n > requests/proveDivisor*5/4 {
 		t.Errorf("%d of %d requests go to the failing upstream, want about %d", n, requests, requests/proveDivisor)
 	}
-	if n := count(6); n != requests {
+	if n := count(1, false); n != 0 {
+		t.Errorf("%d of %d requests that run once go to the failing upstream", n, requests)
+	}
+	if n := count(6, false); n != requests {
 		t.Errorf("%d of %d requests go to the failing upstream while the others are full, want all", n, requests)
 	}
 	if p.Pick(Request{}, []Candidate{{ID: "a", Free: true, Slots: 6, Failing: true}}) != 0 {
--- a/pkg/profiler/failures_load_test.go
+++ b/pkg/profiler/failures_load_test.go
@@ -91,7 +91,7 @@
 			Free: true, Slots: 6, InFlight: h.inFlight[i], Failing: h.failing[i],
 		}
 	}
-	chosen := h.picker.Pick(picker.Request{}, candidates)
+	chosen := h.picker.Pick(picker.Request{Retryable: true}, candidates)
 	h.inFlight[chosen]++
 	h.ends = append(h.ends, serviceEnd{at: now + serviceTime, upstream: chosen})
 	if now > serviceLength-5*time.Second {
--- a/pkg/profiler/profiler_test.go
+++ b/pkg/profiler/profiler_test.go
@@ -81,9 +81,9 @@
 	if len(profiles) != 1 || profiles[0].Profile.Speed > 0.7 {
 		t.Fatalf("profiles %+v, want one of the slow upstream", profiles)
 	}
-	table.Add(2*time.Second, Run{"slow", 2}, Sums{Weight: 2, LogSpeed: -1, Square: 1})
+	table.Add(2*time.Second, Run{"slow", 2}, Sums{Weight: 40, Square: 1})
 	if profiles, _ = table.Since(3*time.Second, position, 10, onePool); len(profiles) != 0 {
-		t.Errorf("profiles %+v of a new run with 2 observations", profiles)
+		t.Errorf("profiles %+v of a new run that is as fast as the others", profiles)
 	}
 }
 
