keeper: hold the set of evacuated failure domains in the replicated log

StateMachine.Apply takes the index of the entry for that; calls in tests pass one. Result: go test -race ./pkg/evacuator ./internal/keeper passes.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -100,6 +100,8 @@
 		appliedCommands tally.Counter
 		// failedProposals counts the requests whose command failed to commit.
 		failedProposals tally.Counter
+		// nodeCreatedAt is when node was created, by the monotonic clock.
+		nodeCreatedAt time.Duration
 	}
 )
 
@@ -254,7 +256,7 @@
 	if err != nil {
 		return err
 	}
-	c.node = n
+	c.node, c.nodeCreatedAt = n, timer.Now()
 	c.membership.setNode(n)
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return n.Run(ctx) })
@@ -285,10 +287,10 @@
 		Retryable:    func(err error) bool { return errors.As(err, new(*journaler.NoSpaceError)) },
 		SaveSnapshot: c.journal.SaveSnapshot,
 		Send:         c.peers.enqueue,
-		Apply: func(_ replicator.Index, data []byte) *wire.ProposeReply {
+		Apply: func(index replicator.Index, data []byte) *wire.ProposeReply {
 			c.appliedCommands.Inc(1)
 			defer c.recordRevision(c.stateMachine.Revision())
-			return c.stateMachine.Apply(data)
+			return c.stateMachine.Apply(index, data)
 		},
 		Snapshot: c.stateMachine.Snapshot,
 		Restore: func(data []byte) error {
--- a/internal/controller/document_test.go
+++ b/internal/controller/document_test.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if outcome := c.stateMachine.Apply(command).GetOutcome(); !outcome.GetAccepted() {
+	if outcome := c.stateMachine.Apply(1, command).GetOutcome(); !outcome.GetAccepted() {
 		t.Fatal(outcome)
 	}
 	for version, acknowledged := range map[uint64]bool{4: true, 5: true, 6: false} {
@@ -81,7 +81,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if outcome := c.stateMachine.Apply(command).GetOutcome(); !outcome.GetAccepted() {
+	if outcome := c.stateMachine.Apply(1, command).GetOutcome(); !outcome.GetAccepted() {
 		t.Fatalf("outcome %v of a committed command, want the same as in an earlier release", outcome)
 	}
 	snapshot, err := c.stateMachine.Snapshot()
--- a/internal/keeper/change.go
+++ b/internal/keeper/change.go
@@ -144,7 +144,7 @@
 	return m.catalog.Revision()
 }
 
-// Changed returns a channel that is closed at the next change of the catalog.
+// Changed returns a channel that is closed at the next change of the catalog or of the evacuations.
 func (m *StateMachine) Changed() <-chan struct{} {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
--- a/internal/keeper/document_test.go
+++ b/internal/keeper/document_test.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return m.Apply(data)
+	return m.Apply(1, data)
 }
 
 func TestApplyDocument(t *testing.T) {
@@ -121,7 +121,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		return m.Apply(data).GetOutcome().GetAccepted()
+		return m.Apply(1, data).GetOutcome().GetAccepted()
 	}
 	for _, step := range []struct {
 		number   uint64
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -1,8 +1,8 @@
 // Package keeper implements the replicated state machine of the control processes.
 // It holds the configuration, keys, audit trail, idempotency claims, usage windows,
-// intents of orders to the platform, and fencing numbers. Every replica applies
-// the same commands in the same order and reaches the same state. It never reads
-// a clock: the time is that of the commands.
+// intents of orders to the platform, fencing numbers and evacuated failure domains.
+// Every replica applies the same commands in the same order and reaches the same
+// state. It never reads a clock: the time is that of the commands.
 package keeper
 
 import (
@@ -11,9 +11,12 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/comfreybend/comfreybend/internal/announcer"
 	"github.com/comfreybend/comfreybend/internal/configurer"
+	"github.com/comfreybend/comfreybend/pkg/evacuator"
 	"github.com/comfreybend/comfreybend/pkg/matcher"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
+	"github.com/comfreybend/comfreybend/pkg/replicator"
 	"github.com/comfreybend/comfreybend/schema/state"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
@@ -46,7 +49,7 @@
 	// latestMillis is the latest time of any command, in Unix milliseconds.
 	latestMillis int64
 	catalog      *configurer.Catalog
-	// changed is closed and replaced when the catalog changes.
+	// changed is closed and replaced when the catalog or the evacuations change.
 	changed chan struct{}
 	// recentChanges holds the latest accepted changes, without gaps, for incremental syncs.
 	recentChanges []*state.Revised
@@ -91,6 +94,8 @@
 	departures *registrar.Departures
 	// versions holds the software versions that serve each pool.
 	versions *matcher.History
+	// evacuations holds the evacuated failure domains.
+	evacuations *evacuator.Set
 
 	contentMu sync.Mutex
 	// contents holds the latest results of ContentBetween, oldest first. contentMu guards it.
@@ -104,20 +109,21 @@
 	return m
 }
 
-// Apply applies one encoded command and returns the reply to its proposer.
-func (m *StateMachine) Apply(data []byte) *wire.ProposeReply {
+// Apply applies one encoded command, which is at an index of the log, and returns the reply to its
+// proposer.
+func (m *StateMachine) Apply(index replicator.Index, data []byte) *wire.ProposeReply {
 	command := &state.Command{}
 	if err := proto.Unmarshal(data, command); err != nil {
 		return refused("invalid", err.Error())
 	}
-	reply := m.apply(command)
+	reply := m.apply(index, command)
 	if d := command.GetDeparture(); d != nil {
 		m.OnDeparture(departureOf(d))
 	}
 	return reply
 }
 
-func (m *StateMachine) apply(command *state.Command) *wire.ProposeReply {
+func (m *StateMachine) apply(index replicator.Index, command *state.Command) *wire.ProposeReply {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.latestMillis = max(m.latestMillis, command.GetAtMillis())
@@ -146,6 +152,8 @@
 		return m.applyDeparture(kind.Departure)
 	case *state.Command_PoolVersion:
 		return m.applyPoolVersion(kind.PoolVersion)
+	case *state.Command_EvacuationOrder:
+		return m.applyEvacuationOrder(index, kind.EvacuationOrder, command.GetLimits())
 	default:
 		return refused("invalid", "unknown command")
 	}
@@ -177,6 +185,7 @@
 
 		DeparturesCommitted: uint64(m.departures.Position()),
 		PoolVersions:        versionsToState(m.versions),
+		Evacuations:         announcer.EvacuationsToState(m.evacuations),
 	}
 	for _, u := range m.latestPushes {
 		s.Usage = append(s.Usage, u)
@@ -239,6 +248,7 @@
 	for _, v := range s.GetPoolVersions() {
 		m.versions.Add(originOf(v))
 	}
+	m.evacuations = announcer.EvacuationsOf(s.GetEvacuations())
 }
 
 func (m *StateMachine) reset() {
@@ -254,6 +264,7 @@
 	m.document = nil
 	m.departures = registrar.NewDepartures(maxDepartures)
 	m.versions = matcher.NewHistory(maxVersions)
+	m.evacuations = &evacuator.Set{}
 }
 
 func refused(reason, detail string) *wire.ProposeReply {
--- a/internal/keeper/keeper_bench_test.go
+++ b/internal/keeper/keeper_bench_test.go
@@ -23,7 +23,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		m.Apply(data)
+		m.Apply(1, data)
 	}
 	configuration := &state.Configuration{}
 	var keys []*state.Key
@@ -57,7 +57,7 @@
 				if err != nil {
 					b.Fatal(err)
 				}
-				if !m.Apply(data).GetOutcome().GetAccepted() {
+				if !m.Apply(1, data).GetOutcome().GetAccepted() {
 					b.Fatal("change was refused")
 				}
 			}
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return m.Apply(data)
+	return m.Apply(1, data)
 }
 
 func change(id string, base uint64, op *state.Operation) *state.Command {
@@ -290,7 +290,7 @@
 	}
 	m := New()
 	for i := range maxDepartures + 2 {
-		m.Apply(departure(fmt.Sprint("u", i)))
+		m.Apply(1, departure(fmt.Sprint("u", i)))
 	}
 	_, position := m.DeparturesSince(0, 1)
 	snapshot, err := m.Snapshot()
@@ -301,7 +301,7 @@
 	if err = restored.Restore(snapshot); err != nil {
 		t.Fatal(err)
 	}
-	restored.Apply(departure("last"))
+	restored.Apply(1, departure("last"))
 	got, reached := restored.DeparturesSince(position, 1)
 	if len(got) != 1 || got[0].ID != "last" || reached != position+1 {
 		t.Errorf("departures %v until position %d after position %d, want the last one until %d", got, reached, position, position+1)
@@ -317,7 +317,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		return m.Apply(data).GetOutcome().GetAccepted()
+		return m.Apply(1, data).GetOutcome().GetAccepted()
 	}
 	for _, version := range []string{"v1", "v2", "v2", "v3"} {
 		if !apply(&state.PoolVersion{Pool: "model/m", Version: version}) {
