router, controller, platform: evacuate failure domains

Change: any control process commits an order and answers 200, 503 or, for a bad name, 400. Replies to polls and confirmed syncs carry the whole set if the entry process names another position; the highest position counts. Entry processes leave the upstreams there out of the choice and look again before each send. The autoscaler orders nothing there and meets the demand elsewhere. A control process that has just started hands out no configuration to entry processes without any until it has caught up, for two election timeouts at most, since its set may be old.

--- a/cmd/comfreybend/command.go
+++ b/cmd/comfreybend/command.go
@@ -28,7 +28,7 @@
 
 const help = `Routes language-model traffic by classes of work with targets and priorities.
 
-Daemons: entry, control. First steps: try. Operators: settings, config, organisation, key, upstream, status, audit.
+Daemons: entry, control. First steps: try. Operators: settings, config, organisation, key, upstream, evacuation, status, audit.
 
 Exit codes: 0 success, 1 failure, 2 wrong usage, 3 change refused, 4 no response (try again), 5 faults in a file.`
 
--- a/internal/controller/autoscaler.go
+++ b/internal/controller/autoscaler.go
@@ -155,6 +155,7 @@
 	}
 	a.mu.Unlock()
 	a.planner.SetDomains(domains)
+	a.planner.SetEvacuated(a.agent.controller.evacuatedDomains())
 	return a.planner.Step(timer.Now(), pools)
 }
 
@@ -185,7 +186,8 @@
 
 // stopDrained sends a stop order for each draining upstream that has no requests
 // left once two ordering intervals and drainPropagationTime have passed, or that
-// has been draining for longer than the drain setting. It sends a new order for
+// has been draining for longer than the drain setting. One in an evacuated failure domain is left as it
+// is. It sends a new order for
 // such an upstream at every run until the upstream is no longer announced.
 func (a *autoscaler) stopDrained(ctx context.Context, pools []planner.Pool) error {
 	s := a.agent.controller.settings.GetControl().GetOrdering()
@@ -195,13 +197,14 @@
 			load[string(u.ID)] = u.Load
 		}
 	}
+	evacuated := a.agent.controller.evacuatedDomains()
 	a.mu.Lock()
 	var ready []planner.Order
 	for id, d := range a.draining {
 		requests, present := load[id]
 		waited := timer.Now() - d.startedAt
 		switch {
-		case !present:
+		case !present, evacuated[d.order.FailureDomain]:
 			delete(a.draining, id)
 		case requests == 0 && waited > 2*s.GetInterval().AsDuration()+drainPropagationTime, waited > s.GetDrain().AsDuration():
 			ready = append(ready, d.order)
--- a/internal/controller/counts.go
+++ b/internal/controller/counts.go
@@ -29,11 +29,15 @@
 	}
 	busy := c.entries.busyUpstreams()
 	a.busyUpstreams = busy
+	evacuated := c.evacuatedDomains()
+	upstreams := withoutEvacuated(c.upstreamTable.All(), evacuated)
 	for _, pool := range c.stateMachine.Catalog().Configuration().GetPools() {
 		if pool.GetScaling() == nil {
 			continue
 		}
-		for _, order := range a.sizer.Step(timer.Now(), describePool(pool, busy[pool.GetName()], c.upstreamTable.All(), c.evidence.Limits())) {
+		sized := describePool(pool, busy[pool.GetName()], upstreams, c.evidence.Limits())
+		sized.Evacuate(evacuated)
+		for _, order := range a.sizer.Step(timer.Now(), sized) {
 			if !a.agent.refreshLease() {
 				return nil
 			}
--- a/internal/controller/dialect.go
+++ b/internal/controller/dialect.go
@@ -55,6 +55,10 @@
 		// after a majority has confirmed the leader. The content is nil if there is no
 		// document. The error is a *RequestFailedError.
 		Document func(context.Context) ([]byte, error)
+		// Evacuate starts or finishes the evacuation of a failure domain. It may be acknowledged
+		// only if the error is nil; it is an *evacuator.InvalidDomainError or a
+		// *RequestFailedError.
+		Evacuate func(ctx context.Context, domain registrar.FailureDomain, finish bool) error
 	}
 
 	// UsageReport is the usage of one window.
@@ -102,6 +106,7 @@
 		HoldsDocument:  c.holdsDocument,
 		RejectDocument: c.rejectDocument,
 		Document:       c.readDocument,
+		Evacuate:       c.evacuate,
 	})
 }
 
--- a/internal/controller/follow.go
+++ b/internal/controller/follow.go
@@ -264,8 +264,9 @@
 	reply.ControlAddresses = c.controlAddresses(f.GetFailureDomain(), f.GetHost())
 	reply.Unheard = c.unheard()
 	c.addEntryHosts(reply, f)
+	reply.Evacuations = c.evacuationsAfter(f.EvacuationPosition)
 	reply.TrueMillis = c.clusterView.agreedTime(c.settings.GetHost().GetId()).UnixMilli()
-	if f.GetWantUnconfirmed() && reply.GetRevision() > knownRevision {
+	if f.GetWantUnconfirmed() && reply.GetRevision() > knownRevision && c.mayConfigure(f) {
 		if err := c.addChanges(reply, f); err != nil {
 			return failureReply(ReasonInvalid, err.Error())
 		}
@@ -288,7 +289,7 @@
 		evidenceUpdated := c.addEvidence(reply, f)
 		reply.Revision = uint64(c.stateMachine.Revision())
 		remaining := until - timer.Now()
-		if reply.GetWholeTable() || reply.GetEvidence() != nil || len(reply.GetUpstreams())+len(reply.GetLeaving())+len(reply.GetRemoved()) > 0 || reply.GetRevision() > knownRevision || remaining <= 0 {
+		if reply.GetWholeTable() || reply.GetEvidence() != nil || len(reply.GetUpstreams())+len(reply.GetLeaving())+len(reply.GetRemoved()) > 0 || reply.GetRevision() > knownRevision || c.hasLaterEvacuations(f.EvacuationPosition) || remaining <= 0 {
 			return reply
 		}
 		select {
--- a/internal/controller/operator.go
+++ b/internal/controller/operator.go
@@ -80,7 +80,11 @@
 		authenticated(c.changeEndpoint), decodeChange, encodeProto, options...))
 	mux.Handle("POST /operator/v1/parts/{id}/lift", kithttp.NewServer(
 		authenticated(c.liftEndpoint), decodePartID, encodeProto, options...))
-	for _, what := range []string{ReadConfiguration, ReadKeys, ReadAudit, ReadStatus, ReadUpstreams, ReadParts} {
+	mux.Handle("POST /operator/v1/evacuations/{domain...}", kithttp.NewServer(
+		authenticated(c.evacuationEndpoint), decodeEvacuationOrder(false), encodeProto, options...))
+	mux.Handle("DELETE /operator/v1/evacuations/{domain...}", kithttp.NewServer(
+		authenticated(c.evacuationEndpoint), decodeEvacuationOrder(true), encodeProto, options...))
+	for _, what := range []string{ReadConfiguration, ReadKeys, ReadAudit, ReadStatus, ReadUpstreams, ReadParts, ReadEvacuations} {
 		decode := func(context.Context, *http.Request) (any, error) { return &wire.Read{What: what}, nil }
 		mux.Handle("GET /operator/v1/"+what, kithttp.NewServer(
 			authenticated(c.readEndpoint), decode, encodeProto, options...))
--- a/internal/controller/requests.go
+++ b/internal/controller/requests.go
@@ -39,6 +39,7 @@
 	ReadDocument      = "document"
 	ReadParts         = "parts"
 	ReadVersions      = "versions"
+	ReadEvacuations   = "evacuations"
 )
 
 // leastBytesPerSecond is the rate at which a large request is expected to be committed at
@@ -179,6 +180,7 @@
 	reply.RevisionAgeMillis = c.revisionAge().Milliseconds()
 	reply.LightParts = c.entries.lightShares()
 	c.addDepartures(reply, s)
+	reply.Evacuations = c.evacuationsAfter(s.EvacuationPosition)
 	if s.GetEvidence() != nil {
 		c.mergeEvidence(s.GetEvidence())
 	}
@@ -214,6 +216,8 @@
 		reply.Parts = c.evidence.Accused()
 	case ReadVersions:
 		reply.Versions = versioner.Served(c.stateMachine.Versions(), c.upstreams())
+	case ReadEvacuations:
+		reply.Evacuations = c.stateMachine.Evacuations()
 	case ReadDocument:
 		reply.Version = c.stateMachine.Document().GetVersion()
 		reply.Document = c.stateMachine.Document().GetContent()
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -138,6 +138,30 @@
 	return reply, c.call(ctx, http.MethodPost, "/operator/v1/parts/"+url.PathEscape(id)+"/lift", nil, reply)
 }
 
+// Evacuate starts or finishes the evacuation of a failure domain. While the outcome is unknown, the order
+// is sent again, which has no further effect.
+func (c *Client) Evacuate(ctx context.Context, domain string, finish bool) (*state.Outcome, error) {
+	method := http.MethodPost
+	if finish {
+		method = http.MethodDelete
+	}
+	var err error
+	for range changeAttempts {
+		outcome := &state.Outcome{}
+		err = c.call(ctx, method, "/operator/v1/evacuations/"+url.PathEscape(domain), nil, outcome)
+		if err == nil {
+			return checkAccepted(outcome)
+		}
+		if isPermanent(err) {
+			return nil, err
+		}
+		if !timer.Sleep(ctx, retryInterval) {
+			break
+		}
+	}
+	return nil, errors.WithMessage(&UnavailableError{Cause: err}, "the order may or may not have been accepted")
+}
+
 // isPermanent reports whether err is a response that a retry would not change.
 func isPermanent(err error) bool {
 	var answered *ResponseError
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -66,7 +66,8 @@
 		// limit does not allow it, and reports whether there is one.
 		admit func(*registrar.Upstream, restrainer.Reservation) (limited bool, err error)
 		// checkLeaving is called before an attempt is sent, and again when a connection for it has
-		// been established. It returns an error if the upstream is leaving.
+		// been established. It returns an error if the upstream is leaving or its failure domain is
+		// evacuated.
 		checkLeaving func(*registrar.Upstream) error
 		// onStart is called for every attempt before it is sent.
 		onStart func(*call, *attempt)
--- a/internal/router/control_poller.go
+++ b/internal/router/control_poller.go
@@ -337,6 +337,8 @@
 		WantsEvidence:    true,
 		EvidencePosition: from.evidencePosition,
 		EntryIdsDigest:   p.router.restrainer.HostsDigest(),
+
+		EvacuationPosition: p.router.dispatcher.evacuationPosition(),
 	}
 	if p.self != nil {
 		request.Self = p.self()
@@ -380,6 +382,7 @@
 func (p *controlPoller) apply(control string, request *wire.Follow, reply *wire.FollowReply) {
 	r := p.router
 	now := timer.Now()
+	r.applyEvacuations(reply.GetEvacuations(), leavePolled, control)
 	r.windows.SetAgreedTime(now, time.UnixMilli(reply.GetTrueMillis()))
 	r.mergeEvidence(reply.GetEvidence())
 	for _, u := range request.GetLeaving() {
--- a/internal/router/controlplane.go
+++ b/internal/router/controlplane.go
@@ -218,6 +218,7 @@
 		FetchesChanges: true,
 
 		WantsDepartures: true, DeparturePosition: uint64(p.departures),
+		EvacuationPosition: p.router.dispatcher.evacuationPosition(),
 	}
 	if p.router.settings.GetEntry().GetFollowControl() {
 		s.Upstreams = nil
@@ -234,6 +235,7 @@
 func (p *controlPlane) applyReply(sentAt time.Duration, held configurer.Revision, result syncResult) error {
 	reply, revision := result.reply, configurer.Revision(result.reply.GetRevision())
 	p.departures = p.router.applyDepartures(reply, result.client.Address())
+	p.router.applyEvacuations(reply.GetEvacuations(), leaveCommitted, result.client.Address())
 	if revision < held {
 		return &earlierRevisionError{Held: held, Received: revision}
 	}
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -11,6 +11,7 @@
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/estimator"
 	"github.com/comfreybend/comfreybend/internal/restrainer"
+	"github.com/comfreybend/comfreybend/pkg/evacuator"
 	"github.com/comfreybend/comfreybend/pkg/limiter"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
@@ -162,6 +163,8 @@
 		// draining holds the upstreams that are about to be stopped, as reported by a
 		// control process. They get no new requests.
 		draining map[registrar.UpstreamID]bool
+		// evacuations holds the evacuated failure domains, whose upstreams get no new requests.
+		evacuations evacuator.Set
 		// withdrawn holds the upstreams that have said in a response that they are leaving,
 		// until a control process knows.
 		withdrawn map[registrar.UpstreamID]registrar.Upstream
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -298,7 +298,7 @@
 		h.recordStart()
 	case failure.Refused:
 		outcome = outcomeOverloaded
-	case errors.As(err, new(*restrainer.LimitError)), errors.As(err, new(*leavingUpstreamError)):
+	case errors.As(err, new(*restrainer.LimitError)), errors.As(err, new(*leavingUpstreamError)), errors.As(err, new(*evacuatedDomainError)):
 		outcome = outcomeAbandoned
 	default:
 		outcome = outcomeUnreachable
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -17,6 +17,7 @@
 	// that arrive a second time.
 	configurationBytes tally.Counter
 	heldParts          tally.Gauge
+	evacuatedDomains   tally.Gauge
 	retries            tally.Counter
 	resumedStreams     tally.Counter
 	// silentConnections counts the connections that watchSilence abandoned.
@@ -31,6 +32,7 @@
 		revision:            scope.Gauge("configuration_revision"),
 		syncFailures:        scope.Counter("configuration_sync_failures"),
 		configurationBytes:  scope.Counter("configuration_bytes"),
+		evacuatedDomains:    scope.Gauge("evacuated_domains"),
 		heldParts:           scope.Gauge("prompt_parts_held"),
 		retries:             scope.Counter("attempts_retried"),
 		resumedStreams:      scope.Counter("streams_resumed"),
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -234,7 +234,7 @@
 		candidates []picker.Candidate
 	)
 	for _, u := range d.registry.Serving(key.kind, key.name) {
-		if d.draining[u.ID] {
+		if d.isWithheld(u) {
 			continue
 		}
 		s := d.upstreamStates[u.ID]
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -118,7 +118,7 @@
 	r.buffers = bufferer.New(s.GetEntry().GetUpstreamLimits().GetBufferedBytes())
 	r.upstreamClient = newUpstreamClient(s.GetEntry(), dialect)
 	r.upstreamClient.admit = r.restrainer.Admit
-	r.upstreamClient.checkLeaving = r.dispatcher.checkLeaving
+	r.upstreamClient.checkLeaving = r.dispatcher.checkWithheld
 	r.controlClients = ranker.New(s.GetEntry(), security)
 	r.controlPlane, r.proposer = newControlPlane(r), proposer.New(r.controlClients.All)
 	r.tracker.Targets, r.tracker.All = r.controlClients.Apart, r.controlClients.All
--- a/internal/router/version.go
+++ b/internal/router/version.go
@@ -25,7 +25,7 @@
 func (d *dispatcher) serving(key poolKey, version *registrar.Version) []*registrar.Upstream {
 	var out []*registrar.Upstream
 	for _, u := range d.registry.Serving(key.kind, key.name) {
-		if !d.draining[u.ID] && matches(u, version) {
+		if !d.isWithheld(u) && matches(u, version) {
 			out = append(out, u)
 		}
 	}
@@ -39,6 +39,9 @@
 	switch {
 	case len(d.serving(r.pool, r.version)) > 0:
 		return nil
+	case d.isEvacuated(r.pool, r.version):
+		return refuseWithRetryAfter(http.StatusServiceUnavailable, CodeNoUpstream,
+			"all upstreams that may serve the request are in evacuated failure domains", d.retryAfter())
 	case r.version != nil && len(d.serving(r.pool, nil)) > 0 && d.now()-d.startedAt > startupTime:
 		return refuse(http.StatusGone, CodeVersionGone, "no upstream of the version that began the stream serves any more")
 	default:
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -106,6 +106,8 @@
 	Planner struct {
 		config Config
 		pools  map[PoolName]*poolState
+		// evacuated are the domains in which nothing is ordered.
+		evacuated map[FailureDomain]bool
 	}
 
 	poolState struct {
@@ -146,18 +148,22 @@
 	for _, pool := range pools {
 		p.state(pool.Name).updateStarting(now, pool)
 	}
+	domains, usable := p.usableDomains()
 	starting := 0
 	for _, s := range p.pools {
+		s.forgetStarting(p.evacuated)
 		starting += len(s.starting)
 	}
 	var orders []Order
 	for _, pool := range pools {
 		s := p.state(pool.Name)
+		pool = p.withoutEvacuated(pool)
 		s.observe(pool)
 		switch {
+		case !usable:
 		case s.highCount >= highObservations:
 			for range min(s.startsNeeded(pool), p.config.MaxStarting-starting) {
-				order := s.startOrder(pool, p.config.Domains)
+				order := s.startOrder(pool, domains)
 				s.starting = append(s.starting, pendingStart{
 					until: now + p.config.StartupTimeout, domain: order.FailureDomain, preemptible: order.Preemptible,
 				})
--- a/pkg/planner/sizer.go
+++ b/pkg/planner/sizer.go
@@ -65,6 +65,8 @@
 		Prices map[FailureDomain]float64
 		// OnDemand and Preemptible are the numbers of upstreams that serve now, by domain.
 		OnDemand, Preemptible map[FailureDomain]int
+		// evacuated are the domains that Evacuate has taken out.
+		evacuated map[FailureDomain]bool
 	}
 
 	// CountOrder sets the number of upstreams of one capacity type in one domain of a pool. It
@@ -109,6 +111,11 @@
 		// unavailableUntil is the time until which a domain is assumed to have no preemptible
 		// upstreams available.
 		unavailableUntil map[FailureDomain]time.Duration
+		// evacuated are the domains that were evacuated at the latest observation.
+		evacuated map[FailureDomain]bool
+		// rebalanceAt is when the upstreams are distributed anew since a domain has come back, zero
+		// for never.
+		rebalanceAt time.Duration
 	}
 
 	orderKey struct {
@@ -136,7 +143,11 @@
 // monotonic clock. Call RecordRefusal for each order that is not accepted.
 func (z *Sizer) Step(now time.Duration, p SizedPool) []CountOrder {
 	s := z.state(p.Name)
-	if s.updateTargetSize(now, p) {
+	rebalance := s.updateEvacuated(now, p)
+	if len(p.Prices) == 0 && len(p.evacuated) > 0 {
+		return nil
+	}
+	if s.updateTargetSize(now, p) || rebalance {
 		s.distribute(p)
 	}
 	s.grow(now, p)
