--- a/internal/router/evacuation_test.go
+++ b/internal/router/evacuation_test.go
@@ -12,6 +12,7 @@
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/messenger"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
+	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/state"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
@@ -193,3 +194,22 @@
 		t.Error("requests that the other domain can serve are refused")
 	}
 }
+
+// TestEvacuationComesWithSync guards against an evacuation that an entry process does not hear of whose polls
+// go to control processes that are cut off: the confirmed sync has all orders that were acknowledged before.
+func TestEvacuationComesWithSync(t *testing.T) {
+	const bound = 5 * time.Second
+	group := startControlGroup(t)
+	revision := group.put(documentWithRoutes(1, 10))
+	r := newSyncingRouter(t, "e", group.addresses())
+	r.awaitRevision(t, revision, setupTimeout)
+	u := announcedUpstream(0, r.dispatcher.now())
+	for _, finish := range []bool{false, true} {
+		group.commit(&state.Command{Kind: &state.Command_EvacuationOrder{EvacuationOrder: &state.EvacuationOrder{FailureDomain: "a", Finish: finish}}})
+		acknowledged := timer.Now()
+		awaitCondition(t, "the order is not known", func() bool { return (r.dispatcher.checkWithheld(&u) == nil) == finish })
+		if after := timer.Now() - acknowledged; after > bound {
+			t.Errorf("the order is known after %v, want %v", after, bound)
+		}
+	}
+}
--- a/pkg/planner/evacuation_test.go
+++ b/pkg/planner/evacuation_test.go
@@ -59,7 +59,8 @@
 }
 
 // TestSizerLeavesEvacuatedDomain guards against numbers that are ordered for an evacuated domain, against
-// demand that is not met in the others, and against upstreams that are stopped when their domain comes back.
+// demand that is not met in the others, against upstreams that are stopped when their domain comes back, and
+// against those that were added in the others and are paid for ever after.
 func TestSizerLeavesEvacuatedDomain(t *testing.T) {
 	const busy = 6.0
 	evacuated := map[FailureDomain]bool{"a": true}
@@ -81,8 +82,10 @@
 			now := 30 * time.Second
 			p.run(z, now, now+test.length, test.during)
 			now += test.length
-			if onDemand, preemptible := p.total(); float64(onDemand+preemptible) < test.during/sizerTargetUtilization {
-				t.Errorf("%d upstreams in the other domains, want enough for a load of %v", onDemand+preemptible, test.during)
+			onDemand, preemptible := p.total()
+			enough := onDemand + preemptible
+			if float64(enough) < test.during/sizerTargetUtilization {
+				t.Errorf("%d upstreams in the other domains, want enough for a load of %v", enough, test.during)
 			}
 			if _, ordered := p.pool.OnDemand["a"]; ordered || p.pool.Preemptible["a"] > 0 {
 				t.Error("upstreams were ordered in the evacuated domain")
@@ -94,6 +97,9 @@
 				t.Errorf("%v upstreams after the domain has come back, want the %v that were there; %d in b, want %d", got, there, p.pool.Preemptible["b"], others)
 			}
 			p.run(z, now+shrinkDelay/2, now+2*shrinkDelay, test.during)
+			if onDemand, preemptible = p.total(); onDemand+preemptible > enough {
+				t.Errorf("%d upstreams in the end, want no more than the %d that were enough without the domain", onDemand+preemptible, enough)
+			}
 			for d, price := range p.pool.Prices {
 				if n := p.pool.OnDemand[d] + p.pool.Preemptible[d]; n < 1 || n > 8 {
 					t.Errorf("%d upstreams in %s at the price %v in the end, want them spread evenly", n, d, price)
