--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -69,7 +69,8 @@
 		// askWarmUp is called before admit, and asks the upstream whether it is cold if need be.
 		askWarmUp func(context.Context, *registrar.Upstream)
 		// checkLeaving is called before an attempt is sent, and again when a connection for it has
-		// been established. It returns an error if the upstream is leaving.
+		// been established. It returns an error if the upstream is leaving or its failure domain is
+		// evacuated.
 		checkLeaving func(*registrar.Upstream) error
 		// onStart is called for every attempt before it is sent.
 		onStart func(*call, *attempt)
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -17,6 +17,7 @@
 	// that arrive a second time.
 	configurationBytes tally.Counter
 	heldParts          tally.Gauge
+	evacuatedDomains   tally.Gauge
 	// heldCold counts the requests that a cold upstream did not get.
 	heldCold       tally.Counter
 	retries        tally.Counter
@@ -33,6 +34,7 @@
 		revision:            scope.Gauge("configuration_revision"),
 		syncFailures:        scope.Counter("configuration_sync_failures"),
 		configurationBytes:  scope.Counter("configuration_bytes"),
+		evacuatedDomains:    scope.Gauge("evacuated_domains"),
 		heldParts:           scope.Gauge("prompt_parts_held"),
 		heldCold:            scope.Counter("requests_held_cold"),
 		retries:             scope.Counter("attempts_retried"),
--- a/pkg/planner/sizer.go
+++ b/pkg/planner/sizer.go
@@ -67,6 +67,8 @@
 		Prices map[FailureDomain]float64
 		// OnDemand and Preemptible are the numbers of upstreams that serve now, by domain.
 		OnDemand, Preemptible map[FailureDomain]int
+		// evacuated are the domains that Evacuate has taken out.
+		evacuated map[FailureDomain]bool
 	}
 
 	// CountOrder sets the number of upstreams of one capacity type in one domain of a pool. It
@@ -111,6 +113,11 @@
 		// unavailableUntil is the time until which a domain is assumed to have no preemptible
 		// upstreams available.
 		unavailableUntil map[FailureDomain]time.Duration
+		// evacuated are the domains that were evacuated at the latest observation.
+		evacuated map[FailureDomain]bool
+		// rebalanceAt is when the upstreams are distributed anew since a domain has come back, zero
+		// for never.
+		rebalanceAt time.Duration
 	}
 
 	orderKey struct {
@@ -138,7 +145,11 @@
 // monotonic clock. Call RecordRefusal for each order that is not accepted.
 func (z *Sizer) Step(now time.Duration, p SizedPool) []CountOrder {
 	s := z.state(p.Name)
-	if s.updateTargetSize(now, p) {
+	rebalance := s.updateEvacuated(now, p)
+	if len(p.Prices) == 0 && len(p.evacuated) > 0 {
+		return nil
+	}
+	if s.updateTargetSize(now, p) || rebalance {
 		s.distribute(p)
 	}
 	s.grow(now, p)
@@ -185,7 +196,7 @@
 // updateTargetSize updates the target size and reports whether to distribute the upstreams anew:
 // at the first observation, and when fewer upstreams have been needed for shrinkDelay.
 func (s *sizedPoolState) updateTargetSize(now time.Duration, p SizedPool) bool {
-	needed := max(minOnDemand, len(p.Prices)*max(1, p.Minimum), int(math.Ceil(upstreamsPerBusy*p.Busy+spareFactor*math.Sqrt(p.Busy))))
+	needed := max(minOnDemand, len(p.Prices)*max(1, p.Minimum), sizeFor(p.Busy))
 	needed = min(needed+p.Limited, len(p.Prices)*p.Maximum)
 	if s.onDemand == nil {
 		s.targetSize = min(max(initialSize(p), needed), len(p.Prices)*p.Maximum)
@@ -208,6 +219,11 @@
 	return true
 }
 
+// sizeFor returns the number of upstreams for a load that keeps busy of them busy all the time.
+func sizeFor(busy float64) int {
+	return int(math.Ceil(upstreamsPerBusy*busy + spareFactor*math.Sqrt(busy)))
+}
+
 // initialSize returns the target size at the first observation, when the load is not known. The process that
 // chose the current number of upstreams knew it, and has added spare ones if any is preemptible.
 func initialSize(p SizedPool) int {
