bounder, ingester: bound what clients have sent and is not read

Cause: the system lets the receive buffer of each connection grow to megabytes; net/http waits for up to 256 KiB of a refused body until its time is over; bodies without a length share the memory so that none can end; a control process reads every body at once; a request that is passed on is decoded before any memory is counted for it.

Change: receive buffers of 64 KiB, 512 KiB while a large body is read (1,000 Mbit/s x 4 ms = 500,000 bytes), and a bound on connections that wait to be accepted. A number of bodies that are read at the same time; one that has stalled for a second is interrupted for a new one, and its request refused as not run. Bodies without a length count as the largest beyond 32 KiB. Nothing more is read after a refusal. Control processes read messages of up to 64 KiB apart from documents, which share one memory; connections and headers are bounded there.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -63,10 +63,11 @@
 
 // ConnState records the state of a connection, for http.Server.ConnState.
 func (a *Admitter) ConnState(connection net.Conn, state http.ConnState) {
-	if secured, ok := connection.(interface{ NetConn() net.Conn }); ok {
-		connection = secured.NetConn()
+	c, ok := connection.(*conn)
+	if secured, wraps := connection.(interface{ NetConn() net.Conn }); !ok && wraps {
+		c, ok = secured.NetConn().(*conn)
 	}
-	if c, ok := connection.(*conn); ok {
+	if ok {
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		c.state, c.since = state, timer.Now()
@@ -143,6 +144,9 @@
 	return longest
 }
 
+// NetConn returns the connection that the admitter has accepted.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	a := c.admitter
--- a/internal/bufferer/bufferer.go
+++ b/internal/bufferer/bufferer.go
@@ -3,6 +3,7 @@
 
 import (
 	"io"
+	"sync"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
@@ -11,8 +12,8 @@
 const (
 	// minBufferBytes is the first size of a buffer.
 	minBufferBytes = 1 << 10
-	// freeBufferBytes is the part of each buffer that does not count towards the shared room.
-	freeBufferBytes = 32 << 10
+	// FreeBytes is the part of each buffer that does not count towards the shared room.
+	FreeBytes = 32 << 10
 )
 
 type (
@@ -26,6 +27,9 @@
 	// any more.
 	Buffer struct {
 		pool *Pool
+		// Whole makes the buffer take the room for its largest size as soon as it grows beyond the free part, since its
+		// size is not known. It may be set while the buffer is empty.
+		Whole bool
 		// Data is what has been collected.
 		Data []byte
 		// limit is the largest size.
@@ -56,6 +60,14 @@
 	return &Buffer{pool: p, limit: limit}
 }
 
+// Take reserves bytes for data that are kept elsewhere, and reports whether they were left. release returns them.
+func (p *Pool) Take(bytes int64) (release func(), taken bool) {
+	if !p.take(bytes) {
+		return nil, false
+	}
+	return sync.OnceFunc(func() { p.left.Add(bytes) }), true
+}
+
 // take reserves bytes of the shared room and reports whether they were left.
 func (p *Pool) take(bytes int64) bool {
 	if p.left.Add(-bytes) >= 0 {
@@ -75,7 +87,11 @@
 		return true
 	}
 	size := max(minBufferBytes, min(b.limit, 2*cap(b.Data)), needed)
-	extra := int64(size-freeBufferBytes) - b.taken
+	counted := size
+	if b.Whole && size > FreeBytes {
+		counted = b.limit
+	}
+	extra := int64(counted-FreeBytes) - b.taken
 	if extra > 0 {
 		if !b.pool.take(extra) {
 			return false
@@ -105,6 +121,18 @@
 	return false, nil
 }
 
+// Counted returns the number of bytes taken from the pool.
+func (b *Buffer) Counted() int64 { return b.taken }
+
+// Trim returns the memory that was taken beyond what the buffer has allocated.
+func (b *Buffer) Trim() {
+	needed := int64(max(0, cap(b.Data)-FreeBytes))
+	if extra := b.taken - needed; extra > 0 {
+		b.taken = needed
+		b.pool.left.Add(extra)
+	}
+}
+
 // Append adds bytes. The error is a *NoBufferError.
 func (b *Buffer) Append(bytes []byte) error {
 	if !b.grow(len(bytes)) {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -90,6 +90,7 @@
 		evidence     *collector.Table
 		lister       *lister.Lister
 		versions     *versioner.Versioner
+		bodies       *bodyLimits
 		// autoscaler is nil until runPlatformAgent starts.
 		autoscaler atomic.Pointer[autoscaler]
 
@@ -128,6 +129,7 @@
 		evidence:        collector.NewTable(),
 		versions:        versioner.New(timer.Now()),
 		lister:          lister.New(),
+		bodies:          newBodyLimits(s.GetControl().GetOperatorLimits()),
 		appliedCommands: instruments.Scope.Counter("commands_committed"),
 		failedProposals: instruments.Scope.Counter("commands_refused"),
 	}
@@ -164,8 +166,10 @@
 	group, ctx := errgroup.WithContext(ctx)
 	peerServer := messenger.NewServer(listeners.peer, c.security, c.handle)
 	group.Go(func() error { return peerServer.Run(ctx) })
-	group.Go(func() error { return c.serveHTTP(ctx, listeners.status, c.instruments.Handler(c.notReady, "")) })
-	group.Go(func() error { return c.serveHTTP(ctx, listeners.operator, c.publicHandler()) })
+	group.Go(func() error {
+		return c.serveHTTP(ctx, listeners.status, &http.Server{Handler: c.instruments.Handler(c.notReady, "")})
+	})
+	group.Go(func() error { return c.serveHTTP(ctx, listeners.operator, c.bodies.server(c.publicHandler())) })
 	group.Go(func() error { return c.runGossip(ctx) })
 	group.Go(func() error { return c.peers.run(ctx) })
 	group.Go(func() error { return evidence.Run(ctx) })
@@ -219,12 +223,12 @@
 	if err != nil {
 		return nil, err
 	}
-	l.operator = certifier.WrapListener(l.operator, public)
+	l.operator = certifier.WrapListener(c.bodies.wrap(l.operator), public)
 	return l, nil
 }
 
-func (c *Controller) serveHTTP(ctx context.Context, l net.Listener, h http.Handler) error {
-	httpServer := &http.Server{Handler: h, ReadHeaderTimeout: httpReadHeaderTimeout}
+func (c *Controller) serveHTTP(ctx context.Context, l net.Listener, httpServer *http.Server) error {
+	httpServer.ReadHeaderTimeout = httpReadHeaderTimeout
 	stop := context.AfterFunc(ctx, func() {
 		shutdownCtx, cancel := context.WithTimeout(context.Background(), httpShutdownTimeout)
 		defer cancel()
--- a/internal/controller/operator.go
+++ b/internal/controller/operator.go
@@ -6,7 +6,6 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"encoding/json"
-	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -18,6 +17,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/comfreybend/comfreybend/internal/ingester"
 	"github.com/comfreybend/comfreybend/internal/keeper"
 	"github.com/comfreybend/comfreybend/pkg/isolator"
 	"github.com/comfreybend/comfreybend/schema/state"
@@ -128,7 +128,7 @@
 }
 
 func decodeChange(_ context.Context, r *http.Request) (any, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxChangeBytes))
+	body, err := ingester.Content(r, maxChangeBytes)
 	if err != nil {
 		return nil, &MalformedError{Cause: err}
 	}
--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -23,7 +23,10 @@
 	// HandleRelay processes a request that another process passes on, if it is not nil. Its context
 	// is done once the other end has closed the exchange. It may be set before Run.
 	HandleRelay func(context.Context, *wire.Relay, *Exchange)
-	wg          sync.WaitGroup
+	// ReserveRelay takes memory for a request that is passed on, in bytes, until it has been handled, and reports whether
+	// it was left. It may be nil, and be set before Run.
+	ReserveRelay func(bytes int64) (release func(), reserved bool)
+	wg           sync.WaitGroup
 }
 
 // NewServer returns a server that passes the requests received on listener to handle.
@@ -79,10 +82,11 @@
 	defer endWhenDone(ctx, stream)()
 	request := &wire.Request{}
 	reader := bufio.NewReader(stream)
-	options := protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}
-	if err := options.UnmarshalFrom(reader, request); err != nil {
+	release, received := s.receive(ctx, stream, reader, request)
+	if !received {
 		return
 	}
+	defer release()
 	if request.GetRelay() != nil && s.HandleRelay != nil {
 		x := newExchange(ctx, stream, reader, "")
 		defer x.Close()
--- a/internal/router/announcement.go
+++ b/internal/router/announcement.go
@@ -2,20 +2,26 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
+	"time"
 
 	kithttp "github.com/go-kit/kit/transport/http"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"github.com/comfreybend/comfreybend/internal/announcer"
+	"github.com/comfreybend/comfreybend/internal/ingester"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
+	"github.com/comfreybend/comfreybend/schema/settings"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
-// maxAnnouncementBytes bounds the body of an announcement.
-const maxAnnouncementBytes = 64 << 10
+const (
+	// maxAnnouncementBytes bounds the body of an announcement.
+	maxAnnouncementBytes = 64 << 10
+	// upstreamMemoryBytes is the memory for cache events of more than 64 KiB that are read or applied at the same time.
+	upstreamMemoryBytes = 8 << 20
+)
 
 // fromUpstream decodes what upstreams send. Later versions of them may send more.
 var fromUpstream = protojson.UnmarshalOptions{DiscardUnknown: true}
@@ -43,11 +49,18 @@
 	mux.Handle("POST /upstream/v1/cacheEvents", kithttp.NewServer(
 		r.cacheEventEndpoint, decodeCacheEvent, encodeNoContent,
 		kithttp.ServerErrorEncoder(r.encodeRefusal)))
-	return mux
+	limits := r.settings.GetEntry().GetCallerLimits()
+	bodies := ingester.NewSplitter(&settings.CallerLimits{
+		BodyBytes: maxCacheEventBytes, BodyMemoryBytes: upstreamMemoryBytes, Bodies: limits.GetBodies(), BodyTimeout: limits.GetBodyTimeout(),
+	}, func() time.Duration { return r.dispatcher.now() })
+	bodies.Refuse = func(w http.ResponseWriter, request *http.Request, err error) {
+		r.encodeRefusal(request.Context(), r.refuseBody(err), w)
+	}
+	return bodies.Wrap(mux)
 }
 
 func decodeAnnouncement(_ context.Context, request *http.Request) (any, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(nil, request.Body, maxAnnouncementBytes))
+	body, err := ingester.Content(request, maxAnnouncementBytes)
 	if err != nil {
 		return nil, refuse(http.StatusRequestEntityTooLarge, CodeTooLarge, err.Error())
 	}
--- a/internal/router/cache.go
+++ b/internal/router/cache.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 
+	"github.com/comfreybend/comfreybend/internal/ingester"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/wire"
@@ -14,7 +14,7 @@
 const maxCacheEventBytes = 1 << 20
 
 func decodeCacheEvent(_ context.Context, request *http.Request) (any, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(nil, request.Body, maxCacheEventBytes))
+	body, err := ingester.Content(request, maxCacheEventBytes)
 	if err != nil {
 		return nil, refuse(http.StatusRequestEntityTooLarge, CodeTooLarge, err.Error())
 	}
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/comfreybend/comfreybend/internal/bounder"
 	"github.com/comfreybend/comfreybend/internal/budgeter"
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/counter"
@@ -107,6 +108,10 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		defer r.inProgress.Add(-1)
 		if r.inProgress.Add(1) > int64(limits.GetRequestsInProgress()) {
+			if request.ContentLength != 0 {
+				// The body is not awaited.
+				bounder.From(request).Interrupt()
+			}
 			r.encodeRefusal(request.Context(), refuseWithRetryAfter(http.StatusServiceUnavailable, CodeOverloaded,
 				"too many requests in progress", time.Second), w)
 			return
--- a/internal/router/refusal.go
+++ b/internal/router/refusal.go
@@ -189,7 +189,7 @@
 	if errors.As(err, new(*ingester.TooLargeError)) {
 		return refuse(http.StatusRequestEntityTooLarge, CodeTooLarge, err.Error())
 	}
-	if errors.As(err, new(*ingester.NoMemoryError)) {
+	if errors.As(err, new(*ingester.NoMemoryError)) || errors.As(err, new(*ingester.NoPlaceError)) {
 		return refuseWithRetryAfter(http.StatusServiceUnavailable, CodeOverloaded, err.Error(), r.retryAfter())
 	}
 	return refuse(http.StatusRequestTimeout, CodeMalformed, err.Error())
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/comfreybend/comfreybend/internal/admitter"
+	"github.com/comfreybend/comfreybend/internal/bounder"
 	"github.com/comfreybend/comfreybend/internal/bufferer"
 	"github.com/comfreybend/comfreybend/internal/certifier"
 	"github.com/comfreybend/comfreybend/internal/counter"
@@ -82,6 +83,7 @@
 	buffers        *bufferer.Pool
 	bodies         *ingester.Ingester
 	admitter       *admitter.Admitter
+	bounder        *bounder.Bounder
 	inProgress     atomic.Int64
 	shuttingDown   atomic.Bool
 }
@@ -113,8 +115,10 @@
 	r.dispatcher.budgets.Log = log
 	r.dispatcher.restrainer = r.restrainer
 	r.dispatcher.retryAfter = r.retryAfter
-	r.admitter = admitter.New(int(s.GetEntry().GetCallerLimits().GetConnections()))
-	r.bodies = ingester.New(s.GetEntry().GetCallerLimits(), func() time.Duration { return r.dispatcher.now() })
+	limits := s.GetEntry().GetCallerLimits()
+	r.admitter = admitter.New(int(limits.GetConnections()))
+	r.bounder = bounder.New(limits.GetSocketMemoryBytes())
+	r.bodies = ingester.New(limits, func() time.Duration { return r.dispatcher.now() })
 	r.buffers = bufferer.New(s.GetEntry().GetUpstreamLimits().GetBufferedBytes())
 	r.upstreamClient = newUpstreamClient(s.GetEntry(), dialect)
 	r.upstreamClient.admit = r.restrainer.Admit
@@ -148,9 +152,9 @@
 	defer stopBackground()
 	group, running := errgroup.WithContext(background)
 	peerServer := messenger.NewServer(l.peer, r.peers.security, r.peers.handle)
-	peerServer.HandleRelay = r.receiver.Handle
+	peerServer.HandleRelay, peerServer.ReserveRelay = r.receiver.Handle, r.bodies.Reserve
 	status := &http.Server{Handler: r.instruments.Handler(r.notReadyReason, r.dialect.ReadyPath), ReadHeaderTimeout: idleTimeout}
-	upstreams := &http.Server{Handler: r.announcementHandler(), ReadHeaderTimeout: idleTimeout}
+	upstreams := &http.Server{Handler: r.announcementHandler(), ReadHeaderTimeout: idleTimeout, ConnContext: r.bounder.ConnContext}
 	clients := r.clientServer()
 	group.Go(func() error { return peerServer.Run(running) })
 	group.Go(func() error { return r.controlPlane.run(running) })
@@ -231,7 +235,8 @@
 	if err != nil {
 		return nil, err
 	}
-	l.client = r.admitter.Wrap(l.client)
+	l.client = r.admitter.Wrap(r.bounder.Wrap(l.client))
+	l.upstream = r.bounder.Wrap(l.upstream)
 	l.client = certifier.WrapListener(l.client, public)
 	l.upstream = certifier.WrapListener(l.upstream, public)
 	return l, nil
@@ -245,6 +250,7 @@
 		MaxHeaderBytes:    int(limits.GetHeaderBytes()),
 		IdleTimeout:       idleTimeout,
 		ConnState:         r.admitter.ConnState,
+		ConnContext:       r.bounder.ConnContext,
 		ErrorLog:          zap.NewStdLog(r.log),
 	}
 }
--- a/internal/validator/control.go
+++ b/internal/validator/control.go
@@ -24,11 +24,17 @@
 	defaultMaxStarting           = 2
 	defaultDrainTime             = 10 * time.Minute
 
+	// documentMemoryShare is the share of the memory limit for documents: to decode and commit one takes several times
+	// its size.
+	documentMemoryShare = 8
+	// minDocumentMemoryBytes is a document of the largest size, 16 MiB, and what shows that it has ended.
+	minDocumentMemoryBytes = 17 << 20
 	// minHeartbeatsPerElection is the minimum election timeout in heartbeat intervals.
 	minHeartbeatsPerElection = 3
 )
 
-func setControlDefaults(s *settings.Control) {
+func setControlDefaults(s *settings.Control, memoryBytes int64) {
+	setOperatorLimitDefaults(s, memoryBytes)
 	setDefaultDuration(&s.HeartbeatInterval, defaultHeartbeatInterval)
 	setDefaultDuration(&s.ElectionTimeout, defaultElectionTimeout)
 	setDefaultDuration(&s.AnnouncementLease, defaultAnnouncementLease)
@@ -59,6 +65,30 @@
 	setDefaultDuration(&s.Ordering.Drain, defaultDrainTime)
 }
 
+func setOperatorLimitDefaults(s *settings.Control, memoryBytes int64) {
+	if s.OperatorLimits == nil {
+		s.OperatorLimits = &settings.OperatorLimits{}
+	}
+	l := s.OperatorLimits
+	setDefaultNumber(&l.Connections, defaultConnections)
+	setDefaultDuration(&l.BodyTimeout, defaultBodyTimeout)
+	documents := int64(defaultBodyMemoryBytes)
+	if memoryBytes > 0 {
+		documents = max(minDocumentMemoryBytes, memoryBytes/documentMemoryShare)
+	}
+	setDefaultNumber(&l.DocumentMemoryBytes, documents)
+	setDefaultNumber(&l.SocketMemoryBytes, memoryBytes/socketMemoryShare)
+	setDefaultNumber(&l.Bodies, defaultBodies(l.GetSocketMemoryBytes()))
+}
+
+func checkOperatorLimits(c *collector, l *settings.OperatorLimits) {
+	const path = "$.control.operatorLimits."
+	c.checkNumber(path+"connections", int64(l.GetConnections()), 1, 1_000_000)
+	c.checkNumber(path+"documentMemoryBytes", l.GetDocumentMemoryBytes(), minDocumentMemoryBytes, 1<<34)
+	c.checkDuration(path+"bodyTimeout", l.GetBodyTimeout(), 100*time.Millisecond, 10*time.Minute)
+	checkBodies(c, path, l.GetBodies(), l.GetSocketMemoryBytes())
+}
+
 func checkControl(c *collector, s *settings.Settings) {
 	control := s.GetControl()
 	if control == nil {
@@ -74,6 +104,7 @@
 	} else {
 		checkPeers(c, control.GetPeers(), s.GetHost().GetId())
 	}
+	checkOperatorLimits(c, control.GetOperatorLimits())
 	c.checkDuration("$.control.announcementLease", control.GetAnnouncementLease(), 100*time.Millisecond, 10*time.Minute)
 	c.checkDuration("$.control.memberSilence", control.GetMemberSilence(), 100*time.Millisecond, time.Hour)
 	c.checkDuration("$.control.platformLease", control.GetPlatformLease(), 0, time.Minute)
--- a/internal/validator/entry.go
+++ b/internal/validator/entry.go
@@ -41,9 +41,16 @@
 	// bufferedMemoryShare is the share of the memory limit for buffered responses.
 	bufferedMemoryShare = 8
 	// bodyMemoryShare is the share of the memory limit for the bodies of requests.
-	bodyMemoryShare          = 3
-	defaultBodyMemoryBytes   = 256 << 20
-	minBodyMemoryBytes       = 1 << 20
+	bodyMemoryShare        = 3
+	defaultBodyMemoryBytes = 256 << 20
+	minBodyMemoryBytes     = 1 << 20
+	// socketMemoryShare is the share of the memory limit that unread bytes may take beside it.
+	socketMemoryShare = 2
+	// bytesPerBody is what a body takes that is being read: up to 64 KiB in the receive buffer of its connection, and as
+	// much for the part of it that does not count, with the buffers of the HTTP server.
+	bytesPerBody             = 128 << 10
+	minDefaultBodies         = 64
+	unboundBodies            = 10_000
 	defaultQueuedRequests    = 10_000
 	defaultGuaranteedPercent = 3
 )
@@ -85,6 +92,24 @@
 		bodies = max(minBodyMemoryBytes, memoryBytes/bodyMemoryShare)
 	}
 	setDefaultNumber(&l.BodyMemoryBytes, bodies)
+	setDefaultNumber(&l.SocketMemoryBytes, memoryBytes/socketMemoryShare)
+	setDefaultNumber(&l.Bodies, defaultBodies(l.GetSocketMemoryBytes()))
+}
+
+// defaultBodies returns how many bodies may be read at the same time with an amount of memory for unread bytes.
+func defaultBodies(socketMemoryBytes int64) int32 {
+	if socketMemoryBytes == 0 {
+		return unboundBodies
+	}
+	return int32(min(unboundBodies, max(minDefaultBodies, socketMemoryBytes/bytesPerBody)))
+}
+
+// checkBodies checks the settings that clients of both processes have in common.
+func checkBodies(c *collector, path string, bodies int32, socketMemoryBytes int64) {
+	c.checkNumber(path+"bodies", int64(bodies), 1, 1_000_000)
+	if socketMemoryBytes != 0 {
+		c.checkNumber(path+"socketMemoryBytes", socketMemoryBytes, 1<<20, 1<<34)
+	}
 }
 
 func setUpstreamLimitDefaults(e *settings.Entry, memoryBytes int64) {
@@ -152,6 +177,7 @@
 	const path = "$.entry.callerLimits."
 	c.checkNumber(path+"bodyBytes", l.GetBodyBytes(), 1<<10, 1<<30)
 	c.checkNumber(path+"bodyMemoryBytes", l.GetBodyMemoryBytes(), minBodyMemoryBytes, 1<<34)
+	checkBodies(c, path, l.GetBodies(), l.GetSocketMemoryBytes())
 	c.checkNumber(path+"headerBytes", int64(l.GetHeaderBytes()), 1<<10, 1<<20)
 	c.checkNumber(path+"connections", int64(l.GetConnections()), 1, 1_000_000)
 	c.checkNumber(path+"requestsInProgress", int64(l.GetRequestsInProgress()), 1, 1_000_000)
--- a/internal/validator/validator.go
+++ b/internal/validator/validator.go
@@ -66,7 +66,7 @@
 		setEntryDefaults(s.Entry, s.GetResources().GetMemoryBytes())
 	}
 	if s.Control != nil {
-		setControlDefaults(s.Control)
+		setControlDefaults(s.Control, s.GetResources().GetMemoryBytes())
 	}
 }
 
