ingester, router: close connections after a body was interrupted

Cause: a refusal of a body sets the read deadline of its connection to the past. If the body had come whole, net/http kept the connection and started to read ahead, which failed and may cancel the requests that come next on it.

Change: such refusals close the connection. A request beyond those in progress keeps it, as before, if its body has up to 4 KiB, which is awaited for a second at most.

--- a/internal/bounder/bounder.go
+++ b/internal/bounder/bounder.go
@@ -120,7 +120,8 @@
 	}
 }
 
-// Interrupt makes a read of the connection that is in progress fail, and later ones until another deadline is set.
+// Interrupt makes a read of the connection that is in progress fail, and later ones until another deadline is set. The
+// connection must be closed after the response.
 func (c *Conn) Interrupt() {
 	if c != nil {
 		_ = c.conn.SetReadDeadline(time.Unix(1, 0))
--- a/internal/ingester/handler.go
+++ b/internal/ingester/handler.go
@@ -17,6 +17,9 @@
 	messageBytes = 64 << 10
 	// documentPlaces is the number of places for messages for each one for documents.
 	documentPlaces = 4
+	// keptBytes is the size up to which the body of a request that is refused unread is awaited, for keptTime at most.
+	keptBytes = 4 << 10
+	keptTime  = time.Second
 )
 
 type (
@@ -66,6 +69,7 @@
 		_ = control.SetReadDeadline(time.Now().Add(s.Timeout))
 		body, err := s.read(r)
 		if err != nil {
+			CloseAfter(w, r)
 			s.Refuse(w, r, err)
 			return
 		}
@@ -98,6 +102,29 @@
 	return s.documents.Read(whole)
 }
 
+// Abandon makes sure that the body of a request that is refused is not awaited. Small ones have most likely come with the
+// headers, so that the connection is kept.
+func Abandon(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength == 0 {
+		return
+	}
+	if r.ContentLength > 0 && r.ContentLength <= keptBytes {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(keptTime))
+		return
+	}
+	bounder.From(r).Interrupt()
+	CloseAfter(w, r)
+}
+
+// CloseAfter makes the server close the connection of a request after the response, of which nothing may have been
+// written. It must follow an error of Read: net/http may have seen the read that was interrupted fail, upon which it
+// cancels the requests that come next.
+func CloseAfter(w http.ResponseWriter, r *http.Request) {
+	if bounder.From(r) != nil {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // Content returns the body of a request, without a copy if a Splitter has read it. The error is a *TooLargeError if it
 // has more bytes than limit, or that of the connection.
 func Content(r *http.Request, limit int64) ([]byte, error) {
--- a/internal/router/announcement.go
+++ b/internal/router/announcement.go
@@ -53,9 +53,7 @@
 	bodies := ingester.NewSplitter(&settings.CallerLimits{
 		BodyBytes: maxCacheEventBytes, BodyMemoryBytes: upstreamMemoryBytes, Bodies: limits.GetBodies(), BodyTimeout: limits.GetBodyTimeout(),
 	}, func() time.Duration { return r.dispatcher.now() })
-	bodies.Refuse = func(w http.ResponseWriter, request *http.Request, err error) {
-		r.encodeRefusal(request.Context(), r.refuseBody(err), w)
-	}
+	bodies.Refuse = r.refuseRequestBody
 	return bodies.Wrap(mux)
 }
 
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -9,7 +9,6 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"github.com/comfreybend/comfreybend/internal/bounder"
 	"github.com/comfreybend/comfreybend/internal/budgeter"
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/counter"
@@ -108,12 +107,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		defer r.inProgress.Add(-1)
 		if r.inProgress.Add(1) > int64(limits.GetRequestsInProgress()) {
-			if request.ContentLength != 0 {
-				// The body is not awaited.
-				bounder.From(request).Interrupt()
-			}
-			r.encodeRefusal(request.Context(), refuseWithRetryAfter(http.StatusServiceUnavailable, CodeOverloaded,
-				"too many requests in progress", time.Second), w)
+			r.refuseUnread(w, request)
 			return
 		}
 		control := http.NewResponseController(w)
@@ -121,7 +115,7 @@
 		_ = control.SetReadDeadline(time.Now().Add(limits.GetBodyTimeout().AsDuration()))
 		body, err := r.bodies.Read(request)
 		if err != nil {
-			r.encodeRefusal(request.Context(), r.refuseBody(err), w)
+			r.refuseRequestBody(w, request, err)
 			return
 		}
 		defer body.Release()
--- a/internal/router/refusal.go
+++ b/internal/router/refusal.go
@@ -184,6 +184,19 @@
 	_ = json.NewEncoder(w).Encode(refusal.body())
 }
 
+// refuseUnread refuses a request beyond those that may be in progress. Its body is not read.
+func (r *Router) refuseUnread(w http.ResponseWriter, request *http.Request) {
+	ingester.Abandon(w, request)
+	r.encodeRefusal(request.Context(), refuseWithRetryAfter(http.StatusServiceUnavailable, CodeOverloaded,
+		"too many requests in progress", time.Second), w)
+}
+
+// refuseRequestBody refuses a request whose body was not read to its end, and closes its connection.
+func (r *Router) refuseRequestBody(w http.ResponseWriter, request *http.Request, err error) {
+	ingester.CloseAfter(w, request)
+	r.encodeRefusal(request.Context(), r.refuseBody(err), w)
+}
+
 // refuseBody returns the refusal of a request whose body was not read to its end.
 func (r *Router) refuseBody(err error) *RefusalError {
 	if errors.As(err, new(*ingester.TooLargeError)) {
