--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -112,8 +112,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		defer r.inProgress.Add(-1)
 		if r.inProgress.Add(1) > int64(limits.GetRequestsInProgress()) {
-			r.encodeRefusal(request.Context(), refuseWithRetryAfter(http.StatusServiceUnavailable, CodeOverloaded,
-				"too many requests in progress", time.Second), w)
+			r.refuseUnread(w, request)
 			return
 		}
 		control := http.NewResponseController(w)
@@ -121,7 +120,7 @@
 		_ = control.SetReadDeadline(time.Now().Add(limits.GetBodyTimeout().AsDuration()))
 		body, err := r.bodies.Read(request)
 		if err != nil {
-			r.encodeRefusal(request.Context(), r.refuseBody(err), w)
+			r.refuseRequestBody(w, request, err)
 			return
 		}
 		defer body.Release()
