controller: withhold configurations after a start only if evacuations were ordered

Cause: a control process that has just started gave no configuration to entry processes without any until it had caught up, since an evacuation might be in the part of the log that it has not applied. Change: it is withheld only if the recovered log or state has an evacuation order.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -101,8 +101,10 @@
 		appliedCommands tally.Counter
 		// failedProposals counts the requests whose command failed to commit.
 		failedProposals tally.Counter
-		// nodeCreatedAt is when node was created, by the monotonic clock.
-		nodeCreatedAt time.Duration
+		// nodeCreatedAt is when node was created, by the monotonic clock. recoveredOrders reports that the
+		// log on disk had an evacuation order then.
+		nodeCreatedAt   time.Duration
+		recoveredOrders bool
 	}
 )
 
@@ -256,6 +258,7 @@
 			return err
 		}
 	}
+	c.recoveredOrders = holdsEvacuationOrders(recovered)
 	n, err := c.newNode(recovered)
 	if err != nil {
 		return err
--- a/internal/controller/evacuation.go
+++ b/internal/controller/evacuation.go
@@ -6,8 +6,10 @@
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/comfreybend/comfreybend/pkg/evacuator"
+	"github.com/comfreybend/comfreybend/pkg/journaler"
 	"github.com/comfreybend/comfreybend/pkg/planner"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/state"
@@ -62,18 +64,33 @@
 }
 
 // isCatchingUp reports whether this process has been started so lately that it may not have applied
-// all that was committed before. An entry process without any configuration does not get one from it:
-// requests might then reach a domain whose evacuation was acknowledged before all processes were
-// restarted. Without contact to the majority, the time is limited as for lag.
+// all evacuation orders that were committed before, if its disk holds any order. An entry process without
+// any configuration does not get one from it: requests might then reach a domain whose evacuation was
+// acknowledged before all processes were restarted. Without contact to the majority, the time is limited
+// as for lag.
 func (c *Controller) isCatchingUp() bool {
 	n := c.membership.currentNode()
-	return n != nil && n.Status().CurrentAt <= c.nodeCreatedAt && c.lag() == 0
+	if n == nil || !c.recoveredOrders && c.stateMachine.EvacuationPosition() == 0 {
+		return false
+	}
+	return n.Status().CurrentAt <= c.nodeCreatedAt && c.lag() == 0
+}
+
+// holdsEvacuationOrders reports whether the log that was recovered has an evacuation order.
+func holdsEvacuationOrders(recovered *journaler.Recovered) bool {
+	for _, e := range recovered.Entries {
+		command := &state.Command{}
+		if proto.Unmarshal(e.GetData(), command) == nil && command.GetEvacuationOrder() != nil {
+			return true
+		}
+	}
+	return false
 }
 
 // mayConfigure reports whether the reply to a poll may have configuration changes that no quorum has
 // confirmed.
 func (c *Controller) mayConfigure(f *wire.Follow) bool {
-	return !c.settings.GetControl().GetEvacuations() || f.GetHaveRevision() > 0 || f.EvacuationPosition == nil || !c.isCatchingUp()
+	return f.GetHaveRevision() > 0 || f.EvacuationPosition == nil || !c.isCatchingUp()
 }
 
 // evacuatedDomains returns the evacuated failure domains for the planner.
--- a/internal/controller/evacuation_test.go
+++ b/internal/controller/evacuation_test.go
@@ -20,7 +20,7 @@
 
 func newEvacuationController(t *testing.T) *Controller {
 	t.Helper()
-	s := &settings.Settings{Host: &settings.Host{Id: "c", FailureDomain: "a"}, Control: &settings.Control{Evacuations: true, AnnouncementLease: durationpb.New(time.Minute)}}
+	s := &settings.Settings{Host: &settings.Host{Id: "c", FailureDomain: "a"}, Control: &settings.Control{AnnouncementLease: durationpb.New(time.Minute)}}
 	c, err := New(s, Dialect{}, zap.NewNop(), instrumenter.New("control"))
 	if err != nil {
 		t.Fatal(err)
