aggregator, controller: move the table of loads, cached parts and profiles

The table of what entry processes report about upstreams needs nothing of the controller but the places of upstreams, which it is given.

Change: loads.go and profiles.go are package aggregator, with their tests. Only names change, and the comment on cachedPartLifetime, which named a package that no longer has that constant.

--- a/internal/controller/loads.go
+++ b/internal/aggregator/aggregator.go
@@ -1,4 +1,9 @@
-package controller
+// Package aggregator sums in a control process the load that entry processes put on each upstream, and
+// collects the cached prompt parts and the observations of upstreams that they report. It owns what is
+// reported, which is kept in memory only, and decides what of it replies to polls and messages to the
+// other control processes carry. It sends nothing itself and calls neither the controller nor the
+// replicated log.
+package aggregator
 
 import (
 	"slices"
@@ -19,24 +24,24 @@
 	// loadTimeout is the time after which the load reported by a silent process is dropped.
 	loadTimeout = 1500 * time.Millisecond
 	// cachedPartLifetime is the time after its latest use at which a cached part is
-	// assumed evicted. It must equal the constants of the same name in packages router
+	// assumed evicted. It must equal the constants of the same name in packages estimator
 	// and picker.
 	cachedPartLifetime = time.Minute
 	// maxCachedParts bounds the cached parts of all upstreams, at about 100 bytes each.
 	maxCachedParts = 50_000
-	// maxDetailedUpstreams is the number of upstreams up to which entry processes get the
+	// MaxDetailedUpstreams is the number of upstreams up to which entry processes get the
 	// load of each. A row takes about 40 bytes, and most change within a load interval.
-	maxDetailedUpstreams = 256
+	MaxDetailedUpstreams = 256
 	// domainLoadCacheTime is the time for which the load by failure domain is computed once.
 	domainLoadCacheTime = 200 * time.Millisecond
 )
 
 type (
-	// loadTable sums the load that all entry processes put on each upstream, and
+	// Table sums the load that all entry processes put on each upstream, and
 	// collects which prompt parts the upstreams have cached. Both come from the
 	// entry processes that poll this process, and from the other control
 	// processes on behalf of theirs.
-	loadTable struct {
+	Table struct {
 		mu sync.Mutex
 		// local sums the load of the entry processes that poll this process.
 		local *gatherer.Gatherer[registrar.UpstreamID]
@@ -58,8 +63,9 @@
 	}
 )
 
-func newLoadTable() *loadTable {
-	return &loadTable{
+// New returns an empty table.
+func New() *Table {
+	return &Table{
 		local: gatherer.New[registrar.UpstreamID](loadTimeout),
 		total: gatherer.New[registrar.UpstreamID](loadTimeout),
 
@@ -68,9 +74,9 @@
 	}
 }
 
-// recordEntryLoad replaces the load of an entry process that polls this process.
+// RecordEntry replaces the load of an entry process that polls this process.
 // A nil load means that the entry process reports its load elsewhere.
-func (t *loadTable) recordEntryLoad(host string, load *wire.LoadShare) {
+func (t *Table) RecordEntry(host string, load *wire.LoadShare) {
 	if load == nil {
 		return
 	}
@@ -88,10 +94,10 @@
 	t.unsentSums.Add(t.addSums(now, load))
 }
 
-// recordPeerLoad replaces the load of the entry processes that poll another
+// RecordPeer replaces the load of the entry processes that poll another
 // control process. A nil load means that the message carries none; the earlier load
 // counts until loadTimeout has passed.
-func (t *loadTable) recordPeerLoad(host string, load *wire.LoadShare) {
+func (t *Table) RecordPeer(host string, load *wire.LoadShare) {
 	if load == nil {
 		return
 	}
@@ -105,10 +111,10 @@
 	t.addSums(now, load)
 }
 
-// fillReply adds to a reply the load sums and cached parts that changed after the given
+// FillReply adds to a reply the load sums and cached parts that changed after the given
 // positions. If there are too many upstreams, it adds them only for those in the failure
 // domain of the entry process, and the sums by domain for the others.
-func (t *loadTable) fillReply(reply *wire.FollowReply, loadsAfter, cachedPartsAfter uint64, domain registrar.FailureDomain, places tabulator.Places) {
+func (t *Table) FillReply(reply *wire.FollowReply, loadsAfter, cachedPartsAfter uint64, domain registrar.FailureDomain, places tabulator.Places) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := timer.Now()
@@ -116,7 +122,7 @@
 	reply.LoadPosition = uint64(position)
 	parts, position := t.cachedParts.Since(now, gatherer.Position(cachedPartsAfter))
 	reply.HeldPosition = uint64(position)
-	if len(places) > maxDetailedUpstreams {
+	if len(places) > MaxDetailedUpstreams {
 		// The place of an upstream that is new may not be known yet.
 		elsewhere := func(id registrar.UpstreamID) bool {
 			place, known := places[id]
@@ -140,7 +146,7 @@
 
 // sumByPlace returns the load of all entry processes by failure domain and service. The
 // result is kept for domainLoadCacheTime.
-func (t *loadTable) sumByPlace(now time.Duration, places tabulator.Places) map[tabulator.Place]*wire.DomainLoad {
+func (t *Table) sumByPlace(now time.Duration, places tabulator.Places) map[tabulator.Place]*wire.DomainLoad {
 	if t.domainLoads != nil && now-t.domainLoadsAt < domainLoadCacheTime {
 		return t.domainLoads
 	}
@@ -160,10 +166,10 @@
 	return t.domainLoads
 }
 
-// takeOutgoing returns the load of the entry processes that poll this process,
+// TakeOutgoing returns the load of the entry processes that poll this process,
 // for the other control processes, and the unsent cached parts and observations. It returns nil if
 // there is nothing to send; an empty load is sent once after a non-empty one.
-func (t *loadTable) takeOutgoing() *wire.LoadShare {
+func (t *Table) TakeOutgoing() *wire.LoadShare {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	sums, _ := t.local.Since(timer.Now(), 0)
--- a/internal/controller/loads_test.go
+++ b/internal/aggregator/aggregator_test.go
@@ -1,4 +1,4 @@
-package controller
+package aggregator
 
 import (
 	"fmt"
@@ -16,21 +16,21 @@
 // TestLoadTableSums checks that the load of each entry process counts exactly
 // once, whichever control process it is reported to.
 func TestLoadTableSums(t *testing.T) {
-	control1, control2 := newLoadTable(), newLoadTable()
-	control1.recordEntryLoad("entry-1", loadOf("engine", 2, 9000))
-	control1.recordEntryLoad("entry-2", loadOf("engine", 1, 3000))
-	control1.recordEntryLoad("entry-3", nil)
-	control1.recordEntryLoad("entry-1", &wire.LoadShare{
+	control1, control2 := New(), New()
+	control1.RecordEntry("entry-1", loadOf("engine", 2, 9000))
+	control1.RecordEntry("entry-2", loadOf("engine", 1, 3000))
+	control1.RecordEntry("entry-3", nil)
+	control1.RecordEntry("entry-1", &wire.LoadShare{
 		Loads: loadOf("engine", 2, 9000).GetLoads(), Held: []*wire.HeldPart{{Part: "part", Upstream: "engine"}},
 	})
-	control2.recordEntryLoad("entry-4", loadOf("engine", 4, 1000))
+	control2.RecordEntry("entry-4", loadOf("engine", 4, 1000))
 	for range 3 {
-		control1.recordPeerLoad("far", control2.takeOutgoing())
-		control2.recordPeerLoad("near", control1.takeOutgoing())
+		control1.RecordPeer("far", control2.TakeOutgoing())
+		control2.RecordPeer("near", control1.TakeOutgoing())
 	}
-	for name, table := range map[string]*loadTable{"near": control1, "far": control2} {
+	for name, table := range map[string]*Table{"near": control1, "far": control2} {
 		first := &wire.FollowReply{}
-		table.fillReply(first, 0, 0, "", nil)
+		table.FillReply(first, 0, 0, "", nil)
 		if changed := first.GetLoads(); len(changed) != 1 || changed[0].GetRequests() != 7 || changed[0].GetTokens() != 13000 {
 			t.Errorf("%s: the sums are %v, want 7 requests and 13000 tokens", name, changed)
 		}
@@ -38,7 +38,7 @@
 			t.Errorf("%s: cached parts are %v, want one part at one upstream", name, held)
 		}
 		second := &wire.FollowReply{}
-		table.fillReply(second, first.GetLoadPosition(), first.GetHeldPosition(), "", nil)
+		table.FillReply(second, first.GetLoadPosition(), first.GetHeldPosition(), "", nil)
 		if len(second.GetLoads()) != 0 || len(second.GetHeld()) != 0 {
 			t.Errorf("%s: reply without changes repeats %v", name, second)
 		}
@@ -48,19 +48,19 @@
 // TestLoadTableOutgoingEmpty checks that an empty load is sent once, so that
 // other processes learn of it, and not again.
 func TestLoadTableOutgoingEmpty(t *testing.T) {
-	table := newLoadTable()
-	if table.takeOutgoing() != nil {
+	table := New()
+	if table.TakeOutgoing() != nil {
 		t.Error("outgoing load is not nil before any load")
 	}
-	table.recordEntryLoad("entry", loadOf("engine", 1, 500))
-	if len(table.takeOutgoing().GetLoads()) != 1 {
+	table.RecordEntry("entry", loadOf("engine", 1, 500))
+	if len(table.TakeOutgoing().GetLoads()) != 1 {
 		t.Error("outgoing load lacks the entry process's load")
 	}
-	table.recordEntryLoad("entry", &wire.LoadShare{})
-	if load := table.takeOutgoing(); load == nil || len(load.GetLoads()) != 0 {
+	table.RecordEntry("entry", &wire.LoadShare{})
+	if load := table.TakeOutgoing(); load == nil || len(load.GetLoads()) != 0 {
 		t.Errorf("outgoing load after the load ended is %v, want an empty one", load)
 	}
-	if table.takeOutgoing() != nil {
+	if table.TakeOutgoing() != nil {
 		t.Error("empty load is sent a second time")
 	}
 }
@@ -73,7 +73,7 @@
 		upstreams = 3000
 		domains   = 6
 	)
-	table, places := newLoadTable(), tabulator.Places{}
+	table, places := New(), tabulator.Places{}
 	share := &wire.LoadShare{}
 	for i := range upstreams {
 		id := fmt.Sprint("engine-", i)
@@ -81,9 +81,9 @@
 		share.Loads = append(share.Loads, &wire.UpstreamLoad{Upstream: id, Requests: 2, Tokens: 3000, BegunTokens: 4000})
 		share.Held = append(share.Held, &wire.HeldPart{Part: "part", Upstream: id})
 	}
-	table.recordEntryLoad("entry", share)
+	table.RecordEntry("entry", share)
 	reply := &wire.FollowReply{}
-	table.fillReply(reply, 0, 0, "0", places)
+	table.FillReply(reply, 0, 0, "0", places)
 	if len(reply.GetLoads()) != upstreams/domains || len(reply.GetHeld()) != upstreams/domains {
 		t.Errorf("%d rows and %d cached parts, want %d of each", len(reply.GetLoads()), len(reply.GetHeld()), upstreams/domains)
 	}
--- a/internal/controller/profiles.go
+++ b/internal/aggregator/profiles.go
@@ -1,4 +1,4 @@
-package controller
+package aggregator
 
 import (
 	"math"
@@ -23,7 +23,7 @@
 )
 
 // addSums adds what the processes of a load have observed of upstreams, and returns it.
-func (t *loadTable) addSums(now time.Duration, load *wire.LoadShare) map[profiler.Run]profiler.Sums {
+func (t *Table) addSums(now time.Duration, load *wire.LoadShare) map[profiler.Run]profiler.Sums {
 	sums := announcer.SumsFromWire(load.GetSums())
 	for run, s := range sums {
 		t.profiles.Add(now, run, s)
@@ -39,16 +39,16 @@
 	}
 }
 
-// allProfiles returns the profiles of all upstreams that have one.
-func (t *loadTable) allProfiles(places tabulator.Places) []*wire.UpstreamProfile {
+// Profiles returns the profiles of all upstreams that have one.
+func (t *Table) Profiles(places tabulator.Places) []*wire.UpstreamProfile {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	all, _ := t.profiles.Since(timer.Now(), 0, math.MaxInt, poolsOf(places))
 	return announcer.ProfilesToWire(all)
 }
 
-// fillProfiles adds to a reply the profiles of upstreams that changed after the position in a load.
-func (t *loadTable) fillProfiles(reply *wire.FollowReply, load *wire.LoadShare, domain registrar.FailureDomain, places tabulator.Places) {
+// FillProfiles adds to a reply the profiles of upstreams that changed after the position in a load.
+func (t *Table) FillProfiles(reply *wire.FollowReply, load *wire.LoadShare, domain registrar.FailureDomain, places tabulator.Places) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	after := profiler.Position(load.GetProfilePosition())
@@ -56,7 +56,7 @@
 		after = 0
 	}
 	changed, position := t.profiles.Since(timer.Now(), after, maxReplyProfiles, poolsOf(places))
-	if len(places) > maxDetailedUpstreams {
+	if len(places) > MaxDetailedUpstreams {
 		own := changed[:0]
 		for _, p := range changed {
 			if places[p.Run.ID].Domain == domain {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -21,6 +21,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/comfreybend/comfreybend/internal/aggregator"
 	"github.com/comfreybend/comfreybend/internal/certifier"
 	"github.com/comfreybend/comfreybend/internal/collector"
 	"github.com/comfreybend/comfreybend/internal/configurer"
@@ -83,7 +84,7 @@
 		dialect       Dialect
 		upstreamTable *tabulator.Table
 		clusterView   *clusterView
-		loads         *loadTable
+		loads         *aggregator.Table
 		windows       *windowCollector
 		// gossipWanted makes runGossip send without delay.
 		gossipWanted chan struct{}
@@ -125,7 +126,7 @@
 		dialect:         dialect,
 		upstreamTable:   tabulator.New(s.GetControl().GetAnnouncementLease().AsDuration()),
 		clusterView:     newClusterView(),
-		loads:           newLoadTable(),
+		loads:           aggregator.New(),
 		windows:         newWindowCollector(s.GetControl()),
 		gossipWanted:    make(chan struct{}, 1),
 		evidence:        collector.NewTable(),
--- a/internal/controller/follow.go
+++ b/internal/controller/follow.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/comfreybend/comfreybend/internal/aggregator"
 	"github.com/comfreybend/comfreybend/internal/announcer"
 	"github.com/comfreybend/comfreybend/internal/collector"
 	"github.com/comfreybend/comfreybend/internal/messenger"
@@ -233,7 +234,7 @@
 // change or the wait is over, and needs no confirmation by a majority.
 func (c *Controller) servePoll(ctx context.Context, f *wire.Follow) *wire.Reply {
 	c.recordPoll(f)
-	c.loads.recordEntryLoad(f.GetHost(), f.GetLoadShare())
+	c.loads.RecordEntry(f.GetHost(), f.GetLoadShare())
 	for _, u := range f.GetLeaving() {
 		c.recordReportedLeave(ctx, registrar.Departure{ID: registrar.UpstreamID(u.GetId()), Incarnation: registrar.Incarnation(u.GetIncarnation())})
 	}
@@ -257,8 +258,8 @@
 			// The positions were given by another process, so everything is sent.
 			loadPosition, cachedPartsPosition = 0, 0
 		}
-		c.loads.fillReply(reply, loadPosition, cachedPartsPosition, registrar.FailureDomain(f.GetFailureDomain()), c.upstreamTable.Places())
-		c.loads.fillProfiles(reply, f.GetLoadShare(), registrar.FailureDomain(f.GetFailureDomain()), c.upstreamTable.Places())
+		c.loads.FillReply(reply, loadPosition, cachedPartsPosition, registrar.FailureDomain(f.GetFailureDomain()), c.upstreamTable.Places())
+		c.loads.FillProfiles(reply, f.GetLoadShare(), registrar.FailureDomain(f.GetFailureDomain()), c.upstreamTable.Places())
 	}
 	reply.RevisionAgeMillis = c.revisionAge().Milliseconds()
 	reply.LagMillis = c.lag().Milliseconds()
@@ -307,7 +308,7 @@
 // upstreamChanges returns the changes of upstreams that a poll asks for. Where there are many, an entry
 // process that has them from another control process gets those that are leaving.
 func (c *Controller) upstreamChanges(f *wire.Follow, table uint64) (*wire.FollowReply, <-chan struct{}) {
-	if f.GetStandby() && c.upstreamTable.Len() > maxDetailedUpstreams {
+	if f.GetStandby() && c.upstreamTable.Len() > aggregator.MaxDetailedUpstreams {
 		return c.upstreamTable.LeavesSince(tabulator.Reader{Table: f.GetTable(), Position: f.GetLeavesPosition()})
 	}
 	return c.upstreamTable.ChangesSince(tabulator.Reader{
@@ -353,7 +354,7 @@
 // receiveGossip applies a gossip message of another control process.
 func (c *Controller) receiveGossip(s *wire.Spread) {
 	c.clusterView.receive(s)
-	c.loads.recordPeerLoad(s.GetHost(), s.GetLoadShare())
+	c.loads.RecordPeer(s.GetHost(), s.GetLoadShare())
 	c.mergeEvidence(s.GetEvidence())
 	now := timer.Now()
 	for _, u := range s.GetUpstreams() {
@@ -401,7 +402,7 @@
 		var load *wire.LoadShare
 		if now-lastLoad >= announcer.LoadInterval(c.clusterView.entryCount()) {
 			lastLoad = now
-			load = c.loads.takeOutgoing()
+			load = c.loads.TakeOutgoing()
 		}
 		for host, client := range c.peers.clientsByHost() {
 			message := &wire.Spread{
--- a/internal/controller/requests.go
+++ b/internal/controller/requests.go
@@ -211,7 +211,7 @@
 	case ReadStatus:
 		reply.Status = c.status(n)
 	case ReadUpstreams:
-		reply.Upstreams, reply.Profiles = c.upstreams(), c.loads.allProfiles(c.upstreamTable.Places())
+		reply.Upstreams, reply.Profiles = c.upstreams(), c.loads.Profiles(c.upstreamTable.Places())
 	case ReadParts:
 		reply.Parts = c.evidence.Accused()
 	case ReadVersions:
