recorder, controller: move the table of sync requests of entry processes

The table needs nothing of the controller: it holds the latest sync request of each entry process, and sums demands from them.

Change: the table in usage.go and its methods in usage.go, autoscaler.go and counts.go are package recorder; only names change.

--- a/internal/controller/autoscaler.go
+++ b/internal/controller/autoscaler.go
@@ -17,7 +17,6 @@
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/state"
-	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
 const headerOrderID = "Comfreybend-Order-Id"
@@ -104,7 +103,7 @@
 	if err := a.resendOpenOrders(ctx); err != nil {
 		return err
 	}
-	pools := a.agent.controller.entries.pools(a.agent.controller.upstreams())
+	pools := a.agent.controller.entries.Pools(a.agent.controller.upstreams())
 	limitSlots(pools, a.agent.controller.evidence.Limits())
 	for _, order := range a.plan(pools) {
 		if order.Action == planner.Stop {
@@ -132,7 +131,7 @@
 // plan returns the planner's orders for the observed pools.
 func (a *autoscaler) plan(pools []planner.Pool) []planner.Order {
 	s := a.agent.controller.settings.GetControl().GetOrdering()
-	domains := a.agent.controller.entries.failureDomains()
+	domains := a.agent.controller.entries.FailureDomains()
 	if len(domains) == 0 {
 		// No entry process has sent a sync request recently, so it is unknown in
 		// which failure domains upstreams may start.
@@ -288,68 +287,3 @@
 
 // drainPropagationTime is the time after which all entry processes know that an upstream is draining.
 const drainPropagationTime = 2 * time.Second
-
-// failureDomains returns the failure domains of the entry processes that sent a sync request recently.
-func (t *entryTable) failureDomains() []planner.FailureDomain {
-	seen := map[string]bool{}
-	var out []planner.FailureDomain
-	for _, s := range t.recentSyncs() {
-		if !seen[s.GetFailureDomain()] {
-			seen[s.GetFailureDomain()] = true
-			out = append(out, planner.FailureDomain(s.GetFailureDomain()))
-		}
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
-	return out
-}
-
-// pools returns the state of each pool: the demand that entry processes report
-// and the given upstreams. Pools are named kind/service here. Each call counts the
-// refusals since the previous call, so it must have one caller only.
-func (t *entryTable) pools(upstreams []*wire.Upstream) []planner.Pool {
-	byName := map[string]*planner.Pool{}
-	pool := func(name string) *planner.Pool {
-		if byName[name] == nil {
-			byName[name] = &planner.Pool{Name: planner.PoolName(name)}
-		}
-		return byName[name]
-	}
-	for _, s := range t.recentSyncs() {
-		for _, d := range s.GetDemands() {
-			p := pool(d.GetPool())
-			p.Requests += int(d.GetRequests())
-			p.Refused += t.newRefusals(s, d)
-		}
-	}
-	for _, u := range upstreams {
-		for _, name := range u.GetServes() {
-			p := pool(u.GetKind() + "/" + name)
-			p.Upstreams = append(p.Upstreams, planner.Upstream{
-				ID:            planner.UpstreamID(u.GetId()),
-				FailureDomain: planner.FailureDomain(u.GetFailureDomain()),
-				Preemptible:   u.GetPreemptible(),
-				Version:       u.GetVersion(),
-				Slots:         int(u.GetLoad().GetSlots()),
-				Load:          int(u.GetLoad().GetRunning() + u.GetLoad().GetWaiting()),
-				Leaving:       u.GetState() == "leaving",
-			})
-		}
-	}
-	out := make([]planner.Pool, 0, len(byName))
-	for _, p := range byName {
-		out = append(out, *p)
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
-	return out
-}
-
-// newRefusals returns how many requests of a pool an entry process has refused
-// since the previous call. The reported counter is cumulative.
-func (t *entryTable) newRefusals(s *wire.Sync, d *wire.PoolDemand) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	key := refusalKey{incarnation: s.GetUsage().GetIncarnation(), pool: d.GetPool()}
-	before := t.refusalCounters[key]
-	t.refusalCounters[key] = d.GetRefused()
-	return int(d.GetRefused() - min(before, d.GetRefused()))
-}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -29,6 +29,7 @@
 	"github.com/comfreybend/comfreybend/internal/keeper"
 	"github.com/comfreybend/comfreybend/internal/lister"
 	"github.com/comfreybend/comfreybend/internal/messenger"
+	"github.com/comfreybend/comfreybend/internal/recorder"
 	"github.com/comfreybend/comfreybend/internal/tabulator"
 	"github.com/comfreybend/comfreybend/internal/versioner"
 	"github.com/comfreybend/comfreybend/pkg/journaler"
@@ -80,7 +81,7 @@
 		node          *node
 		membership    *membershipManager
 		usage         *usageCollector
-		entries       *entryTable
+		entries       *recorder.Table
 		dialect       Dialect
 		upstreamTable *tabulator.Table
 		clusterView   *clusterView
@@ -122,7 +123,7 @@
 		security:        security,
 		stateMachine:    keeper.New(),
 		usage:           newUsageCollector(),
-		entries:         newEntryTable(),
+		entries:         recorder.New(),
 		dialect:         dialect,
 		upstreamTable:   tabulator.New(s.GetControl().GetAnnouncementLease().AsDuration()),
 		clusterView:     newClusterView(),
--- a/internal/controller/counts.go
+++ b/internal/controller/counts.go
@@ -27,7 +27,7 @@
 	if a.sizer == nil {
 		a.sizer = planner.NewSizer()
 	}
-	busy := c.entries.busyUpstreams()
+	busy := c.entries.BusyUpstreams()
 	a.busyUpstreams = busy
 	evacuated := c.evacuatedDomains()
 	upstreams := withoutEvacuated(c.upstreamTable.All(), evacuated)
@@ -111,15 +111,3 @@
 	}
 	return out
 }
-
-// busyUpstreams returns, by service, how many upstreams the load of all entry
-// processes would keep fully busy.
-func (t *entryTable) busyUpstreams() map[string]float64 {
-	out := map[string]float64{}
-	for _, s := range t.recentSyncs() {
-		for _, d := range s.GetDemands() {
-			out[d.GetService()] += d.GetBusy()
-		}
-	}
-	return out
-}
--- a/internal/controller/requests.go
+++ b/internal/controller/requests.go
@@ -170,7 +170,7 @@
 		return errorReply(err)
 	}
 	c.usage.record(s.GetUsage())
-	c.entries.record(s)
+	c.entries.Record(s)
 	c.listEntryHost(s.GetHost(), s.GetSelf())
 	c.windows.record(c.clusterView.agreedTime(c.settings.GetHost().GetId()), s)
 	reply, err := c.syncChanges(s)
@@ -178,7 +178,7 @@
 		return failureReply(ReasonInvalid, err.Error())
 	}
 	reply.RevisionAgeMillis = c.revisionAge().Milliseconds()
-	reply.LightParts = c.entries.lightShares()
+	reply.LightParts = c.entries.LightShares()
 	c.addDepartures(reply, s)
 	reply.Evacuations = c.evacuationsAfter(s.EvacuationPosition)
 	if s.GetEvidence() != nil {
@@ -186,7 +186,7 @@
 	}
 	if s.GetWantsEvidence() {
 		reply.Evidence, _, _ = c.evidence.Since(0)
-		reply.EntryIds = changedIDs(announcer.HostIDs(c.entries.hosts()), s.GetEntryIdsDigest())
+		reply.EntryIds = changedIDs(announcer.HostIDs(c.entries.Hosts()), s.GetEntryIdsDigest())
 	}
 	if a := c.autoscaler.Load(); a != nil {
 		reply.Draining = a.drainingUpstreams()
@@ -234,7 +234,7 @@
 		Term:          uint64(s.Term),
 		Commit:        uint64(s.Commit),
 		Membership:    s.Membership,
-		EntryHosts:    c.entries.hosts(),
+		EntryHosts:    c.entries.Hosts(),
 		WindowsUnsent: uint64(len(c.stateMachine.UnsentWindows())),
 
 		MembershipCommitted: s.MembershipCommitted,
@@ -245,7 +245,7 @@
 // processes or, if there are none, those that the entry processes report.
 func (c *Controller) upstreams() []*wire.Upstream {
 	if c.upstreamTable.Len() == 0 {
-		return c.entries.latestUpstreams()
+		return c.entries.LatestUpstreams()
 	}
 	return c.upstreamTable.All()
 }
--- a/internal/controller/usage.go
+++ b/internal/controller/usage.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"sort"
 	"sync"
 	"time"
@@ -13,20 +12,11 @@
 
 	"github.com/comfreybend/comfreybend/pkg/replicator"
 	"github.com/comfreybend/comfreybend/schema/state"
-	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
 const (
 	// usageInterval is the time between two commits of usage pushes.
 	usageInterval = time.Second
-	// entrySyncTimeout is the time after which the latest sync request of a silent entry process is dropped.
-	entrySyncTimeout = 30 * time.Second
-	// lightShareStep is the change of a light share above which the new value is sent
-	// to the entry processes, as a fraction of the work (0.07 is 7 percentage points).
-	lightShareStep = 0.07
-	// minWorkObservation is the time from the first work of a service until its light
-	// share is sent: the share of the first few requests is far off.
-	minWorkObservation = 6 * time.Second
 )
 
 type (
@@ -41,29 +31,6 @@
 		usage      *state.Usage
 		receivedAt time.Time
 	}
-
-	// entryTable holds the latest sync request of each entry process.
-	entryTable struct {
-		mu      sync.Mutex
-		entries map[string]entrySync
-		// refusalCounters holds the latest cumulative counters that newRefusals has seen.
-		refusalCounters map[refusalKey]uint64
-		// sentLightShares holds the light shares that were sent last, by service.
-		sentLightShares map[string]float64
-		// workFirstSeen holds the time at which each service first had work.
-		workFirstSeen map[string]time.Time
-	}
-
-	refusalKey struct {
-		incarnation string
-		pool        string
-	}
-
-	// entrySync is the latest sync request of an entry process.
-	entrySync struct {
-		request    *wire.Sync
-		receivedAt time.Time
-	}
 )
 
 func newUsageCollector() *usageCollector {
@@ -121,92 +88,3 @@
 	}
 	return nil
 }
-
-func newEntryTable() *entryTable {
-	return &entryTable{entries: map[string]entrySync{}, refusalCounters: map[refusalKey]uint64{}, sentLightShares: map[string]float64{}, workFirstSeen: map[string]time.Time{}}
-}
-
-// record replaces the sync request of an entry process.
-func (t *entryTable) record(s *wire.Sync) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.entries[s.GetHost()] = entrySync{request: s, receivedAt: time.Now()}
-}
-
-// recentSyncs drops the expired sync requests and returns the others, ordered by host.
-func (t *entryTable) recentSyncs() []*wire.Sync {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var out []*wire.Sync
-	for host, e := range t.entries {
-		if time.Since(e.receivedAt) > entrySyncTimeout {
-			delete(t.entries, host)
-			continue
-		}
-		out = append(out, e.request)
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].GetHost() < out[j].GetHost() })
-	return out
-}
-
-// lightShares returns, by service, the share of light classes, those with short
-// prompts, in the work of all entry processes in tokens per second. A single entry process
-// sees too few requests to estimate the share, and with their own estimates entry
-// processes would choose different upstreams for light classes. The value changes
-// in steps, so that all entry processes use the same one.
-func (t *entryTable) lightShares() map[string]float64 {
-	light, all := map[string]float64{}, map[string]float64{}
-	for _, s := range t.recentSyncs() {
-		for _, d := range s.GetDemands() {
-			light[d.GetService()] += d.GetLightWork()
-			all[d.GetService()] += d.GetWork()
-		}
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	out := map[string]float64{}
-	for service, work := range all {
-		if t.workFirstSeen[service].IsZero() && work > 0 {
-			t.workFirstSeen[service] = time.Now()
-		}
-		if work == 0 || time.Since(t.workFirstSeen[service]) < minWorkObservation {
-			continue
-		}
-		share := light[service] / work
-		if sent, found := t.sentLightShares[service]; !found || math.Abs(share-sent) > lightShareStep {
-			t.sentLightShares[service] = share
-		}
-		out[service] = t.sentLightShares[service]
-	}
-	return out
-}
-
-// hosts returns the hosts of the entry processes that sent a sync request recently.
-func (t *entryTable) hosts() []string {
-	var out []string
-	for _, s := range t.recentSyncs() {
-		out = append(out, s.GetHost())
-	}
-	return out
-}
-
-// latestUpstreams returns the upstreams that announced themselves to the entry
-// processes, each by its latest announcement.
-func (t *entryTable) latestUpstreams() []*wire.Upstream {
-	latest := map[string]*wire.Upstream{}
-	for _, s := range t.recentSyncs() {
-		for _, u := range s.GetUpstreams() {
-			before := latest[u.GetId()]
-			if before == nil || u.GetIncarnation() > before.GetIncarnation() ||
-				u.GetIncarnation() == before.GetIncarnation() && u.GetSequence() > before.GetSequence() {
-				latest[u.GetId()] = u
-			}
-		}
-	}
-	out := make([]*wire.Upstream, 0, len(latest))
-	for _, u := range latest {
-		out = append(out, u)
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].GetId() < out[j].GetId() })
-	return out
-}
