--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -21,6 +21,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/comfreybend/comfreybend/internal/aggregator"
 	"github.com/comfreybend/comfreybend/internal/certifier"
 	"github.com/comfreybend/comfreybend/internal/collector"
 	"github.com/comfreybend/comfreybend/internal/configurer"
@@ -28,6 +29,7 @@
 	"github.com/comfreybend/comfreybend/internal/keeper"
 	"github.com/comfreybend/comfreybend/internal/lister"
 	"github.com/comfreybend/comfreybend/internal/messenger"
+	"github.com/comfreybend/comfreybend/internal/recorder"
 	"github.com/comfreybend/comfreybend/internal/tabulator"
 	"github.com/comfreybend/comfreybend/internal/versioner"
 	"github.com/comfreybend/comfreybend/pkg/journaler"
@@ -79,11 +81,11 @@
 		node          *node
 		membership    *membershipManager
 		usage         *usageCollector
-		entries       *entryTable
+		entries       *recorder.Table
 		dialect       Dialect
 		upstreamTable *tabulator.Table
 		clusterView   *clusterView
-		loads         *loadTable
+		loads         *aggregator.Table
 		windows       *windowCollector
 		// gossipWanted makes runGossip send without delay.
 		gossipWanted chan struct{}
@@ -123,11 +125,11 @@
 		security:        security,
 		stateMachine:    keeper.New(),
 		usage:           newUsageCollector(),
-		entries:         newEntryTable(),
+		entries:         recorder.New(),
 		dialect:         dialect,
 		upstreamTable:   tabulator.New(s.GetControl().GetAnnouncementLease().AsDuration()),
 		clusterView:     newClusterView(),
-		loads:           newLoadTable(),
+		loads:           aggregator.New(),
 		windows:         newWindowCollector(s.GetControl()),
 		gossipWanted:    make(chan struct{}, 1),
 		evidence:        collector.NewTable(),
