delimiter, router: take a response for a part if it ends before its request is written

Cause: the end of a connection was an error only while the kernel had unacknowledged data. If the upstream closes its side before the body has begun to be written, there is none, and a part of a response without a length passed for a whole one. Change: such a response is whole only if the request had been written by then.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -15,6 +15,7 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"github.com/comfreybend/comfreybend/internal/delimiter"
 	"github.com/comfreybend/comfreybend/internal/dialer"
 	"github.com/comfreybend/comfreybend/internal/restrainer"
 	"github.com/comfreybend/comfreybend/internal/retirer"
@@ -110,6 +111,8 @@
 		// connected reports that a connection was obtained that is not kept, so that a part of the
 		// request may have been sent.
 		connected atomic.Bool
+		// request tells whether a response that ends with its connection is whole.
+		request delimiter.Request
 		// fresh reports that the connection was established for the attempt, and that no bytes have
 		// arrived on it.
 		fresh atomic.Bool
@@ -330,6 +333,7 @@
 	if !writer.IsFinalStatus(status) {
 		return at.failure(attemptError{Cause: errors.Errorf("%d is not the status of a response", status)})
 	}
+	at.request.Guard(at.response)
 	at.load = info.Load
 	u.onResponse(at, info)
 	switch {
@@ -356,6 +360,7 @@
 			u.onReached()
 		}
 	}}
+	at.request.Observe(trace)
 	to := destination{upstream: at.grant.upstream, connectTimeout: dialer.TimeoutFor(c.class.GetTarget(), u.limits.GetConnectTimeout().AsDuration())}
 	ctx = context.WithValue(httptrace.WithClientTrace(ctx, trace), destinationKey{}, to)
 	request, err := http.NewRequestWithContext(ctx, c.method, at.grant.upstream.URL, bytes.NewReader(c.body))
