router: send clients away for as long as a start mostly takes

Cause: until it has a configuration, a process answered 503 with a Retry-After of 2.5 to 3.3 s, though it has one after 0.1 s while control processes serve, and after 0.5 to 1.5 s if all hosts were lost. Clients came back 1 to 2 s after they could have been served. Change: Retry-After is what is left of 1.2 s, and the jitter.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -46,6 +46,9 @@
 	// configuration and the upstreams: it covers an election and one announcement of each
 	// upstream. A client that retries earlier would be refused again.
 	startupTime = 2500 * time.Millisecond
+	// usualStartupTime is the time after which a process mostly has its configuration: 0.1 s while control
+	// processes serve, 0.5 to 1.5 s if they have been started at the same time.
+	usualStartupTime = 1200 * time.Millisecond
 	// minRetryAfter is the shortest time, before jitter, after which a refused client may
 	// retry.
 	minRetryAfter = 400 * time.Millisecond
@@ -262,10 +265,10 @@
 }
 
 // retryAfter returns the time after which a request that cannot be served yet may be
-// retried: the rest of the startup time, at least minRetryAfter, plus jitter so that
-// clients do not retry all at once.
+// retried: the rest of the usual time until the configuration is known, at least
+// minRetryAfter, plus jitter so that clients do not retry all at once.
 func (r *Router) retryAfter() time.Duration {
-	left := max(minRetryAfter, startupTime-(timer.Now()-r.startedAt))
+	left := max(minRetryAfter, usualStartupTime-(timer.Now()-r.startedAt))
 	return left + time.Duration(r.random(int(left/retryAfterJitterDivisor)))
 }
 
