--- a/cmd/comfreybend/daemon.go
+++ b/cmd/comfreybend/daemon.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/comfreybend/comfreybend/internal/controller"
-	"github.com/comfreybend/comfreybend/internal/router"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/internal/validator"
 	"github.com/comfreybend/comfreybend/platform"
 	"github.com/comfreybend/comfreybend/schema/settings"
@@ -60,11 +60,11 @@
 	}
 }
 
-func (f *daemonFlags) routerDialect() router.Dialect {
+func (f *daemonFlags) routerDialect() translator.Dialect {
 	if f.platform {
 		return platform.RouterDialect()
 	}
-	return router.NativeDialect()
+	return translator.NativeDialect()
 }
 
 func (f *daemonFlags) controllerDialect() controller.Dialect {
--- a/internal/router/announcement.go
+++ b/internal/router/announcement.go
@@ -11,6 +11,7 @@
 
 	"github.com/comfreybend/comfreybend/internal/announcer"
 	"github.com/comfreybend/comfreybend/internal/ingester"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/settings"
 	"github.com/comfreybend/comfreybend/schema/wire"
@@ -60,14 +61,14 @@
 func decodeAnnouncement(_ context.Context, request *http.Request) (any, error) {
 	body, err := ingester.Content(request, maxAnnouncementBytes)
 	if err != nil {
-		return nil, refuse(http.StatusRequestEntityTooLarge, CodeTooLarge, err.Error())
+		return nil, translator.Refuse(http.StatusRequestEntityTooLarge, translator.CodeTooLarge, err.Error())
 	}
 	u := &wire.Upstream{}
 	if err = fromUpstream.Unmarshal(body, u); err != nil {
-		return nil, refuse(http.StatusBadRequest, CodeMalformed, err.Error())
+		return nil, translator.Refuse(http.StatusBadRequest, translator.CodeMalformed, err.Error())
 	}
 	if err = announcer.Validate(u); err != nil {
-		return nil, refuse(http.StatusBadRequest, CodeMalformed, err.Error())
+		return nil, translator.Refuse(http.StatusBadRequest, translator.CodeMalformed, err.Error())
 	}
 	return u, nil
 }
@@ -83,7 +84,7 @@
 		// The commit may take long, or fail.
 		r.withdrawOutdated(&announced)
 		if err := r.tracker.Commit(ctx, &announced); err != nil {
-			return nil, refuseWithRetryAfter(http.StatusServiceUnavailable, CodeNoQuorum, err.Error(), inDoubtRetryAfter)
+			return nil, translator.RefuseWithRetryAfter(http.StatusServiceUnavailable, translator.CodeNoQuorum, err.Error(), inDoubtRetryAfter)
 		}
 	}
 	if r.applyAnnouncement(announced, leaveAnnounced, u.GetUrl()) {
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -19,6 +19,7 @@
 	"github.com/comfreybend/comfreybend/internal/restrainer"
 	"github.com/comfreybend/comfreybend/internal/retirer"
 	"github.com/comfreybend/comfreybend/internal/scanner"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/internal/writer"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/timer"
@@ -33,15 +34,10 @@
 )
 
 type (
-	// AttemptID identifies an attempt at an upstream, or all attempts of a call if
-	// the client chose the id. It is also the type of the ids that identify a call
-	// in log lines and claims.
-	AttemptID string
-
 	// upstreamClient sends attempts to upstreams.
 	upstreamClient struct {
 		limits  *settings.UpstreamLimits
-		dialect Dialect
+		dialect translator.Dialect
 		now     func() time.Duration
 		// keepAlive reuses connections. When a reused connection breaks, net/http may
 		// resend a request on its own, so calls that must not run twice use it only
@@ -62,7 +58,7 @@
 		// on its own (see retirer.IsResent) use singleUse.
 		nonRetryableSingleUse bool
 		// onResponse is called with the headers of every response before it is used.
-		onResponse func(*attempt, ResponseInfo)
+		onResponse func(*attempt, translator.ResponseInfo)
 		// admit is called before every request. It returns an error if the upstream's request
 		// limit does not allow it, and reports whether there is one.
 		admit func(*registrar.Upstream, restrainer.Reservation) (limited bool, err error)
@@ -92,7 +88,7 @@
 
 	// attempt is one try of a call at one upstream.
 	attempt struct {
-		id       AttemptID
+		id       translator.AttemptID
 		grant    *grant
 		response *http.Response
 		cancel   context.CancelCauseFunc
@@ -141,7 +137,7 @@
 
 	// attemptError is the failure of an attempt.
 	attemptError struct {
-		Attempt AttemptID
+		Attempt translator.AttemptID
 		// NotRun reports that the upstream has not run the request: it was not sent
 		// or the upstream refused it.
 		NotRun bool
@@ -194,9 +190,9 @@
 func (e *silentConnectionError) Error() string { return "connection fell silent: " + e.Reason }
 
 // newUpstreamClient returns a client that connects directly, without a proxy.
-func newUpstreamClient(e *settings.Entry, dialect Dialect) *upstreamClient {
+func newUpstreamClient(e *settings.Entry, dialect translator.Dialect) *upstreamClient {
 	l := e.GetUpstreamLimits()
-	u := &upstreamClient{limits: l, dialect: dialect, now: timer.Now, nonRetryableSingleUse: !e.GetFollowControl(), onResponse: func(*attempt, ResponseInfo) {}, onStart: func(*call, *attempt) {}}
+	u := &upstreamClient{limits: l, dialect: dialect, now: timer.Now, nonRetryableSingleUse: !e.GetFollowControl(), onResponse: func(*attempt, translator.ResponseInfo) {}, onStart: func(*call, *attempt) {}}
 	u.dial = dialer.Resetting(l.GetConnectTimeout().AsDuration(), dialer.LocalAddr(e.GetUpstreamLocalAddress()))
 	u.onReached, u.onUnreached = func() {}, func(*registrar.Upstream) {}
 	transport := func() *http.Transport {
@@ -249,7 +245,7 @@
 func (u *upstreamClient) send(ctx context.Context, c *call, g *grant, lastEventID scanner.EventID) (*attempt, error) {
 	id := c.Attempt
 	if id == "" {
-		id = AttemptID(uuid.NewString())
+		id = translator.AttemptID(uuid.NewString())
 	}
 	at := &attempt{id: id, grant: g, startedAt: u.now(), done: make(chan struct{}), onClose: func() {}}
 	at.recordActivity(at.startedAt)
@@ -371,7 +367,7 @@
 		request.Host = c.hostHeader
 	}
 	request.Header = c.upstreamHeader(u.dialect.DropsRequestHeader)
-	u.dialect.SetAttemptHeaders(request.Header, AttemptInfo{
+	u.dialect.SetAttemptHeaders(request.Header, translator.AttemptInfo{
 		ID:           at.id,
 		Organisation: string(c.client.organisation),
 		Class:        c.class.GetName(),
@@ -389,7 +385,7 @@
 
 // isFromOtherRun reports whether a response comes from another run of the upstream than the one that
 // the attempt was sent to, or from another upstream at its address.
-func (at *attempt) isFromOtherRun(info ResponseInfo) bool {
+func (at *attempt) isFromOtherRun(info translator.ResponseInfo) bool {
 	expected := at.grant.upstream.Incarnation
 	return expected != 0 && info.Incarnation != 0 && info.Incarnation != expected
 }
--- a/internal/router/cache.go
+++ b/internal/router/cache.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/comfreybend/comfreybend/internal/ingester"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/wire"
@@ -16,14 +17,14 @@
 func decodeCacheEvent(_ context.Context, request *http.Request) (any, error) {
 	body, err := ingester.Content(request, maxCacheEventBytes)
 	if err != nil {
-		return nil, refuse(http.StatusRequestEntityTooLarge, CodeTooLarge, err.Error())
+		return nil, translator.Refuse(http.StatusRequestEntityTooLarge, translator.CodeTooLarge, err.Error())
 	}
 	e := &wire.CacheEvent{}
 	if err = fromUpstream.Unmarshal(body, e); err != nil {
-		return nil, refuse(http.StatusBadRequest, CodeMalformed, err.Error())
+		return nil, translator.Refuse(http.StatusBadRequest, translator.CodeMalformed, err.Error())
 	}
 	if e.GetUpstream() == "" || e.GetSequence() == 0 {
-		return nil, refuse(http.StatusBadRequest, CodeMalformed, "upstream or sequence is missing")
+		return nil, translator.Refuse(http.StatusBadRequest, translator.CodeMalformed, "upstream or sequence is missing")
 	}
 	return e, nil
 }
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -16,6 +16,7 @@
 	"github.com/comfreybend/comfreybend/internal/ingester"
 	"github.com/comfreybend/comfreybend/internal/relayer"
 	"github.com/comfreybend/comfreybend/internal/scrubber"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/pkg/isolator"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
@@ -44,7 +45,7 @@
 		hostHeader string
 		// requestURI is the path and query as received.
 		requestURI string
-		RequestInfo
+		translator.RequestInfo
 		// relay is what the call was passed on with by another entry process; nil if it came from
 		// the client.
 		relay *wire.Relay
@@ -84,7 +85,7 @@
 	body, _ := ctx.Value(bodyKey{}).(*ingester.Body)
 	d, err := r.dialect.ParseRequest(request)
 	if err != nil {
-		return nil, refuse(http.StatusBadRequest, CodeMalformed, err.Error())
+		return nil, translator.Refuse(http.StatusBadRequest, translator.CodeMalformed, err.Error())
 	}
 	return &call{
 		method:      request.Method,
@@ -103,20 +104,20 @@
 }
 
 // resolve authenticates a call and sets its route, class, tier, pool and deadline.
-func (r *Router) resolve(c *call) *RefusalError {
+func (r *Router) resolve(c *call) *translator.RefusalError {
 	catalog := r.controlPlane.catalog.Load()
 	if catalog == nil {
-		return refuseWithRetryAfter(http.StatusServiceUnavailable, CodeNotFresh, "no configuration yet", r.retryAfter())
+		return translator.RefuseWithRetryAfter(http.StatusServiceUnavailable, translator.CodeNotFresh, "no configuration yet", r.retryAfter())
 	}
 	if !scrubber.IsCleanPath(c.path) {
-		return refuse(http.StatusBadRequest, CodeMalformed, "the path has empty, \".\" or \"..\" segments")
+		return translator.Refuse(http.StatusBadRequest, translator.CodeMalformed, "the path has empty, \".\" or \"..\" segments")
 	}
 	c.route = catalog.Route(c.host, c.path)
 	if refusal := r.authenticate(c); refusal != nil {
 		return refusal
 	}
 	if c.route == nil {
-		return r.controlPlane.refuseUnknown(refuse(http.StatusNotFound, CodeNoRoute, "no route for "+c.path))
+		return r.controlPlane.refuseUnknown(translator.Refuse(http.StatusNotFound, translator.CodeNoRoute, "no route for "+c.path))
 	}
 	if refusal := c.chooseClass(catalog); refusal != nil {
 		return refusal
@@ -126,7 +127,7 @@
 		return refusal
 	}
 	if scrubber.Exposes(c.Key, c.path, c.escapedPath, c.rawQuery, c.body) {
-		return refuse(http.StatusBadRequest, CodeMalformed,
+		return translator.Refuse(http.StatusBadRequest, translator.CodeMalformed,
 			"the key stands in the path, query or body, which go to the upstream")
 	}
 	r.setDeadline(c)
@@ -135,10 +136,10 @@
 
 // authenticate sets the call's client from its key. Only routes that are open
 // to all accept calls without a valid key.
-func (r *Router) authenticate(c *call) *RefusalError {
+func (r *Router) authenticate(c *call) *translator.RefusalError {
 	open := c.route.GetOpenToAll()
 	if c.Key == "" && len(c.relay.GetKeyDigest()) == 0 && !open {
-		refusal := refuse(http.StatusUnauthorized, CodeUnauthorized, "a key is needed")
+		refusal := translator.Refuse(http.StatusUnauthorized, translator.CodeUnauthorized, "a key is needed")
 		if c.route == nil {
 			return r.controlPlane.refuseUnknown(refusal)
 		}
@@ -155,7 +156,7 @@
 }
 
 // chooseClass sets the class that the client asked for, by default the route's first one.
-func (c *call) chooseClass(catalog *configurer.Catalog) *RefusalError {
+func (c *call) chooseClass(catalog *configurer.Catalog) *translator.RefusalError {
 	name := c.Class
 	if name == "" {
 		name = c.route.GetClasses()[0]
@@ -166,7 +167,7 @@
 			return nil
 		}
 	}
-	return refuse(http.StatusBadRequest, CodeClassNotAllowed,
+	return translator.Refuse(http.StatusBadRequest, translator.CodeClassNotAllowed,
 		"class must be one of "+strings.Join(c.route.GetClasses(), ", "))
 }
 
@@ -180,7 +181,7 @@
 }
 
 // choosePool sets the pool, and whether the call is retryable and streamed.
-func (c *call) choosePool(random func(n int) int) *RefusalError {
+func (c *call) choosePool(random func(n int) int) *translator.RefusalError {
 	c.retryable = !c.route.GetNonIdempotent()
 	if c.route.GetEventStream() {
 		c.retryable = c.route.GetResumable()
@@ -197,10 +198,10 @@
 	}
 	var m modelRequest
 	if err := json.Unmarshal(c.body, &m); err != nil {
-		return refuse(http.StatusBadRequest, CodeMalformed, "the body is no JSON object: "+err.Error())
+		return translator.Refuse(http.StatusBadRequest, translator.CodeMalformed, "the body is no JSON object: "+err.Error())
 	}
 	if m.Model == "" {
-		return refuse(http.StatusBadRequest, CodeMalformed, "model is missing")
+		return translator.Refuse(http.StatusBadRequest, translator.CodeMalformed, "model is missing")
 	}
 	c.stream = m.Stream
 	c.pool = poolKey{kind: registrar.KindModel, name: m.Model}
@@ -243,7 +244,7 @@
 // twice.
 func isDroppedRequestHeader(name string) bool {
 	switch name {
-	case HeaderIdempotencyKey, "X-Idempotency-Key", HeaderLastEventID, headerLastEventIDCanonical:
+	case translator.HeaderIdempotencyKey, "X-Idempotency-Key", translator.HeaderLastEventID, translator.HeaderLastEventIDCanonical:
 		return true
 	default:
 		return false
--- a/internal/router/charge_test.go
+++ b/internal/router/charge_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/instrumenter"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/internal/validator"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/scheduler"
@@ -92,7 +93,7 @@
 	for refused := false; !refused; {
 		held := c.next(t)
 		ctx, cancel := context.WithCancel(t.Context())
-		result := make(chan *RefusalError)
+		result := make(chan *translator.RefusalError)
 		request := c.request
 		request.organisation, request.interrupted = "one", true
 		before := d.pools[request.pool].scheduler.Waiting()
@@ -151,7 +152,7 @@
 	validator.FillDefaults(s)
 	s.Entry.UpstreamLimits.InitialConcurrency = 1
 	s.Entry.UpstreamLimits.MaximumConcurrency = 1
-	r, err := New(s, NativeDialect(), zap.NewNop(), instrumenter.New("entry"))
+	r, err := New(s, translator.NativeDialect(), zap.NewNop(), instrumenter.New("entry"))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -11,6 +11,7 @@
 	"github.com/comfreybend/comfreybend/internal/digester"
 	"github.com/comfreybend/comfreybend/internal/keeper"
 	"github.com/comfreybend/comfreybend/internal/proposer"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/internal/writer"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/state"
@@ -30,7 +31,7 @@
 // storedResponse is the response of an earlier call with the same idempotency key.
 type storedResponse struct {
 	// claimID is the id in the claim of the earlier call.
-	claimID  AttemptID
+	claimID  translator.AttemptID
 	response *state.StoredAnswer
 }
 
@@ -40,8 +41,8 @@
 	if s.response.GetContentType() != "" {
 		h.Set("Content-Type", s.response.GetContentType())
 	}
-	h.Set(HeaderAttempt, string(s.claimID))
-	h.Set(HeaderReplayed, "true")
+	h.Set(translator.HeaderAttempt, string(s.claimID))
+	h.Set(translator.HeaderReplayed, "true")
 	w.WriteHeader(int(s.response.GetStatus()))
 	_, _ = w.Write(s.response.GetBody())
 }
@@ -49,10 +50,10 @@
 // commitClaim commits the claim of a call, which reserves its single run, before the
 // call is sent. It returns the stored response if an earlier call with the same
 // idempotency key has run.
-func (h *callHandler) commitClaim(ctx context.Context) (*storedResponse, *RefusalError) {
+func (h *callHandler) commitClaim(ctx context.Context) (*storedResponse, *translator.RefusalError) {
 	c := h.call
 	if h.claimID == "" {
-		h.claimID = AttemptID(uuid.NewString())
+		h.claimID = translator.AttemptID(uuid.NewString())
 	}
 	claim := &state.Claim{
 		Organisation:   string(c.client.organisation),
@@ -66,7 +67,7 @@
 		// The claim may have been committed although no reply arrived. The call
 		// was not sent, so the claim is released.
 		go h.commitClaimOutcome(&state.ClaimOutcome{NotRun: true})
-		return nil, refuseWithRetryAfter(http.StatusServiceUnavailable, CodeNoQuorum,
+		return nil, translator.RefuseWithRetryAfter(http.StatusServiceUnavailable, translator.CodeNoQuorum,
 			"the idempotency key cannot be reserved: "+err.Error(), inDoubtRetryAfter)
 	}
 	if reply.GetOutcome().GetAccepted() {
@@ -78,23 +79,23 @@
 
 // resolveExistingClaim returns the stored response or the refusal for a claim
 // that was rejected for the given reason.
-func (h *callHandler) resolveExistingClaim(reason string, earlier *state.ClaimState) (*storedResponse, *RefusalError) {
-	earlierClaimID := AttemptID(earlier.GetClaim().GetAttempt())
+func (h *callHandler) resolveExistingClaim(reason string, earlier *state.ClaimState) (*storedResponse, *translator.RefusalError) {
+	earlierClaimID := translator.AttemptID(earlier.GetClaim().GetAttempt())
 	switch reason {
 	case keeper.ReasonTooManyClaims:
-		return nil, refuseWithRetryAfter(http.StatusTooManyRequests, CodeTooManyClaims,
+		return nil, translator.RefuseWithRetryAfter(http.StatusTooManyRequests, translator.CodeTooManyClaims,
 			"the organisation holds too many idempotency keys", time.Minute)
 	case keeper.ReasonReusedKey:
-		return nil, refuse(http.StatusUnprocessableEntity, CodeIdempotencyReuse,
+		return nil, translator.Refuse(http.StatusUnprocessableEntity, translator.CodeIdempotencyReuse,
 			"the idempotency key was used for another call")
 	}
 	// Earlier versions stored the response whatever its status.
 	if writer.IsFinalStatus(int(earlier.GetAnswer().GetStatus())) {
 		return &storedResponse{claimID: earlierClaimID, response: earlier.GetAnswer()}, nil
 	}
-	refusal := refuseWithRetryAfter(http.StatusConflict, CodeInDoubt,
+	refusal := translator.RefuseWithRetryAfter(http.StatusConflict, translator.CodeInDoubt,
 		"an earlier call with the idempotency key may have run; its outcome is not known", inDoubtRetryAfter)
-	refusal.Run = MayHaveRun
+	refusal.Run = translator.MayHaveRun
 	refusal.Attempt = earlierClaimID
 	return nil, refusal
 }
@@ -125,8 +126,8 @@
 
 // releaseClaim releases the claim of a refused call that has not run. The claim
 // of a call that may have run remains in doubt.
-func (h *callHandler) releaseClaim(refusal *RefusalError) {
-	if h.claimed && refusal.Run == NotRun {
+func (h *callHandler) releaseClaim(refusal *translator.RefusalError) {
+	if h.claimed && refusal.Run == translator.NotRun {
 		go h.commitClaimOutcome(&state.ClaimOutcome{NotRun: true})
 	}
 }
--- a/internal/router/cluster_load_test.go
+++ b/internal/router/cluster_load_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/comfreybend/comfreybend/internal/announcer"
 	"github.com/comfreybend/comfreybend/internal/instrumenter"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/internal/validator"
 	"github.com/comfreybend/comfreybend/pkg/gatherer"
 	"github.com/comfreybend/comfreybend/pkg/picker"
@@ -141,7 +142,7 @@
 	validator.FillDefaults(config)
 	config.Entry.UpstreamLimits.InitialConcurrency = 64
 	config.Entry.UpstreamLimits.MaximumConcurrency = 64
-	r, err := New(config, NativeDialect(), zap.NewNop(), instrumenter.New("entry"))
+	r, err := New(config, translator.NativeDialect(), zap.NewNop(), instrumenter.New("entry"))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/router/configuration_test.go
+++ b/internal/router/configuration_test.go
@@ -20,6 +20,7 @@
 	"github.com/comfreybend/comfreybend/internal/controller"
 	"github.com/comfreybend/comfreybend/internal/instrumenter"
 	"github.com/comfreybend/comfreybend/internal/messenger"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/internal/validator"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/timer"
@@ -271,7 +272,7 @@
 		},
 	}
 	validator.FillDefaults(s)
-	r, err := New(s, NativeDialect(), zap.NewNop(), instrumenter.New("entry"))
+	r, err := New(s, translator.NativeDialect(), zap.NewNop(), instrumenter.New("entry"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -505,7 +506,7 @@
 		},
 	}
 	validator.FillDefaults(s)
-	r, err := New(s, NativeDialect(), zap.NewNop(), instrumenter.New("entry"))
+	r, err := New(s, translator.NativeDialect(), zap.NewNop(), instrumenter.New("entry"))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/router/controlplane.go
+++ b/internal/router/controlplane.go
@@ -14,6 +14,7 @@
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/messenger"
 	"github.com/comfreybend/comfreybend/internal/ranker"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/wire"
@@ -364,7 +365,7 @@
 
 // identify returns the identity of a key, or of a digest if there is no key. Without both it is
 // anonymous.
-func (p *controlPlane) identify(key string, digest []byte) (identity, *RefusalError) {
+func (p *controlPlane) identify(key string, digest []byte) (identity, *translator.RefusalError) {
 	id := identity{hash: configurer.HashKey(key), hasKey: true}
 	switch {
 	case key == "" && len(digest) == 0:
@@ -381,20 +382,20 @@
 // checkKey verifies that the identity's key is valid and sets the identity's
 // organisation. It is called again before every attempt, since the key may be
 // withdrawn while the call waits.
-func (p *controlPlane) checkKey(id *identity) *RefusalError {
+func (p *controlPlane) checkKey(id *identity) *translator.RefusalError {
 	if !id.hasKey {
 		return nil
 	}
 	if !p.hasConfiguration() {
-		return refuseWithRetryAfter(http.StatusServiceUnavailable, CodeNotFresh, "no configuration yet", p.router.retryAfter())
+		return translator.RefuseWithRetryAfter(http.StatusServiceUnavailable, translator.CodeNotFresh, "no configuration yet", p.router.retryAfter())
 	}
 	if !p.fresh() && !p.router.settings.GetEntry().GetServeStale() {
-		return refuseWithRetryAfter(http.StatusServiceUnavailable, CodeNotFresh,
+		return translator.RefuseWithRetryAfter(http.StatusServiceUnavailable, translator.CodeNotFresh,
 			"the configuration cannot be confirmed, so keys are not relied on", p.syncInterval)
 	}
 	key := p.catalog.Load().KeyByHash(id.hash)
 	if key == nil {
-		return p.refuseUnknown(refuse(http.StatusUnauthorized, CodeUnauthorized, "the key is unknown or withdrawn"))
+		return p.refuseUnknown(translator.Refuse(http.StatusUnauthorized, translator.CodeUnauthorized, "the key is unknown or withdrawn"))
 	}
 	id.organisation = configurer.OrganisationID(key.GetOrganisation())
 	return nil
@@ -403,11 +404,11 @@
 // refuseUnknown returns the refusal of a call whose key or route is not in the
 // configuration. While the configuration is not fresh, or nothing has been configured yet, a later one may
 // have it, so the call is told to come back instead.
-func (p *controlPlane) refuseUnknown(refusal *RefusalError) *RefusalError {
+func (p *controlPlane) refuseUnknown(refusal *translator.RefusalError) *translator.RefusalError {
 	if p.fresh() && p.revision() > 0 {
 		return refusal
 	}
-	return refuseWithRetryAfter(http.StatusServiceUnavailable, CodeNotFresh,
+	return translator.RefuseWithRetryAfter(http.StatusServiceUnavailable, translator.CodeNotFresh,
 		refusal.Detail+", in a configuration that may not be the latest", p.router.retryAfter())
 }
 
--- a/internal/router/controlplane_test.go
+++ b/internal/router/controlplane_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/instrumenter"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/internal/validator"
 	"github.com/comfreybend/comfreybend/schema/settings"
 	"github.com/comfreybend/comfreybend/schema/state"
@@ -25,7 +26,7 @@
 		Entry: &settings.Entry{Freshness: durationpb.New(5 * time.Second)},
 	}
 	validator.FillDefaults(s)
-	r, err := New(s, NativeDialect(), zap.NewNop(), instrumenter.New("entry"))
+	r, err := New(s, translator.NativeDialect(), zap.NewNop(), instrumenter.New("entry"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -117,8 +118,8 @@
 			if (refusal != nil) != (test.status != 0) {
 				t.Fatalf("refusal %v, want status %d (0: no refusal)", refusal, test.status)
 			}
-			if refusal != nil && (refusal.Status != test.status || refusal.Run != NotRun) {
-				t.Errorf("refusal %v with status %d, want status %d and run %q", refusal, refusal.Status, test.status, NotRun)
+			if refusal != nil && (refusal.Status != test.status || refusal.Run != translator.NotRun) {
+				t.Errorf("refusal %v with status %d, want status %d and run %q", refusal, refusal.Status, test.status, translator.NotRun)
 			}
 		})
 	}
@@ -163,12 +164,12 @@
 			if test.confirmed {
 				r.controlPlane.freshUntil.Store(int64(r.controlPlane.now() + time.Minute))
 			}
-			refusal := r.resolve(&call{path: test.path, requestURI: test.path, header: http.Header{}, RequestInfo: RequestInfo{Key: test.key}})
+			refusal := r.resolve(&call{path: test.path, requestURI: test.path, header: http.Header{}, RequestInfo: translator.RequestInfo{Key: test.key}})
 			switch {
 			case (refusal != nil) != (test.status != 0):
 				t.Fatalf("refusal %v, want status %d (0: no refusal)", refusal, test.status)
 			case refusal == nil:
-			case refusal.Status != test.status || refusal.Run != NotRun:
+			case refusal.Status != test.status || refusal.Run != translator.NotRun:
 				t.Errorf("refusal %v with status %d, want %d", refusal, refusal.Status, test.status)
 			case refusal.Status == http.StatusServiceUnavailable && refusal.RetryAfter <= 0:
 				t.Error("the refusal does not say when to come back")
--- a/internal/router/copy_stream_test.go
+++ b/internal/router/copy_stream_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/schema/state"
 )
 
@@ -87,7 +88,7 @@
 			f := newCopyFixture(t, 4, nil, func(r *state.Route) { r.EventStream, r.Resumable, r.Attempts = true, true, test.attempts })
 			resumedAfter := ""
 			f.set(func(n int, w http.ResponseWriter, request *http.Request) {
-				if after := request.Header.Get(HeaderLastEventID); after != "" {
+				if after := request.Header.Get(translator.HeaderLastEventID); after != "" {
 					resumedAfter = after
 				}
 				test.handles[n-1](w, request)
@@ -172,7 +173,7 @@
 		onStart(c, at)
 	}
 	f.set(func(_ int, w http.ResponseWriter, request *http.Request) {
-		if request.Header.Get(HeaderLastEventID) != "" {
+		if request.Header.Get(translator.HeaderLastEventID) != "" {
 			early.Store(!returned.Load())
 			stream("", streamStep{0, copyEvents[1]})(w, request)
 			return
--- a/internal/router/copy_test.go
+++ b/internal/router/copy_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/instrumenter"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/internal/validator"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/retrier"
@@ -64,7 +65,7 @@
 	}
 	validator.FillDefaults(s)
 	var err error
-	if f.router, err = New(s, NativeDialect(), zap.NewNop(), instrumenter.New("entry")); err != nil {
+	if f.router, err = New(s, translator.NativeDialect(), zap.NewNop(), instrumenter.New("entry")); err != nil {
 		t.Fatal(err)
 	}
 	r := &state.Route{
@@ -215,8 +216,8 @@
 func TestCopyOfSlowRequest(t *testing.T) {
 	const soon, later = 20 * time.Millisecond, 150 * time.Millisecond
 	refuse := func(w http.ResponseWriter, request *http.Request) {
-		w.Header().Set(HeaderAttempt, request.Header.Get(HeaderAttempt))
-		w.Header().Set(HeaderIncarnation, "2")
+		w.Header().Set(translator.HeaderAttempt, request.Header.Get(translator.HeaderAttempt))
+		w.Header().Set(translator.HeaderIncarnation, "2")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 	}
 	type handle = func(http.ResponseWriter, *http.Request)
--- a/internal/router/crash_test.go
+++ b/internal/router/crash_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/instrumenter"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/internal/validator"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/retrier"
@@ -151,7 +152,7 @@
 	}
 	timer.Sleep(r.Context(), enginePrefill)
 	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set(HeaderAttempt, r.Header.Get(HeaderAttempt))
+	w.Header().Set(translator.HeaderAttempt, r.Header.Get(translator.HeaderAttempt))
 	_ = http.NewResponseController(w).Flush()
 	if crashes {
 		timer.Sleep(r.Context(), engineStep)
@@ -193,7 +194,7 @@
 		},
 	}
 	validator.FillDefaults(s)
-	r, err := New(s, NativeDialect(), zap.NewNop(), instrumenter.New("entry"))
+	r, err := New(s, translator.NativeDialect(), zap.NewNop(), instrumenter.New("entry"))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -11,6 +11,7 @@
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/estimator"
 	"github.com/comfreybend/comfreybend/internal/restrainer"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/pkg/evacuator"
 	"github.com/comfreybend/comfreybend/pkg/limiter"
 	"github.com/comfreybend/comfreybend/pkg/picker"
@@ -97,7 +98,7 @@
 		request dispatchRequest
 		item    scheduler.Item
 		granted chan *grant
-		refused chan *RefusalError
+		refused chan *translator.RefusalError
 	}
 
 	// grant permits one attempt at an upstream. It must be released.
@@ -264,7 +265,7 @@
 		d.refuseUnserved(key, p)
 		for _, id := range p.scheduler.Expire(now) {
 			item := d.waiters[id].item
-			d.refuseWaiter(id, refuseWithRetryAfter(http.StatusServiceUnavailable, CodeDeadline,
+			d.refuseWaiter(id, translator.RefuseWithRetryAfter(http.StatusServiceUnavailable, translator.CodeDeadline,
 				"the deadline passed while the request waited",
 				p.scheduler.WaitEstimate(item.Class, item.Tier, item.Organisation)))
 		}
@@ -309,7 +310,7 @@
 }
 
 // acquire waits for a grant of an upstream. The caller must release it.
-func (d *dispatcher) acquire(ctx context.Context, r dispatchRequest) (*grant, *RefusalError) {
+func (d *dispatcher) acquire(ctx context.Context, r dispatchRequest) (*grant, *translator.RefusalError) {
 	w, refusal := d.enqueue(r)
 	if refusal != nil {
 		return nil, refusal
@@ -332,12 +333,12 @@
 		d.finish(g, outcomeAbandoned, 0)
 	default:
 	}
-	return nil, refuseWithRetryAfter(http.StatusServiceUnavailable, CodeDeadline,
+	return nil, translator.RefuseWithRetryAfter(http.StatusServiceUnavailable, translator.CodeDeadline,
 		"the request ended while it waited", d.retryAfter())
 }
 
 // enqueue adds a request to the queue of its pool, or refuses it.
-func (d *dispatcher) enqueue(r dispatchRequest) (*waiter, *RefusalError) {
+func (d *dispatcher) enqueue(r dispatchRequest) (*waiter, *translator.RefusalError) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if refusal := d.unservedRefusal(r); refusal != nil {
@@ -369,19 +370,19 @@
 		request: r,
 		item:    d.schedulerItem(r, p),
 		granted: make(chan *grant, 1),
-		refused: make(chan *RefusalError, 1),
+		refused: make(chan *translator.RefusalError, 1),
 	}
 	d.waiters[w.item.ID] = w
 	admission := p.scheduler.Add(d.now(), w.item)
 	for _, id := range admission.Shed {
-		d.refuseWaiter(id, refuseWithRetryAfter(http.StatusTooManyRequests, CodeOverloaded,
+		d.refuseWaiter(id, translator.RefuseWithRetryAfter(http.StatusTooManyRequests, translator.CodeOverloaded,
 			"the request made room for one of a higher tier or of an organisation with less",
 			p.scheduler.WaitEstimate(w.item.Class, w.item.Tier, w.item.Organisation)))
 	}
 	if !admission.Accepted {
 		p.refused++
 		delete(d.waiters, w.item.ID)
-		return nil, refuseWithRetryAfter(http.StatusTooManyRequests, CodeOverloaded,
+		return nil, translator.RefuseWithRetryAfter(http.StatusTooManyRequests, translator.CodeOverloaded,
 			"the request cannot be served in time", max(admission.RetryAfter, time.Second))
 	}
 	d.dispatchWaiting(r.pool, p)
--- a/internal/router/dispatcher_bench_test.go
+++ b/internal/router/dispatcher_bench_test.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/comfreybend/comfreybend/internal/instrumenter"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/internal/validator"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
@@ -23,7 +24,7 @@
 		b.Run(fmt.Sprintf("upstreams=%d/models=%d", size.upstreams, size.models), func(b *testing.B) {
 			s := &settings.Settings{Host: &settings.Host{Id: "e", FailureDomain: "a"}, Entry: &settings.Entry{}}
 			validator.FillDefaults(s)
-			r, err := New(s, NativeDialect(), zap.NewNop(), instrumenter.New("entry"))
+			r, err := New(s, translator.NativeDialect(), zap.NewNop(), instrumenter.New("entry"))
 			if err != nil {
 				b.Fatal(err)
 			}
--- a/internal/router/endless_test.go
+++ b/internal/router/endless_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/instrumenter"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/internal/validator"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/settings"
@@ -130,7 +131,7 @@
 		Resources: &settings.Resources{MemoryBytes: entryMemoryBytes},
 	}
 	validator.FillDefaults(s)
-	dialect := NativeDialect()
+	dialect := translator.NativeDialect()
 	dialect.AcceptUndelimited = true
 	r, err := New(s, dialect, zap.NewNop(), instrumenter.New("entry"))
 	if err != nil {
--- a/internal/router/evacuation_test.go
+++ b/internal/router/evacuation_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/messenger"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/state"
@@ -179,7 +180,7 @@
 		r.dispatcher.applyAnnouncement(u)
 	}
 	version, other := registrar.Version("v1"), registrar.Version("v2")
-	request := func(v *registrar.Version) *RefusalError {
+	request := func(v *registrar.Version) *translator.RefusalError {
 		return r.dispatcher.unservedRefusal(dispatchRequest{pool: poolKey{kind: registrar.KindService, name: noticeService}, version: v})
 	}
 	if refusal := request(&version); refusal != nil {
@@ -187,7 +188,7 @@
 	}
 	r.applyEvacuations(evacuations(5, "a"), leaveCommitted, "control")
 	refusal := request(&version)
-	if refusal == nil || refusal.Status != http.StatusServiceUnavailable || refusal.RetryAfter == 0 || refusal.Run != NotRun {
+	if refusal == nil || refusal.Status != http.StatusServiceUnavailable || refusal.RetryAfter == 0 || refusal.Run != translator.NotRun {
 		t.Errorf("refusal %v, want 503 with Retry-After", refusal)
 	}
 	if request(&other) != nil || request(nil) != nil {
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/comfreybend/comfreybend/internal/retirer"
+	"github.com/comfreybend/comfreybend/internal/translator"
 )
 
 type (
@@ -48,7 +49,7 @@
 	return fmt.Sprintf("a refusal with status %d on a used connection does not name its request", e.Status)
 }
 
-func compareID(own, echoed AttemptID) answerID {
+func compareID(own, echoed translator.AttemptID) answerID {
 	switch echoed {
 	case "":
 		return answerIDMissing
--- a/internal/router/exchange_test.go
+++ b/internal/router/exchange_test.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/comfreybend/comfreybend/internal/retirer"
+	"github.com/comfreybend/comfreybend/internal/translator"
 )
 
 // TestFailureTellsItsExchange guards against failures whose causes cannot be told apart from the log: a
@@ -16,7 +17,7 @@
 	tests := map[string]struct {
 		kept, single bool
 		carried      int
-		echoed       AttemptID
+		echoed       translator.AttemptID
 		answered     bool
 		connection   string
 		answer       answerID
--- a/internal/router/fetcher_test.go
+++ b/internal/router/fetcher_test.go
@@ -14,6 +14,7 @@
 	"github.com/comfreybend/comfreybend/internal/assembler"
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/instrumenter"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/internal/validator"
 	"github.com/comfreybend/comfreybend/schema/settings"
 	"github.com/comfreybend/comfreybend/schema/state"
@@ -71,7 +72,7 @@
 		s.Entry.ControlAddresses = append(s.Entry.ControlAddresses, startControl(t, server.handle))
 	}
 	validator.FillDefaults(s)
-	r, err := New(s, NativeDialect(), zap.NewNop(), instrumenter.New("entry"))
+	r, err := New(s, translator.NativeDialect(), zap.NewNop(), instrumenter.New("entry"))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/router/firstevent_test.go
+++ b/internal/router/firstevent_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
@@ -23,8 +24,8 @@
 		status int
 		want   string
 	}{
-		"no further attempt":                    {attempts: 1, status: http.StatusBadGateway, want: CodeUpstreamFailed},
-		"inside the first event":                {attempts: 1, broken: "id: 1\nda", status: http.StatusBadGateway, want: CodeUpstreamFailed},
+		"no further attempt":                    {attempts: 1, status: http.StatusBadGateway, want: translator.CodeUpstreamFailed},
+		"inside the first event":                {attempts: 1, broken: "id: 1\nda", status: http.StatusBadGateway, want: translator.CodeUpstreamFailed},
 		"another upstream responds":             {attempts: 2, status: http.StatusOK, want: events},
 		"inside the first event, then whole":    {attempts: 2, broken: "id: 1\nda", status: http.StatusOK, want: events},
 		"after the first event, then the rest":  {attempts: 2, broken: "id: 1\ndata: a\n\nid", status: http.StatusOK, want: events},
@@ -71,8 +72,8 @@
 			if response.StatusCode != test.status || !strings.Contains(string(body), test.want) {
 				t.Errorf("status %d with %q, want %d with %q", response.StatusCode, body, test.status, test.want)
 			}
-			if test.status != http.StatusOK && response.Header.Get(HeaderRun) != string(MayHaveRun) {
-				t.Errorf("the refusal says %q, want %q", response.Header.Get(HeaderRun), MayHaveRun)
+			if test.status != http.StatusOK && response.Header.Get(translator.HeaderRun) != string(translator.MayHaveRun) {
+				t.Errorf("the refusal says %q, want %q", response.Header.Get(translator.HeaderRun), translator.MayHaveRun)
 			}
 			first, _, _ := strings.Cut(test.broken, "\n\n")
 			if seal := response.Header.Get("Seal"); test.status == http.StatusOK && (seal == "1") != strings.Contains(first, "data: a") {
--- a/internal/router/foreign_answer_test.go
+++ b/internal/router/foreign_answer_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/comfreybend/comfreybend/internal/scanner"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/state"
 )
@@ -20,10 +21,10 @@
 		status        int
 		header, value string
 	}{
-		"a pause":         {status: http.StatusServiceUnavailable, header: headerRetryAfter, value: "30"},
-		"a leave":         {status: http.StatusOK, header: HeaderState, value: string(registrar.Leaving)},
-		"a request limit": {status: http.StatusOK, header: HeaderRequestLimit, value: "1"},
-		"another run":     {status: http.StatusMisdirectedRequest, header: HeaderIncarnation, value: "9"},
+		"a pause":         {status: http.StatusServiceUnavailable, header: translator.HeaderRetryAfter, value: "30"},
+		"a leave":         {status: http.StatusOK, header: translator.HeaderState, value: string(registrar.Leaving)},
+		"a request limit": {status: http.StatusOK, header: translator.HeaderRequestLimit, value: "1"},
+		"another run":     {status: http.StatusMisdirectedRequest, header: translator.HeaderIncarnation, value: "9"},
 		"not run":         {status: http.StatusServiceUnavailable, header: headerNotRun, value: "1"},
 	}
 	for name, test := range tests {
@@ -36,14 +37,14 @@
 			}))
 			defer server.Close()
 			believed := 0
-			r.upstreamClient.onResponse = func(*attempt, ResponseInfo) { believed++ }
+			r.upstreamClient.onResponse = func(*attempt, translator.ResponseInfo) { believed++ }
 			g := &grant{
 				upstream: &registrar.Upstream{ID: "u", Incarnation: 1, URL: server.URL},
 				state:    newUpstreamState(r.settings.GetEntry().GetUpstreamLimits(), 0),
 			}
 			c := &call{
 				method: http.MethodPost, path: "/", escapedPath: "/", requestURI: "/", header: http.Header{}, class: &state.Class{Name: "c"},
-				deadline: r.dispatcher.now() + time.Minute, RequestInfo: RequestInfo{Attempt: "own"},
+				deadline: r.dispatcher.now() + time.Minute, RequestInfo: translator.RequestInfo{Attempt: "own"},
 			}
 			_, err := r.upstreamClient.send(context.Background(), c, g, scanner.NoEventID)
 			var failure *attemptError
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -15,6 +15,7 @@
 	"github.com/comfreybend/comfreybend/internal/forwarder"
 	"github.com/comfreybend/comfreybend/internal/restrainer"
 	"github.com/comfreybend/comfreybend/internal/scanner"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/pkg/isolator"
 	"github.com/comfreybend/comfreybend/pkg/matcher"
 	"github.com/comfreybend/comfreybend/pkg/picker"
@@ -35,12 +36,12 @@
 		log    *zap.Logger
 		// requestID identifies the call in log lines: the attempt id chosen by the
 		// client, or a generated id.
-		requestID AttemptID
+		requestID translator.AttemptID
 		// claimed reports that the claim was committed.
 		claimed bool
 		// claimID is the generated id that identifies the call in its claim; empty if
 		// no claim was proposed. Attempts have other ids.
-		claimID AttemptID
+		claimID translator.AttemptID
 
 		// attempts is the number of attempts sent, without those that the upstream is
 		// known not to have run.
@@ -155,7 +156,7 @@
 
 // sendAttempts commits the call's claim if it needs one, and sends attempts until an
 // upstream responds or the call is given up.
-func (h *callHandler) sendAttempts(ctx context.Context) (*clientResponse, *RefusalError) {
+func (h *callHandler) sendAttempts(ctx context.Context) (*clientResponse, *translator.RefusalError) {
 	waitCtx, cancel := context.WithTimeout(ctx, h.call.deadline-h.router.dispatcher.now())
 	defer cancel()
 	for {
@@ -209,7 +210,7 @@
 
 // acquireUpstream waits for a grant of an upstream and then checks the key again,
 // since it may have been withdrawn in the meantime.
-func (h *callHandler) acquireUpstream(ctx context.Context) (*grant, *RefusalError) {
+func (h *callHandler) acquireUpstream(ctx context.Context) (*grant, *translator.RefusalError) {
 	h.sending.Wait()
 	c, request := h.call, h.dispatchRequest()
 	if h.router.forwarder.CutOff() {
@@ -339,15 +340,15 @@
 }
 
 // giveUp returns the refusal of a call whose last attempt failed with err.
-func (h *callHandler) giveUp(err error) *RefusalError {
-	refusal := refuseWithRetryAfter(http.StatusBadGateway, CodeUpstreamFailed, err.Error(), time.Second)
+func (h *callHandler) giveUp(err error) *translator.RefusalError {
+	refusal := translator.RefuseWithRetryAfter(http.StatusBadGateway, translator.CodeUpstreamFailed, err.Error(), time.Second)
 	if errors.As(err, new(*deadlineError)) {
 		refusal.Status = http.StatusGatewayTimeout
-		refusal.Code = CodeDeadline
+		refusal.Code = translator.CodeDeadline
 	}
 	if !h.mayHaveRun {
 		refusal.Status = http.StatusServiceUnavailable
-		refusal.Code = CodeOverloaded
+		refusal.Code = translator.CodeOverloaded
 	}
 	var held *heldPartError
 	if errors.As(err, &held) {
@@ -357,20 +358,20 @@
 	if errors.As(err, &failure) {
 		refusal.Attempt = failure.Attempt
 	}
-	refusal.cause = err
+	refusal.Cause = err
 	return h.setRun(refusal)
 }
 
-// setRun sets the refusal's Run to MayHaveRun if an upstream may have run the call.
-func (h *callHandler) setRun(refusal *RefusalError) *RefusalError {
+// setRun sets the refusal's Run to translator.MayHaveRun if an upstream may have run the call.
+func (h *callHandler) setRun(refusal *translator.RefusalError) *translator.RefusalError {
 	if h.mayHaveRun {
-		refusal.Run = MayHaveRun
+		refusal.Run = translator.MayHaveRun
 	}
 	return refusal
 }
 
 // recordRefusal counts and logs a refusal, and returns it.
-func (h *callHandler) recordRefusal(refusal *RefusalError) *RefusalError {
+func (h *callHandler) recordRefusal(refusal *translator.RefusalError) *translator.RefusalError {
 	h.reportEnds()
 	h.router.metrics.refused(refusal.Code)
 	h.log.Info("request refused", h.requestIDField(), zap.String("attempt", string(refusal.Attempt)),
--- a/internal/router/hedge_test.go
+++ b/internal/router/hedge_test.go
@@ -15,6 +15,7 @@
 	"github.com/comfreybend/comfreybend/internal/messenger"
 	"github.com/comfreybend/comfreybend/internal/proposer"
 	"github.com/comfreybend/comfreybend/internal/ranker"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/internal/validator"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/settings"
@@ -75,7 +76,7 @@
 				s.Entry.ControlAddresses = append(s.Entry.ControlAddresses, startControl(t, handle))
 			}
 			validator.FillDefaults(s)
-			r, err := New(s, NativeDialect(), zap.NewNop(), instrumenter.New("entry"))
+			r, err := New(s, translator.NativeDialect(), zap.NewNop(), instrumenter.New("entry"))
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -169,7 +170,7 @@
 				s.Entry.ControlAddresses = append(s.Entry.ControlAddresses, startControl(t, handle))
 			}
 			validator.FillDefaults(s)
-			r, err := New(s, NativeDialect(), zap.NewNop(), instrumenter.New("entry"))
+			r, err := New(s, translator.NativeDialect(), zap.NewNop(), instrumenter.New("entry"))
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/router/held_request_test.go
+++ b/internal/router/held_request_test.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/comfreybend/comfreybend/internal/identifier"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/pkg/isolator"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/wire"
@@ -62,7 +63,7 @@
 	holdRequest(r, &call{method: http.MethodPost, host: host, requestURI: "/order?x=1", body: []byte("bad")})
 	before := upstreams["one"].calls.Load()
 	status, text := ask(t, server, http.MethodPost, "/order?x=1", "bad")
-	if status != http.StatusUnprocessableEntity || !strings.Contains(text, CodeRequestHeld) || !strings.Contains(text, string(NotRun)) {
+	if status != http.StatusUnprocessableEntity || !strings.Contains(text, translator.CodeRequestHeld) || !strings.Contains(text, string(translator.NotRun)) {
 		t.Errorf("status %d: %s; want a final refusal, not run", status, text)
 	}
 	if upstreams["one"].calls.Load() != before {
@@ -114,10 +115,10 @@
 	for range cap(results) {
 		select {
 		case text := <-results:
-			if !strings.HasPrefix(text, "422") || !strings.Contains(text, CodeRequestHeld) {
+			if !strings.HasPrefix(text, "422") || !strings.Contains(text, translator.CodeRequestHeld) {
 				t.Errorf("%s, want a final refusal", text)
 			}
-			if strings.Contains(text, string(MayHaveRun)) {
+			if strings.Contains(text, string(translator.MayHaveRun)) {
 				mayHaveRun++
 			}
 		case <-time.After(setupTimeout):
@@ -168,7 +169,7 @@
 	}
 	for n, want := range []int{2, 3} {
 		status, text := ask(t, server, http.MethodGet, "/deadly", "")
-		if status != http.StatusBadGateway || !strings.Contains(text, string(MayHaveRun)) {
+		if status != http.StatusBadGateway || !strings.Contains(text, string(translator.MayHaveRun)) {
 			t.Errorf("call %d: status %d: %s; want 502, may have run", n, status, text)
 		}
 		if got := calls(); got != want {
--- a/internal/router/isolation.go
+++ b/internal/router/isolation.go
@@ -14,6 +14,7 @@
 	"github.com/comfreybend/comfreybend/internal/announcer"
 	"github.com/comfreybend/comfreybend/internal/dialer"
 	"github.com/comfreybend/comfreybend/internal/prober"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/internal/withholder"
 	"github.com/comfreybend/comfreybend/pkg/isolator"
 	"github.com/comfreybend/comfreybend/pkg/timer"
@@ -91,7 +92,7 @@
 
 // admit returns a refusal if the call or a part of its prompt is held. A call that is let through
 // as a probe is marked as such.
-func (s *isolation) admit(c *call) *RefusalError {
+func (s *isolation) admit(c *call) *translator.RefusalError {
 	if !s.accused.Load() || c.probe {
 		return nil
 	}
@@ -113,19 +114,19 @@
 
 // refuseHeld returns the refusal of a request that is held. It is final only if it is certain that sending
 // the request again does not help.
-func refuseHeld(e *heldPartError) *RefusalError {
-	final, doubtful := CodePartHeld, CodePartSuspected
+func refuseHeld(e *heldPartError) *translator.RefusalError {
+	final, doubtful := translator.CodePartHeld, translator.CodePartSuspected
 	if e.IsRequest() {
-		final, doubtful = CodeRequestHeld, CodeRequestSuspected
+		final, doubtful = translator.CodeRequestHeld, translator.CodeRequestSuspected
 	}
 	if e.RetryAfter > 0 {
-		return refuseWithRetryAfter(http.StatusServiceUnavailable, doubtful, e.Error(), e.RetryAfter)
+		return translator.RefuseWithRetryAfter(http.StatusServiceUnavailable, doubtful, e.Error(), e.RetryAfter)
 	}
-	return refuse(http.StatusUnprocessableEntity, final, e.Error())
+	return translator.Refuse(http.StatusUnprocessableEntity, final, e.Error())
 }
 
 // heldRefusal returns a refusal if one of the parts is held, without admitting a probe.
-func (s *isolation) heldRefusal(parts []isolator.PartID) *RefusalError {
+func (s *isolation) heldRefusal(parts []isolator.PartID) *translator.RefusalError {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, part := range parts {
@@ -328,7 +329,7 @@
 		at.cancelUnlessRelayed(withholder.NewHeldError(v, s.router.windows.Now()))
 	}
 	if len(added) > 0 {
-		s.router.dispatcher.refuseWaiting(func(r dispatchRequest) *RefusalError {
+		s.router.dispatcher.refuseWaiting(func(r dispatchRequest) *translator.RefusalError {
 			if r.probe || r.call == nil {
 				return nil
 			}
--- a/internal/router/isolation_test.go
+++ b/internal/router/isolation_test.go
@@ -19,6 +19,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/comfreybend/comfreybend/internal/announcer"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/internal/withholder"
 	"github.com/comfreybend/comfreybend/pkg/isolator"
 	"github.com/comfreybend/comfreybend/pkg/picker"
@@ -37,8 +38,8 @@
 	return e
 }
 
-func promptOf(parts ...string) Prompt {
-	p := Prompt{InputTokens: 100}
+func promptOf(parts ...string) translator.Prompt {
+	p := translator.Prompt{InputTokens: 100}
 	for _, id := range parts {
 		p.Parts = append(p.Parts, picker.PromptPart{ID: picker.PrefixID(id), Tokens: 10})
 	}
@@ -106,7 +107,7 @@
 				u.State, u.Sequence = registrar.Leaving, 2
 				r.dispatcher.applyAnnouncement(u)
 			}
-			c := &call{stream: test.stream, RequestInfo: RequestInfo{Prompt: promptOf(test.parts...)}}
+			c := &call{stream: test.stream, RequestInfo: translator.RequestInfo{Prompt: promptOf(test.parts...)}}
 			var at *attempt
 			if !test.noReply {
 				at = writingFor(now, test.age)
@@ -137,7 +138,7 @@
 			u := registrar.Upstream{ID: "u", Incarnation: 1, Sequence: 1, URL: closedPort(t), Kind: registrar.KindService, Serves: []string{"s"}, State: registrar.Serving, AnnouncedAt: now}
 			r.dispatcher.applyAnnouncement(u)
 			r.isolation.merge(heldEvidence("popular"))
-			c := &call{stream: true, RequestInfo: RequestInfo{Prompt: promptOf("popular", "own")}}
+			c := &call{stream: true, RequestInfo: translator.RequestInfo{Prompt: promptOf("popular", "own")}}
 			at := &attempt{startedAt: now - 2*beginTime}
 			at.recordActivity(at.startedAt + test.active)
 			if ended, against := r.isolation.attemptBroke(t.Context(), c, &grant{upstream: &u}, at, io.ErrUnexpectedEOF); ended || against {
@@ -202,7 +203,7 @@
 				t.Error(err)
 				return
 			}
-			request.Header.Set(HeaderPromptParts, parts)
+			request.Header.Set(translator.HeaderPromptParts, parts)
 			response, err := http.DefaultClient.Do(request)
 			if err != nil {
 				out <- result{}
@@ -222,10 +223,10 @@
 		}
 	}
 	r.isolation.merge(heldEvidence("bad"))
-	if got := <-unanswered; got.status != http.StatusUnprocessableEntity || !strings.Contains(got.body, CodePartHeld) || !strings.Contains(got.body, string(MayHaveRun)) {
+	if got := <-unanswered; got.status != http.StatusUnprocessableEntity || !strings.Contains(got.body, translator.CodePartHeld) || !strings.Contains(got.body, string(translator.MayHaveRun)) {
 		t.Errorf("request that was sent: %+v, want a final refusal that says that it may have run", got)
 	}
-	if got := <-ask("silent", "a:1,bad:1,w:1"); got.status != http.StatusUnprocessableEntity || !strings.Contains(got.body, string(NotRun)) {
+	if got := <-ask("silent", "a:1,bad:1,w:1"); got.status != http.StatusUnprocessableEntity || !strings.Contains(got.body, string(translator.NotRun)) {
 		t.Errorf("later request: %+v, want a final refusal that says that it has not run", got)
 	}
 	close(release)
@@ -302,7 +303,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			request.Header.Set(HeaderPromptParts, "a:1,bad:1,own:1")
+			request.Header.Set(translator.HeaderPromptParts, "a:1,bad:1,own:1")
 			response, err := http.DefaultClient.Do(request)
 			if err != nil {
 				t.Fatal(err)
@@ -333,7 +334,7 @@
 		d.mu.Unlock()
 		w, refusal := d.enqueue(dispatchRequest{
 			pool: poolKey{kind: registrar.KindService, name: "s"}, arrived: now, deadline: now + time.Hour,
-			call:   &call{RequestInfo: RequestInfo{Prompt: prompt}},
+			call:   &call{RequestInfo: translator.RequestInfo{Prompt: prompt}},
 			prompt: &picker.PromptRequest{Parts: prompt.Parts, PromptTokens: 100, TimeLimit: time.Hour},
 		})
 		if refusal != nil {
@@ -345,7 +346,7 @@
 	r.isolation.merge(heldEvidence("bad"))
 	select {
 	case refusal := <-with.refused:
-		if refusal.Code != CodePartHeld || refusal.Run != NotRun {
+		if refusal.Code != translator.CodePartHeld || refusal.Run != translator.NotRun {
 			t.Errorf("refusal %v, want one because of the part", refusal)
 		}
 	default:
@@ -398,7 +399,7 @@
 
 // TestSharedParts checks that the last part of a prompt does not count as shared.
 func TestSharedParts(t *testing.T) {
-	if ids := (&call{RequestInfo: RequestInfo{Prompt: promptOf("a", "b", "own")}}).sharedIDs(); fmt.Sprint(ids) != fmt.Sprint([]isolator.PartID{"a", "b"}) {
+	if ids := (&call{RequestInfo: translator.RequestInfo{Prompt: promptOf("a", "b", "own")}}).sharedIDs(); fmt.Sprint(ids) != fmt.Sprint([]isolator.PartID{"a", "b"}) {
 		t.Errorf("shared parts %v, want all but the last", ids)
 	}
 }
@@ -413,10 +414,10 @@
 		status            int
 		leastRetry, inAll time.Duration
 	}{
-		"certain":            {part: "popular", code: CodePartHeld, status: http.StatusUnprocessableEntity},
-		"in doubt":           {part: "popular", doubtful: true, code: CodePartSuspected, status: http.StatusServiceUnavailable, leastRetry: time.Second, inAll: time.Minute},
-		"a request in doubt": {part: "request-1", doubtful: true, code: CodeRequestSuspected, status: http.StatusServiceUnavailable, leastRetry: time.Second, inAll: time.Minute},
-		"a request, certain": {part: "request-1", code: CodeRequestHeld, status: http.StatusUnprocessableEntity},
+		"certain":            {part: "popular", code: translator.CodePartHeld, status: http.StatusUnprocessableEntity},
+		"in doubt":           {part: "popular", doubtful: true, code: translator.CodePartSuspected, status: http.StatusServiceUnavailable, leastRetry: time.Second, inAll: time.Minute},
+		"a request in doubt": {part: "request-1", doubtful: true, code: translator.CodeRequestSuspected, status: http.StatusServiceUnavailable, leastRetry: time.Second, inAll: time.Minute},
+		"a request, certain": {part: "request-1", code: translator.CodeRequestHeld, status: http.StatusUnprocessableEntity},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -428,9 +429,9 @@
 				}
 			}
 			r.isolation.merge(e)
-			c := &call{RequestInfo: RequestInfo{Prompt: promptOf(test.part, "own")}}
+			c := &call{RequestInfo: translator.RequestInfo{Prompt: promptOf(test.part, "own")}}
 			h := &callHandler{router: r, call: c, log: r.log}
-			refusals := map[string]*RefusalError{
+			refusals := map[string]*translator.RefusalError{
 				"new":       r.isolation.admit(c),
 				"waiting":   r.isolation.heldRefusal(r.isolation.suspectIDs(c)),
 				"cancelled": h.giveUp(&attemptError{NotRun: true, Cause: withholder.NewHeldError(r.isolation.held[isolator.PartID(test.part)], r.windows.Now())}),
@@ -439,7 +440,7 @@
 				if refusal == nil {
 					t.Fatalf("%s: not refused", when)
 				}
-				if refusal.Status != test.status || refusal.Code != test.code || refusal.Run != NotRun || refusal.RetryAfter < test.leastRetry || refusal.RetryAfter > test.inAll {
+				if refusal.Status != test.status || refusal.Code != test.code || refusal.Run != translator.NotRun || refusal.RetryAfter < test.leastRetry || refusal.RetryAfter > test.inAll {
 					t.Errorf("%s: %d %v, come back after %v; want %d %s", when, refusal.Status, refusal, refusal.RetryAfter, test.status, test.code)
 				}
 			}
--- a/internal/router/notice.go
+++ b/internal/router/notice.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/comfreybend/comfreybend/internal/parser"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 )
 
@@ -17,7 +18,7 @@
 // handleNotices passes on what the headers of a response say of the upstream besides its
 // load: that it is leaving or has been replaced by another run, that it wants no requests of this
 // process for a time, and how many it takes from all processes.
-func (r *Router) handleNotices(at *attempt, info ResponseInfo) {
+func (r *Router) handleNotices(at *attempt, info translator.ResponseInfo) {
 	g := at.grant
 	r.dispatcher.observeResponse(g, at.response, info)
 	if at.isFromOtherRun(info) {
@@ -113,7 +114,7 @@
 
 // pausedRefusal returns the refusal of a request whose deadline passes before any upstream
 // of its pool wants requests again, or nil.
-func (d *dispatcher) pausedRefusal(r dispatchRequest) *RefusalError {
+func (d *dispatcher) pausedRefusal(r dispatchRequest) *translator.RefusalError {
 	now := d.now()
 	var earliest time.Duration
 	for _, u := range d.serving(r.pool, r.version) {
@@ -128,7 +129,7 @@
 	if earliest == 0 {
 		return nil
 	}
-	return refuseWithRetryAfter(http.StatusServiceUnavailable, CodeOverloaded,
+	return translator.RefuseWithRetryAfter(http.StatusServiceUnavailable, translator.CodeOverloaded,
 		"all upstreams have asked for a pause beyond the deadline", jitterRetryAfter(earliest-now))
 }
 
--- a/internal/router/notice_test.go
+++ b/internal/router/notice_test.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/comfreybend/comfreybend/internal/configurer"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/retrier"
 	"github.com/comfreybend/comfreybend/schema/state"
@@ -82,7 +83,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	_, _ = io.Copy(io.Discard, response.Body)
-	return response.StatusCode, response.Header.Get(headerRetryAfter)
+	return response.StatusCode, response.Header.Get(translator.HeaderRetryAfter)
 }
 
 // TestLeavingResponses guards against requests to an upstream that has said in a response,
@@ -96,7 +97,7 @@
 			u := upstreams["one"]
 			url := r.dispatcher.registry.Get("one").URL
 			u.set(func(w http.ResponseWriter, _ *http.Request) {
-				w.Header().Set(HeaderState, string(registrar.Leaving))
+				w.Header().Set(translator.HeaderState, string(registrar.Leaving))
 				w.WriteHeader(status)
 			})
 			get(t, server.URL)
@@ -138,7 +139,7 @@
 	now := r.dispatcher.now()
 	r.dispatcher.now = func() time.Duration { return now }
 	pause := func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set(headerRetryAfter, "30")
+		w.Header().Set(translator.HeaderRetryAfter, "30")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 	one, two := upstreams["one"], upstreams["two"]
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/pkg/limiter"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
@@ -286,7 +287,7 @@
 
 // refuseOvercommitted refuses a model request whose prompt the upstreams cannot process in
 // time beside the prompts in progress. It never refuses a request that was admitted before.
-func (d *dispatcher) refuseOvercommitted(r dispatchRequest, p *pool) *RefusalError {
+func (d *dispatcher) refuseOvercommitted(r dispatchRequest, p *pool) *translator.RefusalError {
 	if r.prompt == nil || r.interrupted || r.version != nil || r.readmitted() {
 		return nil
 	}
@@ -296,7 +297,7 @@
 		return nil
 	}
 	p.refused++
-	return refuseWithRetryAfter(http.StatusTooManyRequests, CodeOverloaded,
+	return translator.RefuseWithRetryAfter(http.StatusTooManyRequests, translator.CodeOverloaded,
 		"the engines have begun as many prompts as they can read in time", jitterRetryAfter(wait))
 }
 
@@ -308,7 +309,7 @@
 }
 
 // refuseWaiting refuses the waiting requests for which a function returns a refusal.
-func (d *dispatcher) refuseWaiting(refusalOf func(dispatchRequest) *RefusalError) {
+func (d *dispatcher) refuseWaiting(refusalOf func(dispatchRequest) *translator.RefusalError) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for id, w := range d.waiters {
@@ -319,7 +320,7 @@
 	}
 }
 
-func (d *dispatcher) refuseWaiter(id scheduler.ItemID, refusal *RefusalError) {
+func (d *dispatcher) refuseWaiter(id scheduler.ItemID, refusal *translator.RefusalError) {
 	w := d.waiters[id]
 	delete(d.waiters, id)
 	w.refused <- refusal
--- a/internal/router/profile.go
+++ b/internal/router/profile.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/profiler"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
@@ -32,7 +33,7 @@
 }
 
 // observeResponse records what the headers of a response say.
-func (d *dispatcher) observeResponse(g *grant, response *http.Response, info ResponseInfo) {
+func (d *dispatcher) observeResponse(g *grant, response *http.Response, info translator.ResponseInfo) {
 	g.observed.status = response.StatusCode
 	g.observed.whole = !isEventStream(response)
 	g.observed.refused = info.NotRun || response.StatusCode == http.StatusServiceUnavailable
--- a/internal/router/profile_test.go
+++ b/internal/router/profile_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/comfreybend/comfreybend/internal/announcer"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/profiler"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
@@ -42,24 +43,24 @@
 func TestAttemptsAreCounted(t *testing.T) {
 	for name, test := range map[string]struct {
 		status             int
-		info               ResponseInfo
+		info               translator.ResponseInfo
 		outcome            attemptOutcome
 		late               bool
 		attempts, failures int
 	}{
-		"answered":                   {http.StatusOK, ResponseInfo{}, outcomeAnswered, false, 1, 0},
-		"client's fault":             {http.StatusNotFound, ResponseInfo{}, outcomeAnswered, false, 1, 0},
-		"error that is relayed":      {http.StatusInternalServerError, ResponseInfo{}, outcomeAnswered, false, 1, 1},
-		"error that is retried":      {http.StatusBadGateway, ResponseInfo{}, outcomeOverloaded, false, 1, 1},
-		"refused":                    {http.StatusInternalServerError, ResponseInfo{NotRun: true}, outcomeOverloaded, false, 0, 0},
-		"refused by its status":      {http.StatusServiceUnavailable, ResponseInfo{}, outcomeOverloaded, false, 0, 0},
-		"broken before the head":     {0, ResponseInfo{}, outcomeFailed, false, 1, 1},
-		"broken while answering":     {http.StatusOK, ResponseInfo{}, outcomeFailed, false, 1, 1},
-		"without the seal":           {http.StatusOK, ResponseInfo{FromIntermediary: true}, outcomeFailed, false, 1, 1},
-		"not answered in time":       {0, ResponseInfo{}, outcomeFailed, true, 0, 0},
-		"not reached":                {0, ResponseInfo{}, outcomeUnreachable, false, 0, 0},
-		"abandoned by its client":    {http.StatusOK, ResponseInfo{}, outcomeAbandoned, false, 0, 0},
-		"refused before it was sent": {0, ResponseInfo{}, outcomeOverloaded, false, 0, 0},
+		"answered":                   {http.StatusOK, translator.ResponseInfo{}, outcomeAnswered, false, 1, 0},
+		"client's fault":             {http.StatusNotFound, translator.ResponseInfo{}, outcomeAnswered, false, 1, 0},
+		"error that is relayed":      {http.StatusInternalServerError, translator.ResponseInfo{}, outcomeAnswered, false, 1, 1},
+		"error that is retried":      {http.StatusBadGateway, translator.ResponseInfo{}, outcomeOverloaded, false, 1, 1},
+		"refused":                    {http.StatusInternalServerError, translator.ResponseInfo{NotRun: true}, outcomeOverloaded, false, 0, 0},
+		"refused by its status":      {http.StatusServiceUnavailable, translator.ResponseInfo{}, outcomeOverloaded, false, 0, 0},
+		"broken before the head":     {0, translator.ResponseInfo{}, outcomeFailed, false, 1, 1},
+		"broken while answering":     {http.StatusOK, translator.ResponseInfo{}, outcomeFailed, false, 1, 1},
+		"without the seal":           {http.StatusOK, translator.ResponseInfo{FromIntermediary: true}, outcomeFailed, false, 1, 1},
+		"not answered in time":       {0, translator.ResponseInfo{}, outcomeFailed, true, 0, 0},
+		"not reached":                {0, translator.ResponseInfo{}, outcomeUnreachable, false, 0, 0},
+		"abandoned by its client":    {http.StatusOK, translator.ResponseInfo{}, outcomeAbandoned, false, 0, 0},
+		"refused before it was sent": {0, translator.ResponseInfo{}, outcomeOverloaded, false, 0, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			d, acquire := newProfileTest(t)
@@ -140,7 +141,7 @@
 			d, acquire := newProfileTest(t)
 			for range 20 {
 				g := acquire()
-				d.observeResponse(g, &http.Response{StatusCode: http.StatusOK}, ResponseInfo{Load: test.load})
+				d.observeResponse(g, &http.Response{StatusCode: http.StatusOK}, translator.ResponseInfo{Load: test.load})
 				d.release(g, outcomeAnswered, 1)
 			}
 			weight := float32(0)
--- a/internal/router/refusal_copy_test.go
+++ b/internal/router/refusal_copy_test.go
@@ -11,6 +11,7 @@
 	"testing"
 
 	"github.com/comfreybend/comfreybend/internal/configurer"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
@@ -122,14 +123,14 @@
 	t.Helper()
 	r, server, _ := newNoticeRouter(t)
 	native := r.dialect
-	r.dialect.ParseRequest = func(request *http.Request) (RequestInfo, error) {
+	r.dialect.ParseRequest = func(request *http.Request) (translator.RequestInfo, error) {
 		info, err := native.ParseRequest(request)
-		info.Attempt = AttemptID(request.Header.Get(headerCallID))
+		info.Attempt = translator.AttemptID(request.Header.Get(headerCallID))
 		return info, err
 	}
-	r.dialect.ParseResponse = func(response *http.Response) ResponseInfo {
+	r.dialect.ParseResponse = func(response *http.Response) translator.ResponseInfo {
 		info := native.ParseResponse(response)
-		info.EchoedAttempt = AttemptID(response.Header.Get(headerCallID))
+		info.EchoedAttempt = translator.AttemptID(response.Header.Get(headerCallID))
 		info.NotRun = response.Header.Get(headerNotRun) != ""
 		return info
 	}
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -13,6 +13,7 @@
 	"github.com/comfreybend/comfreybend/internal/messenger"
 	"github.com/comfreybend/comfreybend/internal/relayer"
 	"github.com/comfreybend/comfreybend/internal/scrubber"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/pkg/diverter"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/state"
@@ -35,7 +36,7 @@
 	r.forwarder = forwarder.New(self, security, r.controlClients.All, r.random, r.log, r.instruments.Scope)
 	r.forwarder.Dial, r.forwarder.Upstreams = r.upstreamClient.dial, r.dispatcher.allUpstreams
 	r.forwarder.Divert = func(available bool) {
-		r.dispatcher.refuseWaiting(func(request dispatchRequest) *RefusalError { return refuseCutOff(request, available) })
+		r.dispatcher.refuseWaiting(func(request dispatchRequest) *translator.RefusalError { return refuseCutOff(request, available) })
 	}
 	r.forwarder.Locator.Self, r.controlPoller.self = r.entryHost, r.entryHost
 	r.dispatcher.onTimedOut = r.forwarder.Failed
@@ -66,12 +67,12 @@
 
 // refuseCutOff refuses a call that may be passed on, if another entry process is available, or that was
 // passed on to this one.
-func refuseCutOff(request dispatchRequest, available bool) *RefusalError {
+func refuseCutOff(request dispatchRequest, available bool) *translator.RefusalError {
 	if !request.declinable && (!available || !request.mayLeave) {
 		return nil
 	}
-	refusal := refuseWithRetryAfter(http.StatusServiceUnavailable, CodeNoUpstream, (&cutOffError{}).Error(), time.Second)
-	refusal.cause = &cutOffError{}
+	refusal := translator.RefuseWithRetryAfter(http.StatusServiceUnavailable, translator.CodeNoUpstream, (&cutOffError{}).Error(), time.Second)
+	refusal.Cause = &cutOffError{}
 	return refusal
 }
 
@@ -83,17 +84,17 @@
 }
 
 // mayPassOn reports whether the call is passed on instead of being refused.
-func (h *callHandler) mayPassOn(refusal *RefusalError) bool {
+func (h *callHandler) mayPassOn(refusal *translator.RefusalError) bool {
 	if !h.mayLeave() {
 		return false
 	}
-	return errors.As(refusal.cause, new(*cutOffError)) || h.router.forwarder.Available() &&
-		refusal.Run == NotRun && (refusal.Code == CodeOverloaded || refusal.Code == CodeNoUpstream)
+	return errors.As(refusal.Cause, new(*cutOffError)) || h.router.forwarder.Available() &&
+		refusal.Run == translator.NotRun && (refusal.Code == translator.CodeOverloaded || refusal.Code == translator.CodeNoUpstream)
 }
 
 // passOn passes the call on to another entry process if no upstream can be reached. It returns nil
 // twice if the call must be served here.
-func (h *callHandler) passOn(ctx context.Context) (*clientResponse, *RefusalError) {
+func (h *callHandler) passOn(ctx context.Context) (*clientResponse, *translator.RefusalError) {
 	if !h.router.forwarder.CutOff() || !h.mayLeave() {
 		return nil, nil
 	}
@@ -143,18 +144,18 @@
 func (r *Router) newCallHandler(c *call) *callHandler {
 	h := &callHandler{router: r, call: c, log: r.log, requestID: c.Attempt, lastEventID: c.LastEventID}
 	if c.relay != nil {
-		h.requestID, h.attempts = AttemptID(c.relay.GetRequestId()), int(c.relay.GetAttempts())
+		h.requestID, h.attempts = translator.AttemptID(c.relay.GetRequestId()), int(c.relay.GetAttempts())
 		h.mayHaveRun, h.startRecorded, h.counted = h.attempts > 0, h.attempts > 0, c.relay.GetCounted()
 		h.log = r.log.With(zap.String("from", c.relay.GetHost()), zap.String("fromDomain", c.relay.GetFailureDomain()))
 	}
 	if h.requestID == "" {
-		h.requestID = AttemptID(uuid.NewString())
+		h.requestID = translator.AttemptID(uuid.NewString())
 	}
 	return h
 }
 
 // serveHere sends attempts from this process. If it is cut off meanwhile, it passes the call on.
-func (h *callHandler) serveHere(ctx context.Context) (*clientResponse, *RefusalError) {
+func (h *callHandler) serveHere(ctx context.Context) (*clientResponse, *translator.RefusalError) {
 	r, c := h.router, h.call
 	if refusal := h.findOrigin(ctx); refusal != nil {
 		return nil, refusal
--- a/internal/router/relay_rules_test.go
+++ b/internal/router/relay_rules_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap/zaptest/observer"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
@@ -62,7 +63,7 @@
 		call()
 	}
 	_, err = io.Copy(io.Discard, response.Body)
-	return result{status: response.StatusCode, run: response.Header.Get(HeaderRun), whole: err == nil}
+	return result{status: response.StatusCode, run: response.Header.Get(translator.HeaderRun), whole: err == nil}
 }
 
 // TestRelayedOrderRunsOnce guards against an order that runs twice, or has run and is said not to
@@ -83,7 +84,7 @@
 		},
 		"the connection breaks before the response": {
 			hosts: 3, atRun: func(peer *relayHost) { peer.stopPeers() },
-			want: result{status: http.StatusBadGateway, run: string(MayHaveRun), whole: true}, runs: 1,
+			want: result{status: http.StatusBadGateway, run: string(translator.MayHaveRun), whole: true}, runs: 1,
 		},
 		"the connection breaks in the response": {
 			hosts: 3, atRun: func(peer *relayHost) { peer.stopPeers() }, begins: true, want: result{status: http.StatusOK}, runs: 1,
@@ -152,7 +153,7 @@
 						if got.status == http.StatusOK {
 							served[path]++
 						}
-						if path == "/order/" && (runs > 1 || runs == 1 && got.run == string(NotRun)) || runs > 2 {
+						if path == "/order/" && (runs > 1 || runs == 1 && got.run == string(translator.NotRun)) || runs > 2 {
 							t.Errorf("%s ran %d times and got %+v", path, runs, got)
 						}
 					})
@@ -177,7 +178,7 @@
 		id := fmt.Sprint("call", attempts)
 		c := &call{method: http.MethodPost, requestURI: "/any/x", hostHeader: "h", header: http.Header{headerCallID: {id}}}
 		c.deadline = r.dispatcher.now() + relayTimeout
-		h := &callHandler{router: g.hosts[0].router, call: c, attempts: attempts, requestID: AttemptID(id)}
+		h := &callHandler{router: g.hosts[0].router, call: c, attempts: attempts, requestID: translator.AttemptID(id)}
 		g.hosts[0].cut(t, linkResets)
 		out, refusal := h.passOn(t.Context())
 		if refusal != nil || out == nil {
@@ -263,7 +264,7 @@
 	g := startRelayGroup(t, 2)
 	cut, other := g.hosts[0], g.hosts[1]
 	cut.cut(t, linkResets)
-	c := &call{header: http.Header{"Authorization": {"Bearer " + relayKey}, "Comfreybend-Key": {relayKey}, "Copy": {"x" + relayKey}}, RequestInfo: RequestInfo{Key: relayKey}}
+	c := &call{header: http.Header{"Authorization": {"Bearer " + relayKey}, "Comfreybend-Key": {relayKey}, "Copy": {"x" + relayKey}}, RequestInfo: translator.RequestInfo{Key: relayKey}}
 	c.client, _ = cut.router.controlPlane.identify(relayKey, nil)
 	h := &callHandler{router: cut.router, call: c}
 	if message, err := proto.Marshal(h.newRelay()); err != nil || bytes.Contains(message, []byte(relayKey)) || !c.client.hasKey {
@@ -297,7 +298,7 @@
 func TestRelayedClaim(t *testing.T) {
 	g := startRelayGroup(t, 2)
 	g.hosts[0].cut(t, linkResets)
-	status, body := g.hosts[0].send(t.Context(), "/claimed/x", "claimed", HeaderIdempotencyKey, "once")
+	status, body := g.hosts[0].send(t.Context(), "/claimed/x", "claimed", translator.HeaderIdempotencyKey, "once")
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if status != http.StatusOK || g.claims != 1 || g.runs.of("claimed") != 1 {
@@ -313,7 +314,7 @@
 	cut.cut(t, linkResets)
 	g.setRespond(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
 	began := time.Now()
-	status, _ := cut.send(t.Context(), "/any/x", "late", HeaderDeadline, fmt.Sprint(allowed.Milliseconds()))
+	status, _ := cut.send(t.Context(), "/any/x", "late", translator.HeaderDeadline, fmt.Sprint(allowed.Milliseconds()))
 	if took := time.Since(began); status != http.StatusGatewayTimeout || took < allowed || took > allowed+cancelLimit {
 		t.Errorf("status %d after %v, want %d after %v", status, took, http.StatusGatewayTimeout, allowed)
 	}
@@ -352,7 +353,7 @@
 				awaitCondition(t, "no host is known", g.hosts[0].router.forwarder.Available)
 			}
 			got := g.hosts[0].order(t.Context(), "/order/x", "order")
-			if !slices.Contains(test.status, got.status) || got.status != http.StatusOK && (got.run != string(NotRun) || g.runs.of("order") > 0) {
+			if !slices.Contains(test.status, got.status) || got.status != http.StatusOK && (got.run != string(translator.NotRun) || g.runs.of("order") > 0) {
 				t.Errorf("got %+v and %d runs, want %v", got, g.runs.of("order"), test.status)
 			}
 			for n, h := range g.hosts[1:] {
@@ -424,7 +425,7 @@
 		for n := range 3 * cutRequests {
 			for _, h := range g.hosts {
 				sending.Go(func() {
-					if got := h.order(t.Context(), "/order/x", fmt.Sprint(n)); got.status == http.StatusOK || got.run != string(NotRun) {
+					if got := h.order(t.Context(), "/order/x", fmt.Sprint(n)); got.status == http.StatusOK || got.run != string(translator.NotRun) {
 						t.Errorf("got %+v", got)
 					}
 				})
@@ -445,7 +446,7 @@
 	g.hosts[0].cut(t, linkResets)
 	g.hosts[1].link.set(linkResets)
 	got := g.hosts[0].order(t.Context(), "/order/x", "order")
-	if got.run != string(NotRun) || g.runs.of("order") > 0 {
+	if got.run != string(translator.NotRun) || g.runs.of("order") > 0 {
 		t.Errorf("got %+v and %d runs", got, g.runs.of("order"))
 	}
 	for _, line := range g.hosts[0].passedOn("cutOff") {
@@ -471,7 +472,7 @@
 		"no other host took it":                    {handler: &callHandler{refusedElsewhere: true}},
 		"the client has an event":                  {handler: &callHandler{lastEventID: 3}, call: &call{retryable: true}},
 		"the client has an event without a number": {handler: &callHandler{progressed: true}, call: &call{retryable: true}},
-		"stream taken up":                          {handler: &callHandler{lastEventID: 3}, call: &call{RequestInfo: RequestInfo{LastEventID: 3}}, want: true},
+		"stream taken up":                          {handler: &callHandler{lastEventID: 3}, call: &call{RequestInfo: translator.RequestInfo{LastEventID: 3}}, want: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/router/relay_test.go
+++ b/internal/router/relay_test.go
@@ -20,6 +20,7 @@
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/instrumenter"
 	"github.com/comfreybend/comfreybend/internal/messenger"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/internal/validator"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/settings"
@@ -172,7 +173,7 @@
 	}
 	validator.FillDefaults(s)
 	core, logs := observer.New(zapcore.InfoLevel)
-	r, err := New(s, NativeDialect(), zap.New(core), instrumenter.New("entry"))
+	r, err := New(s, translator.NativeDialect(), zap.New(core), instrumenter.New("entry"))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/router/request_form_test.go
+++ b/internal/router/request_form_test.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/comfreybend/comfreybend/internal/translator"
 )
 
 // TestAbsoluteForm guards against a request in absolute form, which counts as upstreams that cannot be reached, one
@@ -53,7 +55,7 @@
 	}
 	t.Cleanup(func() { _ = conn.Close() })
 	_ = conn.SetDeadline(time.Now().Add(2 * relayTimeout))
-	if _, err = fmt.Fprintf(conn, "%sAuthorization: Bearer %s\r\n%s: %d\r\n\r\n", head, relayKey, HeaderDeadline, relayTimeout.Milliseconds()); err != nil {
+	if _, err = fmt.Fprintf(conn, "%sAuthorization: Bearer %s\r\n%s: %d\r\n\r\n", head, relayKey, translator.HeaderDeadline, relayTimeout.Milliseconds()); err != nil {
 		t.Fatal(err)
 	}
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
@@ -72,7 +74,7 @@
 	)
 	g := startRelayGroup(t, 1)
 	var left atomic.Int64
-	g.hosts[0].router.upstreamClient.dialect.SetAttemptHeaders = func(_ http.Header, info AttemptInfo) { left.Store(int64(info.TimeLeft)) }
+	g.hosts[0].router.upstreamClient.dialect.SetAttemptHeaders = func(_ http.Header, info translator.AttemptInfo) { left.Store(int64(info.TimeLeft)) }
 	body, writer := io.Pipe()
 	go func() {
 		_, _ = io.WriteString(writer, "a")
@@ -84,7 +86,7 @@
 		t.Fatal(err)
 	}
 	request.Header.Set("Authorization", "Bearer "+relayKey)
-	request.Header.Set(HeaderDeadline, strconv.FormatInt(limit.Milliseconds(), 10))
+	request.Header.Set(translator.HeaderDeadline, strconv.FormatInt(limit.Milliseconds(), 10))
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/router/request_limit.go
+++ b/internal/router/request_limit.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/scheduler"
@@ -28,7 +29,7 @@
 
 // handleRequestLimit records what a response says of the upstream's request limit. Only a
 // successful response of the upstream itself shows that it names none any more.
-func (r *Router) handleRequestLimit(at *attempt, info ResponseInfo) {
+func (r *Router) handleRequestLimit(at *attempt, info translator.ResponseInfo) {
 	r.dispatcher.heard(at.grant)
 	crossed := info.EchoedAttempt != "" && info.EchoedAttempt != at.id
 	own := at.response.StatusCode/100 == 2 && !info.FromIntermediary && !info.NotRun
@@ -88,7 +89,7 @@
 
 // limitedRefusal returns the refusal of a request to a pool all of whose upstreams have request
 // limits, if these leave it no turn before its deadline, or nil.
-func (d *dispatcher) limitedRefusal(r dispatchRequest, p *pool) *RefusalError {
+func (d *dispatcher) limitedRefusal(r dispatchRequest, p *pool) *translator.RefusalError {
 	ahead := p.scheduler.WaitingUpTo(scheduler.Tier(r.rank))
 	upstreams := d.limitedUpstreams(r.pool, r.version, r.deadline)
 	if upstreams == nil {
@@ -106,12 +107,12 @@
 
 // refuseUntilTurn returns a refusal with the time after which this process may send one more
 // request than ahead to upstreams with request limits.
-func (d *dispatcher) refuseUntilTurn(upstreams []*registrar.Upstream, ahead int) *RefusalError {
+func (d *dispatcher) refuseUntilTurn(upstreams []*registrar.Upstream, ahead int) *translator.RefusalError {
 	wait := maxTurnWait
 	if turns := d.restrainer.Turns(upstreams, ahead+1, maxTurnWait); len(turns) > ahead {
 		wait = turns[ahead]
 	}
-	return refuseWithRetryAfter(http.StatusTooManyRequests, CodeOverloaded,
+	return translator.RefuseWithRetryAfter(http.StatusTooManyRequests, translator.CodeOverloaded,
 		"all upstreams limit their requests and take none of this one before its deadline", jitterRetryAfter(wait))
 }
 
--- a/internal/router/request_limit_test.go
+++ b/internal/router/request_limit_test.go
@@ -14,6 +14,7 @@
 	"github.com/comfreybend/comfreybend/internal/announcer"
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/restrainer"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/retrier"
@@ -23,7 +24,7 @@
 // limiting returns the handler of an upstream that names a request limit.
 func limiting(limit string) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set(HeaderRequestLimit, limit)
+		w.Header().Set(translator.HeaderRequestLimit, limit)
 		_, _ = io.WriteString(w, "done")
 	}
 }
@@ -52,12 +53,12 @@
 	}{
 		"success": {respond: limiting("2")},
 		"failure": {respond: func(w http.ResponseWriter, _ *http.Request) {
-			w.Header().Set(HeaderRequestLimit, "2")
+			w.Header().Set(translator.HeaderRequestLimit, "2")
 			w.WriteHeader(http.StatusInternalServerError)
 		}},
 		"twice": {respond: func(w http.ResponseWriter, _ *http.Request) {
-			w.Header().Add(HeaderRequestLimit, "7")
-			w.Header().Add(HeaderRequestLimit, "2")
+			w.Header().Add(translator.HeaderRequestLimit, "7")
+			w.Header().Add(translator.HeaderRequestLimit, "2")
 		}},
 		"reported": {respond: limiting("2"), reported: true},
 	}
@@ -188,7 +189,7 @@
 	awaitCondition(t, "the next turn stays near", func() bool { return turn() >= time.Second })
 	request := dispatchRequest{pool: poolKey{kind: registrar.KindService, name: noticeService}, arrived: d.now(), deadline: d.now() + time.Second}
 	w, refusal := d.enqueue(request)
-	if w != nil || refusal == nil || refusal.Status != http.StatusTooManyRequests || refusal.Run != NotRun || refusal.RetryAfter < turn() {
+	if w != nil || refusal == nil || refusal.Status != http.StatusTooManyRequests || refusal.Run != translator.NotRun || refusal.RetryAfter < turn() {
 		t.Errorf("queued: %t, refusal %+v; want one, with the time of the next turn", w != nil, refusal)
 	}
 	request.deadline = d.now() + time.Minute
@@ -326,15 +327,15 @@
 func TestResponsesThatEndNoLimit(t *testing.T) {
 	tests := map[string]struct {
 		status int
-		info   ResponseInfo
+		info   translator.ResponseInfo
 		ends   bool
 	}{
 		"success":                {status: http.StatusOK, ends: true},
 		"failure":                {status: http.StatusInternalServerError},
-		"refusal":                {status: http.StatusOK, info: ResponseInfo{NotRun: true}},
-		"of an intermediary":     {status: http.StatusOK, info: ResponseInfo{FromIntermediary: true}},
-		"of another attempt":     {status: http.StatusOK, info: ResponseInfo{EchoedAttempt: "other"}},
-		"names the limit itself": {status: http.StatusOK, info: ResponseInfo{RequestLimit: "1"}},
+		"refusal":                {status: http.StatusOK, info: translator.ResponseInfo{NotRun: true}},
+		"of an intermediary":     {status: http.StatusOK, info: translator.ResponseInfo{FromIntermediary: true}},
+		"of another attempt":     {status: http.StatusOK, info: translator.ResponseInfo{EchoedAttempt: "other"}},
+		"names the limit itself": {status: http.StatusOK, info: translator.ResponseInfo{RequestLimit: "1"}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/router/request_log.go
+++ b/internal/router/request_log.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/comfreybend/comfreybend/internal/logger"
+	"github.com/comfreybend/comfreybend/internal/translator"
 )
 
 // maxLoggedParts bounds the prompt parts in a log line.
@@ -15,7 +16,7 @@
 func (h *callHandler) requestIDField() zap.Field { return zap.String("requestId", string(h.requestID)) }
 
 // attemptID returns the id of the current attempt, which is also sent with the response.
-func (h *callHandler) attemptID() AttemptID {
+func (h *callHandler) attemptID() translator.AttemptID {
 	if h.current == nil {
 		return ""
 	}
--- a/internal/router/response.go
+++ b/internal/router/response.go
@@ -14,6 +14,7 @@
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/counter"
 	"github.com/comfreybend/comfreybend/internal/scrubber"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/internal/writer"
 )
 
@@ -72,7 +73,7 @@
 // relayResponse relays a response that is not an event stream, and sends
 // further attempts if it cannot be read completely. It returns a refusal only if nothing has
 // been sent to the client.
-func (h *callHandler) relayResponse(ctx context.Context, w *writer.Client) *RefusalError {
+func (h *callHandler) relayResponse(ctx context.Context, w *writer.Client) *translator.RefusalError {
 	for {
 		err := h.relayCurrent(w)
 		if err == nil {
@@ -98,7 +99,7 @@
 }
 
 // retry sends further attempts until an upstream responds or the call is given up.
-func (h *callHandler) retry(ctx context.Context) *RefusalError {
+func (h *callHandler) retry(ctx context.Context) *translator.RefusalError {
 	waitCtx, cancel := context.WithTimeout(ctx, h.call.deadline-h.router.dispatcher.now())
 	defer cancel()
 	for {
@@ -209,6 +210,6 @@
 		}
 	}
 	if h.call.Attempt == "" {
-		to.Set(HeaderAttempt, string(h.current.id))
+		to.Set(translator.HeaderAttempt, string(h.current.id))
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -32,6 +32,7 @@
 	"github.com/comfreybend/comfreybend/internal/restrainer"
 	"github.com/comfreybend/comfreybend/internal/server"
 	"github.com/comfreybend/comfreybend/internal/tracker"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/internal/windower"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/settings"
@@ -57,7 +58,7 @@
 // Router is one entry process.
 type Router struct {
 	settings       *settings.Settings
-	dialect        Dialect
+	dialect        translator.Dialect
 	random         func(n int) int
 	windows        *windower.Counter
 	controlPoller  *controlPoller
@@ -92,7 +93,7 @@
 
 // New returns an entry process that has not been started.
 func New(
-	s *settings.Settings, dialect Dialect, log *zap.Logger, instruments *instrumenter.Instruments,
+	s *settings.Settings, dialect translator.Dialect, log *zap.Logger, instruments *instrumenter.Instruments,
 ) (*Router, error) {
 	security, err := certifier.PeerSecurity(s.GetTls())
 	if err != nil {
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/comfreybend/comfreybend/internal/scanner"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/internal/writer"
 )
 
@@ -29,7 +30,7 @@
 // upstream after the last event that the client has received. An incomplete
 // stream ends with a reset of the client's connection, or with a refusal if nothing
 // has been sent to the client.
-func (h *callHandler) relayStream(ctx context.Context, w *writer.Client) *RefusalError {
+func (h *callHandler) relayStream(ctx context.Context, w *writer.Client) *translator.RefusalError {
 	h.inputTokens = h.call.estimatedInputTokens()
 	defer h.endOrigin()
 	for {
@@ -172,7 +173,7 @@
 
 // resume continues a broken stream at another upstream. If it returns a refusal,
 // the stream cannot be continued.
-func (h *callHandler) resume(ctx context.Context, cause error) *RefusalError {
+func (h *callHandler) resume(ctx context.Context, cause error) *translator.RefusalError {
 	at := h.current
 	failure := h.recordBrokenStream(ctx, cause)
 	unnumbered := h.lastEventID == scanner.NoEventID && at.eventsRelayed.Load() > 0
@@ -203,9 +204,9 @@
 
 // endStream sends the refusal as an error event, except on routes with
 // eventStream set, and resets the client's connection.
-func (h *callHandler) endStream(w *writer.Client, refusal *RefusalError) {
-	refusal.Run = MayHaveRun
-	document, err := json.Marshal(h.recordRefusal(refusal).body())
+func (h *callHandler) endStream(w *writer.Client, refusal *translator.RefusalError) {
+	refusal.Run = translator.MayHaveRun
+	document, err := json.Marshal(h.recordRefusal(refusal).Body())
 	if err == nil && !h.call.route.GetEventStream() {
 		_ = w.Write([]byte("event: error\ndata: " + string(document) + "\n\n"))
 		_ = w.Flush()
--- a/internal/router/unnamed_answer_test.go
+++ b/internal/router/unnamed_answer_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/comfreybend/comfreybend/internal/scanner"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/state"
 )
@@ -21,7 +22,7 @@
 func TestRefusalWithoutIDIsNotBelieved(t *testing.T) {
 	const (
 		refusal = "HTTP/1.1 503 Service Unavailable\r\n" + headerNotRun + ": 1\r\nContent-Length: 0\r\n\r\n"
-		another = "HTTP/1.1 421 Misdirected Request\r\n" + HeaderIncarnation + ": 9\r\nContent-Length: 0\r\n\r\n"
+		another = "HTTP/1.1 421 Misdirected Request\r\n" + translator.HeaderIncarnation + ": 9\r\nContent-Length: 0\r\n\r\n"
 	)
 	tests := map[string]struct {
 		answer string
@@ -54,7 +55,7 @@
 						return
 					}
 					_, _ = io.Copy(io.Discard, request.Body)
-					answer := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", headerCallID, request.Header.Get(HeaderAttempt))
+					answer := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", headerCallID, request.Header.Get(translator.HeaderAttempt))
 					if n == test.before {
 						answer = test.answer
 					}
@@ -63,7 +64,7 @@
 			}()
 			r, _ := newCopierRouter(t, true)
 			believed := 0
-			r.upstreamClient.onResponse = func(*attempt, ResponseInfo) { believed++ }
+			r.upstreamClient.onResponse = func(*attempt, translator.ResponseInfo) { believed++ }
 			g := &grant{
 				upstream: &registrar.Upstream{ID: "u", Incarnation: 1, URL: "http://" + l.Addr().String()},
 				state:    newUpstreamState(r.settings.GetEntry().GetUpstreamLimits(), 0),
@@ -71,7 +72,7 @@
 			for n := range test.before + 1 {
 				c := &call{
 					method: http.MethodPost, path: "/", escapedPath: "/", requestURI: "/", header: http.Header{}, class: &state.Class{Name: "c"},
-					deadline: r.dispatcher.now() + time.Minute, RequestInfo: RequestInfo{Attempt: AttemptID(fmt.Sprint("call-", n))},
+					deadline: r.dispatcher.now() + time.Minute, RequestInfo: translator.RequestInfo{Attempt: translator.AttemptID(fmt.Sprint("call-", n))},
 				}
 				at, err := r.upstreamClient.send(context.Background(), c, g, scanner.NoEventID)
 				if n < test.before {
--- a/internal/router/version.go
+++ b/internal/router/version.go
@@ -10,6 +10,7 @@
 
 	"github.com/comfreybend/comfreybend/internal/scanner"
 	"github.com/comfreybend/comfreybend/internal/tracker"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/pkg/matcher"
 	"github.com/comfreybend/comfreybend/pkg/picker"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
@@ -35,17 +36,17 @@
 // unservedRefusal returns the refusal of a request that no upstream can serve, or nil. A stream
 // whose version has left ends, unless this process has just started and may not know all
 // upstreams.
-func (d *dispatcher) unservedRefusal(r dispatchRequest) *RefusalError {
+func (d *dispatcher) unservedRefusal(r dispatchRequest) *translator.RefusalError {
 	switch {
 	case len(d.serving(r.pool, r.version)) > 0:
 		return nil
 	case d.isEvacuated(r.pool, r.version):
-		return refuseWithRetryAfter(http.StatusServiceUnavailable, CodeNoUpstream,
+		return translator.RefuseWithRetryAfter(http.StatusServiceUnavailable, translator.CodeNoUpstream,
 			"all upstreams that may serve the request are in evacuated failure domains", d.retryAfter())
 	case r.version != nil && len(d.serving(r.pool, nil)) > 0 && d.now()-d.startedAt > startupTime:
-		return refuse(http.StatusGone, CodeVersionGone, "no upstream of the version that began the stream serves any more")
+		return translator.Refuse(http.StatusGone, translator.CodeVersionGone, "no upstream of the version that began the stream serves any more")
 	default:
-		return refuseWithRetryAfter(http.StatusServiceUnavailable, CodeNoUpstream, "no upstream serves "+r.pool.name, d.retryAfter())
+		return translator.RefuseWithRetryAfter(http.StatusServiceUnavailable, translator.CodeNoUpstream, "no upstream serves "+r.pool.name, d.retryAfter())
 	}
 }
 
@@ -110,7 +111,7 @@
 
 // findOrigin finds out which version has begun the stream that a client takes up, and binds the call
 // to it. It returns a refusal if no version may go on with the stream.
-func (h *callHandler) findOrigin(ctx context.Context) *RefusalError {
+func (h *callHandler) findOrigin(ctx context.Context) *translator.RefusalError {
 	c, r := h.call, h.router
 	if !c.stream || c.LastEventID == scanner.NoEventID {
 		return nil
@@ -130,11 +131,11 @@
 		zap.String("version", string(origin.Version)), zap.Duration("took", found.Took), zap.Array("asked", found.Responses))
 	switch {
 	case outcome == matcher.Later:
-		return refuseWithRetryAfter(http.StatusServiceUnavailable, CodeNoQuorum, "it cannot be told now which version began the stream", r.retryAfter())
+		return translator.RefuseWithRetryAfter(http.StatusServiceUnavailable, translator.CodeNoQuorum, "it cannot be told now which version began the stream", r.retryAfter())
 	case outcome == matcher.Unknown:
-		return refuse(http.StatusGone, CodeVersionGone, "it is not known which version began the stream")
+		return translator.Refuse(http.StatusGone, translator.CodeVersionGone, "it is not known which version began the stream")
 	case !c.mayUse(origin.Pool):
-		return refuse(http.StatusGone, CodeVersionGone, "the route does not lead to the service that began the stream any more")
+		return translator.Refuse(http.StatusGone, translator.CodeVersionGone, "the route does not lead to the service that began the stream any more")
 	}
 	h.bound, h.origin = true, &origin
 	return nil
--- a/internal/router/version_test.go
+++ b/internal/router/version_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/comfreybend/comfreybend/internal/announcer"
 	"github.com/comfreybend/comfreybend/internal/configurer"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/pkg/matcher"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/state"
@@ -50,13 +51,13 @@
 	u.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		u.calls.Add(1)
 		if u.run != "" {
-			w.Header().Set(HeaderIncarnation, u.run)
+			w.Header().Set(translator.HeaderIncarnation, u.run)
 		}
-		if u.refuseOthers && r.Header.Get(HeaderIncarnation) != u.run {
+		if u.refuseOthers && r.Header.Get(translator.HeaderIncarnation) != u.run {
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
-		after, _ := strconv.Atoi(r.Header.Get(HeaderLastEventID))
+		after, _ := strconv.Atoi(r.Header.Get(translator.HeaderLastEventID))
 		w.Header().Set("Content-Type", "text/event-stream")
 		w.WriteHeader(http.StatusOK)
 		u.beforeFirst()
@@ -195,7 +196,7 @@
 // or service than the one that began them, and against requests that are bound although they take up
 // nothing.
 func TestTakenUpStream(t *testing.T) {
-	const stream = AttemptID("begun")
+	const stream = translator.AttemptID("begun")
 	known := matcher.Origin{Pool: "service/" + streamService, Version: "v1"}
 	tests := map[string]struct {
 		headers []string
@@ -203,15 +204,15 @@
 		status  int
 		want    string
 	}{
-		"known":                       {headers: []string{HeaderLastEventID, "2", HeaderResumes, string(stream)}, origin: known, status: http.StatusOK, want: "v1 v1 v1 v1"},
-		"of another version":          {headers: []string{HeaderLastEventID, "2", HeaderResumes, string(stream)}, origin: matcher.Origin{Pool: known.Pool, Version: "v2"}, status: http.StatusOK, want: "v2 v2 v2 v2"},
-		"of a version that has left":  {headers: []string{HeaderLastEventID, "2", HeaderResumes, string(stream)}, origin: matcher.Origin{Pool: known.Pool, Version: "v3"}, status: http.StatusGone},
-		"of another service":          {headers: []string{HeaderLastEventID, "2", HeaderResumes, string(stream)}, origin: matcher.Origin{Pool: "service/other", Version: "v1"}, status: http.StatusGone},
-		"unknown, without a majority": {headers: []string{HeaderLastEventID, "2", HeaderResumes, "another"}, origin: known, status: http.StatusServiceUnavailable},
-		"named by two values":         {headers: []string{HeaderLastEventID, "2", HeaderResumes, string(stream), HeaderResumes, "another"}, origin: known, status: http.StatusServiceUnavailable},
-		"the attempt is not named":    {headers: []string{HeaderLastEventID, "2"}, origin: known, status: http.StatusServiceUnavailable},
-		"no event is named":           {headers: []string{HeaderResumes, string(stream)}, origin: known, status: http.StatusOK, want: "6"},
-		"the event is no number":      {headers: []string{HeaderLastEventID, "two", HeaderResumes, string(stream)}, origin: known, status: http.StatusBadRequest},
+		"known":                       {headers: []string{translator.HeaderLastEventID, "2", translator.HeaderResumes, string(stream)}, origin: known, status: http.StatusOK, want: "v1 v1 v1 v1"},
+		"of another version":          {headers: []string{translator.HeaderLastEventID, "2", translator.HeaderResumes, string(stream)}, origin: matcher.Origin{Pool: known.Pool, Version: "v2"}, status: http.StatusOK, want: "v2 v2 v2 v2"},
+		"of a version that has left":  {headers: []string{translator.HeaderLastEventID, "2", translator.HeaderResumes, string(stream)}, origin: matcher.Origin{Pool: known.Pool, Version: "v3"}, status: http.StatusGone},
+		"of another service":          {headers: []string{translator.HeaderLastEventID, "2", translator.HeaderResumes, string(stream)}, origin: matcher.Origin{Pool: "service/other", Version: "v1"}, status: http.StatusGone},
+		"unknown, without a majority": {headers: []string{translator.HeaderLastEventID, "2", translator.HeaderResumes, "another"}, origin: known, status: http.StatusServiceUnavailable},
+		"named by two values":         {headers: []string{translator.HeaderLastEventID, "2", translator.HeaderResumes, string(stream), translator.HeaderResumes, "another"}, origin: known, status: http.StatusServiceUnavailable},
+		"the attempt is not named":    {headers: []string{translator.HeaderLastEventID, "2"}, origin: known, status: http.StatusServiceUnavailable},
+		"no event is named":           {headers: []string{translator.HeaderResumes, string(stream)}, origin: known, status: http.StatusOK, want: "6"},
+		"the event is no number":      {headers: []string{translator.HeaderLastEventID, "two", translator.HeaderResumes, string(stream)}, origin: known, status: http.StatusBadRequest},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/router/warmup.go
+++ b/internal/router/warmup.go
@@ -8,6 +8,7 @@
 
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/prober"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 )
 
@@ -26,7 +27,7 @@
 }
 
 // handleWarmUp records for how long the upstream is cold, if its response says so.
-func (r *Router) handleWarmUp(at *attempt, info ResponseInfo) {
+func (r *Router) handleWarmUp(at *attempt, info translator.ResponseInfo) {
 	if info.WarmUpLeft != nil && !info.FromIntermediary && at.response.StatusCode != http.StatusMisdirectedRequest {
 		r.restrainer.ObserveWarmUp(at.grant.upstream, *info.WarmUpLeft, r.dispatcher.now()-at.startedAt)
 	}
--- a/internal/router/warmup_test.go
+++ b/internal/router/warmup_test.go
@@ -17,6 +17,7 @@
 	"github.com/comfreybend/comfreybend/internal/announcer"
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/restrainer"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/state"
 	"github.com/comfreybend/comfreybend/schema/wire"
@@ -217,12 +218,12 @@
 		// cold is whether the upstream counts as cold, and asked whether it is asked.
 		cold, asked bool
 	}{
-		"in contact": {health: func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(HeaderWarmUp, "9000") }},
+		"in contact": {health: func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(translator.HeaderWarmUp, "9000") }},
 		"cold": {
 			cutOff: true, cold: true, asked: true,
-			health: func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(HeaderWarmUp, "9000") },
+			health: func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(translator.HeaderWarmUp, "9000") },
 		},
-		"warm":           {cutOff: true, asked: true, health: func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(HeaderWarmUp, "0") }},
+		"warm":           {cutOff: true, asked: true, health: func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(translator.HeaderWarmUp, "0") }},
 		"does not tell":  {cutOff: true, asked: true, health: func(http.ResponseWriter, *http.Request) {}},
 		"knows no path":  {cutOff: true, asked: true, health: func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotFound) }},
 		"is no response": {cutOff: true, asked: true, health: func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }},
--- a/internal/router/dialect.go
+++ b/internal/translator/dialect.go
@@ -1,4 +1,7 @@
-package router
+// Package translator describes the HTTP interface that clients and upstreams use, and contains that of
+// Comfreybend itself. It owns the names of headers, what is read from and written to them, and the
+// codes and the form of refusals. It decides nothing about requests and may not call the router.
+package translator
 
 import (
 	"fmt"
@@ -15,6 +18,11 @@
 )
 
 type (
+	// AttemptID identifies an attempt at an upstream, or all attempts of a call if
+	// the client chose the id. It is also the type of the ids that identify a call
+	// in log lines and claims.
+	AttemptID string
+
 	// Dialect adapts the router to the HTTP interface that clients and upstreams
 	// use: it translates their headers, status codes and refusals.
 	Dialect struct {
@@ -201,11 +209,11 @@
 	incarnation, _ := strconv.ParseUint(response.Header.Get(HeaderIncarnation), 10, 64)
 	info.Incarnation = registrar.Incarnation(incarnation)
 	if left, err := strconv.ParseUint(response.Header.Get(HeaderWarmUp), 10, 31); err == nil {
-		warmUpLeft := millis(int64(left))
+		warmUpLeft := time.Duration(left) * time.Millisecond
 		info.WarmUpLeft = &warmUpLeft
 	}
 	if response.StatusCode == http.StatusServiceUnavailable {
-		info.RetryAfter = response.Header.Get(headerRetryAfter)
+		info.RetryAfter = response.Header.Get(HeaderRetryAfter)
 	}
 	return info
 }
--- a/internal/trier/trier.go
+++ b/internal/trier/trier.go
@@ -24,6 +24,7 @@
 	"github.com/comfreybend/comfreybend/internal/logger"
 	"github.com/comfreybend/comfreybend/internal/operator"
 	"github.com/comfreybend/comfreybend/internal/router"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/internal/validator"
 	"github.com/comfreybend/comfreybend/schema/settings"
 	"github.com/comfreybend/comfreybend/schema/state"
@@ -173,7 +174,7 @@
 	defer logWriter.Close()
 	instruments := instrumenter.New("entry")
 	defer instruments.Close()
-	r, err := router.New(d.settings, router.NativeDialect(), log, instruments)
+	r, err := router.New(d.settings, translator.NativeDialect(), log, instruments)
 	if err != nil {
 		return err
 	}
--- a/test/integration/client_test.go
+++ b/test/integration/client_test.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"github.com/comfreybend/comfreybend/internal/emulator"
-	"github.com/comfreybend/comfreybend/internal/router"
+	"github.com/comfreybend/comfreybend/internal/translator"
 )
 
 // clientResponse is the response that a client received, up to err if that is set.
@@ -27,8 +27,8 @@
 }
 
 // run returns the value of the header that tells whether a refused request was run.
-func (a clientResponse) run() router.RunStatus {
-	return router.RunStatus(a.header.Get(router.HeaderRun))
+func (a clientResponse) run() translator.RunStatus {
+	return translator.RunStatus(a.header.Get(translator.HeaderRun))
 }
 
 // do sends a request with an API key, if one is given. headers holds names and values in turn.
--- a/test/integration/copy_test.go
+++ b/test/integration/copy_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/comfreybend/comfreybend/internal/emulator"
-	"github.com/comfreybend/comfreybend/internal/router"
+	"github.com/comfreybend/comfreybend/internal/translator"
 )
 
 // TestCopiesOfAnswers guards against copies of refusals and of other answers that are taken for the answer to
@@ -66,7 +66,7 @@
 				a := e.do(ctx, http.MethodPost, "/orders", key, fmt.Sprintf(`{"reference":%q}`, reference))
 				cancel()
 				if a.err == nil {
-					notRun[reference] = a.run() == router.NotRun
+					notRun[reference] = a.run() == translator.NotRun
 					statuses[fmt.Sprint("order ", a.status)]++
 				}
 				if a.status == http.StatusOK && !strings.Contains(a.body, fmt.Sprintf("%q", reference)) {
--- a/test/integration/crashing_request_test.go
+++ b/test/integration/crashing_request_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"github.com/comfreybend/comfreybend/internal/router"
+	"github.com/comfreybend/comfreybend/internal/translator"
 )
 
 const (
@@ -80,7 +80,7 @@
 	for _, e := range s.entries {
 		eventually(t, waitTimeout, func() error { return checkStatus(e.get("/public/popular", ""), http.StatusOK) })
 		a := e.get(crashingPath, "")
-		if a.status != http.StatusUnprocessableEntity || a.run() != router.NotRun {
+		if a.status != http.StatusUnprocessableEntity || a.run() != translator.NotRun {
 			t.Errorf("%s answers the request with %d, run %q; want a final refusal, not run", e.id, a.status, a.run())
 		}
 		e.checkLog()
@@ -98,7 +98,7 @@
 		f.engines = append(f.engines, s.startUpstream(fmt.Sprintf("orders-%d", i+1), string(rune('a'+i%2)), "service", "orders", s.entries, "--crash-on", "deadly"))
 	}
 	checkHeld := func(e *entryProcess) error {
-		if a := e.get(crashingPath, ""); a.status != http.StatusUnprocessableEntity || a.run() != router.NotRun {
+		if a := e.get(crashingPath, ""); a.status != http.StatusUnprocessableEntity || a.run() != translator.NotRun {
 			return fmt.Errorf("%s answers the request with %d, run %q; want a final refusal, not run", e.id, a.status, a.run())
 		}
 		return nil
--- a/test/integration/cutoff_test.go
+++ b/test/integration/cutoff_test.go
@@ -13,7 +13,7 @@
 
 	"google.golang.org/protobuf/types/known/durationpb"
 
-	"github.com/comfreybend/comfreybend/internal/router"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/settings"
 )
@@ -58,7 +58,7 @@
 		served    bool
 		// outcome says how the try ended.
 		outcome string
-		run     router.RunStatus
+		run     translator.RunStatus
 	}
 
 	// cutoff is a system with entry processes that can be cut off from all upstreams, under load.
@@ -168,7 +168,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(response.Body)
-	x.run = router.RunStatus(response.Header.Get(router.HeaderRun))
+	x.run = translator.RunStatus(response.Header.Get(translator.HeaderRun))
 	x.outcome = fmt.Sprintf("%d %s", response.StatusCode, x.run)
 	if err != nil {
 		x.outcome += " cut off"
@@ -273,7 +273,7 @@
 		switch runs := ran[x.reference]; {
 		case runs > 1:
 			c.t.Errorf("order %s ran %d times", x.reference, runs)
-		case x.run == router.NotRun && runs > 0:
+		case x.run == translator.NotRun && runs > 0:
 			c.t.Errorf("order %s ran, though it was refused as not run", x.reference)
 		case x.served && runs != 1:
 			c.t.Errorf("order %s was answered and ran %d times", x.reference, runs)
--- a/test/integration/end_to_end_test.go
+++ b/test/integration/end_to_end_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"github.com/comfreybend/comfreybend/internal/router"
+	"github.com/comfreybend/comfreybend/internal/translator"
 )
 
 // TestEndToEnd guards against a broken path from client to engine and against
@@ -25,7 +25,7 @@
 
 	for name, presented := range map[string]string{"none": "", "unknown": "cfb_000000000000_0000"} {
 		a := e.complete(presented, 3)
-		if a.status != http.StatusUnauthorized || a.run() != router.NotRun || !strings.Contains(a.body, `"run":"notRun"`) {
+		if a.status != http.StatusUnauthorized || a.run() != translator.NotRun || !strings.Contains(a.body, `"run":"notRun"`) {
 			t.Errorf("key %s: status %d, run %q, body %s", name, a.status, a.run(), a.body)
 		}
 	}
--- a/test/integration/isolation_test.go
+++ b/test/integration/isolation_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"github.com/comfreybend/comfreybend/internal/router"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
@@ -46,7 +46,7 @@
 	n := promptCount.Add(1)
 	body := fmt.Sprintf(`{"model":"m","stream":true,"max_tokens":3,"messages":[{"role":"user","content":"%s %d"}]}`, text, n)
 	parts := fmt.Sprintf("shared:100,%s:100,own-%d:10", part, n)
-	return e.do(context.Background(), http.MethodPost, "/v1/chat/completions", f.key, body, router.HeaderPromptParts, parts)
+	return e.do(context.Background(), http.MethodPost, "/v1/chat/completions", f.key, body, translator.HeaderPromptParts, parts)
 }
 
 func (f *crashingFleet) askCrashing(e *entryProcess) clientResponse {
@@ -97,7 +97,7 @@
 	if err := checkStatus(a, http.StatusUnprocessableEntity); err != nil {
 		return err
 	}
-	if a.run() != router.NotRun || !strings.Contains(a.body, router.CodePartHeld) {
+	if a.run() != translator.NotRun || !strings.Contains(a.body, translator.CodePartHeld) {
 		return fmt.Errorf("the refusal says %q: %s", a.run(), a.body)
 	}
 	return nil
--- a/test/integration/key_test.go
+++ b/test/integration/key_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"github.com/comfreybend/comfreybend/internal/router"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/schema/state"
 )
 
@@ -74,7 +74,7 @@
 
 // checkRefusal returns an error unless a response has the given status and says that the request was not run.
 func checkRefusal(a clientResponse, status int) error {
-	if a.status != status || a.run() != router.NotRun {
+	if a.status != status || a.run() != translator.NotRun {
 		return fmt.Errorf("status %d, run %q, body %s, error %w", a.status, a.run(), a.body, errors.Join(a.err))
 	}
 	return nil
--- a/test/integration/limit_test.go
+++ b/test/integration/limit_test.go
@@ -11,7 +11,7 @@
 
 	"google.golang.org/protobuf/types/known/durationpb"
 
-	"github.com/comfreybend/comfreybend/internal/router"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/schema/settings"
 )
 
@@ -53,8 +53,8 @@
 			return e.do(context.Background(), http.MethodGet, "/public/%2e%2e/orders/x", "", "")
 		}, http.StatusBadRequest},
 		"no route":            {func() clientResponse { return post("/nowhere", "") }, http.StatusNotFound},
-		"class not allowed":   {func() clientResponse { return post("/orders", "{}", router.HeaderClass, "chat") }, http.StatusBadRequest},
-		"malformed deadline":  {func() clientResponse { return post("/orders", "{}", router.HeaderDeadline, "soon") }, http.StatusBadRequest},
+		"class not allowed":   {func() clientResponse { return post("/orders", "{}", translator.HeaderClass, "chat") }, http.StatusBadRequest},
+		"malformed deadline":  {func() clientResponse { return post("/orders", "{}", translator.HeaderDeadline, "soon") }, http.StatusBadRequest},
 		"key in the body":     {func() clientResponse { return post("/orders", fmt.Sprintf(`{"reference":%q}`, key)) }, http.StatusBadRequest},
 		"key in the query":    {func() clientResponse { return post("/orders?key="+key, `{"reference":"q"}`) }, http.StatusBadRequest},
 		"key in both headers": {func() clientResponse { return post("/orders", `{"reference":"h"}`, "X-Api-Key", key, "X-Other", key) }, http.StatusOK},
@@ -62,7 +62,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			a := test.send()
-			if a.status != test.status || test.status != http.StatusOK && a.run() != router.NotRun {
+			if a.status != test.status || test.status != http.StatusOK && a.run() != translator.NotRun {
 				t.Errorf("status %d, run %q, body %s, error %v", a.status, a.run(), a.body, a.err)
 			}
 			if strings.Contains(a.body, key) {
--- a/test/integration/response_test.go
+++ b/test/integration/response_test.go
@@ -9,7 +9,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/comfreybend/comfreybend/internal/emulator"
-	"github.com/comfreybend/comfreybend/internal/router"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/schema/settings"
 )
 
@@ -144,7 +144,7 @@
 		t.Fatalf("order: status %d, body %s", a.status, a.body)
 	}
 	replay := second.placeOrder(key.Key, "plain", "Idempotency-Key", "k1")
-	if replay.status != http.StatusOK || replay.header.Get(router.HeaderReplayed) != "true" {
+	if replay.status != http.StatusOK || replay.header.Get(translator.HeaderReplayed) != "true" {
 		t.Errorf("resend through another host: status %d, body %s", replay.status, replay.body)
 	}
 	if a := second.placeOrder(key.Key, "other", "Idempotency-Key", "k1"); a.status != http.StatusUnprocessableEntity {
@@ -152,14 +152,14 @@
 	}
 
 	service.setFaults(t, emulator.InjectedFaults{CutBody: true})
-	if a := first.placeOrder(key.Key, "cut", "Idempotency-Key", "k2"); a.status != http.StatusBadGateway || a.run() != router.MayHaveRun {
+	if a := first.placeOrder(key.Key, "cut", "Idempotency-Key", "k2"); a.status != http.StatusBadGateway || a.run() != translator.MayHaveRun {
 		t.Errorf("truncated response: status %d, run %q, body %s", a.status, a.run(), a.body)
 	}
-	if a := first.placeOrder(key.Key, "unclaimed"); a.run() != router.MayHaveRun {
+	if a := first.placeOrder(key.Key, "unclaimed"); a.run() != translator.MayHaveRun {
 		t.Errorf("truncated response without idempotency key: status %d, run %q, body %s", a.status, a.run(), a.body)
 	}
 	service.setFaults(t, emulator.InjectedFaults{})
-	if a := second.placeOrder(key.Key, "cut", "Idempotency-Key", "k2"); a.status != http.StatusConflict || a.run() != router.MayHaveRun {
+	if a := second.placeOrder(key.Key, "cut", "Idempotency-Key", "k2"); a.status != http.StatusConflict || a.run() != translator.MayHaveRun {
 		t.Errorf("resend of an order in doubt: status %d, run %q, body %s", a.status, a.run(), a.body)
 	}
 	for reference, runs := range service.stats(t).Orders {
@@ -170,7 +170,7 @@
 
 	service.kill()
 	a := first.placeOrder(key.Key, "down", "Idempotency-Key", "k3")
-	if a.status/100 != 5 || a.run() != router.NotRun || a.header.Get("Retry-After") == "" {
+	if a.status/100 != 5 || a.run() != translator.NotRun || a.header.Get("Retry-After") == "" {
 		t.Errorf("order to a killed service: status %d, run %q, body %s", a.status, a.run(), a.body)
 	}
 }
@@ -189,7 +189,7 @@
 		c.freeze()
 	}
 	a := e.placeOrder(key.Key, "lost", "Idempotency-Key", "k1")
-	if a.status != http.StatusServiceUnavailable || a.run() != router.NotRun || a.header.Get("Retry-After") == "" {
+	if a.status != http.StatusServiceUnavailable || a.run() != translator.NotRun || a.header.Get("Retry-After") == "" {
 		t.Errorf("order without quorum: status %d, run %q, body %s", a.status, a.run(), a.body)
 	}
 	if runs := service.stats(t).Orders["lost"]; runs != 0 {
--- a/test/integration/soak_test.go
+++ b/test/integration/soak_test.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"github.com/comfreybend/comfreybend/internal/emulator"
-	"github.com/comfreybend/comfreybend/internal/router"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/state"
 )
@@ -77,7 +77,7 @@
 		// disruptions holds the periods in which a process or link was disrupted.
 		disruptions []disruption
 		// orderOutcomes holds each order's outcome by reference.
-		orderOutcomes map[string]router.RunStatus
+		orderOutcomes map[string]translator.RunStatus
 		// withdrawnAt holds the time of each withdrawal's acknowledgement by key.
 		withdrawnAt  map[string]time.Time
 		acknowledged map[string]bool
@@ -95,7 +95,7 @@
 )
 
 // orderCompleted is the outcome of an order with a successful response.
-const orderCompleted router.RunStatus = "done"
+const orderCompleted translator.RunStatus = "done"
 
 // TestSoak guards against guarantees that fail under combined faults. Random faults
 // hit a whole system while clients send orders and completions and an operator grants
@@ -137,7 +137,7 @@
 		cutRandom: cutRandom, cuts: cuts, paths: map[int][]*path{},
 		random:        rand.New(rand.NewSource(seed)),
 		releaseRandom: rand.New(rand.NewSource(seed + 1)),
-		orderOutcomes: map[string]router.RunStatus{}, withdrawnAt: map[string]time.Time{},
+		orderOutcomes: map[string]translator.RunStatus{}, withdrawnAt: map[string]time.Time{},
 		acknowledged: map[string]bool{}, statusCounts: map[string]int{},
 	}
 	s.configure()
@@ -515,7 +515,7 @@
 		switch runs := ran[reference]; {
 		case runs > 1:
 			s.t.Errorf("order %s ran %d times", reference, runs)
-		case outcome == router.NotRun && runs > 0:
+		case outcome == translator.NotRun && runs > 0:
 			s.t.Errorf("order %s ran, though it was refused as not run", reference)
 		case outcome == orderCompleted && runs != 1:
 			s.t.Errorf("order %s was answered and ran %d times", reference, runs)
--- a/test/integration/tier_test.go
+++ b/test/integration/tier_test.go
@@ -8,7 +8,7 @@
 	"testing"
 
 	"github.com/comfreybend/comfreybend/internal/emulator"
-	"github.com/comfreybend/comfreybend/internal/router"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/schema/settings"
 )
 
@@ -23,7 +23,7 @@
 					return
 				default:
 				}
-				if a := e.complete(key, 5, router.HeaderClass, class); a.status == http.StatusOK && a.err == nil {
+				if a := e.complete(key, 5, translator.HeaderClass, class); a.status == http.StatusOK && a.err == nil {
 					completed.Add(1)
 				}
 			}
@@ -54,7 +54,7 @@
 	)
 	e.flood(&wait, stop, 40, key.Key, "batch", &batch)
 	for i := range 60 {
-		if a := e.complete(key.Key, 5, router.HeaderClass, "chat"); a.status != http.StatusOK {
+		if a := e.complete(key.Key, 5, translator.HeaderClass, "chat"); a.status != http.StatusOK {
 			t.Errorf("request %d of the higher tier: status %d, body %s", i, a.status, a.body)
 		}
 	}
@@ -122,7 +122,7 @@
 	<-done
 	for range 3 {
 		a := s.entries[1].placeOrder(key.Key, "killed", "Idempotency-Key", "k1")
-		if a.status != http.StatusConflict || a.run() != router.MayHaveRun || a.header.Get("Retry-After") == "" {
+		if a.status != http.StatusConflict || a.run() != translator.MayHaveRun || a.header.Get("Retry-After") == "" {
 			t.Errorf("resend: status %d, run %q, body %s", a.status, a.run(), a.body)
 		}
 	}
--- a/test/integration/upgrade_test.go
+++ b/test/integration/upgrade_test.go
@@ -14,7 +14,7 @@
 	"testing"
 	"time"
 
-	"github.com/comfreybend/comfreybend/internal/router"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/state"
 )
@@ -169,7 +169,7 @@
 func (u *upgrade) placeKeyedOrder(ctx context.Context, e *entryProcess, reference string, atOnce bool) clientResponse {
 	for {
 		a := e.placeOrder(u.key, reference, "Idempotency-Key", reference)
-		if a.status != http.StatusServiceUnavailable || a.run() != router.NotRun || atOnce {
+		if a.status != http.StatusServiceUnavailable || a.run() != translator.NotRun || atOnce {
 			return a
 		}
 		timer.Sleep(context.WithoutCancel(ctx), pollInterval)
--- a/test/integration/versions_test.go
+++ b/test/integration/versions_test.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"github.com/comfreybend/comfreybend/internal/emulator"
-	"github.com/comfreybend/comfreybend/internal/router"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/settings"
 )
@@ -85,7 +85,7 @@
 		if text, found := strings.CutPrefix(lines.Text(), "id: "); found {
 			id, _ = strconv.Atoi(text)
 		} else if data, found := strings.CutPrefix(lines.Text(), "data: "); found {
-			s.addEvent(id, data, response.Header.Get(router.HeaderAttempt))
+			s.addEvent(id, data, response.Header.Get(translator.HeaderAttempt))
 			onEvent()
 		}
 	}
@@ -458,7 +458,7 @@
 	s.awaitKey(key, s.entries...)
 	takeUp := func(key, attempt string) clientResponse {
 		return s.entries[1].do(t.Context(), http.MethodPost, "/v1/chat/completions", key, stream.body,
-			"Last-Event-ID", strconv.Itoa(stream.lastEvent), router.HeaderResumes, attempt)
+			"Last-Event-ID", strconv.Itoa(stream.lastEvent), translator.HeaderResumes, attempt)
 	}
 	var existing, invented clientResponse
 	eventually(t, waitTimeout, func() error {
@@ -474,7 +474,7 @@
 		}
 		return fmt.Errorf("refused for now: %s", existing.body)
 	})
-	if existing.status != http.StatusGone || existing.body != invented.body || existing.run() != router.NotRun {
+	if existing.status != http.StatusGone || existing.body != invented.body || existing.run() != translator.NotRun {
 		t.Errorf("status %d with body %s, want the same refusal as for an invented attempt: %d, %s", existing.status, existing.body, invented.status, invented.body)
 	}
 	if own := takeUp(key, stream.attempt); own.status != http.StatusOK {
