fetcher, router: move the fetch of configuration changes into a package

Cause: the fetcher needs only three functions of the router: the revision in use, the confirmed revision, and applying changes.

Change: package fetcher has them as function fields. That another reply has brought the changes meanwhile is recognised by the router's applyFetched, since that error is the router's. The tests check the fetcher together with the control plane, so they stay in internal/router and change in names only.

--- a/internal/router/configuration_test.go
+++ b/internal/router/configuration_test.go
@@ -285,7 +285,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { _ = r.controlPlane.run(ctx) })
-	running.Go(func() { _ = r.fetcher.run(ctx) })
+	running.Go(func() { _ = r.fetcher.Run(ctx) })
 	running.Go(func() { _ = r.controlPoller.run(ctx) })
 	t.Cleanup(func() {
 		cancel()
@@ -513,7 +513,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { _ = r.controlPlane.run(ctx) })
-	running.Go(func() { _ = r.fetcher.run(ctx) })
+	running.Go(func() { _ = r.fetcher.Run(ctx) })
 	t.Cleanup(func() {
 		cancel()
 		running.Wait()
--- a/internal/router/control_poller.go
+++ b/internal/router/control_poller.go
@@ -343,7 +343,7 @@
 	if p.self != nil {
 		request.Self = p.self()
 	}
-	fetched, _ := p.router.fetcher.wanted()
+	fetched, _ := p.router.fetcher.Wanted()
 	request.FetchedRevision = uint64(fetched)
 	if index > 0 && p.router.controlPlane.hasConfiguration() {
 		// Changes come from the control process at index 0, unless that does not answer.
@@ -400,7 +400,7 @@
 	switch {
 	case revision <= r.controlPlane.revision() || !request.GetWantUnconfirmed():
 	case reply.GetFetchable():
-		r.fetcher.request(revision, control)
+		r.fetcher.Request(revision, control)
 	case request.GetFetchedRevision() < reply.GetRevision():
 		r.controlPlane.requestSync()
 	}
--- a/internal/router/controlplane.go
+++ b/internal/router/controlplane.go
@@ -244,7 +244,7 @@
 	switch {
 	case p.hasConfiguration() && revision <= p.revision():
 	case reply.GetFetchable():
-		p.router.fetcher.request(revision, result.client.Address())
+		p.router.fetcher.Request(revision, result.client.Address())
 	default:
 		d := delivery{control: result.client.Address(), request: "sync", bytes: proto.Size(reply), age: millis(reply.GetRevisionAgeMillis())}
 		if err := p.applyConfiguration(reply, d); err != nil {
@@ -343,6 +343,15 @@
 	return nil
 }
 
+// applyFetched applies fetched changes. That another reply has brought them meanwhile is no error.
+func (p *controlPlane) applyFetched(control string, reply *wire.SyncReply, bytes int, age time.Duration) error {
+	err := p.applyConfiguration(reply, delivery{control: control, request: "fetch", bytes: bytes, age: age})
+	if errors.As(err, new(*earlierRevisionError)) {
+		return nil
+	}
+	return err
+}
+
 func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
 // revision returns the revision in use, or 0 before the first configuration.
--- a/internal/router/crash_test.go
+++ b/internal/router/crash_test.go
@@ -202,7 +202,7 @@
 	server := httptest.NewServer(r.clientHandler())
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
-	for _, run := range []func(context.Context) error{r.controlPlane.run, r.fetcher.run, r.controlPoller.run, r.dispatcher.run} {
+	for _, run := range []func(context.Context) error{r.controlPlane.run, r.fetcher.Run, r.controlPoller.run, r.dispatcher.run} {
 		running.Go(func() { _ = run(ctx) })
 	}
 	t.Cleanup(func() {
--- a/internal/router/fetcher_test.go
+++ b/internal/router/fetcher_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/comfreybend/comfreybend/internal/assembler"
 	"github.com/comfreybend/comfreybend/internal/configurer"
+	"github.com/comfreybend/comfreybend/internal/fetcher"
 	"github.com/comfreybend/comfreybend/internal/instrumenter"
 	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/internal/validator"
@@ -109,10 +110,10 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			r := newRouterOf(t, test.servers...)
-			r.fetcher.request(7, r.controlClients.Preferred().Address())
-			current := &fetch{}
+			r.fetcher.Request(7, r.controlClients.Preferred().Address())
+			current := &fetcher.Fetch{}
 			for r.controlPlane.revision() < 7 && t.Context().Err() == nil {
-				current = r.fetcher.fetchFromAny(t.Context(), current)
+				current = r.fetcher.ContinueAtAny(t.Context(), current)
 			}
 			sent := 0
 			for _, server := range test.servers {
@@ -124,7 +125,7 @@
 			if route := r.controlPlane.catalog.Load().Route("host.example", "/route-001999/"); route == nil {
 				t.Error("the last route is missing")
 			}
-			if target, _ := r.fetcher.wanted(); target != 0 {
+			if target, _ := r.fetcher.Wanted(); target != 0 {
 				t.Errorf("revision %d is still wanted", target)
 			}
 		})
@@ -145,7 +146,7 @@
 	if err := p.applyReply(sentAt, 6, result); err != nil || p.fresh() {
 		t.Fatalf("error %v, fresh %t before the fetch; want neither", err, p.fresh())
 	}
-	r.fetcher.fetchFromAny(t.Context(), &fetch{})
+	r.fetcher.ContinueAtAny(t.Context(), &fetcher.Fetch{})
 	if p.revision() != 7 || time.Duration(p.freshUntil.Load()) != sentAt+p.freshness {
 		t.Errorf("revision %d, fresh for %v after the request; want 7 and %v", p.revision(), time.Duration(p.freshUntil.Load())-sentAt, p.freshness)
 	}
@@ -161,12 +162,12 @@
 	if err := p.applyConfiguration(&wire.SyncReply{Revision: 6, Whole: true}, delivery{}); err != nil {
 		t.Fatal(err)
 	}
-	current := &fetch{from: 6, least: 7}
-	if _, err := r.fetcher.fetchFrom(t.Context(), r.controlClients.Preferred(), current); err != nil {
+	current := &fetcher.Fetch{From: 6, Least: 7}
+	if _, err := r.fetcher.FetchFrom(t.Context(), r.controlClients.Preferred(), current); err != nil {
 		t.Fatal(err)
 	}
 	p.confirm(8, p.now())
-	r.fetcher.apply("control", current, 0)
+	r.fetcher.Deliver("control", current, 0)
 	if p.revision() != 7 || p.fresh() {
 		t.Errorf("revision %d, fresh %t; want 7, which is not the latest", p.revision(), p.fresh())
 	}
@@ -236,7 +237,7 @@
 			if err := p.applyReply(p.now(), 0, result); err != nil {
 				t.Fatal(err)
 			}
-			r.fetcher.fetchFromAny(t.Context(), &fetch{})
+			r.fetcher.ContinueAtAny(t.Context(), &fetcher.Fetch{})
 			if p.revision() != test.want {
 				t.Errorf("revision %d after a fetch, want %d", p.revision(), test.want)
 			}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -20,6 +20,7 @@
 	"github.com/comfreybend/comfreybend/internal/bufferer"
 	"github.com/comfreybend/comfreybend/internal/certifier"
 	"github.com/comfreybend/comfreybend/internal/counter"
+	"github.com/comfreybend/comfreybend/internal/fetcher"
 	"github.com/comfreybend/comfreybend/internal/forwarder"
 	"github.com/comfreybend/comfreybend/internal/identifier"
 	"github.com/comfreybend/comfreybend/internal/ingester"
@@ -70,7 +71,7 @@
 
 	controlPlane   *controlPlane
 	proposer       *proposer.Proposer
-	fetcher        *configurationFetcher
+	fetcher        *fetcher.Fetcher
 	isolation      *isolation
 	restrainer     *restrainer.Restrainer
 	identifier     *identifier.Identifier
@@ -137,7 +138,8 @@
 	r.tracker.Restarted = func(c *messenger.Client, streams int) {
 		log.Info("control process has forgotten which versions began streams", zap.String("control", c.Address()), zap.Int("streams", streams))
 	}
-	r.fetcher = newConfigurationFetcher(r)
+	r.fetcher = fetcher.New(r.controlClients, log)
+	r.fetcher.Held, r.fetcher.Confirmed, r.fetcher.Apply = r.controlPlane.revision, r.controlPlane.confirmedRevision, r.controlPlane.applyFetched
 	r.isolation = newIsolation(r)
 	r.controlPoller = newControlPoller(r)
 	r.peers = newPeerExchanger(r, security)
@@ -165,7 +167,7 @@
 	clients := r.clientServer()
 	group.Go(func() error { return peerServer.Run(running) })
 	group.Go(func() error { return r.controlPlane.run(running) })
-	group.Go(func() error { return r.fetcher.run(running) })
+	group.Go(func() error { return r.fetcher.Run(running) })
 	group.Go(func() error { return r.tracker.Run(running) })
 	group.Go(func() error { return r.peers.run(running) })
 	group.Go(func() error { return r.controlPoller.run(running) })
