recorder, router: move the metrics of an entry process into a package

Cause: the metrics need nothing of the router but the kind and the name of a pool.

Change: package recorder holds them; names and tags of the metrics are the same.

--- a/internal/router/controlplane.go
+++ b/internal/router/controlplane.go
@@ -176,7 +176,7 @@
 		}
 	}
 	if ctx.Err() == nil || p.now()-sentAt >= p.freshness/failedSyncsPerFreshness {
-		p.router.metrics.syncFailures.Inc(1)
+		p.router.metrics.SyncFailures.Inc(1)
 	}
 }
 
@@ -288,7 +288,7 @@
 // changes that do not follow each other.
 func (p *controlPlane) applyConfiguration(reply *wire.SyncReply, d delivery) error {
 	if reply.GetWhole() || len(reply.GetChanges()) > 0 {
-		p.router.metrics.configurationBytes.Inc(int64(d.bytes))
+		p.router.metrics.ConfigurationBytes.Inc(int64(d.bytes))
 	}
 	p.applyMu.Lock()
 	defer p.applyMu.Unlock()
@@ -336,7 +336,7 @@
 	p.router.setWarmUps(next)
 	p.refresh()
 	if current == nil || current.Revision() != received {
-		p.router.metrics.revision.Update(float64(received))
+		p.router.metrics.Revision.Update(float64(received))
 		p.router.log.Info("configuration in force", zap.Uint64("revision", uint64(received)), zap.Bool("whole", reply.GetWhole()),
 			zap.Int("bytes", d.bytes), zap.String("request", d.request), zap.String("control", d.control), zap.Duration("age", d.age))
 	}
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -10,6 +10,7 @@
 	"github.com/comfreybend/comfreybend/internal/budgeter"
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/estimator"
+	"github.com/comfreybend/comfreybend/internal/recorder"
 	"github.com/comfreybend/comfreybend/internal/restrainer"
 	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/pkg/evacuator"
@@ -139,7 +140,7 @@
 	// dispatcher assigns waiting requests to upstreams.
 	dispatcher struct {
 		settings *settings.Settings
-		metrics  *metrics
+		metrics  *recorder.Metrics
 		now      func() time.Duration
 		// retryAfter returns the time after which a client may retry if no upstream serves
 		// the pool.
@@ -202,7 +203,7 @@
 	outcomeTimedOut
 )
 
-func newDispatcher(s *settings.Settings, m *metrics) *dispatcher {
+func newDispatcher(s *settings.Settings, m *recorder.Metrics) *dispatcher {
 	e := s.GetEntry()
 	return &dispatcher{
 		settings:       s,
@@ -218,7 +219,7 @@
 		picker:         picker.New(picker.Policy(e.GetPolicy()), rand.IntN),
 		cacheIndex:     picker.NewCacheIndex(),
 		placer:         picker.NewPlacer(),
-		budgets:        budgeter.NewBudgets(e, m.scope),
+		budgets:        budgeter.NewBudgets(e, m.Scope),
 		peerDemands:    limiter.NewDemands(len(e.GetPeerAddresses())),
 		clusterLoad:    estimator.New(),
 		withdrawn:      map[registrar.UpstreamID]registrar.Upstream{},
@@ -271,7 +272,7 @@
 		}
 		d.dispatchWaiting(key, p)
 		d.refuseBeyondTurns(key, p)
-		d.metrics.waiting(key, p.scheduler.Waiting())
+		d.metrics.Waiting(key.kind, key.name, p.scheduler.Waiting())
 	}
 }
 
--- a/internal/router/evacuation.go
+++ b/internal/router/evacuation.go
@@ -29,7 +29,7 @@
 	if e == nil || !r.dispatcher.mergeEvacuations(e) {
 		return
 	}
-	r.metrics.evacuatedDomains.Update(float64(len(e.GetFailureDomains())))
+	r.metrics.EvacuatedDomains.Update(float64(len(e.GetFailureDomains())))
 	r.log.Info("evacuated failure domains changed", zap.Strings("failureDomains", e.GetFailureDomains()),
 		zap.Uint64("position", e.GetPosition()), zap.String("source", string(source)), zap.String("sender", sender))
 }
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -178,7 +178,7 @@
 		if !h.allowRetry(ctx, err) {
 			return nil, h.giveUp(err)
 		}
-		h.router.metrics.retries.Inc(1)
+		h.router.metrics.Retries.Inc(1)
 	}
 }
 
@@ -324,10 +324,10 @@
 		outcome = outcomeUnreachable
 	}
 	if errors.As(err, &mismatch) {
-		h.router.metrics.mismatchedResponses.Inc(1)
+		h.router.metrics.MismatchedResponses.Inc(1)
 	}
 	if errors.As(err, &silent) {
-		h.router.metrics.silentConnections.Inc(1)
+		h.router.metrics.SilentConnections.Inc(1)
 	}
 	if errors.Is(err, context.Canceled) {
 		outcome = outcomeAbandoned
@@ -373,7 +373,7 @@
 // recordRefusal counts and logs a refusal, and returns it.
 func (h *callHandler) recordRefusal(refusal *translator.RefusalError) *translator.RefusalError {
 	h.reportEnds()
-	h.router.metrics.refused(refusal.Code)
+	h.router.metrics.Refused(refusal.Code)
 	h.log.Info("request refused", h.requestIDField(), zap.String("attempt", string(refusal.Attempt)),
 		zap.String("code", refusal.Code),
 		zap.Int("status", refusal.Status), zap.String("run", string(refusal.Run)),
--- a/internal/router/isolation.go
+++ b/internal/router/isolation.go
@@ -362,7 +362,7 @@
 		}
 	}
 	s.held = held
-	s.router.metrics.heldParts.Update(float64(len(held)))
+	s.router.metrics.HeldParts.Update(float64(len(held)))
 	return added
 }
 
--- a/internal/router/profile.go
+++ b/internal/router/profile.go
@@ -136,7 +136,7 @@
 				lowest, highest = min(lowest, speed), max(highest, speed)
 			}
 		}
-		d.metrics.speedSpread(key, highest/lowest)
+		d.metrics.SpeedSpread(key.kind, key.name, highest/lowest)
 	}
 }
 
--- a/internal/router/response.go
+++ b/internal/router/response.go
@@ -37,7 +37,7 @@
 		h.relayPassedOn(w, out.passedOn)
 		return nil
 	}
-	h.router.metrics.answered(configurer.ClassName(h.call.class.GetName()), h.router.dispatcher.now()-h.call.arrived)
+	h.router.metrics.Answered(configurer.ClassName(h.call.class.GetName()), h.router.dispatcher.now()-h.call.arrived)
 	client := writer.New(w, r.settings.GetEntry().GetCallerLimits().GetWriteTimeout().AsDuration())
 	relay := h.relayResponse
 	if isEventStream(h.current.response) {
@@ -103,7 +103,7 @@
 	waitCtx, cancel := context.WithTimeout(ctx, h.call.deadline-h.router.dispatcher.now())
 	defer cancel()
 	for {
-		h.router.metrics.retries.Inc(1)
+		h.router.metrics.Retries.Inc(1)
 		g, refusal := h.acquireUpstream(waitCtx)
 		if refusal != nil {
 			return refusal
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -29,6 +29,7 @@
 	"github.com/comfreybend/comfreybend/internal/proposer"
 	"github.com/comfreybend/comfreybend/internal/racer"
 	"github.com/comfreybend/comfreybend/internal/ranker"
+	"github.com/comfreybend/comfreybend/internal/recorder"
 	"github.com/comfreybend/comfreybend/internal/relayer"
 	"github.com/comfreybend/comfreybend/internal/restrainer"
 	"github.com/comfreybend/comfreybend/internal/server"
@@ -83,7 +84,7 @@
 	upstreamClient *upstreamClient
 	usage          *counter.Counters
 	peers          *peerExchanger
-	metrics        *metrics
+	metrics        *recorder.Metrics
 	buffers        *bufferer.Pool
 	bodies         *ingester.Ingester
 	admitter       *admitter.Admitter
@@ -110,17 +111,17 @@
 		instruments: instruments,
 		incarnation: uuid.NewString(),
 		usage:       counter.New(),
-		metrics:     newMetrics(instruments.Scope),
+		metrics:     recorder.New(instruments.Scope),
 		identifier:  identifier.New(),
 		tracker:     tracker.New(),
 	}
 	r.restrainer = restrainer.New(s.GetHost().GetId(), s.GetEntry().GetColdUpstreams(), r.windows.Now)
-	r.restrainer.Log, r.restrainer.Held = log, r.metrics.heldCold
+	r.restrainer.Log, r.restrainer.Held = log, r.metrics.HeldCold
 	r.dispatcher = newDispatcher(s, r.metrics)
 	r.dispatcher.budgets.Log = log
 	r.dispatcher.restrainer = r.restrainer
 	r.dispatcher.retryAfter = r.retryAfter
-	r.racer = racer.New(s.GetEntry().GetHedging(), func() time.Duration { return r.dispatcher.now() }, r.metrics.scope)
+	r.racer = racer.New(s.GetEntry().GetHedging(), func() time.Duration { return r.dispatcher.now() }, r.metrics.Scope)
 	r.racer.Log = log
 	limits := s.GetEntry().GetCallerLimits()
 	r.admitter = admitter.New(int(limits.GetConnections()))
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -155,7 +155,7 @@
 	failure := &attemptError{Attempt: at.id, Cause: cause}
 	var silent *silentConnectionError
 	if errors.As(cause, &silent) {
-		h.router.metrics.silentConnections.Inc(1)
+		h.router.metrics.SilentConnections.Inc(1)
 	}
 	h.recordBreak(ctx, at.grant, at, cause)
 	h.failedUpstreams = append(h.failedUpstreams, at.grant.upstream.ID)
@@ -198,7 +198,7 @@
 		h.finishAttempt(outcomeFailed, failure)
 		return h.giveUp(failure)
 	}
-	h.router.metrics.resumedStreams.Inc(1)
+	h.router.metrics.ResumedStreams.Inc(1)
 	return nil
 }
 
