--- a/internal/recorder/recorder.go
+++ b/internal/measurer/measurer.go
@@ -1,6 +1,6 @@
-// Package recorder holds the metrics of an entry process. It owns their names and tags. It decides nothing and
+// Package measurer holds the metrics of an entry process. It owns their names and tags. It decides nothing and
 // may not call the router.
-package recorder
+package measurer
 
 import (
 	"time"
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -10,7 +10,7 @@
 	"github.com/comfreybend/comfreybend/internal/budgeter"
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/estimator"
-	"github.com/comfreybend/comfreybend/internal/recorder"
+	"github.com/comfreybend/comfreybend/internal/measurer"
 	"github.com/comfreybend/comfreybend/internal/restrainer"
 	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/pkg/evacuator"
@@ -140,7 +140,7 @@
 	// dispatcher assigns waiting requests to upstreams.
 	dispatcher struct {
 		settings *settings.Settings
-		metrics  *recorder.Metrics
+		metrics  *measurer.Metrics
 		now      func() time.Duration
 		// retryAfter returns the time after which a client may retry if no upstream serves
 		// the pool.
@@ -203,7 +203,7 @@
 	outcomeTimedOut
 )
 
-func newDispatcher(s *settings.Settings, m *recorder.Metrics) *dispatcher {
+func newDispatcher(s *settings.Settings, m *measurer.Metrics) *dispatcher {
 	e := s.GetEntry()
 	return &dispatcher{
 		settings:       s,
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -25,11 +25,11 @@
 	"github.com/comfreybend/comfreybend/internal/identifier"
 	"github.com/comfreybend/comfreybend/internal/ingester"
 	"github.com/comfreybend/comfreybend/internal/instrumenter"
+	"github.com/comfreybend/comfreybend/internal/measurer"
 	"github.com/comfreybend/comfreybend/internal/messenger"
 	"github.com/comfreybend/comfreybend/internal/proposer"
 	"github.com/comfreybend/comfreybend/internal/racer"
 	"github.com/comfreybend/comfreybend/internal/ranker"
-	"github.com/comfreybend/comfreybend/internal/recorder"
 	"github.com/comfreybend/comfreybend/internal/relayer"
 	"github.com/comfreybend/comfreybend/internal/restrainer"
 	"github.com/comfreybend/comfreybend/internal/server"
@@ -84,7 +84,7 @@
 	upstreamClient *upstreamClient
 	usage          *counter.Counters
 	peers          *peerExchanger
-	metrics        *recorder.Metrics
+	metrics        *measurer.Metrics
 	buffers        *bufferer.Pool
 	bodies         *ingester.Ingester
 	admitter       *admitter.Admitter
@@ -111,7 +111,7 @@
 		instruments: instruments,
 		incarnation: uuid.NewString(),
 		usage:       counter.New(),
-		metrics:     recorder.New(instruments.Scope),
+		metrics:     measurer.New(instruments.Scope),
 		identifier:  identifier.New(),
 		tracker:     tracker.New(),
 	}
