--- a/internal/router/cache.go
+++ b/internal/router/cache.go
@@ -4,9 +4,9 @@
 	"context"
 	"net/http"
 
+	"github.com/comfreybend/comfreybend/internal/announcer"
 	"github.com/comfreybend/comfreybend/internal/ingester"
-	"github.com/comfreybend/comfreybend/pkg/picker"
-	"github.com/comfreybend/comfreybend/pkg/registrar"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
@@ -16,14 +16,14 @@
 func decodeCacheEvent(_ context.Context, request *http.Request) (any, error) {
 	body, err := ingester.Content(request, maxCacheEventBytes)
 	if err != nil {
-		return nil, refuse(http.StatusRequestEntityTooLarge, CodeTooLarge, err.Error())
+		return nil, translator.Refuse(http.StatusRequestEntityTooLarge, translator.CodeTooLarge, err.Error())
 	}
 	e := &wire.CacheEvent{}
 	if err = fromUpstream.Unmarshal(body, e); err != nil {
-		return nil, refuse(http.StatusBadRequest, CodeMalformed, err.Error())
+		return nil, translator.Refuse(http.StatusBadRequest, translator.CodeMalformed, err.Error())
 	}
 	if e.GetUpstream() == "" || e.GetSequence() == 0 {
-		return nil, refuse(http.StatusBadRequest, CodeMalformed, "upstream or sequence is missing")
+		return nil, translator.Refuse(http.StatusBadRequest, translator.CodeMalformed, "upstream or sequence is missing")
 	}
 	return e, nil
 }
@@ -32,26 +32,8 @@
 // it is new.
 func (r *Router) cacheEventEndpoint(_ context.Context, request any) (any, error) {
 	e, _ := request.(*wire.CacheEvent)
-	if r.dispatcher.applyCacheEvent(cacheEventFromWire(e)) {
+	if r.dispatcher.applyCacheEvent(announcer.CacheEventFromWire(e)) {
 		r.peers.mailer.QueueCacheEvent(e)
 	}
 	return nil, nil
 }
-
-func cacheEventFromWire(e *wire.CacheEvent) picker.CacheEvent {
-	return picker.CacheEvent{
-		Upstream:    registrar.UpstreamID(e.GetUpstream()),
-		Incarnation: registrar.Incarnation(e.GetIncarnation()),
-		Sequence:    registrar.Sequence(e.GetSequence()),
-		Stored:      prefixIDs(e.GetStored()),
-		Removed:     prefixIDs(e.GetRemoved()),
-	}
-}
-
-func prefixIDs(texts []string) []picker.PrefixID {
-	out := make([]picker.PrefixID, 0, len(texts))
-	for _, t := range texts {
-		out = append(out, picker.PrefixID(t))
-	}
-	return out
-}
--- a/internal/router/controlplane.go
+++ b/internal/router/controlplane.go
@@ -14,6 +14,7 @@
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/messenger"
 	"github.com/comfreybend/comfreybend/internal/ranker"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/wire"
@@ -175,7 +176,7 @@
 		}
 	}
 	if ctx.Err() == nil || p.now()-sentAt >= p.freshness/failedSyncsPerFreshness {
-		p.router.metrics.syncFailures.Inc(1)
+		p.router.metrics.SyncFailures.Inc(1)
 	}
 }
 
@@ -243,7 +244,7 @@
 	switch {
 	case p.hasConfiguration() && revision <= p.revision():
 	case reply.GetFetchable():
-		p.router.fetcher.request(revision, result.client.Address())
+		p.router.fetcher.Request(revision, result.client.Address())
 	default:
 		d := delivery{control: result.client.Address(), request: "sync", bytes: proto.Size(reply), age: millis(reply.GetRevisionAgeMillis())}
 		if err := p.applyConfiguration(reply, d); err != nil {
@@ -287,7 +288,7 @@
 // changes that do not follow each other.
 func (p *controlPlane) applyConfiguration(reply *wire.SyncReply, d delivery) error {
 	if reply.GetWhole() || len(reply.GetChanges()) > 0 {
-		p.router.metrics.configurationBytes.Inc(int64(d.bytes))
+		p.router.metrics.ConfigurationBytes.Inc(int64(d.bytes))
 	}
 	p.applyMu.Lock()
 	defer p.applyMu.Unlock()
@@ -335,13 +336,22 @@
 	p.router.setWarmUps(next)
 	p.refresh()
 	if current == nil || current.Revision() != received {
-		p.router.metrics.revision.Update(float64(received))
+		p.router.metrics.Revision.Update(float64(received))
 		p.router.log.Info("configuration in force", zap.Uint64("revision", uint64(received)), zap.Bool("whole", reply.GetWhole()),
 			zap.Int("bytes", d.bytes), zap.String("request", d.request), zap.String("control", d.control), zap.Duration("age", d.age))
 	}
 	return nil
 }
 
+// applyFetched applies fetched changes. That another reply has brought them meanwhile is no error.
+func (p *controlPlane) applyFetched(control string, reply *wire.SyncReply, bytes int, age time.Duration) error {
+	err := p.applyConfiguration(reply, delivery{control: control, request: "fetch", bytes: bytes, age: age})
+	if errors.As(err, new(*earlierRevisionError)) {
+		return nil
+	}
+	return err
+}
+
 func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
 // revision returns the revision in use, or 0 before the first configuration.
@@ -364,7 +374,7 @@
 
 // identify returns the identity of a key, or of a digest if there is no key. Without both it is
 // anonymous.
-func (p *controlPlane) identify(key string, digest []byte) (identity, *RefusalError) {
+func (p *controlPlane) identify(key string, digest []byte) (identity, *translator.RefusalError) {
 	id := identity{hash: configurer.HashKey(key), hasKey: true}
 	switch {
 	case key == "" && len(digest) == 0:
@@ -381,20 +391,20 @@
 // checkKey verifies that the identity's key is valid and sets the identity's
 // organisation. It is called again before every attempt, since the key may be
 // withdrawn while the call waits.
-func (p *controlPlane) checkKey(id *identity) *RefusalError {
+func (p *controlPlane) checkKey(id *identity) *translator.RefusalError {
 	if !id.hasKey {
 		return nil
 	}
 	if !p.hasConfiguration() {
-		return refuseWithRetryAfter(http.StatusServiceUnavailable, CodeNotFresh, "no configuration yet", p.router.retryAfter())
+		return translator.RefuseWithRetryAfter(http.StatusServiceUnavailable, translator.CodeNotFresh, "no configuration yet", p.router.retryAfter())
 	}
 	if !p.fresh() && !p.router.settings.GetEntry().GetServeStale() {
-		return refuseWithRetryAfter(http.StatusServiceUnavailable, CodeNotFresh,
+		return translator.RefuseWithRetryAfter(http.StatusServiceUnavailable, translator.CodeNotFresh,
 			"the configuration cannot be confirmed, so keys are not relied on", p.syncInterval)
 	}
 	key := p.catalog.Load().KeyByHash(id.hash)
 	if key == nil {
-		return p.refuseUnknown(refuse(http.StatusUnauthorized, CodeUnauthorized, "the key is unknown or withdrawn"))
+		return p.refuseUnknown(translator.Refuse(http.StatusUnauthorized, translator.CodeUnauthorized, "the key is unknown or withdrawn"))
 	}
 	id.organisation = configurer.OrganisationID(key.GetOrganisation())
 	return nil
@@ -403,11 +413,11 @@
 // refuseUnknown returns the refusal of a call whose key or route is not in the
 // configuration. While the configuration is not fresh, or nothing has been configured yet, a later one may
 // have it, so the call is told to come back instead.
-func (p *controlPlane) refuseUnknown(refusal *RefusalError) *RefusalError {
+func (p *controlPlane) refuseUnknown(refusal *translator.RefusalError) *translator.RefusalError {
 	if p.fresh() && p.revision() > 0 {
 		return refusal
 	}
-	return refuseWithRetryAfter(http.StatusServiceUnavailable, CodeNotFresh,
+	return translator.RefuseWithRetryAfter(http.StatusServiceUnavailable, translator.CodeNotFresh,
 		refusal.Detail+", in a configuration that may not be the latest", p.router.retryAfter())
 }
 
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -11,7 +10,9 @@
 	"github.com/comfreybend/comfreybend/internal/budgeter"
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/estimator"
+	"github.com/comfreybend/comfreybend/internal/measurer"
 	"github.com/comfreybend/comfreybend/internal/restrainer"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/pkg/evacuator"
 	"github.com/comfreybend/comfreybend/pkg/limiter"
 	"github.com/comfreybend/comfreybend/pkg/picker"
@@ -98,7 +99,7 @@
 		request dispatchRequest
 		item    scheduler.Item
 		granted chan *grant
-		refused chan *RefusalError
+		refused chan *translator.RefusalError
 	}
 
 	// grant permits one attempt at an upstream. It must be released.
@@ -139,7 +140,7 @@
 	// dispatcher assigns waiting requests to upstreams.
 	dispatcher struct {
 		settings *settings.Settings
-		metrics  *metrics
+		metrics  *measurer.Metrics
 		now      func() time.Duration
 		// retryAfter returns the time after which a client may retry if no upstream serves
 		// the pool.
@@ -202,7 +203,7 @@
 	outcomeTimedOut
 )
 
-func newDispatcher(s *settings.Settings, m *metrics) *dispatcher {
+func newDispatcher(s *settings.Settings, m *measurer.Metrics) *dispatcher {
 	e := s.GetEntry()
 	return &dispatcher{
 		settings:       s,
@@ -218,7 +219,7 @@
 		picker:         picker.New(picker.Policy(e.GetPolicy()), rand.IntN),
 		cacheIndex:     picker.NewCacheIndex(),
 		placer:         picker.NewPlacer(),
-		budgets:        budgeter.NewBudgets(e, m.scope),
+		budgets:        budgeter.NewBudgets(e, m.Scope),
 		peerDemands:    limiter.NewDemands(len(e.GetPeerAddresses())),
 		clusterLoad:    estimator.New(),
 		withdrawn:      map[registrar.UpstreamID]registrar.Upstream{},
@@ -265,13 +266,13 @@
 		d.refuseUnserved(key, p)
 		for _, id := range p.scheduler.Expire(now) {
 			item := d.waiters[id].item
-			d.refuseWaiter(id, refuseWithRetryAfter(http.StatusServiceUnavailable, CodeDeadline,
+			d.refuseWaiter(id, translator.RefuseWithRetryAfter(http.StatusServiceUnavailable, translator.CodeDeadline,
 				"the deadline passed while the request waited",
 				p.scheduler.WaitEstimate(item.Class, item.Tier, item.Organisation)))
 		}
 		d.dispatchWaiting(key, p)
 		d.refuseBeyondTurns(key, p)
-		d.metrics.waiting(key, p.scheduler.Waiting())
+		d.metrics.Waiting(key.kind, key.name, p.scheduler.Waiting())
 	}
 }
 
@@ -310,7 +311,7 @@
 }
 
 // acquire waits for a grant of an upstream. The caller must release it.
-func (d *dispatcher) acquire(ctx context.Context, r dispatchRequest) (*grant, *RefusalError) {
+func (d *dispatcher) acquire(ctx context.Context, r dispatchRequest) (*grant, *translator.RefusalError) {
 	w, refusal := d.enqueue(r)
 	if refusal != nil {
 		return nil, refusal
@@ -333,12 +334,12 @@
 		d.finish(g, outcomeAbandoned, 0)
 	default:
 	}
-	return nil, refuseWithRetryAfter(http.StatusServiceUnavailable, CodeDeadline,
+	return nil, translator.RefuseWithRetryAfter(http.StatusServiceUnavailable, translator.CodeDeadline,
 		"the request ended while it waited", d.retryAfter())
 }
 
 // enqueue adds a request to the queue of its pool, or refuses it.
-func (d *dispatcher) enqueue(r dispatchRequest) (*waiter, *RefusalError) {
+func (d *dispatcher) enqueue(r dispatchRequest) (*waiter, *translator.RefusalError) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if refusal := d.unservedRefusal(r); refusal != nil {
@@ -370,83 +371,21 @@
 		request: r,
 		item:    d.schedulerItem(r, p),
 		granted: make(chan *grant, 1),
-		refused: make(chan *RefusalError, 1),
+		refused: make(chan *translator.RefusalError, 1),
 	}
 	d.waiters[w.item.ID] = w
 	admission := p.scheduler.Add(d.now(), w.item)
 	for _, id := range admission.Shed {
-		d.refuseWaiter(id, refuseWithRetryAfter(http.StatusTooManyRequests, CodeOverloaded,
+		d.refuseWaiter(id, translator.RefuseWithRetryAfter(http.StatusTooManyRequests, translator.CodeOverloaded,
 			"the request made room for one of a higher tier or of an organisation with less",
 			p.scheduler.WaitEstimate(w.item.Class, w.item.Tier, w.item.Organisation)))
 	}
 	if !admission.Accepted {
 		p.refused++
 		delete(d.waiters, w.item.ID)
-		return nil, refuseWithRetryAfter(http.StatusTooManyRequests, CodeOverloaded,
+		return nil, translator.RefuseWithRetryAfter(http.StatusTooManyRequests, translator.CodeOverloaded,
 			"the request cannot be served in time", max(admission.RetryAfter, time.Second))
 	}
 	d.dispatchWaiting(r.pool, p)
 	return w, nil
 }
-
-// headersReceived records the time to the response headers of an attempt, and the load
-// that they report, if any. Without a time of measurement it was measured now.
-func (d *dispatcher) headersReceived(g *grant, timeToHeaders time.Duration, load *registrar.Load) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if load != nil {
-		g.state.reportedLoad = *load
-		g.state.reportedLoad.MeasuredAt = cmp.Or(load.MeasuredAt, d.now())
-	}
-	g.state.headersReceived(d.now(), timeToHeaders)
-}
-
-// firstTokenReceived records that the upstream has processed the prompt, as the first
-// event of the response shows.
-func (d *dispatcher) firstTokenReceived(g *grant) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.finishPrefill(g)
-	d.observeFirstToken(g)
-}
-
-// finishPrefill removes the grant's prompt from the pending tokens of its upstream.
-// Further calls have no effect.
-func (d *dispatcher) finishPrefill(g *grant) {
-	if !g.prefillDone {
-		g.prefillDone = true
-		g.state.pendingTokens -= g.uncachedTokens
-	}
-}
-
-// release ends a grant with the outcome of the attempt and the cost of the request in
-// tokens.
-func (d *dispatcher) release(g *grant, outcome attemptOutcome, cost scheduler.Cost) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.finish(g, outcome, cost)
-}
-
-// finish charges the cost, updates the state of the upstream and of the pool, and dispatches
-// waiting requests.
-func (d *dispatcher) finish(g *grant, outcome attemptOutcome, cost scheduler.Cost) {
-	p := d.pools[g.pool]
-	p.scheduler.RecordCost(g.item, cost)
-	p.inProgress--
-	d.finishPrefill(g)
-	g.state.uncachedTokens -= g.uncachedTokens
-	g.state.requestFinished(d.now(), outcome)
-	d.observeEnd(g, outcome)
-	if outcome == outcomeUnreachable || outcome == outcomeTimedOut {
-		d.failuresIn(g.upstream.FailureDomain).Add(d.now())
-	}
-	if outcome == outcomeTimedOut {
-		d.onTimedOut(g.upstream)
-	}
-	if outcome == outcomeAnswered {
-		d.budgets.RecordSuccess()
-		average := p.averageDurations[g.item.Class]
-		p.averageDurations[g.item.Class] = average + (d.now()-g.grantedAt-average)/durationAverageDivisor
-	}
-	d.dispatchWaiting(g.pool, p)
-}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -20,10 +20,12 @@
 	"github.com/comfreybend/comfreybend/internal/bufferer"
 	"github.com/comfreybend/comfreybend/internal/certifier"
 	"github.com/comfreybend/comfreybend/internal/counter"
+	"github.com/comfreybend/comfreybend/internal/fetcher"
 	"github.com/comfreybend/comfreybend/internal/forwarder"
 	"github.com/comfreybend/comfreybend/internal/identifier"
 	"github.com/comfreybend/comfreybend/internal/ingester"
 	"github.com/comfreybend/comfreybend/internal/instrumenter"
+	"github.com/comfreybend/comfreybend/internal/measurer"
 	"github.com/comfreybend/comfreybend/internal/messenger"
 	"github.com/comfreybend/comfreybend/internal/proposer"
 	"github.com/comfreybend/comfreybend/internal/racer"
@@ -32,6 +34,7 @@
 	"github.com/comfreybend/comfreybend/internal/restrainer"
 	"github.com/comfreybend/comfreybend/internal/server"
 	"github.com/comfreybend/comfreybend/internal/tracker"
+	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/internal/windower"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/settings"
@@ -60,7 +63,7 @@
 // Router is one entry process.
 type Router struct {
 	settings       *settings.Settings
-	dialect        Dialect
+	dialect        translator.Dialect
 	random         func(n int) int
 	windows        *windower.Counter
 	controlPoller  *controlPoller
@@ -72,7 +75,7 @@
 
 	controlPlane   *controlPlane
 	proposer       *proposer.Proposer
-	fetcher        *configurationFetcher
+	fetcher        *fetcher.Fetcher
 	isolation      *isolation
 	restrainer     *restrainer.Restrainer
 	identifier     *identifier.Identifier
@@ -84,7 +87,7 @@
 	upstreamClient *upstreamClient
 	usage          *counter.Counters
 	peers          *peerExchanger
-	metrics        *metrics
+	metrics        *measurer.Metrics
 	buffers        *bufferer.Pool
 	bodies         *ingester.Ingester
 	admitter       *admitter.Admitter
@@ -95,7 +98,7 @@
 
 // New returns an entry process that has not been started.
 func New(
-	s *settings.Settings, dialect Dialect, log *zap.Logger, instruments *instrumenter.Instruments,
+	s *settings.Settings, dialect translator.Dialect, log *zap.Logger, instruments *instrumenter.Instruments,
 ) (*Router, error) {
 	security, err := certifier.PeerSecurity(s.GetTls())
 	if err != nil {
@@ -111,17 +114,17 @@
 		instruments: instruments,
 		incarnation: uuid.NewString(),
 		usage:       counter.New(),
-		metrics:     newMetrics(instruments.Scope),
+		metrics:     measurer.New(instruments.Scope),
 		identifier:  identifier.New(),
 		tracker:     tracker.New(),
 	}
 	r.restrainer = restrainer.New(s.GetHost().GetId(), s.GetEntry().GetColdUpstreams(), r.windows.Now)
-	r.restrainer.Log, r.restrainer.Held = log, r.metrics.heldCold
+	r.restrainer.Log, r.restrainer.Held = log, r.metrics.HeldCold
 	r.dispatcher = newDispatcher(s, r.metrics)
 	r.dispatcher.budgets.Log = log
 	r.dispatcher.restrainer = r.restrainer
 	r.dispatcher.retryAfter = r.retryAfter
-	r.racer = racer.New(s.GetEntry().GetHedging(), func() time.Duration { return r.dispatcher.now() }, r.metrics.scope)
+	r.racer = racer.New(s.GetEntry().GetHedging(), func() time.Duration { return r.dispatcher.now() }, r.metrics.Scope)
 	r.racer.Log = log
 	limits := s.GetEntry().GetCallerLimits()
 	r.admitter = admitter.New(int(limits.GetConnections()))
@@ -139,7 +142,8 @@
 	r.tracker.Restarted = func(c *messenger.Client, streams int) {
 		log.Info("control process has forgotten which versions began streams", zap.String("control", c.Address()), zap.Int("streams", streams))
 	}
-	r.fetcher = newConfigurationFetcher(r)
+	r.fetcher = fetcher.New(r.controlClients, log)
+	r.fetcher.Held, r.fetcher.Confirmed, r.fetcher.Apply = r.controlPlane.revision, r.controlPlane.confirmedRevision, r.controlPlane.applyFetched
 	r.isolation = newIsolation(r)
 	r.controlPoller = newControlPoller(r)
 	r.peers = newPeerExchanger(r, security)
@@ -167,7 +171,7 @@
 	clients := r.clientServer()
 	group.Go(func() error { return peerServer.Run(running) })
 	group.Go(func() error { return r.controlPlane.run(running) })
-	group.Go(func() error { return r.fetcher.run(running) })
+	group.Go(func() error { return r.fetcher.Run(running) })
 	group.Go(func() error { return r.tracker.Run(running) })
 	group.Go(func() error { return r.peers.run(running) })
 	group.Go(func() error { return r.controlPoller.run(running) })
