router, known red: adapt two tests to profiles that need a reported slowdown, a test that failed once

Cause: since attempts are counted only once an upstream has reported a slowdown; two tests did not report one and failed. I had run only a part of the package. Change: they enable the observer; TestAttemptsAreNotCounted checks the other side.

--- a/internal/router/profile_test.go
+++ b/internal/router/profile_test.go
@@ -64,6 +64,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			d, acquire := newProfileTest(t)
+			d.clusterLoad.Observer().Enable()
 			g := acquire()
 			if test.status != 0 {
 				d.observeResponse(g, &http.Response{StatusCode: test.status}, test.info)
@@ -80,10 +81,21 @@
 	}
 }
 
+// TestAttemptsAreNotCounted guards against failures that change choices at deployments whose upstreams report no
+// slowdown.
+func TestAttemptsAreNotCounted(t *testing.T) {
+	d, acquire := newProfileTest(t)
+	d.release(acquire(), outcomeFailed, 1)
+	if sums := d.loadShare().GetSums(); len(sums) > 0 {
+		t.Errorf("sums %v", sums)
+	}
+}
+
 // TestProfilesAreUsed guards against profiles that do not reach the choice of an upstream, that outlive
 // the contact with the control processes, or that are applied to a later run.
 func TestProfilesAreUsed(t *testing.T) {
 	d, acquire := newProfileTest(t)
+	d.clusterLoad.Observer().Enable()
 	chosen := func() (n int) {
 		for range 160 {
 			g := acquire()
