--- a/pkg/planner/sizer.go
+++ b/pkg/planner/sizer.go
@@ -22,9 +22,10 @@
 	// fallbackShare limits the on-demand upstreams that replace unavailable preemptible ones:
 	// they are added only until the pool has this share of its target size.
 	fallbackShare = 0.6
-	// initialSpareFactor times the square root of the current number of upstreams is added to it to
-	// get a pool's first target size, while the load is not known yet.
-	initialSpareFactor = 1.5
+	// initialSizeFactor is multiplied by the current number of upstreams to get a pool's first
+	// target size, while the load is not known yet. If the lease holder is lost before the first burst,
+	// nobody orders others for 8 s.
+	initialSizeFactor = 1.35
 	// shrinkRatio is the ratio of the needed number of upstreams to the target size above which a
 	// pool does not shrink, since a stopped upstream loses its cache.
 	shrinkRatio = 0.8
@@ -235,7 +236,7 @@
 	if preemptible > 0 {
 		return current
 	}
-	return current + int(math.Ceil(initialSpareFactor*math.Sqrt(float64(current))))
+	return int(math.Ceil(initialSizeFactor * float64(current)))
 }
 
 // distribute spreads the target size evenly over the domains, starting with the cheapest one.
