--- a/internal/trier/trier.go
+++ b/internal/trier/trier.go
@@ -12,6 +12,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -39,6 +40,7 @@
 	electionTimeout   = 300 * time.Millisecond
 	heartbeatInterval = 50 * time.Millisecond
 	syncInterval      = 100 * time.Millisecond
+	completionsPath   = "/v1/chat/completions"
 	tokenFile         = "operators.json"
 	folderPrefix      = "comfreybend-try-"
 	// internalListeners is the number of listeners besides the one for clients.
@@ -224,10 +226,17 @@
 	return nil
 }
 
-// checkServing returns an error unless a request succeeds. It asks for an unknown order,
-// which the emulated service answers with 0 runs.
+// checkServing returns an error unless the service and the engine answer: their upstreams announce themselves apart. It asks
+// for an unknown order, which the emulated service answers with 0 runs, and ends the response of the engine at once.
 func (d *Demo) checkServing(ctx context.Context, key string) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.listen+"/orders/none", http.NoBody)
+	if err := d.checkRequest(ctx, key, http.MethodGet, "/orders/none", ""); err != nil {
+		return err
+	}
+	return d.checkRequest(ctx, key, http.MethodPost, completionsPath, fmt.Sprintf(`{"model":%q,"stream":true,"messages":[]}`, model))
+}
+
+func (d *Demo) checkRequest(ctx context.Context, key, method, path, body string) error {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+d.listen+path, strings.NewReader(body))
 	if err != nil {
 		return errors.Wrap(err, "creating a request")
 	}
@@ -238,7 +247,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		return errors.Errorf("request answered with status %d", response.StatusCode)
+		return errors.Errorf("request to %s answered with status %d", path, response.StatusCode)
 	}
 	return nil
 }
