--- a/pkg/profiler/speed_load_test.go
+++ b/pkg/profiler/speed_load_test.go
@@ -292,7 +292,7 @@
 
 // TestEnginesOfDifferentSpeed plays 30 engines whose speeds differ by factors from 0.7 to 1.7, of which
 // 15 % at a time are slowed down by 2.5 for 0.3 s, at 180 requests a second: chat with prompts of 1,400
-// tokens and a time limit of 3 s, review with prompts of 16,700 tokens and one of 8 s. It guards against
+// tokens and a deadline of 3 s, review with prompts of 16,700 tokens and one of 8 s. It guards against
 // engines that get the same work whatever their speed.
 func TestEnginesOfDifferentSpeed(t *testing.T) {
 	speeds := func(i int) float64 { return 0.7 + float64(i*7%engineCount)/(engineCount-1) }
