review: show that whole bodies take an entry process beyond its memory

Cause: the first 32 KiB of each body are not counted, and nothing else bounds them by the number of requests in progress; with the counted third, what each request takes otherwise and what is unread on connections that wait, 2,050 requests need more than the memory of the host (Fault).

Nothing is fixed.

--- a/review/rig2/replica.go
+++ b/review/rig2/replica.go
@@ -24,10 +24,16 @@
 		// work is the time of a request, or of an event of a stream. events is the length of a stream.
 		work   time.Duration
 		events int
+		// first is the time to the first event of a stream, if that is not work. begun is told of each run.
+		first time.Duration
+		begun func(id string)
 		// silent keeps single runs out of the record.
 		silent bool
 		// late is the time by which a heartbeat arrives late.
 		late atomic.Int64
+		// wrap wraps the listener, refuses says of an id that its request cannot reach the replica; nil for none.
+		wrap    func(net.Listener) net.Listener
+		refuses func(id string) bool
 		// serve answers a request that is the replica's own; nil for the usual answer.
 		serve func(w http.ResponseWriter, r *http.Request)
 
@@ -69,6 +75,9 @@
 	p.life = begun
 	p.mu.Unlock()
 	p.s.record.add("%s: a life of version %s begins", p.id, version)
+	if p.wrap != nil {
+		l = p.wrap(l)
+	}
 	go func() { _ = begun.server.Serve(l) }()
 	go p.beat(begun)
 	return nil
@@ -167,6 +176,9 @@
 		return
 	}
 	id := r.Header.Get("X-Comfreybend-Attempt-Id")
+	if p.refuses != nil && p.refuses(id) {
+		panic(http.ErrAbortHandler)
+	}
 	h.Set("X-Comfreybend-Attempt-Id", id)
 	if r.Header.Get("X-Comfreybend-Expect-Instance") != p.id {
 		h.Set("X-Comfreybend-Not-Executed", "1")
@@ -184,6 +196,9 @@
 	if !p.silent {
 		p.s.record.add("%s: runs %s %s %s after event %d, version %s", p.id, id, r.Method, r.RequestURI, last, l.version)
 	}
+	if p.begun != nil {
+		p.begun(id)
+	}
 	h.Set("X-Comfreybend-Response-Seal", "seal."+id)
 	if p.serve != nil {
 		p.serve(w, r)
@@ -198,12 +213,16 @@
 	h.Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
 	for n := last + 1; n <= p.events; n++ {
+		pause := p.work
+		if n == 1 && p.first > 0 {
+			pause = p.first
+		}
 		select {
 		case <-r.Context().Done():
 			return
 		case <-l.ended:
 			return
-		case <-time.After(p.work):
+		case <-time.After(pause):
 		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s writes piece %d\n\n", n, l.version, n)
 		if control.Flush() != nil {
--- a/review/rig2/requester.go
+++ b/review/rig2/requester.go
@@ -27,7 +27,12 @@
 
 // ask sends a request on a new channel and reads the whole answer.
 func (s *system) ask(ctx context.Context, h *host, method, target string, header map[string]string, body string, limit time.Duration) (a answer) {
-	a.id = fmt.Sprintf("%016x", 0x9c41d07be2a30000+attempts.Add(1))
+	return s.askAs(ctx, fmt.Sprintf("%016x", 0x9c41d07be2a30000+attempts.Add(1)), h, method, target, header, body, limit)
+}
+
+// askAs is ask with an id.
+func (s *system) askAs(ctx context.Context, id string, h *host, method, target string, header map[string]string, body string, limit time.Duration) (a answer) {
+	a.id = id
 	began := time.Now()
 	defer func() { a.took = time.Since(began) }()
 	conn, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", s.address(h.ip, offsetFrontend))
