--- a/review/rig2/bodies.go
+++ b/review/rig2/bodies.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -162,9 +163,11 @@
 	if err = s.configure(config(7)); err != nil {
 		return failed, err
 	}
+	var runs atomic.Int64
 	for n := range bodyReplicas {
 		p := s.newReplica(n, pool, bodySlots)
 		p.work, p.events, p.silent = crowdGap, crowdEvents, true
+		p.begun = func(string) { runs.Add(1) }
 		if err = p.start("v1"); err != nil {
 			return failed, err
 		}
@@ -192,7 +195,9 @@
 	}
 	for range crowdRounds {
 		for _, h := range s.of("entry") {
-			r.add("%s: %d requests with %d bytes each: %v", h.name, crowdConns, size, s.crowd(h, size, nil))
+			before := runs.Load()
+			results := s.crowd(h, size, nil)
+			r.add("%s: %d requests with %d bytes each, answers by status: %v; replicas began to run %d", h.name, crowdConns, size, results, runs.Load()-before)
 			time.Sleep(crowdPause)
 		}
 	}
