router: give the text of a service's response no meaning

Change: internal/interpreter derives from the route what the body of a response means; only a model's has an end marker and usage.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -265,7 +265,7 @@
 		at.close(err)
 		return nil, at.failure(attemptError{NotRun: true, Cause: err})
 	}
-	if c.stream && !c.route.GetEventStream() {
+	if c.stream && c.format.OutlivesDeadline() {
 		go u.watchSilence(ctx, at)
 	}
 	transport := u.keepAlive
@@ -287,7 +287,7 @@
 		at.close(err)
 		return nil, at.failure(attemptError{NotRun: !at.mayHaveArrived(), Cause: err})
 	}
-	if c.stream && !c.route.GetEventStream() {
+	if c.stream && c.format.OutlivesDeadline() {
 		at.deadlineTimer.Stop()
 	}
 	at.response = response
@@ -416,11 +416,12 @@
 }
 
 // awaitBodyEnd waits for the end of a body whose content is complete, so that the
-// connection can be reused.
-func (at *attempt) awaitBodyEnd() {
+// connection can be reused. It reports whether more content came instead.
+func (at *attempt) awaitBodyEnd() (goesOn bool) {
 	limit := time.AfterFunc(bodyEndTimeout, func() { at.cancel(nil) })
 	defer limit.Stop()
-	_, _ = at.response.Body.Read(make([]byte, 1))
+	n, _ := at.response.Body.Read(make([]byte, 1))
+	return n > 0
 }
 
 // close cancels the attempt. Its connection is closed too if the attempt has failed, or unless the
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -14,6 +14,7 @@
 	"github.com/comfreybend/comfreybend/internal/counter"
 	"github.com/comfreybend/comfreybend/internal/digester"
 	"github.com/comfreybend/comfreybend/internal/ingester"
+	"github.com/comfreybend/comfreybend/internal/interpreter"
 	"github.com/comfreybend/comfreybend/internal/relayer"
 	"github.com/comfreybend/comfreybend/internal/scrubber"
 	"github.com/comfreybend/comfreybend/internal/translator"
@@ -54,6 +55,8 @@
 		route  *state.Route
 		class  *state.Class
 		pool   poolKey
+		// format is what the body of a response means.
+		format interpreter.Format
 		// stream reports that the response is expected to be an event stream: of a model
 		// whose request asks for one, or of a service on a route with eventStream set.
 		stream bool
@@ -183,6 +186,7 @@
 // choosePool sets the pool, and whether the call is retryable and streamed.
 func (c *call) choosePool(random func(n int) int) *translator.RefusalError {
 	c.retryable = !c.route.GetNonIdempotent()
+	c.format = interpreter.Of(c.route)
 	if c.route.GetEventStream() {
 		c.retryable = c.route.GetResumable()
 		c.stream = true
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -393,8 +393,9 @@
 		h.logServed(at.grant, at.response.StatusCode, at.timeToHeaders)
 	}
 	h.current = nil
-	if cause == nil {
-		at.awaitBodyEnd()
+	if cause == nil && at.awaitBodyEnd() {
+		h.log.Warn("upstream stream goes on after its end marker", h.requestIDField(), zap.String("attempt", string(at.id)),
+			zap.String("upstream", string(at.grant.upstream.ID)), zap.Uint64("events", at.eventsRelayed.Load()))
 	}
 	at.close(cause)
 	cost := scheduler.Cost(h.inputTokens + h.outputTokens)
--- a/internal/router/hedge.go
+++ b/internal/router/hedge.go
@@ -74,7 +74,7 @@
 	l.attempt.response.Body, l.broken = racer.AwaitEvent(l.attempt.response.Body)
 	l.attempt.recordActivity(h.router.dispatcher.now())
 	switch {
-	case l.broken == nil, errors.Is(l.broken, io.EOF) && h.call.route.GetEventStream():
+	case l.broken == nil, errors.Is(l.broken, io.EOF) && h.call.format.EndsWithBody(0):
 		return racer.Answered
 	case ctx.Err() != nil:
 		return racer.Cancelled
--- a/internal/router/response.go
+++ b/internal/router/response.go
@@ -1,9 +1,7 @@
 package router
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"strings"
@@ -12,7 +10,6 @@
 	"go.uber.org/zap"
 
 	"github.com/comfreybend/comfreybend/internal/configurer"
-	"github.com/comfreybend/comfreybend/internal/counter"
 	"github.com/comfreybend/comfreybend/internal/scrubber"
 	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/internal/writer"
@@ -64,6 +61,11 @@
 	return strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
 }
 
+// hasMarkedEnd reports whether the end of the current response's body is known from a break.
+func (h *callHandler) hasMarkedEnd() bool {
+	return hasDelimitedBody(h.current.response) || h.router.dialect.AcceptUndelimited
+}
+
 // hasDelimitedBody reports whether the framing marks the end of the body, so
 // that a truncated body can be detected.
 func hasDelimitedBody(response *http.Response) bool {
@@ -123,7 +125,7 @@
 // client's connection.
 func (h *callHandler) relayCurrent(w *writer.Client) error {
 	at := h.current
-	if !hasDelimitedBody(at.response) && !h.router.dialect.AcceptUndelimited {
+	if !h.hasMarkedEnd() {
 		return errors.New("the end of the answer is not marked")
 	}
 	limit := h.router.settings.GetEntry().GetUpstreamLimits().GetResponseBytes()
@@ -174,22 +176,11 @@
 	h.readUsage(body)
 }
 
-// readUsage sets the token counts from the usage of an OpenAI-style JSON document, if it has one.
+// readUsage sets the token counts to those that a whole response or the data of an event states, if it does.
 func (h *callHandler) readUsage(document []byte) {
-	if !bytes.Contains(document, []byte(`"usage"`)) {
-		return
-	}
-	var response struct {
-		Usage *struct {
-			PromptTokens     counter.TokenCount `json:"prompt_tokens"`
-			CompletionTokens counter.TokenCount `json:"completion_tokens"`
-		} `json:"usage"`
-	}
-	if json.Unmarshal(document, &response) != nil || response.Usage == nil {
-		return
+	if usage, stated := h.call.format.ReadUsage(document); stated {
+		h.inputTokens, h.outputTokens = usage.PromptTokens, usage.CompletionTokens
 	}
-	h.inputTokens = response.Usage.PromptTokens
-	h.outputTokens = response.Usage.CompletionTokens
 }
 
 // abortClient panics with http.ErrAbortHandler, which resets the client's
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -23,9 +22,6 @@
 	maxUnfinishedBytes = 64 << 10
 )
 
-// doneMarker is the data of the last event of a model's stream.
-var doneMarker = []byte("[DONE]")
-
 // relayStream relays an event stream. If it breaks, it is resumed at another
 // upstream after the last event that the client has received. An incomplete
 // stream ends with a reset of the client's connection, or with a refusal if nothing
@@ -71,19 +67,17 @@
 	w.WriteHeader(h.current.response.StatusCode)
 }
 
-// copyEvents relays events until the stream is complete: at the done marker, or
-// on routes with eventStream set also at the end of the body. It skips events
-// that the client already has, and returns errors of the upstream and of the
-// client separately.
+// copyEvents relays events until the stream is complete, as the format of the response says. It skips
+// events that the client already has, and returns errors of the upstream and of the client separately.
 func (h *callHandler) copyEvents(w *writer.Client) (upstreamErr, clientErr error) {
-	at := h.current
+	at, format := h.current, h.call.format
 	raw := h.router.buffers.NewBuffer(maxEventBytes)
 	defer raw.Release()
 	events := scanner.New(at.response.Body, raw)
 	for {
 		e, err := events.Next()
-		if h.call.route.GetEventStream() && errors.Is(err, io.EOF) && len(raw.Data) == 0 {
-			return nil, nil
+		if errors.Is(err, io.EOF) && h.hasMarkedEnd() && format.EndsWithBody(len(raw.Data)) {
+			return h.relayRest(w, raw.Data)
 		}
 		if err != nil {
 			if len(raw.Data) > maxUnfinishedBytes {
@@ -92,9 +86,10 @@
 			return err, nil
 		}
 		at.recordActivity(h.router.dispatcher.now())
-		if e.ID == scanner.NoEventID && !e.Comment && h.call.route.GetEventStream() {
+		if format.LacksNumber(e) {
 			return &scanner.UnnumberedEventError{After: h.lastEventID}, nil
 		}
+		e.ID = format.Number(e)
 		if e.ID != scanner.NoEventID {
 			if e.ID <= h.lastEventID {
 				continue
@@ -106,7 +101,7 @@
 		if err = at.startRelay(); err != nil {
 			return err, nil
 		}
-		done := bytes.Equal(e.Data, doneMarker)
+		done := format.IsEnd(e)
 		h.bindVersion(at.response.Request.Context())
 		h.startStream(w)
 		at.writingToClient.Store(true)
@@ -125,6 +120,21 @@
 	}
 }
 
+// relayRest relays what follows the last event of a stream that is complete.
+func (h *callHandler) relayRest(w *writer.Client, rest []byte) (upstreamErr, clientErr error) {
+	if len(rest) == 0 {
+		return nil, nil
+	}
+	if err := h.current.startRelay(); err != nil {
+		return err, nil
+	}
+	h.startStream(w)
+	if err := w.Write(rest); err != nil {
+		return nil, err
+	}
+	return nil, w.Flush()
+}
+
 // recordEvent records an event that was written to the client. Each event with
 // data counts as one output token. A usage in the event replaces the counts so far.
 func (h *callHandler) recordEvent(e scanner.Event, done bool) {
@@ -137,7 +147,7 @@
 	if e.ID != scanner.NoEventID {
 		h.lastEventID = e.ID
 	}
-	if done || len(e.Data) == 0 {
+	if done || !e.HasData {
 		return
 	}
 	h.outputTokens++
@@ -176,12 +186,12 @@
 func (h *callHandler) resume(ctx context.Context, cause error) *translator.RefusalError {
 	at := h.current
 	failure := h.recordBrokenStream(ctx, cause)
-	unnumbered := h.lastEventID == scanner.NoEventID && at.eventsRelayed.Load() > 0
-	if unnumbered || h.bound && h.origin == nil {
+	noPosition := h.lastEventID == scanner.NoEventID || !h.call.format.Resumes()
+	if noPosition && at.eventsRelayed.Load() > 0 || h.bound && h.origin == nil {
 		// The position to resume at, or the version, is not known.
 		return h.giveUp(failure)
 	}
-	if !h.call.route.GetEventStream() {
+	if h.call.format.OutlivesDeadline() {
 		// The client has a part of the response, so the deadline is extended to
 		// allow a resumption.
 		h.sending.Wait()
@@ -202,12 +212,12 @@
 	return nil
 }
 
-// endStream sends the refusal as an error event, except on routes with
-// eventStream set, and resets the client's connection.
+// endStream sends the refusal as an error event, if the format of the response has these, and resets the
+// client's connection.
 func (h *callHandler) endStream(w *writer.Client, refusal *translator.RefusalError) {
 	refusal.Run = translator.MayHaveRun
 	document, err := json.Marshal(h.recordRefusal(refusal).Body())
-	if err == nil && !h.call.route.GetEventStream() {
+	if err == nil && h.call.format.ReportsErrors() {
 		_ = w.Write([]byte("event: error\ndata: " + string(document) + "\n\n"))
 		_ = w.Flush()
 	}
--- a/internal/scanner/fuzz_test.go
+++ b/internal/scanner/fuzz_test.go
@@ -13,6 +13,7 @@
 // missing, and that no buffer grows beyond its limit.
 func FuzzNext(f *testing.F) {
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: comment\n\n"))
+	f.Add([]byte("id: 1\ndata: [DONE]\n\nid: 2\nevent: error\ndata: {\"usage\":{}}\ndata: [DONE]\r\n\r\nid: 3\ndata: 0\r\n\n"))
 	f.Add([]byte("id: 18446744073709551616\ndata\n\n\n\ndata: unfinished"))
 	f.Fuzz(func(t *testing.T, stream []byte) {
 		const limit = 4 << 10
--- a/internal/scanner/scanner.go
+++ b/internal/scanner/scanner.go
@@ -36,8 +36,10 @@
 		Raw []byte
 		// ID is NoEventID if the event has no numeric id.
 		ID EventID
-		// Data is the content of the last data field.
+		// Data is the content of the only data field; nil if there are several.
 		Data []byte
+		// HasData reports that a data field has content.
+		HasData bool
 		// Comment reports that the event has nothing but comments.
 		Comment bool
 	}
@@ -100,6 +102,7 @@
 func (s *Scanner) Next() (Event, error) {
 	s.raw.Reset()
 	e := Event{Comment: true}
+	dataFields := 0
 	for {
 		start := len(s.raw.Data)
 		if err := s.readLine(); err != nil {
@@ -112,7 +115,12 @@
 			e.Raw = s.raw.Data
 			return e, nil
 		case bytes.HasPrefix(line, dataField):
-			e.Data = bytes.TrimSpace(line[len(dataField):])
+			dataFields++
+			data := bytes.TrimSpace(line[len(dataField):])
+			e.HasData = e.HasData || len(data) > 0
+			if e.Data = data; dataFields > 1 {
+				e.Data = nil
+			}
 		case bytes.HasPrefix(line, idField):
 			id, err := strconv.ParseUint(string(bytes.TrimSpace(line[len(idField):])), 10, 64)
 			if err == nil {
--- a/internal/scanner/scanner_test.go
+++ b/internal/scanner/scanner_test.go
@@ -25,6 +25,7 @@
 		"carriage returns":     {stream: "id: 1\r\ndata: a\r\n\r\n", want: []string{`1 "a"`}, complete: true},
 		"without a number":     {stream: "data: a\n\n", want: []string{`0 "a"`}, complete: true},
 		"number that is none":  {stream: "id: x\ndata: a\n\n", want: []string{`0 "a"`}, complete: true},
+		"several data lines":   {stream: "id: 1\ndata: a\ndata: [DONE]\n\n", want: []string{`1 ""`}, complete: true},
 		"comment":              {stream: ": alive\n\n", want: []string{`0 "" comment`}, complete: true},
 		"cut in an event":      {stream: "id: 1\ndata: a\n\nid: 2\nda", want: []string{`1 "a"`}, complete: true},
 		"event without an end": {stream: "data: " + strings.Repeat("x", 2*maxTestBytes)},
