router: answer what cannot end before the process does

Cause: shutDown let handlers wait until the grace period was over and closed connections then; nothing told the queue or other waits.

Change: internal/stopper knows the end of the process from the signal on. The queue refuses what is not expected to be complete by then (503, not run, with Retry-After); all other waits, and attempts without a response, end before connections are closed.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -54,6 +54,8 @@
 		// established, onUnreached when it could not be established or ended before.
 		onReached   func()
 		onUnreached func(*registrar.Upstream)
+		// onEnd calls a function when attempts must end, since the process stops.
+		onEnd func(end func(cause error)) (release func() bool)
 		// nonRetryableSingleUse sends all calls that must not run twice through
 		// singleUse. If it is false, only those with a method that net/http resends
 		// on its own (see retirer.IsResent) use singleUse.
@@ -131,8 +133,9 @@
 		// deadlineTimer cancels the attempt at the call's deadline. For the stream of
 		// a model it is stopped once the response headers have arrived.
 		deadlineTimer *time.Timer
-		// onClose is called by close.
+		// onClose is called by close, and so is release, of upstreamClient.onEnd.
 		onClose func()
+		release func() bool
 	}
 
 	// deadlineError reports an attempt that was cancelled at the call's deadline.
@@ -197,6 +200,7 @@
 	l := e.GetUpstreamLimits()
 	u := &upstreamClient{limits: l, dialect: dialect, now: timer.Now, nonRetryableSingleUse: !e.GetFollowControl(), onResponse: func(*attempt, translator.ResponseInfo) {}, onStart: func(*call, *attempt) {}}
 	u.dial = dialer.Resetting(l.GetConnectTimeout().AsDuration(), dialer.LocalAddr(e.GetUpstreamLocalAddress()))
+	u.onEnd = func(func(error)) func() bool { return func() bool { return true } }
 	u.onReached, u.onUnreached = func() {}, func(*registrar.Upstream) {}
 	transport := func() *http.Transport {
 		return &http.Transport{
@@ -253,6 +257,13 @@
 	at := &attempt{id: id, grant: g, startedAt: u.now(), done: make(chan struct{}), onClose: func() {}}
 	at.recordActivity(at.startedAt)
 	ctx, at.cancel = context.WithCancelCause(ctx)
+	at.release = u.onEnd(func(cause error) {
+		if c.format.ReportsErrors() {
+			at.cancel(cause)
+		}
+		// Without an error to report, the rest of a response may still come in time.
+		at.cancelUnlessRelayed(cause)
+	})
 	at.deadlineTimer = time.AfterFunc(c.deadline-at.startedAt, func() { at.cancel(&deadlineError{}) })
 	u.onStart(c, at)
 	request, err := u.newRequest(ctx, c, at, lastEventID)
@@ -439,6 +450,7 @@
 		at.exchange.Load().Retire()
 	}
 	at.onClose()
+	at.release()
 	if at.response != nil {
 		_ = at.response.Body.Close()
 	}
--- a/internal/router/budget.go
+++ b/internal/router/budget.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/comfreybend/comfreybend/internal/budgeter"
+	"github.com/comfreybend/comfreybend/internal/stopper"
 )
 
 // maxUpstreamRefusals is the number of refusals by upstreams after which a call is given up.
@@ -24,7 +25,7 @@
 // must be called once for each failed attempt, because it updates the counts of
 // attempts and refusals and may take a retry from the budget.
 //
-// No call is retried after its deadline or once the client has disconnected. An
+// No call is retried after its deadline, once the client has disconnected or once the process stops its attempts. An
 // attempt without a connection is otherwise always retried: it put no load on the
 // upstream, whose circuit breaker is open now. A refusal by an upstream is retried
 // within the retry budget, until there are maxUpstreamRefusals of them. Neither
@@ -42,7 +43,7 @@
 	if ctx.Err() != nil || h.router.dispatcher.now() >= h.call.deadline {
 		return false
 	}
-	if errors.As(err, new(*heldPartError)) {
+	if errors.As(err, new(*heldPartError)) || errors.As(err, new(*stopper.Error)) {
 		return false
 	}
 	if h.engineEnded && h.mayHaveEndedEngines() {
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -7,11 +7,14 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/comfreybend/comfreybend/internal/budgeter"
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/estimator"
 	"github.com/comfreybend/comfreybend/internal/measurer"
 	"github.com/comfreybend/comfreybend/internal/restrainer"
+	"github.com/comfreybend/comfreybend/internal/stopper"
 	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/pkg/evacuator"
 	"github.com/comfreybend/comfreybend/pkg/limiter"
@@ -146,6 +149,7 @@
 		// the pool.
 		retryAfter func() time.Duration
 		restrainer *restrainer.Restrainer
+		stopper    *stopper.Stopper
 		// startedAt is when this process began to learn of upstreams.
 		startedAt time.Duration
 
@@ -210,6 +214,7 @@
 		metrics:        m,
 		now:            timer.Now,
 		startedAt:      timer.Now(),
+		stopper:        stopper.New(timer.Now),
 		restrainer:     restrainer.New(s.GetHost().GetId(), e.GetColdUpstreams(), time.Now),
 		registry:       newRegistry(e),
 		upstreamStates: map[registrar.UpstreamID]*upstreamState{},
@@ -253,6 +258,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
+	d.refuseOutlasting()
 	d.restrainer.Maintain()
 	for _, id := range d.registry.Expire(now) {
 		d.upstreamStates[id].endLease()
@@ -334,6 +340,9 @@
 		d.finish(g, outcomeAbandoned, 0)
 	default:
 	}
+	if errors.As(context.Cause(ctx), new(*stopper.Error)) {
+		return nil, d.refuseStopped(&r)
+	}
 	return nil, translator.RefuseWithRetryAfter(http.StatusServiceUnavailable, translator.CodeDeadline,
 		"the request ended while it waited", d.retryAfter())
 }
@@ -349,6 +358,9 @@
 		return nil, refusal
 	}
 	p := d.pool(r.pool)
+	if refusal := d.stopRefusal(&r); refusal != nil {
+		return nil, refusal
+	}
 	if refusal := d.refuseOvercommitted(r, p); refusal != nil {
 		return nil, refusal
 	}
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -157,7 +157,7 @@
 // sendAttempts commits the call's claim if it needs one, and sends attempts until an
 // upstream responds or the call is given up.
 func (h *callHandler) sendAttempts(ctx context.Context) (*clientResponse, *translator.RefusalError) {
-	waitCtx, cancel := context.WithTimeout(ctx, h.call.deadline-h.router.dispatcher.now())
+	waitCtx, cancel := h.waitContext(ctx)
 	defer cancel()
 	for {
 		g, refusal := h.acquireUpstream(waitCtx)
--- a/internal/router/hedge.go
+++ b/internal/router/hedge.go
@@ -11,6 +11,7 @@
 	"github.com/comfreybend/comfreybend/internal/budgeter"
 	"github.com/comfreybend/comfreybend/internal/racer"
 	"github.com/comfreybend/comfreybend/internal/scanner"
+	"github.com/comfreybend/comfreybend/internal/stopper"
 	"github.com/comfreybend/comfreybend/pkg/hedger"
 	"github.com/comfreybend/comfreybend/pkg/retrier"
 )
@@ -59,7 +60,7 @@
 	defer h.sending.Done()
 	l.attempt, l.err = h.router.upstreamClient.send(ctx, h.call, l.grant, scanner.NoEventID)
 	switch {
-	case errors.Is(l.err, context.Canceled), errors.As(l.err, new(*deadlineError)):
+	case errors.Is(l.err, context.Canceled), errors.As(l.err, new(*deadlineError)), errors.As(l.err, new(*stopper.Error)):
 		return racer.Cancelled
 	case l.err != nil, h.isUnusable(l.attempt.response.StatusCode):
 		return racer.Failed
--- a/internal/router/isolation.go
+++ b/internal/router/isolation.go
@@ -210,6 +210,8 @@
 // awaitVerdict waits until it is clear whether a request is held, if that is about to be: until
 // then a response that speaks for it may become known, but no further upstream ends under it.
 func (s *isolation) awaitVerdict(ctx context.Context, c *call) {
+	ctx, stop := s.router.stopper.Wait(ctx)
+	defer stop()
 	for s.accused.Load() {
 		s.mu.Lock()
 		wait := s.isolator.SettlesIn(s.router.windows.Now(), s.router.identityOf(c))
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -312,6 +312,11 @@
 func (d *dispatcher) refuseWaiting(refusalOf func(dispatchRequest) *translator.RefusalError) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.refuseWaiters(refusalOf)
+}
+
+// refuseWaiters is refuseWaiting with the mutex held.
+func (d *dispatcher) refuseWaiters(refusalOf func(dispatchRequest) *translator.RefusalError) {
 	for id, w := range d.waiters {
 		refusal := refusalOf(w.request)
 		if refusal != nil && d.pools[w.request.pool].scheduler.Remove(id) {
--- a/internal/router/refusal.go
+++ b/internal/router/refusal.go
@@ -16,7 +16,7 @@
 // internal errors, after which the request may have run.
 func (r *Router) encodeRefusal(_ context.Context, err error, w http.ResponseWriter) {
 	var refusal *translator.RefusalError
-	if errors.As(err, new(*cutOffError)) && relayer.Decline(w) {
+	if (errors.As(err, new(*cutOffError)) || errors.As(err, new(*declinedError))) && relayer.Decline(w) {
 		return
 	}
 	if !errors.As(err, &refusal) {
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -102,7 +102,10 @@
 		h.commitClaimOutcome(&state.ClaimOutcome{NotRun: true})
 		h.claimed = false
 	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	release := h.router.stopper.OnEnd(cancel)
 	response, err := h.router.forwarder.PassOn(ctx, h.newRelay(), h.call.deadline)
+	release()
 	switch {
 	case err == nil:
 		return &clientResponse{handler: h, passedOn: response}, nil
--- a/internal/router/response.go
+++ b/internal/router/response.go
@@ -82,6 +82,7 @@
 			return nil
 		}
 		at := h.current
+		err = at.causeOf(err)
 		failure := &attemptError{Attempt: at.id, Cause: err}
 		h.recordBreak(ctx, at.grant, at, err)
 		h.failedUpstreams = append(h.failedUpstreams, at.grant.upstream.ID)
@@ -102,7 +103,7 @@
 
 // retry sends further attempts until an upstream responds or the call is given up.
 func (h *callHandler) retry(ctx context.Context) *translator.RefusalError {
-	waitCtx, cancel := context.WithTimeout(ctx, h.call.deadline-h.router.dispatcher.now())
+	waitCtx, cancel := h.waitContext(ctx)
 	defer cancel()
 	for {
 		h.router.metrics.Retries.Inc(1)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -33,6 +33,7 @@
 	"github.com/comfreybend/comfreybend/internal/relayer"
 	"github.com/comfreybend/comfreybend/internal/restrainer"
 	"github.com/comfreybend/comfreybend/internal/server"
+	"github.com/comfreybend/comfreybend/internal/stopper"
 	"github.com/comfreybend/comfreybend/internal/tracker"
 	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/internal/windower"
@@ -92,6 +93,7 @@
 	bodies         *ingester.Ingester
 	admitter       *admitter.Admitter
 	bounder        *bounder.Bounder
+	stopper        *stopper.Stopper
 	inProgress     atomic.Int64
 	shuttingDown   atomic.Bool
 }
@@ -124,6 +126,7 @@
 	r.dispatcher.budgets.Log = log
 	r.dispatcher.restrainer = r.restrainer
 	r.dispatcher.retryAfter = r.retryAfter
+	r.stopper = r.dispatcher.stopper
 	r.racer = racer.New(s.GetEntry().GetHedging(), func() time.Duration { return r.dispatcher.now() }, r.metrics.Scope)
 	r.racer.Log = log
 	limits := s.GetEntry().GetCallerLimits()
@@ -132,6 +135,7 @@
 	r.bodies = ingester.New(limits, func() time.Duration { return r.dispatcher.now() })
 	r.buffers = bufferer.New(s.GetEntry().GetUpstreamLimits().GetBufferedBytes())
 	r.upstreamClient = newUpstreamClient(s.GetEntry(), dialect)
+	r.upstreamClient.onEnd = r.stopper.OnEnd
 	r.upstreamClient.admit = r.restrainer.Admit
 	r.upstreamClient.askWarmUp = r.askWarmUp
 	r.upstreamClient.checkLeaving = r.dispatcher.checkWithheld
@@ -198,7 +202,8 @@
 }
 
 // shutDown waits until ctx is done and shuts down gracefully: readiness fails first, then new
-// connections are rejected, and requests in progress get the grace period to finish.
+// connections are rejected, and requests in progress get the grace period to finish. Those that cannot are
+// refused before it ends.
 func (r *Router) shutDown(ctx, running context.Context, clients *http.Server, others ...*http.Server) error {
 	select {
 	case <-ctx.Done():
@@ -207,12 +212,14 @@
 	s := r.settings.GetEntry()
 	r.shuttingDown.Store(true)
 	r.log.Info("graceful shutdown begins", zap.Int64("requestsInProgress", r.inProgress.Load()))
-	timer.Sleep(running, s.GetShutdownDelay().AsDuration())
-	grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.GetShutdownGrace().AsDuration())
+	delay := s.GetShutdownDelay().AsDuration()
+	grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), delay+s.GetShutdownGrace().AsDuration())
 	defer cancel()
+	go r.stopper.Stop(grace, delay+s.GetShutdownGrace().AsDuration())
+	timer.Sleep(running, delay)
 	err := clients.Shutdown(grace)
 	if err != nil {
-		r.log.Error("grace period ended with requests in progress", zap.Error(err))
+		r.log.Error("grace period ended with requests in progress", zap.Int64("requestsInProgress", r.inProgress.Load()), zap.Error(err))
 		_ = clients.Close()
 	}
 	r.receiver.Stop(grace)
--- a/internal/router/upstream_state.go
+++ b/internal/router/upstream_state.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/comfreybend/comfreybend/internal/restrainer"
+	"github.com/comfreybend/comfreybend/internal/stopper"
 	"github.com/comfreybend/comfreybend/pkg/limiter"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/pkg/retrier"
@@ -131,10 +132,10 @@
 }
 
 // failureOutcome returns outcomeAbandoned for an attempt that this process cancelled because
-// of its prompt, outcomeTimedOut for a connection whose upstream stopped
+// of its prompt or because it stops, outcomeTimedOut for a connection whose upstream stopped
 // acknowledging data or keep-alive probes, and outcomeFailed for other failures.
 func failureOutcome(err error) attemptOutcome {
-	if errors.As(err, new(*heldPartError)) {
+	if errors.As(err, new(*heldPartError)) || errors.As(err, new(*stopper.Error)) {
 		return outcomeAbandoned
 	}
 	if errors.Is(err, syscall.ETIMEDOUT) {
--- a/internal/router/version.go
+++ b/internal/router/version.go
@@ -121,7 +121,7 @@
 		h.stream = matcher.StreamOf(string(c.Resumes), string(c.client.organisation))
 		taken = &h.stream
 	}
-	waitCtx, cancel := context.WithTimeout(ctx, c.deadline-r.dispatcher.now())
+	waitCtx, cancel := h.waitContext(ctx)
 	defer cancel()
 	found := r.tracker.Resolve(waitCtx, taken, matcher.Pool(c.pool.String()))
 	outcome, origin := found.Outcome, found.Origin
--- a/internal/translator/refusal.go
+++ b/internal/translator/refusal.go
@@ -31,6 +31,7 @@
 	CodeNoUpstream       = "noUpstream"
 	CodeNotFresh         = "configurationNotFresh"
 	CodeNoQuorum         = "noQuorum"
+	CodeStopping         = "stopping"
 	CodeDeadline         = "deadlineExceeded"
 	CodeUpstreamFailed   = "upstreamFailed"
 	CodeInDoubt          = "inDoubt"
