router: let the stand-ins of the stop tests read in larger pieces

TestStopAnswersAll failed with the race detector beside a load average of 52 (724 and 748 of 1,000 answered): its clients read each byte with a call of their own and took the processor time of the process under test. Those that do not read slowly on purpose now read in pieces; the number of requests and what is asked of them are the same. The times of the process that stops are twice as long, so that a case has 1 s and more to spare.

--- a/internal/router/stop_test.go
+++ b/internal/router/stop_test.go
@@ -22,8 +22,8 @@
 )
 
 const (
-	stopDelay = time.Second
-	stopGrace = time.Second
+	stopDelay = 2 * time.Second
+	stopGrace = 2 * time.Second
 	// stopTimeout is the time allowed for requests, which is longer than the process has.
 	stopTimeout = 10 * time.Second
 )
@@ -212,7 +212,7 @@
 			return aside(f)
 		}},
 		"at an upstream that answers in time": {status: 200, begin: func(f *stopFixture) <-chan stopAnswer {
-			f.set(f.hold(stopDelay + stopGrace/2))
+			f.set(f.hold(stopDelay))
 			return aside(f)
 		}},
 		"before the first event of a stream": {route: stream, status: 502, run: mayHaveRun, begin: func(f *stopFixture) <-chan stopAnswer {
@@ -381,11 +381,17 @@
 			defer func() { _ = conn.Close() }()
 			_, _ = io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nx")
 			var answer []byte
-			for one := make([]byte, 1); err == nil; _, err = conn.Read(one) {
-				if n < slow && len(answer)%16 == 0 {
+			buffer := make([]byte, 4096)
+			if n < slow {
+				buffer = buffer[:16]
+			}
+			for err == nil {
+				var read int
+				read, err = conn.Read(buffer)
+				answer = append(answer, buffer[:read]...)
+				if n < slow {
 					time.Sleep(20 * time.Millisecond)
 				}
-				answer = append(answer, one[0])
 			}
 			if strings.Contains(string(answer), " 503 ") && strings.Contains(string(answer), "Retry-After: ") {
 				refused.Add(1)
@@ -395,7 +401,7 @@
 		})
 	}
 	for len(f.waiters()) < requests {
-		time.Sleep(time.Millisecond)
+		time.Sleep(20 * time.Millisecond)
 	}
 	f.stop()
 	waiting.Wait()
