review: drop the case of the crowd, which an earlier one shows

Change: case 12 and its script are removed, and cases 13 to 15 move up by one. Result: none of its own.

--- a/review/rig3/system.go
+++ b/review/rig3/system.go
@@ -1,6 +1,6 @@
 //go:build review
 
-// Command rig3 plays the cases 11 to 15 of the third review: it starts the processes of the deploy file on loopback
+// Command rig3 plays the cases 11 to 14 of the third review: it starts the processes of the deploy file on loopback
 // addresses, with stand-ins of the platform, the replicas, the operator and the requesters.
 package main
 
@@ -113,7 +113,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &system{memoryMB: memoryMB, maxFDs: 4100, folder: folder, record: r}
+	s := &system{memoryMB: memoryMB, folder: folder, record: r}
 	for range 50 {
 		s.prefix = fmt.Sprintf("127.%d.%d.", 20+rand.IntN(200), rand.IntN(250))
 		s.port = 20000 + 40*rand.IntN(200)
@@ -196,7 +196,7 @@
 			"frontend": net.JoinHostPort(m.ip, strconv.Itoa(s.port+portFrontend)),
 			"ready":    net.JoinHostPort(m.ip, strconv.Itoa(s.port+portReady)),
 		}
-		limits = map[string]any{"cpu_quota": 0.4, "cores": 1, "memory_mb": s.memoryMB, "max_fds": s.maxFDs, "link_mbps": 1000.0, "disk_mb": 0}
+		limits = map[string]any{"cpu_quota": 0.4, "cores": 1, "memory_mb": s.memoryMB, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0}
 	}
 	var seeds []string
 	for i := range min(3, len(s.controls)) {
