review: show that a part which crashes all replicas at once is held too late

Cause: replicas that end at about the same moment speak for a common cause, so the ends of the first round do not convict the part; not traced further. Change: case 15, from the entry of TestPromptPartThatCrashesEngines.

--- a/review/rig3/replica.go
+++ b/review/rig3/replica.go
@@ -24,6 +24,8 @@
 	serve func(w http.ResponseWriter, r *http.Request)
 	// onRequest is called for each request that arrives, before it runs.
 	onRequest func(r *http.Request)
+	// onConn is called for each connection that is accepted.
+	onConn func(net.Conn)
 
 	address  string
 	server   *http.Server
@@ -47,6 +49,13 @@
 		return err
 	}
 	r.server = &http.Server{Handler: http.HandlerFunc(r.handle)}
+	if r.onConn != nil {
+		r.server.ConnState = func(conn net.Conn, state http.ConnState) {
+			if state == http.StateNew {
+				r.onConn(conn)
+			}
+		}
+	}
 	go func() { _ = r.server.Serve(l) }()
 	go r.beat()
 	return nil
--- a/review/rig3/system.go
+++ b/review/rig3/system.go
@@ -1,6 +1,6 @@
 //go:build review
 
-// Command rig3 plays the cases 11 to 14 of the third review: it starts the processes of the deploy file on loopback
+// Command rig3 plays the cases 11 to 15 of the third review: it starts the processes of the deploy file on loopback
 // addresses, with stand-ins of the platform, the replicas, the operator and the requesters.
 package main
 
