fetcher: log what a fetch of configuration changes waits for

One line at the end of each fetch and one a second while it takes long name parts, failures, refusals, restarts and the slowest request. No change of what is asked or applied. The tests of fetches and TestFieldsAreDocumented pass.

--- a/internal/fetcher/fetcher.go
+++ b/internal/fetcher/fetcher.go
@@ -56,6 +56,7 @@
 		// Least is the earliest revision that may be applied.
 		Least    configurer.Revision
 		revision configurer.Revision
+		record   record
 		assembler.Transfer
 	}
 
@@ -68,6 +69,9 @@
 // Error implements error.
 func (e *noLaterRevisionError) Error() string { return "the control process has no later revision" }
 
+// newFetch returns a fetch of the changes after a revision that begins now.
+func newFetch(from configurer.Revision) *Fetch { return &Fetch{From: from, record: newRecord()} }
+
 // New returns a fetcher that asks the control processes of clients. Its function fields must be set before
 // it is used.
 func New(clients *ranker.Ranker, log *zap.Logger) *Fetcher {
@@ -107,7 +111,7 @@
 			return nil
 		case <-f.requested:
 		}
-		current := &Fetch{}
+		current := newFetch(f.Held())
 		for ctx.Err() == nil {
 			if target, _ := f.Wanted(); target == 0 {
 				break
@@ -123,20 +127,23 @@
 func (f *Fetcher) ContinueAtAny(ctx context.Context, current *Fetch) *Fetch {
 	if held := f.Held(); current.From != held {
 		// Another reply has brought changes meanwhile.
-		current = &Fetch{From: held}
+		current = newFetch(held)
 	}
+	current.record.passes++
 	current.Least = max(current.From+1, f.Confirmed())
 	for _, client := range f.ordered() {
 		age, err := f.FetchFrom(ctx, client, current)
 		if err == nil {
 			f.Deliver(client.Address(), current, age)
-			return &Fetch{From: f.Held()}
+			f.log.Info("configuration changes were fetched", current.logFields()...)
+			return newFetch(f.Held())
 		}
 		f.log.Debug("fetching configuration changes failed", zap.String("control", client.Address()),
 			zap.Int("bytes", len(current.Data)), zap.Error(err))
 		if errors.As(err, new(*messenger.UnreachableError)) && ctx.Err() == nil {
 			f.clients.MarkFailed(client)
 		}
+		f.logOverdue(current)
 	}
 	timer.Sleep(ctx, fetchPause)
 	return current
@@ -173,18 +180,29 @@
 }
 
 func (f *Fetcher) fetchPart(ctx context.Context, client *messenger.Client, current *Fetch) (*wire.FetchReply, error) {
-	return current.FetchPart(ctx, client, &wire.Fetch{HaveRevision: uint64(current.From), Revision: uint64(current.revision)})
+	askedAt := timer.Now()
+	part, err := current.FetchPart(ctx, client, &wire.Fetch{HaveRevision: uint64(current.From), Revision: uint64(current.revision)})
+	current.record.addRequest(client.Address(), timer.Now()-askedAt)
+	if err != nil {
+		current.record.failures++
+	}
+	return part, err
 }
 
 // addChanges adds a part of configuration changes.
 func (f *Fetch) addChanges(part *wire.FetchReply) error {
 	revision := configurer.Revision(part.GetRevision())
 	if revision < f.Least {
+		f.record.refused++
 		return &noLaterRevisionError{Revision: revision}
 	}
+	before := len(f.Data)
 	if err := f.Add(part); err != nil {
 		return err
 	}
+	if f.record.parts++; len(f.Data) < before {
+		f.record.restarts++
+	}
 	f.revision = revision
 	return nil
 }
