--- a/internal/keeper/content_test.go
+++ b/internal/keeper/content_test.go
@@ -179,3 +179,48 @@
 		t.Errorf("%d contents are kept, want at most %d", len(m.contents), maxCachedContents)
 	}
 }
+
+// TestWholeConfigurationOfEarlierRevision guards against a whole configuration that changes while it is
+// fetched: its parts must fit together after later changes, and at every control process.
+func TestWholeConfigurationOfEarlierRevision(t *testing.T) {
+	m, other := New(), New()
+	large := func(version uint64) *state.Document {
+		d := documentOf(version, "first")
+		for i := range 2000 {
+			d.Configuration.Routes = append(d.Configuration.Routes, &state.Route{
+				Name: fmt.Sprint("r", version, "-", i), Host: "h", PathPrefix: fmt.Sprintf("/%d-%d/", version, i), Kind: "service", Service: "s", Classes: []string{"c"},
+			})
+		}
+		return d
+	}
+	for version := uint64(1); version <= 2; version++ {
+		applyDocumentCommand(t, m, large(version))
+		applyDocumentCommand(t, other, large(version))
+	}
+	begun, err := m.ContentBetween(0, 2, true)
+	if err != nil || begun.Revision != 2 {
+		t.Fatalf("revision %d, error %v; want revision 2", begun.Revision, err)
+	}
+	if !changesBetween(t, m, 0, 2, true).GetWhole() {
+		t.Fatal("the changes are not sent as a whole configuration")
+	}
+	for version := uint64(3); version <= 5; version++ {
+		applyDocumentCommand(t, m, large(version))
+		applyDocumentCommand(t, other, large(version))
+		for from := range configurer.Revision(2 * maxCachedContents) {
+			if _, err = m.ContentBetween(from, 0, true); err != nil {
+				t.Fatal(err)
+			}
+			if _, err = m.ContentBetween(from, 0, false); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	for name, machine := range map[string]*StateMachine{"the same": m, "another": other} {
+		later, err := machine.ContentBetween(0, 2, true)
+		if err != nil || later.Revision != 2 || later.Digest != begun.Digest {
+			t.Errorf("%s control process has revision %d and other bytes (%t) after later changes, error %v; want revision 2 and the same bytes",
+				name, later.Revision, later.Digest != begun.Digest, err)
+		}
+	}
+}
--- a/internal/router/fetcher_test.go
+++ b/internal/router/fetcher_test.go
@@ -17,6 +17,7 @@
 	"github.com/comfreybend/comfreybend/internal/instrumenter"
 	"github.com/comfreybend/comfreybend/internal/translator"
 	"github.com/comfreybend/comfreybend/internal/validator"
+	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/settings"
 	"github.com/comfreybend/comfreybend/schema/state"
 	"github.com/comfreybend/comfreybend/schema/wire"
@@ -28,6 +29,12 @@
 	data     []byte
 	// failAt is the offset from which parts do not come; zero for none.
 	failAt int64
+	// recovered ends the effect of failAt.
+	recovered atomic.Bool
+	// delay is the time that each part takes.
+	delay time.Duration
+	// change is the only change after the revision; nil for none.
+	change *state.Revised
 	// sent counts the bytes of all parts.
 	sent atomic.Int64
 }
@@ -37,16 +44,22 @@
 	if f == nil {
 		return &wire.Reply{Failure: &wire.Failure{Reason: "noLeader"}}
 	}
-	digest := uint64(len(s.data)) + s.revision
-	reply := &wire.FetchReply{Revision: s.revision, Digest: digest, Size: int64(len(s.data))}
+	revision, data := s.revision, s.data
+	if s.change != nil && f.GetHaveRevision() == s.revision {
+		revision = s.change.GetRevision()
+		data, _ = proto.Marshal(&wire.SyncReply{Revision: revision, Changes: []*state.Revised{s.change}})
+	}
+	digest := uint64(len(data)) + revision
+	reply := &wire.FetchReply{Revision: revision, Digest: digest, Size: int64(len(data))}
 	if f.GetDigest() == digest {
 		reply.Offset = f.GetOffset()
 	}
-	if s.failAt > 0 && reply.GetOffset() >= s.failAt {
+	if s.failAt > 0 && reply.GetOffset() >= s.failAt && !s.recovered.Load() {
 		<-ctx.Done()
 		return nil
 	}
-	reply.Data = s.data[reply.GetOffset():min(reply.GetOffset()+f.GetMaxBytes(), int64(len(s.data)))]
+	timer.Sleep(ctx, s.delay)
+	reply.Data = data[reply.GetOffset():min(reply.GetOffset()+f.GetMaxBytes(), int64(len(data)))]
 	s.sent.Add(int64(len(reply.GetData())))
 	return &wire.Reply{Kind: &wire.Reply_Fetch{Fetch: reply}}
 }
@@ -132,6 +145,82 @@
 	}
 }
 
+// TestOvertakenFetchEnds guards against a configuration that is never in force since a later revision was
+// confirmed while a large one was fetched and no control process sent the rest at once.
+func TestOvertakenFetchEnds(t *testing.T) {
+	tests := map[string]struct {
+		held *wire.SyncReply
+	}{
+		"an earlier configuration is in force": {held: &wire.SyncReply{Revision: 6, Whole: true}},
+		"the process has just started":         {},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			server := &partServer{revision: 7, data: encodedConfiguration(t, 7, 2000), failAt: 2 * assembler.PartBytes, change: revisedOrganisation(8)}
+			r := newRouterOf(t, server)
+			p := r.controlPlane
+			if test.held != nil {
+				if err := p.applyConfiguration(test.held, delivery{}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			address := r.controlClients.Preferred().Address()
+			r.fetcher.Request(7, address)
+			current := r.fetcher.ContinueAtAny(t.Context(), &fetcher.Fetch{})
+			p.confirm(8, p.now())
+			server.recovered.Store(true)
+			r.fetcher.Request(8, address)
+			for passes := 0; p.revision() < 8 && passes < 5; passes++ {
+				if current = r.fetcher.ContinueAtAny(t.Context(), current); test.held == nil && p.revision() == 7 {
+					t.Error("revision 7 is in force, which is known to be outdated")
+				}
+			}
+			if p.revision() != 8 || !p.fresh() {
+				t.Fatalf("revision %d, fresh %t; want 8, fresh", p.revision(), p.fresh())
+			}
+			if p.catalog.Load().Route("host.example", "/route-001999/") == nil || p.catalog.Load().Organisation("8") == nil {
+				t.Error("a part of the configuration is missing")
+			}
+		})
+	}
+}
+
+// TestFetchSparesSlowControl guards against changes that are in force late since one control process, of
+// several that have them, is slow or silent.
+func TestFetchSparesSlowControl(t *testing.T) {
+	const slow, silent = 800 * time.Millisecond, time.Hour
+	data := encodedConfiguration(t, 7, 1400)
+	tests := map[string][]time.Duration{
+		"the first one is slow":            {slow, 0, 0},
+		"the first one is silent":          {silent, 0, 0},
+		"two are slow":                     {slow, slow, 0},
+		"two are silent":                   {silent, silent, 0},
+		"one is silent, two are slow":      {silent, slow, slow, 0, 0},
+		"four of eight are slow or silent": {slow, silent, slow, silent, 0, 0, 0, 0},
+	}
+	for name, delays := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var servers []*partServer
+			for _, delay := range delays {
+				servers = append(servers, &partServer{revision: 7, data: data, delay: delay})
+			}
+			r := newRouterOf(t, servers...)
+			if err := r.controlPlane.applyConfiguration(&wire.SyncReply{Revision: 6, Whole: true}, delivery{}); err != nil {
+				t.Fatal(err)
+			}
+			startedAt := timer.Now()
+			r.fetcher.Request(7, r.controlClients.Preferred().Address())
+			for current := (&fetcher.Fetch{}); r.controlPlane.revision() < 7; {
+				current = r.fetcher.ContinueAtAny(t.Context(), current)
+			}
+			if took := timer.Now() - startedAt; took > inForceTimeout {
+				t.Errorf("the changes are in force after %v, want %v at most", took, inForceTimeout)
+			}
+		})
+	}
+}
+
 // TestFreshOnceFetched guards against keys that are accepted by a configuration that is known
 // to be outdated: the confirmation of a revision counts only once that is in use.
 func TestFreshOnceFetched(t *testing.T) {
