fetcher: end a fetch that was overtaken

Cause: a fetch is bound to the revision of its first part, but each pass over the control processes accepted only revisions from the confirmed one on. If a pass ended without success and a later revision was confirmed, every part was refused from then on, and the host kept its configuration until it was restarted. A process that had just started threw away its first configuration in the same way.

Now the confirmed revision is asked for only when a fetch begins. A first configuration that was overtaken is kept, not in force, and the changes that follow lead to the first one that is. If nobody sends the rest of a revision and others have an earlier one, that is fetched.

TestFetchWithoutItsSource fails without the last part of the change.

--- a/internal/configurer/patch.go
+++ b/internal/configurer/patch.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/comfreybend/comfreybend/schema/state"
@@ -57,6 +58,28 @@
 	return next
 }
 
+// ApplyChanges returns the catalog with accepted changes applied. Those that it contains are skipped;
+// it is an error if one is missing.
+func (c *Catalog) ApplyChanges(changes []*state.Revised) (*Catalog, error) {
+	for _, change := range changes {
+		revision := Revision(change.GetRevision())
+		switch {
+		case revision <= c.revision:
+		case revision != c.revision+1:
+			return nil, errors.Errorf("change to revision %d does not follow revision %d", revision, c.revision)
+		case change.GetPatch() != nil:
+			c = c.ApplyPatch(change.GetPatch())
+		default:
+			next, err := c.Apply(change.GetOperation())
+			if err != nil {
+				return nil, errors.Wrap(err, "applying a committed change")
+			}
+			c = next
+		}
+	}
+	return c, nil
+}
+
 func (c *Catalog) patchRoutes(p *state.Patch) {
 	if len(p.GetChangedRoutes())+len(p.GetRemovedRoutes()) == 0 {
 		return
--- a/internal/fetcher/fetcher.go
+++ b/internal/fetcher/fetcher.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -31,7 +32,8 @@
 	// progress whatever the size of the changes and the speed of the link. A part that does
 	// not come is asked for at another control process.
 	Fetcher struct {
-		// Held returns the revision in use, Confirmed the latest one that a quorum has confirmed.
+		// Held returns the revision that changes may follow, Confirmed the latest one that a quorum has
+		// confirmed.
 		Held, Confirmed func() configurer.Revision
 		// Apply applies complete changes of a size in bytes from a control process, which had applied
 		// its latest revision for the age.
@@ -51,10 +53,12 @@
 
 	// Fetch is a fetch of configuration changes in progress.
 	Fetch struct {
-		// From is the revision in use that the changes follow.
+		// From is the revision that the changes follow.
 		From configurer.Revision
-		// Least is the earliest revision that may be applied.
-		Least    configurer.Revision
+		// Least is the earliest revision with which the fetch may begin. It moves on while the fetch is in
+		// progress, which does not make the parts worthless.
+		Least configurer.Revision
+		// revision is the one that the added parts lead to, zero before the first one.
 		revision configurer.Revision
 		record   record
 		assembler.Transfer
@@ -63,11 +67,14 @@
 	// noLaterRevisionError reports a control process that has no revision that may be applied.
 	noLaterRevisionError struct {
 		Revision configurer.Revision
+		Least    configurer.Revision
 	}
 )
 
 // Error implements error.
-func (e *noLaterRevisionError) Error() string { return "the control process has no later revision" }
+func (e *noLaterRevisionError) Error() string {
+	return fmt.Sprintf("the control process has revision %d, not %d", e.Revision, e.Least)
+}
 
 // newFetch returns a fetch of the changes after a revision that begins now.
 func newFetch(from configurer.Revision) *Fetch { return &Fetch{From: from, record: newRecord()} }
@@ -131,6 +138,7 @@
 	}
 	current.record.passes++
 	current.Least = max(current.From+1, f.Confirmed())
+	before, behind := current.record.parts, false
 	for _, client := range f.ordered() {
 		age, err := f.FetchFrom(ctx, client, current)
 		if err == nil {
@@ -143,9 +151,14 @@
 		if errors.As(err, new(*messenger.UnreachableError)) && ctx.Err() == nil {
 			f.clients.MarkFailed(client)
 		}
+		behind = behind || errors.As(err, new(*noLaterRevisionError))
 		f.logOverdue(current)
 	}
 	timer.Sleep(ctx, fetchPause)
+	if behind && current.record.parts == before {
+		// Who has the revision cannot be reached, so an earlier one is fetched from the others.
+		current.revision, current.Transfer = 0, assembler.Transfer{}
+	}
 	return current
 }
 
@@ -192,9 +205,9 @@
 // addChanges adds a part of configuration changes.
 func (f *Fetch) addChanges(part *wire.FetchReply) error {
 	revision := configurer.Revision(part.GetRevision())
-	if revision < f.Least {
+	if least := f.least(); revision < least {
 		f.record.refused++
-		return &noLaterRevisionError{Revision: revision}
+		return &noLaterRevisionError{Revision: revision, Least: least}
 	}
 	before := len(f.Data)
 	if err := f.Add(part); err != nil {
@@ -207,6 +220,14 @@
 	return nil
 }
 
+// least returns the earliest revision of which a part may be added: the one that the fetch has begun with.
+func (f *Fetch) least() configurer.Revision {
+	if f.revision != 0 {
+		return f.revision
+	}
+	return f.Least
+}
+
 // Deliver has the complete changes of a fetch applied.
 func (f *Fetcher) Deliver(control string, current *Fetch, age time.Duration) {
 	reply := &wire.SyncReply{}
--- a/internal/router/controlplane.go
+++ b/internal/router/controlplane.go
@@ -54,6 +54,9 @@
 		// confirmedAt, zero before the first time. applyMu guards them.
 		confirmed   configurer.Revision
 		confirmedAt time.Duration
+		// outdated is the first configuration of this process if a later one was confirmed before it
+		// arrived. It is not in force; the changes after it lead to the first one that is. applyMu guards it.
+		outdated *configurer.Catalog
 
 		// syncRequested makes run send the next sync request without delay.
 		syncRequested chan struct{}
@@ -283,6 +286,26 @@
 	}
 }
 
+// latestCatalog returns the catalog that changes may follow: the one in use, one that is outdated, or an
+// empty one. applyMu is held.
+func (p *controlPlane) latestCatalog() *configurer.Catalog {
+	switch current := p.catalog.Load(); {
+	case current != nil:
+		return current
+	case p.outdated != nil:
+		return p.outdated
+	default:
+		return configurer.New()
+	}
+}
+
+// heldRevision returns the revision that changes may follow.
+func (p *controlPlane) heldRevision() configurer.Revision {
+	p.applyMu.Lock()
+	defer p.applyMu.Unlock()
+	return p.latestCatalog().Revision()
+}
+
 // applyConfiguration applies the configuration or the changes in a reply. It rejects an earlier
 // revision than the one in use, as the first one also a revision before the confirmed one, and
 // changes that do not follow each other.
@@ -294,45 +317,29 @@
 	defer p.applyMu.Unlock()
 	current := p.catalog.Load()
 	received := configurer.Revision(reply.GetRevision())
-	least := p.revision()
-	if current == nil {
-		least = p.confirmed
-	}
-	if received < least {
-		return &earlierRevisionError{Held: least, Received: received}
-	}
-	next := current
-	if next == nil {
-		next = configurer.New()
+	base := p.latestCatalog()
+	if received < base.Revision() {
+		return &earlierRevisionError{Held: base.Revision(), Received: received}
 	}
 	if reply.GetWhole() {
-		next = configurer.Restore(received, reply.GetConfiguration(), reply.GetKeys())
+		base = configurer.Restore(received, reply.GetConfiguration(), reply.GetKeys())
 	}
-	for _, change := range reply.GetChanges() {
-		if configurer.Revision(change.GetRevision()) <= next.Revision() {
-			// Another reply has brought it meanwhile.
-			continue
-		}
-		if configurer.Revision(change.GetRevision()) != next.Revision()+1 {
-			return errors.Errorf("change to revision %d does not follow revision %d", change.GetRevision(), next.Revision())
-		}
-		if change.GetPatch() != nil {
-			next = next.ApplyPatch(change.GetPatch())
-			continue
-		}
-		applied, err := next.Apply(change.GetOperation())
-		if err != nil {
-			return errors.Wrap(err, "applying a committed change")
-		}
-		next = applied
+	next, err := base.ApplyChanges(reply.GetChanges())
+	if err != nil {
+		return err
 	}
 	if next.Revision() != received {
 		return errors.Errorf("changes end at revision %d, not %d", next.Revision(), received)
 	}
+	if current == nil && received < p.confirmed {
+		p.outdated = next
+		return &earlierRevisionError{Held: p.confirmed, Received: received}
+	}
 	if current == nil && p.confirmedAt == 0 {
 		p.router.log.Warn("applying a configuration that no quorum has confirmed", zap.Uint64("revision", uint64(received)))
 	}
 	p.catalog.Store(next)
+	p.outdated = nil
 	p.router.setWarmUps(next)
 	p.refresh()
 	if current == nil || current.Revision() != received {
--- a/internal/router/fetcher_test.go
+++ b/internal/router/fetcher_test.go
@@ -29,8 +29,8 @@
 	data     []byte
 	// failAt is the offset from which parts do not come; zero for none.
 	failAt int64
-	// recovered ends the effect of failAt.
-	recovered atomic.Bool
+	// recovered ends the effect of failAt; one that is silent sends no part at all.
+	recovered, silent atomic.Bool
 	// delay is the time that each part takes.
 	delay time.Duration
 	// change is the only change after the revision; nil for none.
@@ -54,7 +54,7 @@
 	if f.GetDigest() == digest {
 		reply.Offset = f.GetOffset()
 	}
-	if s.failAt > 0 && reply.GetOffset() >= s.failAt && !s.recovered.Load() {
+	if s.silent.Load() || s.failAt > 0 && reply.GetOffset() >= s.failAt && !s.recovered.Load() {
 		<-ctx.Done()
 		return nil
 	}
@@ -185,6 +185,25 @@
 	}
 }
 
+// TestFetchWithoutItsSource guards against a configuration that is never in force since the only control
+// process that had a later one is gone.
+func TestFetchWithoutItsSource(t *testing.T) {
+	gone := &partServer{revision: 8, data: encodedConfiguration(t, 8, 2000), failAt: 2 * assembler.PartBytes}
+	r := newRouterOf(t, gone, &partServer{revision: 7, data: encodedConfiguration(t, 7, 2000)})
+	if err := r.controlPlane.applyConfiguration(&wire.SyncReply{Revision: 6, Whole: true}, delivery{}); err != nil {
+		t.Fatal(err)
+	}
+	r.fetcher.Request(8, r.controlClients.Preferred().Address())
+	current := r.fetcher.ContinueAtAny(t.Context(), &fetcher.Fetch{})
+	gone.silent.Store(true)
+	for passes := 0; r.controlPlane.revision() < 7 && passes < 3; passes++ {
+		current = r.fetcher.ContinueAtAny(t.Context(), current)
+	}
+	if r.controlPlane.revision() != 7 {
+		t.Errorf("revision %d is in force, want 7", r.controlPlane.revision())
+	}
+}
+
 // TestFetchSparesSlowControl guards against changes that are in force late since one control process, of
 // several that have them, is slow or silent.
 func TestFetchSparesSlowControl(t *testing.T) {
