fetcher: ask another control process for a part that does not come soon

Callers saw requests routed by a configuration that had been replaced for more than 2.5 s, at a few hosts. Cause: the parts of a large change were asked for at one control process, with a second for each, so one that took 0.8 s for each of five parts held the change up for 4 s, and one that was silent for a second each time, while the others had it.

After 0.2 s the next control process is asked as well. Who is quick is asked first for the next part.

TestGrownConfigurationOnSlowLink, which bounds the bytes, passes.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -30,15 +30,20 @@
 	Data []byte
 }
 
-// FetchPart sends a request for the next part.
-func (t *Transfer) FetchPart(ctx context.Context, client *messenger.Client, request *wire.Fetch) (*wire.FetchReply, error) {
-	return t.fetchPartAt(ctx, client, request, int64(len(t.Data)))
+// NextPart completes a request for the next part. The request stays the same when parts are added.
+func (t *Transfer) NextPart(request *wire.Fetch) *wire.Fetch {
+	return t.partAt(request, int64(len(t.Data)))
 }
 
-func (t *Transfer) fetchPartAt(ctx context.Context, client *messenger.Client, request *wire.Fetch, offset int64) (*wire.FetchReply, error) {
+func (t *Transfer) partAt(request *wire.Fetch, offset int64) *wire.Fetch {
+	request.Digest, request.Offset, request.MaxBytes = t.digest, offset, PartBytes
+	return request
+}
+
+// FetchPart sends a request for a part.
+func FetchPart(ctx context.Context, client *messenger.Client, request *wire.Fetch) (*wire.FetchReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, partTimeout)
 	defer cancel()
-	request.Digest, request.Offset, request.MaxBytes = t.digest, offset, PartBytes
 	reply, err := client.Call(ctx, &wire.Request{Kind: &wire.Request_Fetch{Fetch: request}})
 	return reply.GetFetch(), err
 }
--- a/internal/assembler/table.go
+++ b/internal/assembler/table.go
@@ -91,10 +91,8 @@
 	)
 	// The size is known after the first part.
 	for offset := int64(len(table.Data)); asked < partsInFlight && (asked == 0 || offset < table.size); offset += PartBytes {
-		i := asked
-		running.Go(func() {
-			parts[i], errs[i] = table.fetchPartAt(ctx, client, &wire.Fetch{Upstreams: true}, offset)
-		})
+		i, request := asked, table.partAt(&wire.Fetch{Upstreams: true}, offset)
+		running.Go(func() { parts[i], errs[i] = FetchPart(ctx, client, request) })
 		asked++
 	}
 	running.Wait()
--- a/internal/fetcher/fetcher.go
+++ b/internal/fetcher/fetcher.go
@@ -17,6 +17,7 @@
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/messenger"
 	"github.com/comfreybend/comfreybend/internal/ranker"
+	"github.com/comfreybend/comfreybend/pkg/chooser"
 	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
@@ -24,13 +25,17 @@
 const (
 	// fetchPause is the pause after no control process has sent a part.
 	fetchPause = 100 * time.Millisecond
+	// copyDelay is the time after which another control process is asked for a part as well. It grows
+	// up to maxCopyDelay, beyond the timeout of a request, where copies do not help.
+	copyDelay    = 200 * time.Millisecond
+	maxCopyDelay = 2 * time.Second
 )
 
 type (
 	// Fetcher fetches configuration changes that are too large for the reply to
 	// a poll or sync request. There is one fetch at a time, in parts, so that it makes
 	// progress whatever the size of the changes and the speed of the link. A part that does
-	// not come is asked for at another control process.
+	// not come soon is asked for at another control process as well.
 	Fetcher struct {
 		// Held returns the revision that changes may follow, Confirmed the latest one that a quorum has
 		// confirmed.
@@ -64,6 +69,27 @@
 		assembler.Transfer
 	}
 
+	// Source is the control process that has sent the last part of a fetch.
+	Source struct {
+		Control string
+		// Age is the time since it applied its latest revision.
+		Age time.Duration
+	}
+
+	// partResult is the result of a request for a part.
+	partResult struct {
+		client *messenger.Client
+		part   *wire.FetchReply
+		err    error
+		took   time.Duration
+	}
+
+	// noPartError reports that no control process has sent the next part.
+	noPartError struct {
+		Revision configurer.Revision
+		Bytes    int
+	}
+
 	// noLaterRevisionError reports a control process that has no revision that may be applied.
 	noLaterRevisionError struct {
 		Revision configurer.Revision
@@ -71,6 +97,11 @@
 	}
 )
 
+// Error implements error.
+func (e *noPartError) Error() string {
+	return fmt.Sprintf("no control process sends the part of revision %d after %d bytes", e.Revision, e.Bytes)
+}
+
 // Error implements error.
 func (e *noLaterRevisionError) Error() string {
 	return fmt.Sprintf("the control process has revision %d, not %d", e.Revision, e.Least)
@@ -129,8 +160,8 @@
 	return nil
 }
 
-// ContinueAtAny continues a fetch at one control process after the other until it is
-// complete, and applies the changes. It returns the fetch to go on with.
+// ContinueAtAny continues a fetch until it is complete, and applies the changes, or until no control
+// process sends the next part. It returns the fetch to go on with.
 func (f *Fetcher) ContinueAtAny(ctx context.Context, current *Fetch) *Fetch {
 	if held := f.Held(); current.From != held {
 		// Another reply has brought changes meanwhile.
@@ -138,24 +169,15 @@
 	}
 	current.record.passes++
 	current.Least = max(current.From+1, f.Confirmed())
-	before, behind := current.record.parts, false
-	for _, client := range f.ordered() {
-		age, err := f.FetchFrom(ctx, client, current)
-		if err == nil {
-			f.Deliver(client.Address(), current, age)
-			f.log.Info("configuration changes were fetched", current.logFields()...)
-			return newFetch(f.Held())
-		}
-		f.log.Debug("fetching configuration changes failed", zap.String("control", client.Address()),
-			zap.Int("bytes", len(current.Data)), zap.Error(err))
-		if errors.As(err, new(*messenger.UnreachableError)) && ctx.Err() == nil {
-			f.clients.MarkFailed(client)
-		}
-		behind = behind || errors.As(err, new(*noLaterRevisionError))
-		f.logOverdue(current)
+	before, refused := current.record.parts, current.record.refused
+	source, err := f.FetchFrom(ctx, f.ordered(), current)
+	if err == nil {
+		f.Deliver(source.Control, current, source.Age)
+		f.log.Info("configuration changes were fetched", current.logFields()...)
+		return newFetch(f.Held())
 	}
 	timer.Sleep(ctx, fetchPause)
-	if behind && current.record.parts == before {
+	if current.record.parts == before && current.record.refused > refused {
 		// Who has the revision cannot be reached, so an earlier one is fetched from the others.
 		current.revision, current.Transfer = 0, assembler.Transfer{}
 	}
@@ -175,31 +197,71 @@
 	return all
 }
 
-// FetchFrom fetches the remaining parts from one control process. It returns the time since
-// that applied its latest revision.
-func (f *Fetcher) FetchFrom(ctx context.Context, client *messenger.Client, current *Fetch) (time.Duration, error) {
+// FetchFrom fetches the remaining parts from control processes, the preferred one first.
+func (f *Fetcher) FetchFrom(ctx context.Context, clients []*messenger.Client, current *Fetch) (Source, error) {
+	sources := chooser.New(chooser.Config{Delay: copyDelay, MaxDelay: maxCopyDelay}, clients)
 	for {
-		reply, err := f.fetchPart(ctx, client, current)
-		if err != nil {
-			return 0, err
+		source, err := f.fetchPart(ctx, sources, current)
+		if err != nil || current.Complete() {
+			return source, err
 		}
-		if err = current.addChanges(reply); err != nil {
-			return 0, err
+	}
+}
+
+// fetchPart adds the next part. A control process that does not send it soon is waited for, but
+// another one is asked as well.
+func (f *Fetcher) fetchPart(ctx context.Context, sources *chooser.Chooser[*messenger.Client], current *Fetch) (Source, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan partResult)
+	sources.Begin()
+	for !sources.Exhausted() {
+		for client, ok := sources.Next(timer.Now()); ok; client, ok = sources.Next(timer.Now()) {
+			request := current.NextPart(&wire.Fetch{HaveRevision: uint64(current.From), Revision: uint64(current.revision)})
+			current.record.requests++
+			go requestPart(ctx, client, request, results)
+		}
+		var due <-chan time.Time
+		if at, ok := sources.DueAt(); ok {
+			due = time.After(at - timer.Now())
 		}
-		if current.Complete() {
-			return time.Duration(reply.GetRevisionAgeMillis()) * time.Millisecond, nil
+		select {
+		case <-ctx.Done():
+			return Source{}, ctx.Err()
+		case <-due:
+		case result := <-results:
+			current.record.addResult(result)
+			if result.err == nil {
+				result.err = current.addChanges(result.part)
+			}
+			if result.err == nil {
+				sources.Reply(timer.Now(), result.client)
+				return Source{Control: result.client.Address(), Age: time.Duration(result.part.GetRevisionAgeMillis()) * time.Millisecond}, nil
+			}
+			sources.Fail(timer.Now(), result.client)
+			f.handleFailure(result, current)
 		}
+		f.logOverdue(current)
 	}
+	return Source{}, &noPartError{Revision: current.revision, Bytes: len(current.Data)}
 }
 
-func (f *Fetcher) fetchPart(ctx context.Context, client *messenger.Client, current *Fetch) (*wire.FetchReply, error) {
+// requestPart sends a request to a control process and delivers the result until ctx ends.
+func requestPart(ctx context.Context, client *messenger.Client, request *wire.Fetch, results chan<- partResult) {
 	askedAt := timer.Now()
-	part, err := current.FetchPart(ctx, client, &wire.Fetch{HaveRevision: uint64(current.From), Revision: uint64(current.revision)})
-	current.record.addRequest(client.Address(), timer.Now()-askedAt)
-	if err != nil {
-		current.record.failures++
+	part, err := assembler.FetchPart(ctx, client, request)
+	select {
+	case results <- partResult{client: client, part: part, err: err, took: timer.Now() - askedAt}:
+	case <-ctx.Done():
+	}
+}
+
+func (f *Fetcher) handleFailure(result partResult, current *Fetch) {
+	f.log.Debug("fetching configuration changes failed", zap.String("control", result.client.Address()),
+		zap.Int("bytes", len(current.Data)), zap.Error(result.err))
+	if errors.As(result.err, new(*messenger.UnreachableError)) {
+		f.clients.MarkFailed(result.client)
 	}
-	return part, err
 }
 
 // addChanges adds a part of configuration changes.
--- a/internal/fetcher/record.go
+++ b/internal/fetcher/record.go
@@ -16,9 +16,9 @@
 	startedAt, loggedAt time.Duration
 	// passes counts how often the control processes were asked one after the other.
 	passes int
-	// parts counts those that were added, failures the requests without a reply, refused the
-	// parts of a revision that may not be applied, and restarts the contents that were given up.
-	parts, failures, refused, restarts int
+	// requests counts all for parts, parts those that were added, failures the requests without a reply,
+	// refused the parts of a revision that may not be applied, and restarts the contents that were given up.
+	requests, parts, failures, refused, restarts int
 	// slowest is the longest time of a request for a part, at the control process slowestAt.
 	slowest   time.Duration
 	slowestAt string
@@ -29,10 +29,12 @@
 	return record{startedAt: now, loggedAt: now}
 }
 
-// addRequest records a request for a part at a control process.
-func (r *record) addRequest(control string, took time.Duration) {
-	if took > r.slowest {
-		r.slowest, r.slowestAt = took, control
+func (r *record) addResult(result partResult) {
+	if result.took > r.slowest {
+		r.slowest, r.slowestAt = result.took, result.client.Address()
+	}
+	if result.err != nil {
+		r.failures++
 	}
 }
 
@@ -50,7 +52,7 @@
 	r := &f.record
 	return []zap.Field{
 		zap.Uint64("from", uint64(f.From)), zap.Uint64("revision", uint64(f.revision)), zap.Int("bytes", len(f.Data)),
-		zap.Duration("took", timer.Now()-r.startedAt), zap.Int("passes", r.passes), zap.Int("parts", r.parts), zap.Int("failures", r.failures),
+		zap.Duration("took", timer.Now()-r.startedAt), zap.Int("passes", r.passes), zap.Int("requests", r.requests), zap.Int("parts", r.parts), zap.Int("failures", r.failures),
 		zap.Int("refused", r.refused), zap.Int("restarts", r.restarts), zap.Duration("slowest", r.slowest), zap.String("slowestAt", r.slowestAt),
 	}
 }
--- a/internal/router/fetcher_test.go
+++ b/internal/router/fetcher_test.go
@@ -271,7 +271,7 @@
 		t.Fatal(err)
 	}
 	current := &fetcher.Fetch{From: 6, Least: 7}
-	if _, err := r.fetcher.FetchFrom(t.Context(), r.controlClients.Preferred(), current); err != nil {
+	if _, err := r.fetcher.FetchFrom(t.Context(), r.controlClients.All(), current); err != nil {
 		t.Fatal(err)
 	}
 	p.confirm(8, p.now())
