keeper: keep a whole configuration the same while it is fetched

An entry process that fetches the whole configuration (one that has just started, or is far behind) began again whenever a change came between two parts and the encoded content was not cached any more, and whenever it turned to another control process: the configuration was encoded at the latest revision, whichever was asked for. Whether changes or the whole configuration were sent was decided by the latest revision too, so control processes gave different bytes for the same request.

The latest 16 catalogs are kept, as long as they differ by 4 MiB of changes at most, and the configuration is encoded at the revision that was asked for.

--- a/internal/keeper/change.go
+++ b/internal/keeper/change.go
@@ -64,11 +64,16 @@
 	if err != nil {
 		return &state.Outcome{Revision: revision, Reason: ReasonInvalid, Detail: err.Error()}
 	}
-	before := m.catalog
+	before, revised := m.catalog, revisedBy(change.GetOperation(), m.catalog, next)
+	if revised.GetPatch() != nil {
+		// The patched catalog shares with the earlier one what has not changed.
+		next = before.ApplyPatch(revised.GetPatch())
+	}
 	m.catalog = next
 	m.notifyChanged()
-	m.recentChanges = append(m.recentChanges, revisedBy(change.GetOperation(), before, next))
+	m.recentChanges = append(m.recentChanges, revised)
 	m.trimRecentChanges()
+	m.keepCatalog(before)
 	return &state.Outcome{Accepted: true, Revision: uint64(next.Revision())}
 }
 
--- a/internal/keeper/content.go
+++ b/internal/keeper/content.go
@@ -1,6 +1,8 @@
 package keeper
 
 import (
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
@@ -18,6 +20,10 @@
 	// wholeComparedBytes is the size of changes above which the whole configuration is sent
 	// if it is smaller.
 	wholeComparedBytes = 64 << 10
+	// maxEarlierCatalogs is the number of earlier catalogs that are kept, so that a whole configuration
+	// stays the same while it is fetched. The changes that they differ by are bounded by maxEarlierBytes.
+	maxEarlierCatalogs = 16
+	maxEarlierBytes    = 4 << 20
 )
 
 type (
@@ -47,9 +53,9 @@
 // ContentBetween returns the changes between two revisions; to may be zero for the latest
 // one. Without patches there are only operations among the changes, for entry processes that
 // do not know patches. If the changes are not kept any more, or are larger than the whole
-// configuration, the result is the whole configuration at the latest revision. It has
-// no data if from is the latest revision or a later one. Many entry processes ask for the
-// same changes at a time, so the latest results are kept.
+// configuration, the result is the whole configuration, at the latest revision if that at to is not
+// kept either. It has no data if from is the latest revision or a later one. Many entry processes ask
+// for the same changes at a time, so the latest results are kept.
 func (m *StateMachine) ContentBetween(from, to configurer.Revision, patches bool) (*Content, error) {
 	m.contentMu.Lock()
 	defer m.contentMu.Unlock()
@@ -110,7 +116,7 @@
 			return &wire.SyncReply{Revision: uint64(to), Changes: append([]*state.Revised(nil), changes...)}
 		}
 	}
-	return m.wholeConfiguration()
+	return m.wholeConfiguration(to)
 }
 
 // areUsable reports whether changes may be sent in place of the whole configuration.
@@ -122,11 +128,28 @@
 		}
 		size += proto.Size(change)
 	}
-	return size < wholeComparedBytes || size < proto.Size(m.wholeConfiguration())
+	last := configurer.Revision(changes[len(changes)-1].GetRevision())
+	return size < wholeComparedBytes || size < proto.Size(m.wholeConfiguration(last))
 }
 
-func (m *StateMachine) wholeConfiguration() *wire.SyncReply {
-	return &wire.SyncReply{
-		Revision: uint64(m.catalog.Revision()), Whole: true, Configuration: m.catalog.Configuration(), Keys: m.catalog.Keys(),
+// wholeConfiguration returns the configuration at a revision, or at the latest one if that is not kept.
+func (m *StateMachine) wholeConfiguration(at configurer.Revision) *wire.SyncReply {
+	c := m.catalog
+	if i := slices.IndexFunc(m.earlierCatalogs, func(c *configurer.Catalog) bool { return c.Revision() == at }); i >= 0 {
+		c = m.earlierCatalogs[i]
+	}
+	return &wire.SyncReply{Revision: uint64(c.Revision()), Whole: true, Configuration: c.Configuration(), Keys: c.Keys()}
+}
+
+// keepCatalog keeps a catalog that the latest change has replaced, and drops the oldest ones beyond the limits.
+func (m *StateMachine) keepCatalog(c *configurer.Catalog) {
+	m.earlierCatalogs = append(m.earlierCatalogs, c)
+	kept, size := 0, 0
+	for kept < min(len(m.earlierCatalogs), maxEarlierCatalogs, len(m.recentChanges)) {
+		if size += proto.Size(m.recentChanges[len(m.recentChanges)-1-kept]); size > maxEarlierBytes {
+			break
+		}
+		kept++
 	}
+	m.earlierCatalogs = slices.Clone(m.earlierCatalogs[len(m.earlierCatalogs)-kept:])
 }
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -53,6 +53,8 @@
 	changed chan struct{}
 	// recentChanges holds the latest accepted changes, without gaps, for incremental syncs.
 	recentChanges []*state.Revised
+	// earlierCatalogs holds the latest catalogs before the current one, oldest first.
+	earlierCatalogs []*configurer.Catalog
 
 	// audit is the audit trail, oldest record first.
 	audit           []*state.AuditRecord
@@ -253,7 +255,7 @@
 
 func (m *StateMachine) reset() {
 	m.catalog = configurer.New()
-	m.recentChanges = nil
+	m.recentChanges, m.earlierCatalogs = nil, nil
 	m.audit = nil
 	m.auditByChangeID = map[string]*state.AuditRecord{}
 	m.claims = map[claimKey]*state.ClaimState{}
