ingester: count the bodies of requests in progress in full

Cause: the first 32 KiB of each body were free as long as its request was in progress. That is bounded by the number of bodies being read, but not by the number of requests whose bodies have been read.

From its end on a body counts in full, but for 4 KiB. A quarter of the memory is left to bodies of up to 32 KiB.

--- a/internal/bufferer/bufferer.go
+++ b/internal/bufferer/bufferer.go
@@ -12,13 +12,19 @@
 const (
 	// minBufferBytes is the first size of a buffer.
 	minBufferBytes = 1 << 10
-	// FreeBytes is the part of each buffer that does not count towards the shared room.
+	// FreeBytes is the part of each buffer that does not count towards the shared room while it is filled. A
+	// buffer of this size at most is small.
 	FreeBytes = 32 << 10
+	// KeptFreeBytes is the part that does not count once it is kept.
+	KeptFreeBytes = 4 << 10
 )
 
 type (
 	// Pool is that memory. It is safe for concurrent use.
 	Pool struct {
+		// Reserved is the number of bytes that only small buffers may take. It is set before the first use.
+		Reserved int64
+
 		// left is the number of bytes that may still be taken.
 		left atomic.Int64
 	}
@@ -62,15 +68,15 @@
 
 // Take reserves bytes for data that are kept elsewhere, and reports whether they were left. release returns them.
 func (p *Pool) Take(bytes int64) (release func(), taken bool) {
-	if !p.take(bytes) {
+	if !p.take(bytes, p.Reserved) {
 		return nil, false
 	}
 	return sync.OnceFunc(func() { p.left.Add(bytes) }), true
 }
 
-// take reserves bytes of the shared room and reports whether they were left.
-func (p *Pool) take(bytes int64) bool {
-	if p.left.Add(-bytes) >= 0 {
+// take reserves bytes of the shared room unless fewer than least would be left, and reports whether it did.
+func (p *Pool) take(bytes, least int64) bool {
+	if p.left.Add(-bytes) >= least {
 		return true
 	}
 	p.left.Add(bytes)
@@ -93,7 +99,7 @@
 	}
 	extra := int64(counted-FreeBytes) - b.taken
 	if extra > 0 {
-		if !b.pool.take(extra) {
+		if !b.pool.take(extra, b.pool.Reserved) {
 			return false
 		}
 		b.taken += extra
@@ -124,13 +130,22 @@
 // Counted returns the number of bytes taken from the pool.
 func (b *Buffer) Counted() int64 { return b.taken }
 
-// Trim returns the memory that was taken beyond what the buffer has allocated.
-func (b *Buffer) Trim() {
-	needed := int64(max(0, cap(b.Data)-FreeBytes))
-	if extra := b.taken - needed; extra > 0 {
-		b.taken = needed
-		b.pool.left.Add(extra)
+// Keep counts what a buffer has allocated, but for a small part, and returns the memory that was taken beyond that. It
+// reports false if it is not left.
+func (b *Buffer) Keep() bool {
+	extra := int64(max(0, cap(b.Data)-KeptFreeBytes)) - b.taken
+	least := b.pool.Reserved
+	if cap(b.Data) <= FreeBytes {
+		least = 0
+	}
+	if extra > 0 && !b.pool.take(extra, least) {
+		return false
 	}
+	if extra < 0 {
+		b.pool.left.Add(-extra)
+	}
+	b.taken += extra
+	return true
 }
 
 // Append adds bytes. The error is a *NoBufferError.
--- a/internal/ingester/ingester.go
+++ b/internal/ingester/ingester.go
@@ -14,6 +14,9 @@
 	"github.com/comfreybend/comfreybend/schema/settings"
 )
 
+// smallShare is the share of the memory that only small bodies may take.
+const smallShare = 4
+
 type (
 	// Ingester reads bodies. It is safe for concurrent use.
 	Ingester struct {
@@ -65,13 +68,16 @@
 }
 
 // New returns an Ingester with the limits of a body, of the bodies that are read at the same time and of the memory
-// for all, to which a small part of each does not count. Without a number of bodies that is not limited. now reads the
-// clock by which arrivals are told.
+// for all, to which a small part of each does not count. A part of the memory is left to small bodies, as long as one
+// of the largest size fits into the rest. Without a number of bodies that is not limited. now reads the clock by
+// which arrivals are told.
 func New(limits *settings.CallerLimits, now func() time.Duration) *Ingester {
-	return &Ingester{
+	i := &Ingester{
 		pool: bufferer.New(limits.GetBodyMemoryBytes()), limit: limits.GetBodyBytes(), now: now,
 		places: newPlaces(int(limits.GetBodies())),
 	}
+	i.pool.Reserved = max(0, min(limits.GetBodyMemoryBytes()/smallShare, limits.GetBodyMemoryBytes()-limits.GetBodyBytes()))
+	return i
 }
 
 // Left returns the memory that is left in bytes.
@@ -107,10 +113,12 @@
 	// One byte more shows that the body has ended, or that it is too large.
 	buffer := i.pool.NewBuffer(int(i.limit) + 1)
 	err := i.fill(buffer, r, reading)
+	if err == nil && !i.places.retry(reading, i.now, buffer.Keep) {
+		err = &NoMemoryError{Bytes: int64(len(buffer.Data)), Left: i.Left()}
+	}
 	if err != nil {
 		buffer.Release()
 	}
-	buffer.Trim()
 	// A body that was complete before it was interrupted is served.
 	if interrupted := i.places.release(reading); interrupted && err != nil {
 		err = &NoPlaceError{Bodies: i.places.limit}
