router: bound the requests in progress by the memory limit

Clients whose requests are in progress took an entry process beyond the memory of its host, however small their bodies were: 108 MB of 90 for 700 requests of 1,000 bytes with 60 KiB more behind each (TestWholeBodiesOfClients). Cause: the platform's adapter allowed as many requests as connections, 1,537 there, and each takes some 71 KB beside its body, and up to 64 KiB unread.

requestsInProgress follows from the memory limit now: a third of it, 72 KiB for each. It counts requests whose bodies have been read; those being read have a bound of their own and must not keep others out.

TestStalledBodiesOfClients, TestStalledDocuments and TestStalledRelays pass.

--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -13,6 +13,7 @@
 	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/internal/counter"
 	"github.com/comfreybend/comfreybend/internal/forwarder"
+	"github.com/comfreybend/comfreybend/internal/ingester"
 	"github.com/comfreybend/comfreybend/internal/restrainer"
 	"github.com/comfreybend/comfreybend/internal/scanner"
 	"github.com/comfreybend/comfreybend/internal/translator"
@@ -112,8 +113,10 @@
 	limits := r.settings.GetEntry().GetCallerLimits()
 	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		defer r.inProgress.Add(-1)
-		if r.inProgress.Add(1) > int64(limits.GetRequestsInProgress()) {
-			r.refuseUnread(w, request)
+		r.inProgress.Add(1)
+		if r.admitted.Load() >= int64(limits.GetRequestsInProgress()) {
+			ingester.Abandon(w, request)
+			r.refuseAdmission(w, request)
 			return
 		}
 		control := http.NewResponseController(w)
@@ -125,6 +128,11 @@
 			return
 		}
 		defer body.Release()
+		defer r.admitted.Add(-1)
+		if r.admitted.Add(1) > int64(limits.GetRequestsInProgress()) {
+			r.refuseAdmission(w, request)
+			return
+		}
 		ctx := context.WithValue(request.Context(), responseControllerKey{}, control)
 		server.ServeHTTP(w, request.WithContext(context.WithValue(ctx, bodyKey{}, body)))
 	})
--- a/internal/router/refusal.go
+++ b/internal/router/refusal.go
@@ -26,9 +26,8 @@
 	r.dialect.WriteRefusal(w, refusal)
 }
 
-// refuseUnread refuses a request beyond those that may be in progress. Its body is not read.
-func (r *Router) refuseUnread(w http.ResponseWriter, request *http.Request) {
-	ingester.Abandon(w, request)
+// refuseAdmission refuses a request beyond those that may be in progress.
+func (r *Router) refuseAdmission(w http.ResponseWriter, request *http.Request) {
 	r.encodeRefusal(request.Context(), translator.RefuseWithRetryAfter(http.StatusServiceUnavailable, translator.CodeOverloaded,
 		"too many requests in progress", time.Second), w)
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -95,7 +95,9 @@
 	bounder        *bounder.Bounder
 	stopper        *stopper.Stopper
 	inProgress     atomic.Int64
-	shuttingDown   atomic.Bool
+	// admitted counts the requests in progress whose bodies have been read.
+	admitted     atomic.Int64
+	shuttingDown atomic.Bool
 }
 
 // New returns an entry process that has not been started.
--- a/internal/validator/entry.go
+++ b/internal/validator/entry.go
@@ -44,6 +44,11 @@
 	bodyMemoryShare        = 3
 	defaultBodyMemoryBytes = 256 << 20
 	minBodyMemoryBytes     = 1 << 20
+	// requestMemoryShare is the share of the memory limit for requests in progress beside their bodies, of which each
+	// takes requestBytes: the goroutines and buffers of its two connections.
+	requestMemoryShare           = 3
+	requestBytes                 = 72 << 10
+	minDefaultRequestsInProgress = 64
 	// socketMemoryShare is the share of the memory limit that unread bytes may take beside it.
 	socketMemoryShare = 2
 	// bytesPerBody is what a body takes that is being read: up to 64 KiB in the receive buffer of its connection, and as
@@ -83,7 +88,7 @@
 	setDefaultNumber(&l.BodyBytes, defaultBodyBytes)
 	setDefaultNumber(&l.HeaderBytes, defaultHeaderBytes)
 	setDefaultNumber(&l.Connections, defaultConnections)
-	setDefaultNumber(&l.RequestsInProgress, defaultRequestsInProgress)
+	setDefaultNumber(&l.RequestsInProgress, requestsInProgress(memoryBytes))
 	setDefaultDuration(&l.HeaderTimeout, defaultHeaderTimeout)
 	setDefaultDuration(&l.BodyTimeout, defaultBodyTimeout)
 	setDefaultDuration(&l.WriteTimeout, defaultWriteTimeout)
@@ -97,6 +102,14 @@
 	setDefaultNumber(&l.Bodies, defaultBodies(l.GetSocketMemoryBytes()))
 }
 
+// requestsInProgress returns how many requests may be in progress with a memory limit.
+func requestsInProgress(memoryBytes int64) int32 {
+	if memoryBytes == 0 {
+		return defaultRequestsInProgress
+	}
+	return int32(min(defaultRequestsInProgress, max(minDefaultRequestsInProgress, memoryBytes/requestMemoryShare/requestBytes)))
+}
+
 // defaultBodies returns how many bodies may be read at the same time with an amount of memory for unread bytes.
 func defaultBodies(socketMemoryBytes int64) int32 {
 	if socketMemoryBytes == 0 {
--- a/internal/validator/validator_test.go
+++ b/internal/validator/validator_test.go
@@ -155,3 +155,24 @@
 		})
 	}
 }
+
+// TestRequestsInProgress guards against more requests in progress than the memory has room for.
+func TestRequestsInProgress(t *testing.T) {
+	tests := map[string]struct {
+		memory int64
+		want   int32
+	}{
+		"no memory limit": {want: defaultRequestsInProgress},
+		"tiny":            {memory: 1 << 20, want: minDefaultRequestsInProgress},
+		"54 MiB":          {memory: 54 << 20, want: 256},
+		"110 MiB":         {memory: 110 << 20, want: 521},
+		"large":           {memory: 64 << 30, want: defaultRequestsInProgress},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := requestsInProgress(test.memory); got != test.want {
+				t.Errorf("%d requests with %d bytes of memory, want %d", got, test.memory, test.want)
+			}
+		})
+	}
+}
