--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -156,6 +156,9 @@
 	return c.pools[name]
 }
 
+// DeclaresPools reports whether the pools are declared. Otherwise any service may be used.
+func (c *Catalog) DeclaresPools() bool { return len(c.pools) > 0 }
+
 // Organisation returns an organisation, or nil.
 func (c *Catalog) Organisation(id OrganisationID) *state.Organisation {
 	return c.organisations[id]
--- a/internal/tabulator/tabulator.go
+++ b/internal/tabulator/tabulator.go
@@ -380,6 +380,13 @@
 	}
 }
 
+// Has reports whether an upstream is known.
+func (t *Table) Has(id registrar.UpstreamID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.registry.Get(id) != nil
+}
+
 // Len returns the number of upstreams in the table.
 func (t *Table) Len() int {
 	t.mu.Lock()
