configurer: select routes by the path as received

Cause: the route was selected by the decoded path, while the path is forwarded as received.

Path and prefix are compared in the normal form of RFC 3986 now: only unreserved characters are decoded. A comparison byte by byte would select the route / for /%66iles/x, which upstreams read as /files/x.

--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -11,6 +11,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/comfreybend/comfreybend/pkg/normalizer"
 	"github.com/comfreybend/comfreybend/schema/state"
 )
 
@@ -35,7 +36,7 @@
 		routes   []*state.Route
 		// routesByHost holds the routes of each host, longest prefix first. Routes
 		// for any host are under the empty name.
-		routesByHost map[string][]*state.Route
+		routesByHost map[string][]prefixedRoute
 		// pools holds the declared pools by name.
 		pools map[string]*state.Pool
 		// priorities holds all possible priorities of requests, the highest first.
@@ -47,6 +48,12 @@
 	}
 )
 
+// prefixedRoute is a route with its path prefix in normal form.
+type prefixedRoute struct {
+	prefix string
+	route  *state.Route
+}
+
 // New returns an empty catalog at revision 0.
 func New() *Catalog {
 	return &Catalog{
@@ -138,13 +145,15 @@
 // ClassCount returns the number of classes.
 func (c *Catalog) ClassCount() int { return len(c.classes) }
 
-// Route returns the route with the longest matching path prefix, or nil. Routes
-// that name the host take precedence over those for any host.
+// Route returns the route with the longest matching path prefix, or nil. The path is the one of the request
+// as received: an encoded slash does not separate segments. Routes that name the host take precedence over those for
+// any host.
 func (c *Catalog) Route(host, path string) *state.Route {
+	path = normalizer.Path(path)
 	for _, name := range []string{host, ""} {
 		for _, r := range c.routesByHost[name] {
-			if strings.HasPrefix(path, r.GetPathPrefix()) {
-				return r
+			if strings.HasPrefix(path, r.prefix) {
+				return r.route
 			}
 		}
 	}
@@ -239,15 +248,16 @@
 	}
 }
 
-// setRoutes replaces the routes. No two of them have the same host and path prefix.
+// setRoutes replaces the routes. No two of them have the same host and path prefix, but for equivalent ones.
 func (c *Catalog) setRoutes(routes []*state.Route) {
-	sort.SliceStable(routes, func(i, j int) bool {
-		return len(routes[i].GetPathPrefix()) > len(routes[j].GetPathPrefix())
-	})
+	sort.Slice(routes, func(i, j int) bool { return routes[i].GetName() < routes[j].GetName() })
 	c.routes = routes
-	c.routesByHost = map[string][]*state.Route{}
+	c.routesByHost = map[string][]prefixedRoute{}
 	for _, r := range routes {
-		c.routesByHost[r.GetHost()] = append(c.routesByHost[r.GetHost()], r)
+		c.routesByHost[r.GetHost()] = append(c.routesByHost[r.GetHost()], prefixedRoute{prefix: normalizer.Path(r.GetPathPrefix()), route: r})
+	}
+	for _, list := range c.routesByHost {
+		sort.SliceStable(list, func(i, j int) bool { return len(list[i].prefix) > len(list[j].prefix) })
 	}
 }
 
