configurer: reject an unknown service beside a split

Cause: the services of the split were checked only, since no other is used.

The check is made before a document is proposed. Check itself, which replicas apply to committed commands, stays as it is: two releases must decide alike.

TestUnknownServiceBesideSplit failed before (case unknown) and passes.

--- a/internal/configurer/check.go
+++ b/internal/configurer/check.go
@@ -64,22 +64,34 @@
 }
 
 // CheckDocument validates the configuration of a document before it is proposed. Unlike Check it allows
-// no service where no pools are declared: a document declares all of them. The error is an
-// *InvalidConfigurationError that lists all invalid values.
+// no service where no pools are declared, since a document declares all of them, and no unknown service that is not used
+// because the route is split. The error is an *InvalidConfigurationError that lists all invalid values.
 func CheckDocument(c *state.Configuration) error {
-	err := Check(c)
-	if len(c.GetPools()) > 0 {
-		return err
-	}
 	e := &InvalidConfigurationError{}
-	errors.As(err, &e)
-	e.checkServicesOfRoutes(c, nil)
+	errors.As(Check(c), &e)
+	if len(c.GetPools()) == 0 {
+		e.checkServicesOfRoutes(c, nil)
+	}
+	e.checkUnusedServices(c)
 	if len(e.Errors) > 0 {
 		return e
 	}
 	return nil
 }
 
+// checkUnusedServices checks that the service of a route that is split is declared as well, if it names one.
+func (e *InvalidConfigurationError) checkUnusedServices(c *state.Configuration) {
+	declared := map[string]bool{}
+	for _, p := range c.GetPools() {
+		declared[p.GetName()] = true
+	}
+	for i, r := range c.GetRoutes() {
+		if name := r.GetService(); len(r.GetSplits()) > 0 && name != "" && !declared[name] {
+			e.addError(fmt.Sprintf("$.routes[%d].service", i), "no pool %q", name)
+		}
+	}
+}
+
 func (e *InvalidConfigurationError) addError(path, format string, args ...any) {
 	e.Errors = append(e.Errors, ValidationError{Path: path, Problem: fmt.Sprintf(format, args...)})
 }
