parser: let prompt parts keep no list alive

Cause: up to 50,000 parts are remembered for a minute and more, each as a slice of the whole list, and an id may be as long as the head.

Ids are copied, and one of more than 64 bytes is replaced by its digest.

--- a/internal/parser/parser.go
+++ b/internal/parser/parser.go
@@ -3,6 +3,8 @@
 package parser
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"math"
 	"net/http"
 	"strconv"
@@ -22,6 +24,8 @@
 	HeaderAPIKey = "X-Api-Key"
 
 	bearerPrefix = "Bearer "
+	// maxPartBytes is the size of the longest id of a prompt part that is remembered as it is.
+	maxPartBytes = 64
 )
 
 // APIKey returns the API key of a request; empty if it has none.
@@ -66,19 +70,28 @@
 }
 
 // PromptParts parses a list of prompt parts: ID:TOKENS separated by commas. Numbers that
-// cannot be parsed count as zero, because the upstream reads the same list itself.
+// cannot be parsed count as zero, because the upstream reads the same list itself. Parts are remembered for long, so
+// their ids share no memory with the list, and one of more than maxPartBytes is replaced by a digest.
 func PromptParts(text string) []picker.PromptPart {
 	if text == "" {
 		return nil
 	}
 	var parts []picker.PromptPart
-	for _, entry := range strings.Split(text, ",") {
+	for entry := range strings.SplitSeq(text, ",") {
 		id, tokens, _ := strings.Cut(strings.TrimSpace(entry), ":")
 		n, err := strconv.ParseUint(strings.TrimSpace(tokens), 10, 31)
 		if err != nil {
 			n = 0
 		}
-		parts = append(parts, picker.PromptPart{ID: picker.PrefixID(id), Tokens: int(n)})
+		parts = append(parts, picker.PromptPart{ID: partID(id), Tokens: int(n)})
 	}
 	return parts
 }
+
+func partID(text string) picker.PrefixID {
+	if len(text) <= maxPartBytes {
+		return picker.PrefixID(strings.Clone(text))
+	}
+	digest := sha256.Sum256([]byte(text))
+	return picker.PrefixID(hex.EncodeToString(digest[:]))
+}
--- a/internal/parser/parser_test.go
+++ b/internal/parser/parser_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -81,3 +82,39 @@
 		})
 	}
 }
+
+// TestPartsKeepNoList guards against memory that fills up for good, since parts that are remembered keep the lists alive
+// from which they were read, or are as long as these.
+func TestPartsKeepNoList(t *testing.T) {
+	const (
+		lists     = 2000
+		listBytes = 16 << 10
+		most      = lists * listBytes / 8
+	)
+	tests := map[string]func(n int) string{
+		"many parts":    func(n int) string { return strings.Repeat("5c1e07a2:8,", listBytes/11) + fmt.Sprintf("%016x:8", n) },
+		"one long part": func(n int) string { return strings.Repeat("5c1e07a2", listBytes/8) + fmt.Sprintf("%016x:8", n) },
+	}
+	for name, list := range tests {
+		t.Run(name, func(t *testing.T) {
+			known := map[picker.PrefixID]bool{}
+			before := heapBytes()
+			for n := range lists {
+				parts := PromptParts(list(n))
+				known[parts[len(parts)-1].ID] = true
+			}
+			if taken := heapBytes() - before; taken > most || len(known) != lists {
+				t.Errorf("%d parts of %d take %d bytes, want %d parts and at most %d bytes", len(known), lists, taken, lists, most)
+			}
+			runtime.KeepAlive(known)
+		})
+	}
+}
+
+// heapBytes returns the size of the objects that are in use.
+func heapBytes() int64 {
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return int64(s.HeapAlloc)
+}
