messenger: go on when a connection cannot be accepted now

Cause: any error of Accept ended the server of the peers' port, and that the process; the HTTP servers wait and try again. Control processes have the same code.

It pauses for 50 ms now if something is lacking at the moment, or if the connection has ended already.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -171,6 +171,7 @@
 	}
 	group, ctx := errgroup.WithContext(ctx)
 	peerServer := messenger.NewServer(listeners.peer, c.security, c.handle)
+	peerServer.OnPause = func(err error) { c.log.Warn("connections of other processes cannot be accepted now", zap.Error(err)) }
 	group.Go(func() error { return peerServer.Run(ctx) })
 	group.Go(func() error {
 		return c.serveHTTP(ctx, listeners.status, &http.Server{Handler: c.instruments.Handler(c.notReady, "")})
--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -6,11 +6,14 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"syscall"
+	"time"
 
 	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protodelim"
 
+	"github.com/comfreybend/comfreybend/pkg/timer"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
@@ -26,9 +29,15 @@
 	// ReserveRelay takes memory for a request that is passed on, in bytes, until it has been handled, and reports whether
 	// it was left. It may be nil, and be set before Run.
 	ReserveRelay func(bytes int64) (release func(), reserved bool)
-	wg           sync.WaitGroup
+	// OnPause is called when the system lacks what a connection needs, such as a descriptor, for the first of several
+	// failures in a row. It may be nil, and be set before Run.
+	OnPause func(error)
+	wg      sync.WaitGroup
 }
 
+// acceptPause is the pause after a connection could not be accepted for lack of something.
+const acceptPause = 50 * time.Millisecond
+
 // NewServer returns a server that passes the requests received on listener to handle.
 func NewServer(
 	listener net.Listener,
@@ -38,21 +47,42 @@
 	return &Server{listener: listener, security: security, handle: handle}
 }
 
-// Run accepts connections until ctx is done or accepting fails. It then waits for the
+// Run accepts connections until ctx is done or accepting fails for good. It then waits for the
 // handlers that are still running.
 func (s *Server) Run(ctx context.Context) error {
 	defer s.wg.Wait()
 	defer closeWhenDone(ctx, s.listener)()
+	paused := false
 	for {
 		conn, err := s.listener.Accept()
 		if ctx.Err() != nil {
 			return nil
 		}
-		if err != nil {
+		if err == nil {
+			paused = false
+			s.wg.Go(func() { s.serveConn(ctx, conn) })
+			continue
+		}
+		if !isLack(err) {
 			return errors.Wrap(err, "accepting a session")
 		}
-		s.wg.Go(func() { s.serveConn(ctx, conn) })
+		if !paused && s.OnPause != nil {
+			s.OnPause(err)
+		}
+		paused = true
+		timer.Sleep(ctx, acceptPause)
+	}
+}
+
+// isLack reports whether an error of Accept says nothing of the listener: the system lacks something at the moment, or
+// the connection has ended already.
+func isLack(err error) bool {
+	for _, cause := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.EPROTO} {
+		if errors.Is(err, cause) {
+			return true
+		}
 	}
+	return false
 }
 
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -171,6 +171,7 @@
 	defer stopBackground()
 	group, running := errgroup.WithContext(background)
 	peerServer := messenger.NewServer(l.peer, r.peers.security, r.peers.handle)
+	peerServer.OnPause = func(err error) { r.log.Warn("connections of other processes cannot be accepted now", zap.Error(err)) }
 	peerServer.HandleRelay, peerServer.ReserveRelay = r.receiver.Handle, r.bodies.Reserve
 	status := &http.Server{Handler: r.instruments.Handler(r.notReadyReason, r.dialect.ReadyPath), ReadHeaderTimeout: idleTimeout}
 	upstreams := &http.Server{Handler: r.announcementHandler(), ReadHeaderTimeout: idleTimeout, ConnContext: r.bounder.ConnContext}
