ingester: let a waiting body find who has the memory

A body was refused with 503 at once, instead of after the stalled one had been interrupted, if it came in the moment in which that had taken its memory and not yet recorded it.

What is about to be taken is recorded before.

--- a/internal/ingester/ingester.go
+++ b/internal/ingester/ingester.go
@@ -159,6 +159,10 @@
 
 // reserve makes room in a buffer. If no memory is left, bodies that have stalled give theirs back.
 func (i *Ingester) reserve(buffer *bufferer.Buffer, reading *reading, bytes int) bool {
+	if len(buffer.Data)+bytes > bufferer.FreeBytes {
+		// Memory that is taken may be wanted by another body at once, which must find who has it.
+		i.places.progress(reading, 0, buffer.Counted()+int64(bytes), i.now())
+	}
 	if !i.places.retry(reading, i.now, func() bool { return buffer.Reserve(bytes) }) {
 		return false
 	}
