router, controller: move what is new into other packages

Applying a reply to a catalog goes to configurer, the look at the services of an announcement to announcer, the names of processes to pkg/enumerator.

--- a/internal/announcer/validate.go
+++ b/internal/announcer/validate.go
@@ -2,9 +2,11 @@
 
 import (
 	"net/url"
+	"slices"
 
 	"github.com/pkg/errors"
 
+	"github.com/comfreybend/comfreybend/internal/configurer"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/wire"
 )
@@ -29,3 +31,12 @@
 		return nil
 	}
 }
+
+// IsForeign reports whether an announcement names only services that a configuration does not declare. It may come
+// from another program, and name the URL of an upstream that is in use, so it must not have any effect.
+func IsForeign(u *registrar.Upstream, catalog *configurer.Catalog) bool {
+	if u.Kind != registrar.KindService || !catalog.DeclaresPools() {
+		return false
+	}
+	return !slices.ContainsFunc(u.Serves, func(name string) bool { return catalog.Pool(name) != nil })
+}
--- a/internal/configurer/patch.go
+++ b/internal/configurer/patch.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/comfreybend/comfreybend/schema/state"
+	"github.com/comfreybend/comfreybend/schema/wire"
 )
 
 // PatchTo returns the patch by which the catalog gets the content of another one.
@@ -58,28 +59,39 @@
 	return next
 }
 
-// ApplyChanges returns the catalog with accepted changes applied. Those that it contains are skipped;
-// it is an error if one is missing.
-func (c *Catalog) ApplyChanges(changes []*state.Revised) (*Catalog, error) {
-	for _, change := range changes {
-		revision := Revision(change.GetRevision())
-		switch {
-		case revision <= c.revision:
-		case revision != c.revision+1:
-			return nil, errors.Errorf("change to revision %d does not follow revision %d", revision, c.revision)
-		case change.GetPatch() != nil:
-			c = c.ApplyPatch(change.GetPatch())
-		default:
-			next, err := c.Apply(change.GetOperation())
-			if err != nil {
-				return nil, errors.Wrap(err, "applying a committed change")
-			}
-			c = next
+// After returns the catalog that a control process's reply leads to: the one that the reply holds if it is whole, or this
+// one, with the changes applied. Those that it contains are skipped; it is an error if one is missing.
+func (c *Catalog) After(reply *wire.SyncReply) (*Catalog, error) {
+	revision := Revision(reply.GetRevision())
+	if reply.GetWhole() {
+		c = Restore(revision, reply.GetConfiguration(), reply.GetKeys())
+	}
+	for _, change := range reply.GetChanges() {
+		next, err := c.afterChange(change)
+		if err != nil {
+			return nil, err
 		}
+		c = next
+	}
+	if c.revision != revision {
+		return nil, errors.Errorf("changes end at revision %d, not %d", c.revision, revision)
 	}
 	return c, nil
 }
 
+func (c *Catalog) afterChange(change *state.Revised) (*Catalog, error) {
+	switch revision := Revision(change.GetRevision()); {
+	case revision <= c.revision:
+		return c, nil
+	case revision != c.revision+1:
+		return nil, errors.Errorf("change to revision %d does not follow revision %d", revision, c.revision)
+	case change.GetPatch() != nil:
+		return c.ApplyPatch(change.GetPatch()), nil
+	}
+	next, err := c.Apply(change.GetOperation())
+	return next, errors.Wrap(err, "applying a committed change")
+}
+
 func (c *Catalog) patchRoutes(p *state.Patch) {
 	if len(p.GetChangedRoutes())+len(p.GetRemovedRoutes()) == 0 {
 		return
--- a/internal/controller/follow.go
+++ b/internal/controller/follow.go
@@ -166,7 +166,7 @@
 		return
 	}
 	v.countedAt = now
-	live := hostsOf(v.entries.Live(now))
+	live := enumerator.Names(v.entries.Live(now))
 	v.counted.entries, v.counted.ids = len(live), nil
 	if v.entries.IsComplete(now) {
 		v.counted.ids = announcer.HostIDs(live)
@@ -180,14 +180,6 @@
 	return v.entries.Confirmed(timer.Now(), contact)
 }
 
-func hostsOf(processes []enumerator.Process) []string {
-	out := make([]string, 0, len(processes))
-	for _, p := range processes {
-		out = append(out, string(p))
-	}
-	return out
-}
-
 // addEntry records that an entry process is live.
 func (v *clusterView) addEntry(host string, now time.Duration) {
 	if v.entries.Name(now, enumerator.Process(host)) {
@@ -216,7 +208,7 @@
 func (v *clusterView) localEntryHosts() []string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return hostsOf(v.localEntries.Live(timer.Now()))
+	return enumerator.Names(v.localEntries.Live(timer.Now()))
 }
 
 // agreedTime returns the agreed time: the time of day by the median of the control
--- a/internal/controller/leave.go
+++ b/internal/controller/leave.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/comfreybend/comfreybend/internal/announcer"
 	"github.com/comfreybend/comfreybend/pkg/registrar"
 	"github.com/comfreybend/comfreybend/schema/state"
 	"github.com/comfreybend/comfreybend/schema/wire"
@@ -36,7 +36,9 @@
 // announce applies an announcement of an upstream. One that says that the upstream leaves
 // may be acknowledged only if the error is nil.
 func (c *Controller) announce(ctx context.Context, u registrar.Upstream) error {
-	if c.isForeign(&u) {
+	// A service that has just been removed from the configuration may have upstreams that leave.
+	leaves := u.State == registrar.Leaving && c.upstreamTable.Has(u.ID)
+	if !leaves && announcer.IsForeign(&u, c.stateMachine.Catalog()) {
 		c.log.Debug("announcement names no configured service", zap.String("upstream", string(u.ID)), zap.Strings("serves", u.Serves))
 		return nil
 	}
@@ -55,17 +57,6 @@
 	return c.commitDeparture(ctx, registrar.Departure{ID: u.ID, Incarnation: u.Incarnation})
 }
 
-// isForeign reports whether an announcement names only services that the configuration does not declare. It has no
-// effect: it may come from another program, and name the URL of an upstream that is in use. A leave counts if the
-// upstream is known, since its service may just have been removed.
-func (c *Controller) isForeign(u *registrar.Upstream) bool {
-	catalog := c.stateMachine.Catalog()
-	if u.Kind != registrar.KindService || !catalog.DeclaresPools() || u.State == registrar.Leaving && c.upstreamTable.Has(u.ID) {
-		return false
-	}
-	return !slices.ContainsFunc(u.Serves, func(name string) bool { return catalog.Pool(name) != nil })
-}
-
 // withdraw marks an upstream as leaving. The error is an *UnknownUpstreamError or a
 // *RequestFailedError; the leave may then not be acknowledged.
 func (c *Controller) withdraw(ctx context.Context, id registrar.UpstreamID, incarnation registrar.Incarnation) error {
--- a/internal/fetcher/fetcher.go
+++ b/internal/fetcher/fetcher.go
@@ -37,9 +37,9 @@
 	// progress whatever the size of the changes and the speed of the link. A part that does
 	// not come soon is asked for at another control process as well.
 	Fetcher struct {
-		// Held returns the revision that changes may follow, Confirmed the latest one that a quorum has
+		// Revisions returns the revision that changes may follow, and the latest one that a quorum has
 		// confirmed.
-		Held, Confirmed func() configurer.Revision
+		Revisions func() (held, confirmed configurer.Revision)
 		// Apply applies complete changes of a size in bytes from a control process, which had applied
 		// its latest revision for the age.
 		Apply func(control string, changes *wire.SyncReply, bytes int, age time.Duration) error
@@ -135,7 +135,7 @@
 func (f *Fetcher) Wanted() (configurer.Revision, string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.target <= f.Held() {
+	if held, _ := f.Revisions(); f.target <= held {
 		return 0, ""
 	}
 	return f.target, f.source
@@ -149,7 +149,8 @@
 			return nil
 		case <-f.requested:
 		}
-		current := newFetch(f.Held())
+		held, _ := f.Revisions()
+		current := newFetch(held)
 		for ctx.Err() == nil {
 			if target, _ := f.Wanted(); target == 0 {
 				break
@@ -163,18 +164,20 @@
 // ContinueAtAny continues a fetch until it is complete, and applies the changes, or until no control
 // process sends the next part. It returns the fetch to go on with.
 func (f *Fetcher) ContinueAtAny(ctx context.Context, current *Fetch) *Fetch {
-	if held := f.Held(); current.From != held {
+	held, confirmed := f.Revisions()
+	if current.From != held {
 		// Another reply has brought changes meanwhile.
 		current = newFetch(held)
 	}
 	current.record.passes++
-	current.Least = max(current.From+1, f.Confirmed())
+	current.Least = max(held+1, confirmed)
 	before, refused := current.record.parts, current.record.refused
 	source, err := f.FetchFrom(ctx, f.ordered(), current)
 	if err == nil {
 		f.Deliver(source.Control, current, source.Age)
 		f.log.Info("configuration changes were fetched", current.logFields()...)
-		return newFetch(f.Held())
+		held, _ = f.Revisions()
+		return newFetch(held)
 	}
 	timer.Sleep(ctx, fetchPause)
 	if current.record.parts == before && current.record.refused > refused {
--- a/internal/router/controlplane.go
+++ b/internal/router/controlplane.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync"
@@ -272,13 +273,6 @@
 	p.refresh()
 }
 
-// confirmedRevision returns the revision that a quorum has confirmed, or 0 before the first time.
-func (p *controlPlane) confirmedRevision() configurer.Revision {
-	p.applyMu.Lock()
-	defer p.applyMu.Unlock()
-	return p.confirmed
-}
-
 // refresh extends the freshness if the confirmed revision or a later one is in use.
 func (p *controlPlane) refresh() {
 	if p.confirmedAt > 0 && p.revision() >= p.confirmed {
@@ -289,21 +283,14 @@
 // latestCatalog returns the catalog that changes may follow: the one in use, one that is outdated, or an
 // empty one. applyMu is held.
 func (p *controlPlane) latestCatalog() *configurer.Catalog {
-	switch current := p.catalog.Load(); {
-	case current != nil:
-		return current
-	case p.outdated != nil:
-		return p.outdated
-	default:
-		return configurer.New()
-	}
+	return cmp.Or(p.catalog.Load(), p.outdated, configurer.New())
 }
 
-// heldRevision returns the revision that changes may follow.
-func (p *controlPlane) heldRevision() configurer.Revision {
+// revisions returns the revision that changes may follow, and the one that a quorum has confirmed or 0.
+func (p *controlPlane) revisions() (held, confirmed configurer.Revision) {
 	p.applyMu.Lock()
 	defer p.applyMu.Unlock()
-	return p.latestCatalog().Revision()
+	return p.latestCatalog().Revision(), p.confirmed
 }
 
 // applyConfiguration applies the configuration or the changes in a reply. It rejects an earlier
@@ -321,16 +308,10 @@
 	if received < base.Revision() {
 		return &earlierRevisionError{Held: base.Revision(), Received: received}
 	}
-	if reply.GetWhole() {
-		base = configurer.Restore(received, reply.GetConfiguration(), reply.GetKeys())
-	}
-	next, err := base.ApplyChanges(reply.GetChanges())
+	next, err := base.After(reply)
 	if err != nil {
 		return err
 	}
-	if next.Revision() != received {
-		return errors.Errorf("changes end at revision %d, not %d", next.Revision(), received)
-	}
 	if current == nil && received < p.confirmed {
 		p.outdated = next
 		return &earlierRevisionError{Held: p.confirmed, Received: received}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -149,7 +149,7 @@
 		log.Info("control process has forgotten which versions began streams", zap.String("control", c.Address()), zap.Int("streams", streams))
 	}
 	r.fetcher = fetcher.New(r.controlClients, log)
-	r.fetcher.Held, r.fetcher.Confirmed, r.fetcher.Apply = r.controlPlane.heldRevision, r.controlPlane.confirmedRevision, r.controlPlane.applyFetched
+	r.fetcher.Revisions, r.fetcher.Apply = r.controlPlane.revisions, r.controlPlane.applyFetched
 	r.isolation = newIsolation(r)
 	r.controlPoller = newControlPoller(r)
 	r.peers = newPeerExchanger(r, security)
--- a/pkg/enumerator/enumerator.go
+++ b/pkg/enumerator/enumerator.go
@@ -78,3 +78,12 @@
 	e.confirmed = live
 	return live
 }
+
+// Names returns the names of processes.
+func Names(processes []Process) []string {
+	names := make([]string, 0, len(processes))
+	for _, p := range processes {
+		names = append(names, string(p))
+	}
+	return names
+}
