--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -115,7 +115,7 @@
 	if !scrubber.IsCleanPath(c.path) {
 		return translator.Refuse(http.StatusBadRequest, translator.CodeMalformed, "the path has empty, \".\" or \"..\" segments")
 	}
-	c.route = catalog.Route(c.host, cmp.Or(c.escapedPath, "/"))
+	c.route = catalog.Route(c.host, cmp.Or(c.escapedPath, c.path))
 	if refusal := r.authenticate(c); refusal != nil {
 		return refusal
 	}
