controller: hold the configuration back until the log is known

An entry process that starts while a control process starts could get its configuration and send requests to an evacuated domain.

While its log is not known, a control process counts as one that catches up.

--- a/internal/controller/evacuation.go
+++ b/internal/controller/evacuation.go
@@ -64,16 +64,16 @@
 }
 
 // isCatchingUp reports whether this process has been started so lately that it may not have applied
-// all evacuation orders that were committed before, if its disk holds any order. An entry process without
-// any configuration does not get one from it: requests might then reach a domain whose evacuation was
-// acknowledged before all processes were restarted. Without contact to the majority, the time is limited
-// as for lag.
+// all evacuation orders that were committed before, if its disk holds any order or its log is not known yet,
+// when its snapshot may be. An entry process without any configuration does not get one from it: requests might
+// then reach a domain whose evacuation was acknowledged before all processes were restarted. Without contact to
+// the majority, the time is limited as for lag.
 func (c *Controller) isCatchingUp() bool {
 	n := c.membership.currentNode()
-	if n == nil || !c.recoveredOrders && c.stateMachine.EvacuationPosition() == 0 {
+	if n != nil && (!c.recoveredOrders && c.stateMachine.EvacuationPosition() == 0 || n.Status().CurrentAt > c.nodeCreatedAt) {
 		return false
 	}
-	return n.Status().CurrentAt <= c.nodeCreatedAt && c.lag() == 0
+	return c.lag() == 0
 }
 
 // holdsEvacuationOrders reports whether the log that was recovered has an evacuation order.
--- a/internal/controller/evacuation_test.go
+++ b/internal/controller/evacuation_test.go
@@ -90,6 +90,26 @@
 	}
 }
 
+// TestRestoredSnapshotDoesNotConfigure guards against a configuration that is handed out between the restore of a
+// snapshot and the start of the log, when the process does not know yet whether its log holds an evacuation.
+func TestRestoredSnapshotDoesNotConfigure(t *testing.T) {
+	c := newEvacuationController(t)
+	c.settings.Control.ElectionTimeout = durationpb.New(time.Minute)
+	started := &wire.Follow{Host: "e", EvacuationPosition: proto.Uint64(0)}
+	if c.mayConfigure(started) {
+		t.Error("a process whose log is not known yet may configure an entry process that starts")
+	}
+	started.HaveRevision = 1
+	if !c.mayConfigure(started) {
+		t.Error("an entry process with a configuration gets no changes")
+	}
+	started.HaveRevision = 0
+	c.settings.Control.ElectionTimeout = nil
+	if !c.mayConfigure(started) {
+		t.Error("without the log there is no configuration, whatever time has passed")
+	}
+}
+
 // TestDrainEndsInEvacuatedDomain guards against the stop of an upstream that was draining when its domain was
 // evacuated.
 func TestDrainEndsInEvacuatedDomain(t *testing.T) {
