fetcher: ask for no copy of a part that is coming

Cause: a part that took longer than 0.2 s was asked for again elsewhere, though it was the link that was slow, which the copies crowd. A process that is slow sends nothing meanwhile.

messenger.Client counts what it receives, of incomplete messages too. While that lets the part come within its timeout, chooser asks for no copy.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -16,8 +16,8 @@
 	// PartBytes is the size of the parts. On a slow link a part delays other messages of the
 	// control processes by little.
 	PartBytes = 32 << 10
-	// partTimeout bounds the fetch of one part.
-	partTimeout = time.Second
+	// PartTimeout bounds the fetch of one part.
+	PartTimeout = time.Second
 	// maxBytes bounds the size of a content.
 	maxBytes = 256 << 20
 )
@@ -42,7 +42,7 @@
 
 // FetchPart sends a request for a part.
 func FetchPart(ctx context.Context, client *messenger.Client, request *wire.Fetch) (*wire.FetchReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, partTimeout)
+	ctx, cancel := context.WithTimeout(ctx, PartTimeout)
 	defer cancel()
 	reply, err := client.Call(ctx, &wire.Request{Kind: &wire.Request_Fetch{Fetch: request}})
 	return reply.GetFetch(), err
--- a/internal/assembler/table_test.go
+++ b/internal/assembler/table_test.go
@@ -34,7 +34,7 @@
 		requests++
 		mu.Unlock()
 		if late {
-			timer.Sleep(ctx, 2*partTimeout)
+			timer.Sleep(ctx, 2*PartTimeout)
 		}
 		from := r.GetFetch().GetOffset()
 		part := &wire.FetchReply{Digest: 1, Offset: from, Size: int64(len(data)), Data: data[from:min(from+r.GetFetch().GetMaxBytes(), int64(len(data)))]}
--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -27,11 +28,19 @@
 		address        string
 		security       Security
 		connectTimeout time.Duration
+		// received counts the bytes received on all connections.
+		received atomic.Int64
 
 		mu      sync.Mutex
 		session *yamux.Session
 	}
 
+	// countingConn counts the bytes that it receives.
+	countingConn struct {
+		net.Conn
+		received *atomic.Int64
+	}
+
 	// UnreachableError reports that a process could not be reached or did not reply.
 	UnreachableError struct {
 		Address string
@@ -71,6 +80,16 @@
 	return (&net.Dialer{Control: dialer.UserTimeout(writeTimeout)}).DialContext(ctx, "tcp", address)
 }
 
+// Read implements net.Conn.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(int64(n))
+	return n, err
+}
+
+// Received returns the number of bytes that have come from the other process, of messages that are not complete too.
+func (c *Client) Received() int64 { return c.received.Load() }
+
 // Address returns the address of the other process.
 func (c *Client) Address() string {
 	return c.address
@@ -152,6 +171,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "dialling")
 	}
+	conn = &countingConn{Conn: conn, received: &c.received}
 	if c.security.Client != nil {
 		secured := tls.Client(conn, c.security.Client())
 		if err = secured.HandshakeContext(ctx); err != nil {
--- a/pkg/chooser/chooser.go
+++ b/pkg/chooser/chooser.go
@@ -12,7 +12,7 @@
 type (
 	// Config configures a Chooser.
 	Config struct {
-		// Delay is the time without a reply after which the next source is asked as well, and within
+		// Delay is the time without a reply or progress after which the next source is asked as well, and within
 		// which a reply counts as quick. It doubles with each source that is asked for a part. The next
 		// part goes on with the doubled delay, unless a copy was quick.
 		Delay time.Duration
@@ -32,6 +32,8 @@
 		// latest one was asked.
 		first   *source[S]
 		askedAt time.Duration
+		// progressAt is the time of the latest progress.
+		progressAt time.Duration
 	}
 
 	source[S comparable] struct {
@@ -108,9 +110,13 @@
 	if !c.any(asked) {
 		return c.askedAt, true
 	}
-	return c.askedAt + c.delay, true
+	return max(c.askedAt, c.progressAt) + c.delay, true
 }
 
+// Progress records that a source is sending the current part fast enough, so that no copy is of use before
+// the delay has passed again.
+func (c *Chooser[S]) Progress(now time.Duration) { c.progressAt = now }
+
 // Exhausted reports whether all sources have failed to send the current part.
 func (c *Chooser[S]) Exhausted() bool { return !c.any(idle) && !c.any(asked) }
 
--- a/pkg/chooser/chooser_test.go
+++ b/pkg/chooser/chooser_test.go
@@ -107,6 +107,26 @@
 	}
 }
 
+// TestProgress guards against copies of what arrives over a slow link, and against waiting for a source that has
+// stopped in the middle of a part.
+func TestProgress(t *testing.T) {
+	c := chooser.New(config, []string{"a", "b"})
+	c.Begin()
+	_, _ = c.Next(0)
+	for now := time.Duration(0); now <= 5*config.Delay; now += config.Delay / 2 {
+		if id, ok := c.Next(now); ok {
+			t.Fatalf("%q is to be asked as well after %v", id, now)
+		}
+		c.Progress(now)
+	}
+	if _, ok := c.Next(6*config.Delay - step); ok {
+		t.Error("another source is to be asked before the delay has passed since the latest progress")
+	}
+	if id, ok := c.Next(6 * config.Delay); !ok || id != "b" {
+		t.Errorf("%q is to be asked (%t) without progress, want b", id, ok)
+	}
+}
+
 // TestFail guards against waiting for the delay after a source has failed, and against asking one twice.
 func TestFail(t *testing.T) {
 	c := chooser.New(config, []string{"a", "b"})
