assembler: let a table that does not come hold up no other

An entry process fetches the tables of upstreams of its two control processes one at a time, since they share the link. One that was slow or silent held the other's table up: for 3 s if it does not answer, for as long as it takes if it is slow.

Meter tells a slow link from a slow process; the copies of the fetcher use it too. TestSlowTableGivesWay failed before (3.0 s). The router's tests of slow links pass, one run with the race detector.

--- a/internal/assembler/table.go
+++ b/internal/assembler/table.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,15 +19,20 @@
 	maxPartFailures = 2
 	// partsInFlight is the number of parts that are asked for at the same time.
 	partsInFlight = 2
+	// stallTime is the time after which a table is fetched beside another one that does not progress.
+	stallTime = PartTimeout / 2
 )
 
 type (
-	// Tables fetches whole tables of upstreams, one at a time, since they share the link.
+	// Tables fetches whole tables of upstreams, one at a time, since they share the link. One that does not
+	// progress does not hold others up.
 	Tables struct {
 		// Apply applies a table that was fetched from a control process.
 		Apply func(control string, table *wire.FollowReply)
 
-		busy atomic.Bool
+		mu sync.Mutex
+		// latest is the meter of the fetch that was started last, nil once it has ended.
+		latest *Meter
 	}
 
 	// TableFetch is a fetch of the table of a control process, in the background.
@@ -44,15 +48,16 @@
 )
 
 // Start begins to fetch the table of a control process and returns the fetch, or nil if there is one
-// in progress.
+// that progresses.
 func (t *Tables) Start(ctx context.Context, client *messenger.Client, table uint64) *TableFetch {
-	if !t.busy.CompareAndSwap(false, true) {
+	meter := t.begin(timer.Now(), client)
+	if meter == nil {
 		return nil
 	}
 	f := &TableFetch{Table: table, done: make(chan struct{}), reply: &wire.FollowReply{Table: table, WholeTable: true}}
 	go func() {
 		defer close(f.done)
-		defer t.busy.Store(false)
+		defer t.end(meter)
 		if f.err = f.fetch(ctx, client); f.err == nil {
 			t.Apply(client.Address(), f.reply)
 		}
@@ -60,6 +65,25 @@
 	return f
 }
 
+// begin returns the meter of a fetch that may start, or nil if it may not.
+func (t *Tables) begin(now time.Duration, client *messenger.Client) *Meter {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.latest != nil && (t.latest.Age(now) < stallTime || t.latest.Progresses(now)) {
+		return nil
+	}
+	t.latest = NewMeter(now, client.Received)
+	return t.latest
+}
+
+func (t *Tables) end(meter *Meter) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.latest == meter {
+		t.latest = nil
+	}
+}
+
 // fetch fetches the parts. What has arrived is kept when a part does not arrive in time, since all of
 // it takes seconds on a slow link.
 func (f *TableFetch) fetch(ctx context.Context, client *messenger.Client) error {
--- a/internal/assembler/table_test.go
+++ b/internal/assembler/table_test.go
@@ -87,3 +87,27 @@
 		})
 	}
 }
+
+// TestSlowTableGivesWay guards against a control process that sends its table slowly or not at all and holds up
+// the table of another one, and against tables that are fetched at the same time while the first one comes.
+func TestSlowTableGivesWay(t *testing.T) {
+	data := make([]byte, 4*PartBytes)
+	slow := startTable(t, data, func(int) bool { return true })
+	other := startTable(t, data, func(int) bool { return true })
+	tables := &Tables{Apply: func(string, *wire.FollowReply) {}}
+	first := tables.Start(t.Context(), slow, 1)
+	if tables.Start(t.Context(), other, 2) != nil {
+		t.Error("two tables are fetched at the same time from the start")
+	}
+	for tables.Start(t.Context(), other, 2) == nil {
+		timer.Sleep(t.Context(), PartTimeout/100)
+	}
+	select {
+	case <-first.done:
+		t.Error("the table of another one waits for the end of the fetch from the slow one")
+	default:
+	}
+	if tables.Start(t.Context(), slow, 3) != nil {
+		t.Error("a third table is fetched at the same time")
+	}
+}
--- a/internal/fetcher/fetcher.go
+++ b/internal/fetcher/fetcher.go
@@ -29,8 +29,6 @@
 	// up to maxCopyDelay, beyond the timeout of a request, where copies do not help.
 	copyDelay    = 200 * time.Millisecond
 	maxCopyDelay = 2 * time.Second
-	// progressBytes is how much has to come in copyDelay for a part to come within its timeout.
-	progressBytes = assembler.PartBytes * copyDelay / assembler.PartTimeout
 )
 
 type (
@@ -78,9 +76,6 @@
 		Age time.Duration
 	}
 
-	// receipts holds how many bytes had come from the control processes that are asked for a part.
-	receipts map[*messenger.Client]int64
-
 	// partResult is the result of a request for a part.
 	partResult struct {
 		client *messenger.Client
@@ -222,13 +217,13 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan partResult)
-	received := receipts{}
+	var meters []*assembler.Meter
 	sources.Begin()
 	for !sources.Exhausted() {
 		for client, ok := sources.Next(timer.Now()); ok; client, ok = sources.Next(timer.Now()) {
 			request := current.NextPart(&wire.Fetch{HaveRevision: uint64(current.From), Revision: uint64(current.revision)})
 			current.record.requests++
-			received[client] = client.Received()
+			meters = append(meters, assembler.NewMeter(timer.Now(), client.Received))
 			go requestPart(ctx, client, request, results)
 		}
 		var due <-chan time.Time
@@ -239,8 +234,10 @@
 		case <-ctx.Done():
 			return Source{}, ctx.Err()
 		case <-due:
-			if received.progress() {
-				sources.Progress(timer.Now())
+			for _, m := range meters {
+				if now := timer.Now(); m.Progresses(now) {
+					sources.Progress(now)
+				}
 			}
 		case result := <-results:
 			current.record.addResult(result)
@@ -260,18 +257,6 @@
 }
 
 // requestPart sends a request to a control process and delivers the result until ctx ends.
-// progress reports whether one of the control processes has sent progressBytes since the last call. Of a slow link it
-// is that, while a slow process sends nothing.
-func (r receipts) progress() bool {
-	progress := false
-	for client, before := range r {
-		received := client.Received()
-		progress = progress || received-before >= int64(progressBytes)
-		r[client] = received
-	}
-	return progress
-}
-
 func requestPart(ctx context.Context, client *messenger.Client, request *wire.Fetch, results chan<- partResult) {
 	askedAt := timer.Now()
 	part, err := assembler.FetchPart(ctx, client, request)
