assembler: halve the parts that do not come in time

A link that carries less than 32 KiB in a second never got a configuration or a table above that size, since each part of 32 KiB has a second: nothing was in force after a minute at 20 kB/s.

A part that times out halves the size of the next ones, down to 8 KiB, and what lets such a part come in time counts as progress. Both sides knew the size in the request already, so releases mix.

--- a/internal/assembler/meter.go
+++ b/internal/assembler/meter.go
@@ -15,10 +15,11 @@
 	return &Meter{received: received, at: now, bytes: received()}
 }
 
-// Progresses reports whether, since the last call, as much has come as lets a part come within its timeout.
+// Progresses reports whether, since the last call, as much has come as lets one of the smallest
+// parts come within its timeout.
 func (m *Meter) Progresses(now time.Duration) bool {
 	bytes := m.received()
-	progresses := (bytes-m.bytes)*int64(PartTimeout) >= PartBytes*int64(now-m.at)
+	progresses := (bytes-m.bytes)*int64(PartTimeout) >= minPartBytes*int64(now-m.at)
 	m.at, m.bytes = now, bytes
 	return progresses
 }
--- a/internal/assembler/table.go
+++ b/internal/assembler/table.go
@@ -97,6 +97,7 @@
 		if err == nil {
 			continue
 		}
+		table.Shrink()
 		if failures++; failures > maxPartFailures || ctx.Err() != nil {
 			return err
 		}
@@ -114,7 +115,7 @@
 		asked   int
 	)
 	// The size is known after the first part.
-	for offset := int64(len(table.Data)); asked < partsInFlight && (asked == 0 || offset < table.size); offset += PartBytes {
+	for offset := int64(len(table.Data)); asked < partsInFlight && (asked == 0 || offset < table.size); offset += table.partBytes() {
 		i, request := asked, table.partAt(&wire.Fetch{Upstreams: true}, offset)
 		running.Go(func() { parts[i], errs[i] = FetchPart(ctx, client, request) })
 		asked++
--- a/internal/fetcher/fetcher.go
+++ b/internal/fetcher/fetcher.go
@@ -269,6 +269,9 @@
 func (f *Fetcher) handleFailure(result partResult, current *Fetch) {
 	f.log.Debug("fetching configuration changes failed", zap.String("control", result.client.Address()),
 		zap.Int("bytes", len(current.Data)), zap.Error(result.err))
+	if errors.Is(result.err, context.DeadlineExceeded) {
+		current.Shrink()
+	}
 	if errors.As(result.err, new(*messenger.UnreachableError)) {
 		f.clients.MarkFailed(result.client)
 	}
