stopper: refuse early what cannot be answered in time

Cause: all that wait were refused at one moment, a second before the end, and a busy machine does not write so many answers in a second.

Now at most as many wait as can be answered at 200 a second until the end. AnyFree moves to pkg/picker.

--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -358,7 +358,7 @@
 		return nil, refusal
 	}
 	p := d.pool(r.pool)
-	if refusal := d.stopRefusal(&r); refusal != nil {
+	if refusal := d.stopRefusal(&r, 0); refusal != nil {
 		return nil, refusal
 	}
 	if refusal := d.refuseOvercommitted(r, p); refusal != nil {
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -76,7 +77,7 @@
 	d.dispatchBound(key, p)
 	for p.scheduler.Waiting() > 0 {
 		upstreams, candidates := d.candidates(key, p)
-		if !anyFree(candidates) {
+		if !picker.AnyFree(candidates) {
 			p.scheduler.RecordBlocked()
 			return
 		}
@@ -190,7 +191,7 @@
 			Free:           c.Free,
 			Limited:        d.upstreamStates[u.ID].limited,
 			WarmingUp:      now < u.WarmUpEndsAt,
-			Age:            now - startTime(u, d.upstreamStates[u.ID]),
+			Age:            now - cmp.Or(u.StartedAt, d.upstreamStates[u.ID].firstAnnounced),
 			Requests:       running,
 			Slots:          u.Load.Slots,
 			PendingTokens:  d.upstreamStates[u.ID].pendingTokens + othersPending,
@@ -203,15 +204,6 @@
 	return out
 }
 
-// startTime returns when an upstream started, or when it was first announced if it does
-// not report that.
-func startTime(u *registrar.Upstream, s *upstreamState) time.Duration {
-	if u.StartedAt != 0 {
-		return u.StartedAt
-	}
-	return s.firstAnnounced
-}
-
 // markCached marks the candidates that have a prefix in their cache.
 func (d *dispatcher) markCached(candidates []picker.Candidate, prefix picker.PrefixID) {
 	if prefix == "" {
@@ -222,15 +214,6 @@
 	}
 }
 
-func anyFree(candidates []picker.Candidate) bool {
-	for i := range candidates {
-		if candidates[i].Free {
-			return true
-		}
-	}
-	return false
-}
-
 // candidates returns the upstreams of a pool that accept new requests, with the load known
 // to this process. It also sets the concurrency limit of each from its slots and the
 // demand of all entry processes.
--- a/internal/router/version.go
+++ b/internal/router/version.go
@@ -71,7 +71,7 @@
 		w := d.waiters[id]
 		upstreams, candidates := d.candidates(key, p)
 		candidates = picker.OnlyVersion(candidates, *w.request.version, w.request.pick.Avoid)
-		if !anyFree(candidates) {
+		if !picker.AnyFree(candidates) {
 			continue
 		}
 		w.item, _ = p.scheduler.Take(d.now(), id)
--- a/internal/stopper/stopper.go
+++ b/internal/stopper/stopper.go
@@ -2,7 +2,7 @@
 // outlast it, so that each request gets an answer before its connection is closed.
 //
 // While the process stops, a request that waits is refused as soon as its response is expected to take longer than
-// is left. Shortly before the end nothing waits any more, and then nothing that has sent no part of a response goes on.
+// is left, or more wait than can be answered. Shortly before the end nothing waits any more, and then nothing that has sent no part of a response goes on.
 package stopper
 
 import (
@@ -22,6 +22,8 @@
 	// answerDivisor divides the time before the end from which nothing waits: for the last of its parts the
 	// attempts have ended too, and their answers are written.
 	answerDivisor = 4
+	// answersPerSecond is the number of refusals that a process is sure to write beside others that stop too.
+	answersPerSecond = 200
 )
 
 type (
@@ -30,6 +32,7 @@
 		now func() time.Duration
 		// lastStart is the time from which nothing waits; math.MaxInt64 while the process does not stop.
 		lastStart      atomic.Int64
+		endsAt         atomic.Int64
 		waiting        context.Context
 		stopWaiting    context.CancelCauseFunc
 		attempting     context.Context
@@ -55,7 +58,9 @@
 // Stop begins to stop a process that ends after left. It returns once nothing goes on any more, or when ctx is done.
 func (s *Stopper) Stop(ctx context.Context, left time.Duration) {
 	refusalTime := min(maxRefusalTime, left/refusalDivisor)
-	s.lastStart.Store(int64(s.now() + left - refusalTime))
+	end := s.now() + left
+	s.endsAt.Store(int64(end))
+	s.lastStart.Store(int64(end - refusalTime))
 	if timer.Sleep(ctx, left-refusalTime) {
 		s.stopWaiting(&Error{})
 	}
@@ -72,6 +77,16 @@
 	return !s.Stopping() || s.now()+expected < time.Duration(s.lastStart.Load())
 }
 
+// Excess returns how many of the requests that wait have to be refused now, so that there is time to answer the
+// others before the end.
+func (s *Stopper) Excess(waiting int) int {
+	if !s.Stopping() {
+		return 0
+	}
+	left := max(0, time.Duration(s.endsAt.Load())-s.now())
+	return max(0, waiting-int(left*answersPerSecond/time.Second))
+}
+
 // Wait returns a context in which a request waits for its turn. It ends with ctx, and with an *Error as its cause when
 // nothing waits any more. stop must be called once it is not needed.
 func (s *Stopper) Wait(ctx context.Context) (wait context.Context, stop func()) {
--- a/internal/stopper/stopper_test.go
+++ b/internal/stopper/stopper_test.go
@@ -42,6 +42,39 @@
 	}
 }
 
+// TestExcess guards against more requests that wait until the end than can be answered then, and against refusals of
+// the few that can.
+func TestExcess(t *testing.T) {
+	const second = time.Second
+	tests := map[string]struct {
+		left, passed time.Duration
+		waiting      int
+		want         int
+	}{
+		"few wait":                     {left: 4 * second, waiting: 800},
+		"many wait":                    {left: 4 * second, waiting: 1000, want: 200},
+		"the same, half of it is over": {left: 4 * second, passed: 2 * second, waiting: 1000, want: 600},
+		"nothing waits any more":       {left: 4 * second, passed: 4 * second, waiting: 3, want: 3},
+		"the end has passed":           {left: 4 * second, passed: 5 * second, waiting: 3, want: 3},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Hour
+			s := New(func() time.Duration { return now })
+			if got := s.Excess(test.waiting); got != 0 {
+				t.Errorf("%d of those that wait at a process that does not stop are refused", got)
+			}
+			ended, cancel := context.WithCancel(t.Context())
+			cancel()
+			s.Stop(ended, test.left)
+			now += test.passed
+			if got := s.Excess(test.waiting); got != test.want {
+				t.Errorf("%d are refused, want %d", got, test.want)
+			}
+		})
+	}
+}
+
 // TestStop guards against waits and attempts that go on when the process ends, or are ended in another order.
 func TestStop(t *testing.T) {
 	s := New(func() time.Duration { return time.Hour })
--- a/pkg/picker/versions.go
+++ b/pkg/picker/versions.go
@@ -30,3 +30,8 @@
 	}
 	return out
 }
+
+// AnyFree reports whether one of the candidates has room for a request.
+func AnyFree(candidates []Candidate) bool {
+	return slices.ContainsFunc(candidates, func(c Candidate) bool { return c.Free })
+}
