--- a/internal/stopper/stopper_test.go
+++ b/internal/stopper/stopper_test.go
@@ -8,6 +8,14 @@
 	"time"
 )
 
+// begin begins the stop without waiting for its moments.
+func (s *Stopper) begin(t *testing.T, left time.Duration) {
+	t.Helper()
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	s.Stop(ended, left)
+}
+
 // TestMayBegin guards against requests that are begun although their response would outlast the process, and against
 // refusals of those that end in time.
 func TestMayBegin(t *testing.T) {
@@ -31,9 +39,7 @@
 			if s.Stopping() || !s.MayBegin(24*time.Hour) {
 				t.Fatal("a process that does not stop refuses a request")
 			}
-			ended, cancel := context.WithCancel(t.Context())
-			cancel()
-			s.Stop(ended, test.left)
+			s.begin(t, test.left)
 			now += test.passed
 			if got := s.MayBegin(test.expected); got != test.want {
 				t.Errorf("may begin: %t, want %t", got, test.want)
@@ -64,9 +70,7 @@
 			if got := s.Excess(test.waiting); got != 0 {
 				t.Errorf("%d of those that wait at a process that does not stop are refused", got)
 			}
-			ended, cancel := context.WithCancel(t.Context())
-			cancel()
-			s.Stop(ended, test.left)
+			s.begin(t, test.left)
 			now += test.passed
 			if got := s.Excess(test.waiting); got != test.want {
 				t.Errorf("%d are refused, want %d", got, test.want)
